--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/driver.py
@@ -0,0 +1,228 @@
+"""Endpoint driver: carries out exchanges, probes, watches and orders over HTTP with JSON."""
+
+from __future__ import annotations
+
+import logging
+import time
+from typing import Any
+
+import orjson
+from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.outbox import (
+    EndpointOrder,
+    PoolFlush,
+    ProbeOrder,
+    TransactionRelease,
+    WatchOrder,
+)
+from gentianspread_core.blackboard.requests import (
+    ExchangeStatus,
+    Reply,
+    Request,
+    StatementKind,
+)
+from gentianspread_core.positions import Position
+
+from .connections import Connection, LostError, NotSentError, head_for, post_once
+from .pools import CONNECT_LIMIT_S, IDLE_CHECK_S, Pools
+
+log = logging.getLogger(__name__)
+
+STATEMENT_PATH = "/statement"
+STATUS_PATH = "/status"
+WATCH_PATH = "/watch"
+ORDER_PATH = "/order"
+CHECK_LIMIT_S = 0.3
+WATCH_MARGIN_S = 0.3
+STATUSES = {
+    "ok": ExchangeStatus.OK,
+    "refused": ExchangeStatus.REFUSED,
+    "failed": ExchangeStatus.FAILED,
+}
+
+
+class EndpointDriver:
+    """Talks to endpoints on behalf of one VM's board."""
+
+    __slots__ = ("board", "pools", "_heads")
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self.pools = Pools()
+        self._heads: dict[str, bytes] = {}
+
+    def run(self, request: Request) -> None:
+        """Carry out a request's exchange in the calling greenlet and post its reply."""
+        exchange = request.exchange
+        if exchange is None:
+            return
+        try:
+            exchange.reply = self._exchange(request)
+        except NotSentError as error:
+            exchange.reply = Reply(ExchangeStatus.NOT_SENT, message=str(error))
+        except LostError as error:
+            exchange.reply = Reply(ExchangeStatus.LOST, message=str(error))
+        except BaseException:
+            exchange.reply = Reply(ExchangeStatus.LOST, message="the caller's greenlet ended")
+            self.board.post(Topic.EXCHANGE_ENDED, request)
+            raise
+        self.board.post(Topic.EXCHANGE_ENDED, request)
+
+    def probe(self, order: ProbeOrder) -> None:
+        """Ask an endpoint how it is on a fresh connection and post the answer."""
+        try:
+            status: Any = post_once(order.address, STATUS_PATH, {}, order.limit)
+            order.term = status["term"]
+            order.position = Position.from_pair(status["position"])
+            order.is_primary = status["is_primary"]
+            order.follows = status["follows"]
+            order.alive = True
+        except (NotSentError, LostError, KeyError, TypeError):
+            order.alive = False
+        self.board.post(Topic.PROBE_ENDED, order)
+
+    def watch(self, order: WatchOrder) -> None:
+        """Wait until a replica has received a position and post what it has."""
+        endpoint = self.board.endpoints.by_name.get(order.endpoint)
+        if endpoint is not None:
+            message = {
+                "term": order.term,
+                "position": order.position.to_pair(),
+                "wait_ms": order.wait * 1000,
+            }
+            try:
+                answer = self._pooled(order.endpoint, WATCH_PATH, message, order.wait)
+                order.reached = Position.from_pair(answer["reached"]) if answer["reached"] else None
+            except (NotSentError, LostError, KeyError, TypeError):
+                order.reached = None
+        self.board.post(Topic.WATCH_ENDED, order)
+
+    def order(self, order: EndpointOrder) -> None:
+        """Fence, promote or have an endpoint follow, and post whether it accepted."""
+        message = {
+            "kind": order.kind.value,
+            "term": order.term,
+            "primary_address": order.primary_address,
+        }
+        try:
+            answer: Any = post_once(order.address, ORDER_PATH, message, order.limit)
+            order.accepted = answer["accepted"]
+            order.position = Position.from_pair(answer["position"])
+        except (NotSentError, LostError, KeyError, TypeError):
+            order.accepted = False
+        self.board.post(Topic.ORDER_ENDED, order)
+
+    def release(self, release: TransactionRelease) -> None:
+        """Give back or close the connection that a transaction kept."""
+        self.pools.release(release.transaction, release.endpoint, release.close)
+
+    def flush(self, flush: PoolFlush) -> None:
+        """Close an endpoint's idle connections."""
+        pool = self.pools.by_endpoint.get(flush.endpoint)
+        if pool is not None:
+            pool.flush(flush.before)
+
+    def _exchange(self, request: Request) -> Reply:
+        exchange = request.exchange
+        endpoint = self.board.endpoints.by_name.get(request.endpoint or "")
+        if exchange is None or endpoint is None:
+            raise NotSentError("the endpoint is not known")
+        if request.transaction is not None:
+            return self._in_transaction(request, endpoint.address)
+        pool = self.pools.pool(endpoint.name, endpoint.address)
+        connection = pool.take()
+        self._make_ready(connection)
+        reply = self._send(connection, request, endpoint.address)
+        if request.kind is StatementKind.BEGIN and reply.status is ExchangeStatus.OK:
+            self.pools.keep(f"{self.board.settings.member}.{exchange.number}", connection)
+        else:
+            pool.give_back(connection)
+        return reply
+
+    def _in_transaction(self, request: Request, address: str) -> Reply:
+        connection = self.pools.by_transaction.get(request.transaction or "")
+        if connection is None:
+            raise NotSentError("the transaction's connection is gone")
+        return self._send(connection, request, address)
+
+    def _make_ready(self, connection: Connection) -> None:
+        """Connect a new connection; check one that has long been idle before it is trusted."""
+        if not connection.opened:
+            connection.open(CONNECT_LIMIT_S)
+            return
+        if time.monotonic() - connection.last_used < IDLE_CHECK_S:
+            return
+        try:
+            connection.exchange(self._head(STATUS_PATH, connection.address), b"{}", CHECK_LIMIT_S)
+        except LostError:
+            self._open_again(connection)
+
+    def _open_again(self, connection: Connection) -> None:
+        connection.close()
+        connection.open(CONNECT_LIMIT_S)
+
+    def _send(self, connection: Connection, request: Request, address: str) -> Reply:
+        exchange = request.exchange
+        if exchange is None:
+            raise NotSentError("there is no exchange")
+        body = orjson.dumps(self._message(request))
+        answer = connection.exchange(self._head(STATEMENT_PATH, address), body, exchange.limit)
+        try:
+            return self._reply(orjson.loads(answer), exchange.number)
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            connection.close()
+            raise LostError(f"the answer does not fit the exchange: {error}") from error
+
+    def _message(self, request: Request) -> dict[str, Any]:
+        exchange = request.exchange
+        message: dict[str, Any] = {
+            "exchange": exchange.number if exchange else "",
+            "kind": request.kind.value,
+            "term": exchange.term if exchange else 0,
+            "statement": request.statement,
+            "parameters": request.parameters,
+            "workspace": request.workspace,
+        }
+        if request.request_id is not None:
+            message["request_id"] = request.request_id
+        if request.is_read() and exchange is not None:
+            message["wait_ms"] = exchange.wait * 1000
+            if request.token is not None:
+                message["at_least"] = request.token.position(request.group).to_pair()
+        return message
+
+    def _reply(self, answer: dict[str, Any], number: str) -> Reply:
+        if answer["exchange"] != number:
+            raise ValueError("it answers another exchange")
+        position = answer["position"]
+        return Reply(
+            STATUSES[answer["status"]],
+            answer["rows"],
+            answer["changed"],
+            Position.from_pair(position) if position else None,
+            answer["age_ms"] / 1000,
+            answer["code"],
+            answer["message"],
+            answer["repeated"],
+        )
+
+    def _pooled(self, name: str, path: str, message: object, wait: float) -> Any:
+        endpoint = self.board.endpoints.by_name[name]
+        pool = self.pools.pool(name, endpoint.address)
+        connection = pool.take()
+        self._make_ready(connection)
+        head = self._head(path, endpoint.address)
+        answer = connection.exchange(head, orjson.dumps(message), wait + WATCH_MARGIN_S)
+        pool.give_back(connection)
+        try:
+            return orjson.loads(answer)
+        except orjson.JSONDecodeError as error:
+            raise LostError("the answer is not JSON") from error
+
+    def _head(self, path: str, address: str) -> bytes:
+        key = path + address
+        head = self._heads.get(key)
+        if head is None:
+            head = head_for(path, address)
+            self._heads[key] = head
+        return head
--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -0,0 +1,219 @@
+"""The HTTP front: routes of callers, endpoints, operators and other VMs."""
+
+from __future__ import annotations
+
+import hmac
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import gevent
+import orjson
+from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.requests import Request
+from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
+from gevent.event import Event
+
+from .codec import OK_STATUS, OTHER_STATUS, STATUS_OF_CODE, RequestCodec, encode_refusal, status_of
+from .driver import EndpointDriver
+from .metrics import Metrics
+from .peers import SIGNATURE_VARIABLE, FleetSigner
+
+log = logging.getLogger(__name__)
+
+MOST_BODY_BYTES = 64 * 1024
+MOST_PEER_BODY_BYTES = 64 * 1024 * 1024
+BODY_LIMIT_S = 10.0
+JSON_HEADER = ("Content-Type", "application/json")
+TEXT_HEADER = ("Content-Type", "text/plain; version=0.0.4")
+
+Environ = dict[str, Any]
+StartResponse = Callable[[str, list[tuple[str, str]]], object]
+
+
+class Waiter:
+    """Where a caller's greenlet waits for its request: an exchange to carry out, or the end."""
+
+    __slots__ = ("exchange_due", "event")
+
+    def __init__(self) -> None:
+        self.exchange_due = False
+        self.event: Event | None = None
+
+    def wake(self) -> None:
+        """Wake the greenlet, if it waits."""
+        if self.event is not None:
+            self.event.set()
+
+    def wait(self) -> None:
+        """Wait until woken."""
+        self.event = Event()
+        self.event.wait()
+        self.event = None
+
+
+class RequestRunner:
+    """Takes requests over the board in the caller's greenlet."""
+
+    __slots__ = ("board", "driver", "metrics", "running")
+
+    def __init__(self, board: Board, driver: EndpointDriver, metrics: Metrics) -> None:
+        self.board = board
+        self.driver = driver
+        self.metrics = metrics
+        self.running = 0
+        board.changes.subscribe(Topic.EXCHANGE_ORDERED, self._on_ordered)
+        board.changes.subscribe(Topic.REQUEST_DONE, self._on_done)
+
+    def run(self, request: Request) -> None:
+        """Post a request and carry out its exchanges until it has an outcome."""
+        waiter = Waiter()
+        request.waiter = waiter
+        self.running += 1
+        try:
+            self.board.post(Topic.REQUEST_ARRIVED, request)
+            while request.outcome is None:
+                if waiter.exchange_due:
+                    waiter.exchange_due = False
+                    self.driver.run(request)
+                else:
+                    waiter.wait()
+        finally:
+            self.running -= 1
+        self.metrics.count(request, self.board.clock.now())
+
+    def _on_ordered(self, request: Request) -> None:
+        request.waiter.exchange_due = True
+        request.waiter.wake()
+
+    def _on_done(self, request: Request) -> None:
+        request.waiter.wake()
+
+
+class Route:
+    """One path: its handler, and what a sender must show to use it."""
+
+    __slots__ = ("handler", "guard", "most_bytes")
+
+    def __init__(self, handler: Callable[..., bytes], guard: str = "", most_bytes: int = 0) -> None:
+        self.handler = handler
+        self.guard = guard
+        self.most_bytes = most_bytes or MOST_BODY_BYTES
+
+
+class Front:
+    """The WSGI application of one VM."""
+
+    __slots__ = ("board", "codec", "runner", "signer", "operator_key", "routes", "forwarder")
+
+    def __init__(
+        self,
+        board: Board,
+        codec: RequestCodec,
+        runner: RequestRunner,
+        signer: FleetSigner,
+        operator_key: str,
+        forwarder: Any,
+    ) -> None:
+        self.board = board
+        self.codec = codec
+        self.runner = runner
+        self.signer = signer
+        self.operator_key = operator_key
+        self.forwarder = forwarder
+        self.routes: dict[str, Route] = {}
+
+    def add(self, path: str, handler: Callable[..., bytes], guard: str = "") -> None:
+        """Serve a path; the guard is `peer`, `operator` or nothing."""
+        most_bytes = MOST_PEER_BODY_BYTES if guard == "peer" else MOST_BODY_BYTES
+        self.routes[path] = Route(handler, guard, most_bytes)
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Serve one HTTP request."""
+        path = environ["PATH_INFO"]
+        if path == "/v1/request":
+            return self._serve_caller(environ, start_response)
+        try:
+            body = self._serve_route(path, environ)
+        except GentianspreadError as error:
+            return _respond(start_response, _status(error), encode_refusal(error))
+        return _respond(start_response, OK_STATUS, body, _header_of(path))
+
+    def _serve_caller(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        try:
+            body = read_body(environ, MOST_BODY_BYTES)
+            authorization = environ.get("HTTP_AUTHORIZATION")
+            request = self.codec.decode(body, authorization, self.board.clock.now())
+            forwarded = self.forwarder.forward(request, body, authorization)
+        except GentianspreadError as error:
+            return _respond(start_response, _status(error), encode_refusal(error))
+        if forwarded is not None:
+            return _respond(start_response, forwarded.status, forwarded.body)
+        self.runner.run(request)
+        outcome = request.outcome
+        if outcome is None:
+            return _respond(start_response, OTHER_STATUS, b"{}")
+        return _respond(start_response, status_of(outcome), self.codec.encode(outcome))
+
+    def _serve_route(self, path: str, environ: Environ) -> bytes:
+        route = self.routes.get(path)
+        if route is None:
+            raise Refusal(ErrorCode.BAD_REQUEST, f"There is no path {path}.")
+        body = read_body(environ, route.most_bytes) if environ["REQUEST_METHOD"] == "POST" else b""
+        if route.guard == "peer":
+            self._check_peer(path, body, environ)
+        elif route.guard == "operator":
+            self._check_operator(environ)
+        return route.handler(body)
+
+    def _check_peer(self, path: str, body: bytes, environ: Environ) -> None:
+        if not self.signer.is_valid(path, body, environ.get(SIGNATURE_VARIABLE, "")):
+            raise Refusal(ErrorCode.KEY_REFUSED, "The message was not signed by this fleet.")
+
+    def _check_operator(self, environ: Environ) -> None:
+        shown = environ.get("HTTP_AUTHORIZATION", "")
+        if not hmac.compare_digest(shown, f"Bearer {self.operator_key}"):
+            raise Refusal(
+                ErrorCode.KEY_REFUSED,
+                "The operator key is not valid.",
+                remedy="Set GENTIANSPREAD_OPERATOR_KEY to the key of this fleet.",
+            )
+
+
+def read_body(environ: Environ, most_bytes: int) -> bytes:
+    """Read a body of bounded length in bounded time."""
+    try:
+        length = int(environ.get("CONTENT_LENGTH") or "")
+    except ValueError:
+        raise Refusal(ErrorCode.BAD_REQUEST, "A Content-Length header is needed.") from None
+    if not 0 <= length <= most_bytes:
+        raise Refusal(ErrorCode.BAD_REQUEST, f"The body may have at most {most_bytes} bytes.")
+    body: bytes | None = None
+    with gevent.Timeout(BODY_LIMIT_S, False):
+        body = environ["wsgi.input"].read(length)
+    if body is None or len(body) != length:
+        raise Refusal(ErrorCode.BAD_REQUEST, "The body was shorter or slower than it may be.")
+    return body
+
+
+def _status(error: GentianspreadError) -> str:
+    return STATUS_OF_CODE.get(error.code, OTHER_STATUS)
+
+
+def _header_of(path: str) -> tuple[str, str]:
+    return TEXT_HEADER if path == "/metrics" else JSON_HEADER
+
+
+def _respond(
+    start_response: StartResponse,
+    status: str,
+    body: bytes,
+    header: tuple[str, str] = JSON_HEADER,
+) -> list[bytes]:
+    start_response(status, [header, ("Content-Length", str(len(body)))])
+    return [body]
+
+
+def dump(message: object) -> bytes:
+    """Encode an answer."""
+    return orjson.dumps(message)
--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/metrics.py
@@ -0,0 +1,126 @@
+"""Counters and latencies of one VM, in the usual text format."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from gentianspread_core.blackboard.requests import Request
+from gentianspread_core.engine import Engine
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+
+LOWEST_US = 1
+HIGHEST_US = 60_000_000
+DIGITS = 2
+US_PER_S = 1_000_000
+QUANTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Metrics:
+    """Counts answered requests by workspace and result, and their latency in microseconds."""
+
+    __slots__ = ("engine", "latency", "results", "replica_reads", "primary_reads", "registry")
+
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+        self.latency = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.results: dict[str, dict[str, int]] = {}
+        self.replica_reads = 0
+        self.primary_reads = 0
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+
+    def count(self, request: Request, now: float) -> None:
+        """Count an answered request; `now` is the clock in seconds."""
+        outcome = request.outcome
+        if outcome is None:
+            return
+        self.latency.record_value(max(LOWEST_US, int((now - request.arrived_at) * US_PER_S)))
+        label = outcome.refusal.code.value if outcome.refusal else "ok"
+        counts = self.results.setdefault(request.workspace or "none", {})
+        counts[label] = counts.get(label, 0) + 1
+        if outcome.refusal is None and request.is_read():
+            self._count_read(request)
+
+    def _count_read(self, request: Request) -> None:
+        group = self.engine.board.configuration.groups.get(request.group)
+        if group is not None and group.primary == request.endpoint:
+            self.primary_reads += 1
+        else:
+            self.replica_reads += 1
+
+    def text(self) -> bytes:
+        """Return all metrics in the text format."""
+        return generate_latest(self.registry)
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield the metric families for the registry."""
+        yield self._requests()
+        yield self._reads()
+        yield self._latency()
+        yield self._events()
+        yield from self._gauges()
+
+    def _requests(self) -> Metric:
+        family = CounterMetricFamily(
+            "gentianspread_requests", "Answered requests.", labels=["workspace", "code"]
+        )
+        for workspace, counts in self.results.items():
+            for code, count in counts.items():
+                family.add_metric([workspace, code], count)
+        return family
+
+    def _reads(self) -> Metric:
+        family = CounterMetricFamily(
+            "gentianspread_reads", "Answered reads by kind of endpoint.", labels=["endpoint"]
+        )
+        family.add_metric(["replica"], self.replica_reads)
+        family.add_metric(["primary"], self.primary_reads)
+        return family
+
+    def _latency(self) -> Metric:
+        family = SummaryMetricFamily("gentianspread_latency_seconds", "Time to the answer.")
+        total = self.latency.get_total_count()
+        mean = self.latency.get_mean_value() if total else 0.0
+        family.add_metric([], total, mean * total / US_PER_S)
+        for quantile in QUANTILES:
+            value = self.latency.get_value_at_percentile(quantile) / US_PER_S
+            family.add_sample(
+                "gentianspread_latency_seconds", {"quantile": f"{quantile / 100:g}"}, value
+            )
+        return family
+
+    def _events(self) -> Metric:
+        family = CounterMetricFamily(
+            "gentianspread_events", "Events of the time line.", labels=["kind"]
+        )
+        for kind, count in self.engine.board.timeline.counts.items():
+            family.add_metric([kind.value], count)
+        return family
+
+    def _gauges(self) -> Iterator[Metric]:
+        board = self.engine.board
+        yield GaugeMetricFamily(
+            "gentianspread_revision",
+            "Revision of the configuration.",
+            value=board.configuration.revision,
+        )
+        yield GaugeMetricFamily(
+            "gentianspread_fresh", "Whether keyed work is served.", value=float(board.is_fresh())
+        )
+        yield GaugeMetricFamily(
+            "gentianspread_open_transactions",
+            "Open transactions.",
+            value=len(board.transactions.by_name),
+        )
+        yield GaugeMetricFamily(
+            "gentianspread_invariant_breaks",
+            "Broken rules.",
+            value=sum(self.engine.invariants.breaks.values()),
+        )
--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -0,0 +1,141 @@
+"""Links to the other VMs: signed JSON over kept connections, one sender a VM."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import logging
+import time
+from collections import deque
+from typing import Any
+
+import gevent
+import orjson
+from gentianspread_core.blackboard import Board
+from gentianspread_core.blackboard.messages import Message
+from gevent.event import Event
+
+from .connections import Connection, LostError, NotSentError, head_for
+
+log = logging.getLogger(__name__)
+
+SIGNATURE_HEADER = "X-Fleet-Signature"
+SIGNATURE_VARIABLE = "HTTP_X_FLEET_SIGNATURE"
+PEER_LIMIT_S = 0.5
+MOST_QUEUED_MESSAGES = 64
+RECONNECT_PAUSE_S = 0.1
+IDLE_LINK_S = 5.0
+
+
+class FleetSigner:
+    """Signs and checks the bodies of messages between VMs with the fleet's secret."""
+
+    __slots__ = ("_key",)
+
+    def __init__(self, secret: str) -> None:
+        self._key = hashlib.sha256(b"fleet message" + secret.encode()).digest()
+
+    def sign(self, path: str, body: bytes) -> str:
+        """Return the signature of a message to a path."""
+        return hmac.digest(self._key, path.encode() + b"\n" + body, "sha256").hex()
+
+    def is_valid(self, path: str, body: bytes, signature: str) -> bool:
+        """Tell whether a message was signed by this fleet."""
+        return hmac.compare_digest(self.sign(path, body), signature)
+
+
+class Addresses:
+    """Where the VMs are: the seeds, and the configuration's members over them."""
+
+    __slots__ = ("board", "seeds")
+
+    def __init__(self, board: Board, seeds: dict[str, str]) -> None:
+        self.board = board
+        self.seeds = seeds
+
+    def of(self, name: str) -> str | None:
+        """Return a VM's address, or none if it is not known."""
+        member = self.board.configuration.members.get(name)
+        return member.address if member else self.seeds.get(name)
+
+
+class PeerClient:
+    """Exchanges with other VMs over kept connections."""
+
+    __slots__ = ("signer", "_idle")
+
+    def __init__(self, signer: FleetSigner) -> None:
+        self.signer = signer
+        self._idle: dict[str, list[Connection]] = {}
+
+    def ask(self, address: str, path: str, message: object, limit: float) -> Any:
+        """Send a message and return the answer, within the limit in seconds."""
+        body = orjson.dumps(message)
+        headers = f"{SIGNATURE_HEADER}: {self.signer.sign(path, body)}\r\n"
+        connection = self._take(address, limit)
+        answer = connection.exchange(head_for(path, address, headers), body, limit)
+        connection.last_used = time.monotonic()
+        self._idle.setdefault(address, []).append(connection)
+        try:
+            return orjson.loads(answer)
+        except orjson.JSONDecodeError as error:
+            raise LostError("the answer is not JSON") from error
+
+    def _take(self, address: str, limit: float) -> Connection:
+        idle = self._idle.get(address, [])
+        while idle:
+            connection = idle.pop()
+            is_recent = time.monotonic() - connection.last_used < IDLE_LINK_S
+            if is_recent and connection.is_open():
+                return connection
+            connection.close()
+        connection = Connection(address)
+        connection.open(limit)
+        return connection
+
+
+class PeerSender:
+    """Sends control messages to one VM in order; messages that do not get through are dropped."""
+
+    __slots__ = ("name", "addresses", "client", "board", "_queue", "_event", "_greenlet")
+
+    def __init__(self, name: str, addresses: Addresses, client: PeerClient, board: Board) -> None:
+        self.name = name
+        self.addresses = addresses
+        self.client = client
+        self.board = board
+        self._queue: deque[Message] = deque(maxlen=MOST_QUEUED_MESSAGES)
+        self._event = Event()
+        self._greenlet = gevent.spawn(self._run)
+
+    def send(self, message: Message) -> None:
+        """Queue a message; the oldest is dropped beyond the bound."""
+        self._queue.append(message)
+        self._event.set()
+
+    def stop(self) -> None:
+        """End the sender."""
+        self._greenlet.kill(block=False)
+
+    def _run(self) -> None:
+        while True:
+            self._event.wait()
+            self._event.clear()
+            messages = list(self._queue)
+            self._queue.clear()
+            if messages:
+                self._deliver(messages)
+
+    def _deliver(self, messages: list[Message]) -> None:
+        address = self.addresses.of(self.name)
+        if address is None:
+            return
+        timeline = self.board.timeline
+        body = {
+            "messages": [message.to_record() for message in messages],
+            "stamp": [timeline.wall_ms, timeline.counter],
+        }
+        try:
+            self.client.ask(address, "/peer/messages", body, PEER_LIMIT_S)
+        except (NotSentError, LostError):
+            gevent.sleep(RECONNECT_PAUSE_S)
--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -0,0 +1,241 @@
+"""One VM: the engine with all its adapters, from start to planned stop."""
+
+from __future__ import annotations
+
+import logging
+import random
+import socket as plain_socket
+from typing import Any
+
+import gevent
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.election import Role
+from gentianspread_core.blackboard.messages import Message
+from gentianspread_core.blackboard.shares import TokenAsk
+from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.engine import Engine
+from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
+from gevent.event import Event
+from gevent.pool import Pool
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from .announcements import Announcements
+from .clocks import MonotonicClock, wall_ms
+from .codec import RequestCodec, load_object, status_of
+from .control import ControlLoop
+from .distribution import Distribution
+from .driver import EndpointDriver
+from .forwarding import FORWARD_PATH, Forwarder
+from .front import Front, RequestRunner, dump
+from .intents import TOKENS_PATH, IntentRunner
+from .logs import log_event
+from .metrics import Metrics
+from .operations import Operations
+from .peers import Addresses, FleetSigner, PeerClient
+from .proposals import PROPOSE_PATH, Proposer
+from .settings import Settings
+from .storage import ControlStorage
+from .tokens import TokenCodec
+
+log = logging.getLogger(__name__)
+
+CALLER_IDLE_S = 75.0
+BALANCER_NOTICE_S = 1.0
+STOP_CHECK_S = 0.05
+LONGEST_SLEEP_S = 1.0
+
+
+class CallerHandler(WSGIHandler):
+    """Serves one connection; answers leave at once, and silent callers are closed."""
+
+    def __init__(self, sock: Any, address: Any, server: Any) -> None:
+        sock.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
+        sock.settimeout(CALLER_IDLE_S)
+        super().__init__(sock, address, server)
+
+
+class VM:
+    """All parts of one `gentianspreadd` process."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        clock = MonotonicClock()
+        self.engine = Engine.from_settings(settings.to_core(), clock, random.Random(), wall_ms)
+        self.board = self.engine.board
+        self.board.timeline.sink = log_event
+        signer = FleetSigner(settings.fleet_secret)
+        client = PeerClient(signer)
+        addresses = Addresses(self.board, settings.seeds)
+        storage = ControlStorage(settings.data_dir) if settings.data_dir else None
+        self.control = ControlLoop(self.board, storage, addresses, client)
+        self.driver = EndpointDriver(self.board)
+        self.intents = IntentRunner(self.board, self.driver, addresses, client)
+        self.distribution = Distribution(self.board, self.engine.configuration, addresses, client)
+        self.proposer = Proposer(self.board, self.distribution, addresses, client)
+        self.announcements = Announcements(self.board, self.proposer)
+        self.metrics = Metrics(self.engine)
+        self.operations = Operations(self.engine, self.proposer, self.distribution)
+        self.codec = RequestCodec(TokenCodec(settings.fleet_secret))
+        self.runner = RequestRunner(self.board, self.driver, self.metrics)
+        forwarder = Forwarder(self.board, addresses, client)
+        self.front = Front(
+            self.board, self.codec, self.runner, signer, settings.operator_key, forwarder
+        )
+        self._timer_moved = Event()
+        self._stopped = Event()
+        self._server: WSGIServer | None = None
+        self._add_routes()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> VM:
+        """Build a VM from checked settings."""
+        return cls(settings)
+
+    def run(self) -> None:
+        """Serve until a planned stop has ended."""
+        self.board.changes.on_timer = self._timer_moved.set
+        self.board.changes.on_settled = self.control.wake
+        self.board.changes.subscribe(Topic.LEADERSHIP_CHANGED, self._on_leadership)
+        self.board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_configuration)
+        host, _, port = self.settings.listen.rpartition(":")
+        self._server = WSGIServer(
+            (host, int(port)),
+            self.front,
+            log=None,
+            error_log=log,
+            handler_class=CallerHandler,
+            spawn=Pool(int(self.settings.max_callers)),
+            backlog=1024,
+        )
+        self._server.start()
+        gevent.spawn(self._run_timers)
+        gevent.spawn(self._join)
+        self.board.timeline.record(EventKind.STARTED, self.settings.name, "start of the process")
+        self._stopped.wait()
+
+    def stop(self) -> None:
+        """Begin a planned stop: the balancer's check fails first, running requests finish."""
+        if not self.board.stopping:
+            self.board.stopping = True
+            gevent.spawn(self._drain)
+
+    def _join(self) -> None:
+        """Take part in the control log, unless an empty disk has lost earlier votes."""
+        self.distribution.start()
+        stored = self.control.recover()
+        is_first_voter = self.settings.name in self.settings.seeds
+        if stored is None and is_first_voter and not self.distribution.may_vote_blank():
+            log.warning("the disk has lost earlier votes; this VM comes back as a standby")
+            self.board.settings.lost_votes = True
+        self.control.start(stored)
+
+    def _drain(self) -> None:
+        """Wait for the balancer to notice, then for requests and transactions to end."""
+        self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
+        gevent.sleep(BALANCER_NOTICE_S)
+        give_up_at = self.board.clock.now() + self.settings.stop_limit_s
+        while self._is_busy() and self.board.clock.now() < give_up_at:
+            gevent.sleep(STOP_CHECK_S)
+        if self._server is not None:
+            self._server.close()
+        while self.runner.running and self.board.clock.now() < give_up_at:
+            gevent.sleep(STOP_CHECK_S)
+        self._stopped.set()
+
+    def _is_busy(self) -> bool:
+        return bool(self.runner.running or self.board.transactions.by_name)
+
+    def _run_timers(self) -> None:
+        """Settle the board whenever a timer is due."""
+        while True:
+            due = self.board.changes.next_due()
+            now = self.board.clock.now()
+            pause = LONGEST_SLEEP_S if due is None else min(LONGEST_SLEEP_S, due - now)
+            if pause > 0:
+                self._timer_moved.clear()
+                self._timer_moved.wait(pause)
+            self.board.settle()
+
+    def _on_leadership(self, _entry: None) -> None:
+        if self.board.election.role is Role.LEADER:
+            gevent.spawn_later(0.2, self.distribution.register_self)
+
+    def _on_configuration(self, revision: int) -> None:
+        """Stop in a planned way once an operator drains this VM."""
+        member = self.board.configuration.members.get(self.settings.name)
+        if member is not None and member.draining and not self.board.stopping:
+            gevent.spawn(self.stop)
+
+    def _add_routes(self) -> None:
+        add = self.front.add
+        add("/ready", self._ready)
+        add("/metrics", lambda body: self.metrics.text())
+        add("/announce", self._announce)
+        add("/operator/change", self.operations.change, "operator")
+        add("/operator/status", self.operations.status, "operator")
+        add("/operator/timeline", self.operations.timeline, "operator")
+        add("/peer/messages", self._take_messages, "peer")
+        add("/peer/poll", self._answer_poll, "peer")
+        add(TOKENS_PATH, self._answer_tokens, "peer")
+        add(PROPOSE_PATH, self._answer_proposal, "peer")
+        add(FORWARD_PATH, self._answer_forward, "peer")
+
+    def _ready(self, body: bytes) -> bytes:
+        """Answer the balancer's check."""
+        if self.board.stopping:
+            raise Refusal(ErrorCode.DRAINING, "This VM is stopping.")
+        if not self.board.is_fresh():
+            raise Refusal(ErrorCode.NOT_FRESH, "This VM has no recent configuration.")
+        return dump({"ready": True, "revision": self.board.configuration.revision})
+
+    def _announce(self, body: bytes) -> bytes:
+        self.announcements.take(load_object(body))
+        return dump({"taken": True})
+
+    def _take_messages(self, body: bytes) -> bytes:
+        message = load_object(body)
+        self.board.timeline.observe(*message["stamp"])
+        if self._is_barred():
+            return b"{}"
+        for record in message["messages"]:
+            self.board.post(Topic.MESSAGE_RECEIVED, Message.from_record(record))
+        return b"{}"
+
+    def _is_barred(self) -> bool:
+        """Tell whether this VM lost its votes and is still counted as a voter."""
+        voters = self.board.configuration.voters
+        is_counted = not voters or self.settings.name in voters
+        return self.board.settings.lost_votes and is_counted
+
+    def _answer_poll(self, body: bytes) -> bytes:
+        return dump(self.distribution.answer_poll(load_object(body)))
+
+    def _answer_tokens(self, body: bytes) -> bytes:
+        message = load_object(body)
+        ask = TokenAsk(
+            message["workspace"],
+            message["zone"],
+            self.settings.name,
+            message["wanted"],
+            self.board.clock.now(),
+        )
+        if message["zone"] == self.settings.zone:
+            self.board.post(Topic.TOKENS_ASKED, ask)
+        return dump({"granted": ask.granted})
+
+    def _answer_proposal(self, body: bytes) -> bytes:
+        return dump(self.proposer.answer(load_object(body)))
+
+    def _answer_forward(self, body: bytes) -> bytes:
+        message = load_object(body)
+        try:
+            request = self.codec.decode(
+                message["body"].encode(), message["authorization"], self.board.clock.now()
+            )
+        except GentianspreadError as error:
+            raise Refusal(error.code, error.message) from error
+        self.runner.run(request)
+        outcome = request.outcome
+        if outcome is None:
+            raise Refusal(ErrorCode.OVERLOADED, "The request got no outcome.")
+        return dump({"status": status_of(outcome), "body": self.codec.encode(outcome).decode()})
