Add the demo, its oracle, and the division of endpoint connections by members

Cause of refused writes in the first demo runs ("the endpoint has no free connection"): watches took connections out of the statement pool beyond the VM's part. Ruled out: leaked sessions after a kill. Watches now have a pool of their own and the part is counted over the VMs that the configuration knows, less one for watches. Probes of the failover controller overlap, so that two missed ones no longer take two full limits one after the other.

Left: writes refused or unknown while answers are spoilt and under overload; next.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -20,6 +20,7 @@
 LAG_SMOOTHING = 0.2
 PROBE_PURPOSE = "endpoint"
 MINIMUM_CONNECTIONS = 1
+WATCH_CONNECTIONS = 1
 
 
 class EndpointController:
@@ -106,11 +107,14 @@
         if endpoint.leaving and not registration.leaving:
             self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
         endpoint.leaving = registration.leaving
+        endpoint.capacity = self._capacity(registration)
         endpoint.address = registration.address
 
     def _capacity(self, registration: Registration) -> int:
-        """Return this VM's equal part of the endpoint's connections."""
-        return max(MINIMUM_CONNECTIONS, registration.connections // self.board.settings.max_members)
+        """Return this VM's equal part of the endpoint's connections, less the one for watches."""
+        serving = sum(1 for item in self.board.configuration.members.values() if not item.draining)
+        part = registration.connections // max(1, serving)
+        return max(MINIMUM_CONNECTIONS, part - WATCH_CONNECTIONS)
 
     def _suspect(self, endpoint: Endpoint, reason: str) -> None:
         now = self.board.clock.now()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -21,6 +21,7 @@
 PROBE_PURPOSE = "failover"
 ORDER_LIMIT_S = 0.4
 FAILOVER_LIMIT_S = 2.0
+MOST_PROBES_AT_ONCE = 4
 
 
 class FailoverController:
@@ -67,7 +68,7 @@
         health = self.board.groups.health.get(probe.endpoint)
         if probe.purpose != PROBE_PURPOSE or health is None or not self._leads():
             return
-        health.probing = False
+        health.probes -= 1
         registration = self.board.configuration.endpoints.get(probe.endpoint)
         if registration is None:
             return
@@ -115,9 +116,9 @@
 
     def _probe(self, registration: Registration) -> None:
         health = self.board.groups.health.setdefault(registration.name, Health())
-        if health.probing:
+        if health.probes >= MOST_PROBES_AT_ONCE:
             return
-        health.probing = True
+        health.probes += 1
         limit = self.board.settings.probe_limit
         order = ProbeOrder(registration.name, registration.address, limit, PROBE_PURPOSE)
         self.board.changes.post(Topic.INTENT_POSTED, order)
--- a/packages/gentianspread-lab/src/gentianspread_lab/endpoint/server.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/endpoint/server.py
@@ -89,8 +89,9 @@
         self.faults = Faults()
         self.leaving = False
         self.sessions: dict[EndpointHandler, Session] = {}
-        self.executed: dict[str, int] = {}
         self.statements_seen = 0
+        self.secrets: list[bytes] = []
+        self.leaks = 0
         self.slots = BoundedSemaphore(identity.slots)
         self.writer = BoundedSemaphore(1)
         self._routes: dict[str, Callable[[dict[str, Any]], Any]] = {
@@ -101,6 +102,7 @@
             "/fault": self._fault,
             "/leave": self._leave,
             "/inspect": self._inspect,
+            "/secrets": self._take_secrets,
         }
 
     def serve(self) -> None:
@@ -123,6 +125,7 @@
         path = environ["PATH_INFO"]
         body = environ["wsgi.input"].read()
         message = orjson.loads(body or b"{}")
+        self._look_for_secrets(path, body, environ)
         if path != "/fault" and path != "/inspect":
             self._suffer(handler)
         answer = self._answer(path, message, handler)
@@ -229,7 +232,20 @@
             rows = [list(row) for row in session.execute(message["statement"]).fetchall()]
             session.close()
         status = self._status({})
-        return {"rows": rows, "seen": self.statements_seen, "status": status}
+        seen = self.statements_seen
+        return {"rows": rows, "seen": seen, "leaks": self.leaks, "status": status}
+
+    def _take_secrets(self, message: dict[str, Any]) -> dict[str, Any]:
+        """Take the texts that must never arrive here."""
+        self.secrets = [text.encode() for text in message["texts"]]
+        return {}
+
+    def _look_for_secrets(self, path: str, body: bytes, environ: dict[str, Any]) -> None:
+        if path == "/secrets":
+            return
+        headers = [value.encode() for name, value in environ.items() if name.startswith("HTTP_")]
+        content = b"\n".join([body, *headers])
+        self.leaks += sum(1 for secret in self.secrets if secret in content)
 
     def _announce(self) -> None:
         turn = 0
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/journal.py
@@ -0,0 +1,79 @@
+"""What callers asked for and were told, for the oracle and the measures."""
+
+from __future__ import annotations
+
+from typing import Any
+
+
+class Entry:
+    """One request of a caller and its answer; times in seconds of the monotonic clock.
+
+    `result` is "run", "not run", "unknown", or "cut" if the connection broke.
+    """
+
+    __slots__ = (
+        "workspace",
+        "kind",
+        "vm",
+        "sent_at",
+        "answered_at",
+        "status",
+        "result",
+        "code",
+        "message",
+        "endpoint",
+        "phase",
+        "group",
+    )
+
+    def __init__(
+        self, workspace: str, kind: str, vm: str, sent_at: float, phase: str, group: str
+    ) -> None:
+        self.workspace = workspace
+        self.kind = kind
+        self.vm = vm
+        self.sent_at = sent_at
+        self.answered_at = sent_at
+        self.status = 0
+        self.result = "cut"
+        self.code = ""
+        self.message = ""
+        self.endpoint = ""
+        self.phase = phase
+        self.group = group
+
+    def latency(self) -> float:
+        """Return the time to the answer, in seconds."""
+        return self.answered_at - self.sent_at
+
+
+class Journal:
+    """All entries, what became of each written value, and what the callers noticed."""
+
+    def __init__(self) -> None:
+        self.entries: list[Entry] = []
+        self.values: dict[str, str] = {}
+        self.group_of_value: dict[str, str] = {}
+        self.pairs: list[list[str]] = []
+        self.phase = "start"
+        self.session_reads = 0
+        self.stale_reads: list[str] = []
+        self.own_answers = 0
+        self.foreign_answers: list[Any] = []
+        self.wrong_key_tries = 0
+        self.wrong_key_runs = 0
+
+    def begin(self, workspace: str, kind: str, vm: str, sent_at: float, group: str) -> Entry:
+        """Add an entry for a request that is about to be sent."""
+        entry = Entry(workspace, kind, vm, sent_at, self.phase, group)
+        self.entries.append(entry)
+        return entry
+
+    def note_value(self, value: str, group: str, result: str) -> None:
+        """Note what the caller was told of a written value."""
+        self.values[value] = result
+        self.group_of_value[value] = group
+
+    def of_phase(self, *phases: str) -> list[Entry]:
+        """Return the entries of some phases."""
+        return [entry for entry in self.entries if entry.phase in phases]
--- a/packages/gentianspread-server/src/gentianspread_server/driver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/driver.py
@@ -91,7 +91,7 @@
                 "wait_ms": order.wait * 1000,
             }
             try:
-                answer = self._pooled(order.endpoint, WATCH_PATH, message, order.wait)
+                answer = self._ask_watch(order.endpoint, message, order.wait)
                 order.reached = Position.from_pair(answer["reached"]) if answer["reached"] else None
             except (NotSentError, LostError, KeyError, TypeError):
                 order.reached = None
@@ -118,9 +118,7 @@
 
     def flush(self, flush: PoolFlush) -> None:
         """Close an endpoint's idle connections."""
-        pool = self.pools.by_endpoint.get(flush.endpoint)
-        if pool is not None:
-            pool.flush(flush.before)
+        self.pools.flush(flush.endpoint, flush.before)
 
     def _exchange(self, request: Request) -> Reply:
         exchange = request.exchange
@@ -206,12 +204,12 @@
             answer["repeated"],
         )
 
-    def _pooled(self, name: str, path: str, message: object, wait: float) -> Any:
+    def _ask_watch(self, name: str, message: object, wait: float) -> Any:
         endpoint = self.board.endpoints.by_name[name]
-        pool = self.pools.pool(name, endpoint.address)
+        pool = self.pools.watch_pool(name, endpoint.address)
         connection = pool.take()
         self._make_ready(connection)
-        head = self._head(path, endpoint.address)
+        head = self._head(WATCH_PATH, endpoint.address)
         answer = connection.exchange(head, orjson.dumps(message), wait + WATCH_MARGIN_S)
         pool.give_back(connection)
         try:
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -27,6 +27,8 @@
 JSON_HEADER = ("Content-Type", "application/json")
 TEXT_HEADER = ("Content-Type", "text/plain; version=0.0.4")
 
+CLOSE_HEADER = ("Connection", "close")
+
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
@@ -104,7 +106,16 @@
 class Front:
     """The WSGI application of one VM."""
 
-    __slots__ = ("board", "codec", "runner", "signer", "operator_key", "routes", "forwarder")
+    __slots__ = (
+        "board",
+        "codec",
+        "runner",
+        "signer",
+        "operator_key",
+        "routes",
+        "forwarder",
+        "closing",
+    )
 
     def __init__(
         self,
@@ -122,6 +133,7 @@
         self.operator_key = operator_key
         self.forwarder = forwarder
         self.routes: dict[str, Route] = {}
+        self.closing = False
 
     def add(self, path: str, handler: Callable[..., bytes], guard: str = "") -> None:
         """Serve a path; the guard is `peer`, `operator` or nothing."""
@@ -136,8 +148,8 @@
         try:
             body = self._serve_route(path, environ)
         except GentianspreadError as error:
-            return _respond(start_response, _status(error), encode_refusal(error))
-        return _respond(start_response, OK_STATUS, body, _header_of(path))
+            return self._respond(start_response, _status(error), encode_refusal(error))
+        return self._respond(start_response, OK_STATUS, body, _header_of(path))
 
     def _serve_caller(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         try:
@@ -146,14 +158,14 @@
             request = self.codec.decode(body, authorization, self.board.clock.now())
             forwarded = self.forwarder.forward(request, body, authorization)
         except GentianspreadError as error:
-            return _respond(start_response, _status(error), encode_refusal(error))
+            return self._respond(start_response, _status(error), encode_refusal(error))
         if forwarded is not None:
-            return _respond(start_response, forwarded.status, forwarded.body)
+            return self._respond(start_response, forwarded.status, forwarded.body)
         self.runner.run(request)
         outcome = request.outcome
         if outcome is None:
-            return _respond(start_response, OTHER_STATUS, b"{}")
-        return _respond(start_response, status_of(outcome), self.codec.encode(outcome))
+            return self._respond(start_response, OTHER_STATUS, b"{}")
+        return self._respond(start_response, status_of(outcome), self.codec.encode(outcome))
 
     def _serve_route(self, path: str, environ: Environ) -> bytes:
         route = self.routes.get(path)
@@ -166,6 +178,19 @@
             self._check_operator(environ)
         return route.handler(body)
 
+    def _respond(
+        self,
+        start_response: StartResponse,
+        status: str,
+        body: bytes,
+        header: tuple[str, str] = JSON_HEADER,
+    ) -> list[bytes]:
+        headers = [header, ("Content-Length", str(len(body)))]
+        if self.closing:
+            headers.append(CLOSE_HEADER)
+        start_response(status, headers)
+        return [body]
+
     def _check_peer(self, path: str, body: bytes, environ: Environ) -> None:
         if not self.signer.is_valid(path, body, environ.get(SIGNATURE_VARIABLE, "")):
             raise Refusal(ErrorCode.KEY_REFUSED, "The message was not signed by this fleet.")
@@ -204,16 +229,6 @@
     return TEXT_HEADER if path == "/metrics" else JSON_HEADER
 
 
-def _respond(
-    start_response: StartResponse,
-    status: str,
-    body: bytes,
-    header: tuple[str, str] = JSON_HEADER,
-) -> list[bytes]:
-    start_response(status, [header, ("Content-Length", str(len(body)))])
-    return [body]
-
-
 def dump(message: object) -> bytes:
     """Encode an answer."""
     return orjson.dumps(message)
--- a/packages/gentianspread-server/src/gentianspread_server/pools.py
+++ b/packages/gentianspread-server/src/gentianspread_server/pools.py
@@ -46,23 +46,28 @@
 
 
 class Pools:
-    """Pools by endpoint name, and the connections that transactions keep by transaction."""
+    """Pools by endpoint name, the links for watches, and the connections of transactions."""
 
-    __slots__ = ("by_endpoint", "by_transaction")
+    __slots__ = ("by_endpoint", "watches", "by_transaction")
 
     def __init__(self) -> None:
         self.by_endpoint: dict[str, EndpointPool] = {}
+        self.watches: dict[str, EndpointPool] = {}
         self.by_transaction: dict[str, Connection] = {}
 
     def pool(self, endpoint: str, address: str) -> EndpointPool:
-        """Return the endpoint's pool; one for an old address is closed."""
-        pool = self.by_endpoint.get(endpoint)
-        if pool is None or pool.address != address:
-            if pool is not None:
-                pool.flush(float("inf"))
-            pool = EndpointPool(address)
-            self.by_endpoint[endpoint] = pool
-        return pool
+        """Return the endpoint's pool for statements."""
+        return _pool_of(self.by_endpoint, endpoint, address)
+
+    def watch_pool(self, endpoint: str, address: str) -> EndpointPool:
+        """Return the endpoint's pool for watches, which holds one connection."""
+        return _pool_of(self.watches, endpoint, address)
+
+    def flush(self, endpoint: str, before: float) -> None:
+        """Close the endpoint's idle connections that were last used before a time in seconds."""
+        for pools in (self.by_endpoint, self.watches):
+            if endpoint in pools:
+                pools[endpoint].flush(before)
 
     def keep(self, transaction: str, connection: Connection) -> None:
         """Bind a connection to a transaction."""
@@ -78,3 +83,14 @@
             connection.close()
         else:
             pool.give_back(connection)
+
+
+def _pool_of(pools: dict[str, EndpointPool], endpoint: str, address: str) -> EndpointPool:
+    """Return the endpoint's pool; one for an old address is closed."""
+    pool = pools.get(endpoint)
+    if pool is None or pool.address != address:
+        if pool is not None:
+            pool.flush(float("inf"))
+        pool = EndpointPool(address)
+        pools[endpoint] = pool
+    return pool
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -115,8 +115,8 @@
 
     def stop(self) -> None:
         """Begin a planned stop: the balancer's check fails first, running requests finish."""
-        if not self.board.stopping:
-            self.board.stopping = True
+        if not self.front.closing:
+            self.front.closing = True
             gevent.spawn(self._drain)
 
     def _join(self) -> None:
@@ -133,6 +133,7 @@
         """Wait for the balancer to notice, then for requests and transactions to end."""
         self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
         gevent.sleep(BALANCER_NOTICE_S)
+        self.board.stopping = True
         give_up_at = self.board.clock.now() + self.settings.stop_limit_s
         while self._is_busy() and self.board.clock.now() < give_up_at:
             gevent.sleep(STOP_CHECK_S)
@@ -163,7 +164,7 @@
     def _on_configuration(self, revision: int) -> None:
         """Stop in a planned way once an operator drains this VM."""
         member = self.board.configuration.members.get(self.settings.name)
-        if member is not None and member.draining and not self.board.stopping:
+        if member is not None and member.draining and not self.front.closing:
             gevent.spawn(self.stop)
 
     def _add_routes(self) -> None:
@@ -182,7 +183,7 @@
 
     def _ready(self, body: bytes) -> bytes:
         """Answer the balancer's check."""
-        if self.board.stopping:
+        if self.front.closing:
             raise Refusal(ErrorCode.DRAINING, "This VM is stopping.")
         if not self.board.is_fresh():
             raise Refusal(ErrorCode.NOT_FRESH, "This VM has no recent configuration.")
