Measure a VM beside the bare relay, and stop refusing requests that arrive during an ask

Cause of refusals inside the rate in the first relay bench: a request that joined the queue while an ask for tokens was on its way was refused when the answer held just what had been asked for. The same zone is now asked again. Ruled out on the way, each mended since it could refuse wrongly too: an allocator that may not grant yet said "0" instead of "no answer", late tokens were dropped silently, one unanswered ask took its zone out for a second.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/shares.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/shares.py
@@ -40,13 +40,23 @@
 class HeldTokens:
     """Tokens this VM may spend on one workspace until they expire, and who waits for more."""
 
-    __slots__ = ("count", "expires_at", "waiting", "asking", "zones_left", "used", "used_since")
+    __slots__ = (
+        "count",
+        "expires_at",
+        "waiting",
+        "asking",
+        "unsure",
+        "zones_left",
+        "used",
+        "used_since",
+    )
 
     def __init__(self) -> None:
         self.count = 0
         self.expires_at = 0.0
         self.waiting: deque[Request] = deque()
         self.asking = False
+        self.unsure = False
         self.zones_left: list[str] = []
         self.used = 0
         self.used_since = 0.0
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -71,22 +71,21 @@
             self._bucket(workspace, allocator.epoch)
 
     def on_asked(self, ask: TokenAsk) -> None:
-        """Grant what the bucket holds, if this VM is the zone's allocator."""
-        ask.granted = self._grant(ask)
-        ask.answered = True
+        """Grant what the bucket holds; leave the ask unanswered if this VM may not grant now."""
+        workspace = self.board.configuration.workspaces.get(ask.workspace)
+        if workspace is not None and self._may_grant():
+            bucket = self._bucket(workspace, self._epoch)
+            ask.granted = bucket.take(ask.wanted, self.board.clock.now())
+            ask.answered = True
         if ask.local:
             self.board.changes.post(Topic.TOKENS_ARRIVED, ask)
 
-    def _grant(self, ask: TokenAsk) -> int:
-        configuration = self.board.configuration
-        allocator = configuration.allocators.get(self.board.settings.zone)
+    def _may_grant(self) -> bool:
+        """Tell whether this VM is the zone's allocator and its predecessor is stale by now."""
+        allocator = self.board.configuration.allocators.get(self.board.settings.zone)
         if allocator is None or allocator.member != self.board.settings.member:
-            return 0
-        workspace = configuration.workspaces.get(ask.workspace)
-        if workspace is None or not self.board.is_fresh():
-            return 0
-        bucket = self._bucket(workspace, allocator.epoch)
-        return bucket.take(ask.wanted, self.board.clock.now())
+            return False
+        return self.board.is_fresh() and self.board.clock.now() >= self._first_grant
 
     def _bucket(self, workspace: Workspace, epoch: int) -> Bucket:
         bucket = self.board.shares.buckets.get(workspace.name)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -15,8 +15,10 @@
 from ..interfaces import Randomness
 
 RATE_WINDOW_S = 1.0
-ALLOCATOR_SUSPICION_S = 1.0
-TRANSACTION_RETRY_S = 0.05
+ALLOCATOR_SUSPICION_S = 0.3
+ASK_AGAIN_S = 0.05
+UNSURE_WAIT_S = 1.5
+MOST_WAITING = 256
 
 
 class LimitController:
@@ -44,6 +46,9 @@
             self._permit(held, request)
             self._ask_ahead(held, request.workspace, now)
             return
+        if len(held.waiting) >= MOST_WAITING:
+            self._refuse(request, ErrorCode.OVERLOADED, "Too many requests wait for tokens.")
+            return
         held.waiting.append(request)
         if not held.asking:
             self._begin_asking(held, request.workspace)
@@ -53,7 +58,10 @@
         held = self._held(ask.workspace)
         now = self.board.clock.now()
         if not ask.answered:
+            held.unsure = True
             self.board.shares.suspected[ask.zone] = now + ALLOCATOR_SUSPICION_S
+        if ask.granted >= ask.wanted:
+            held.zones_left.append(ask.zone)
         self._credit(held, ask, now)
         self._serve_waiting(held)
         if held.waiting and self._ask_next(held, ask.workspace):
@@ -62,7 +70,7 @@
         self._refuse_waiting(held, ask.workspace)
 
     def on_due(self, workspace: str) -> None:
-        """Ask again for requests of transactions that could not get a token."""
+        """Ask again for requests that wait for a token."""
         held = self._held(workspace)
         if held.waiting and not held.asking:
             self._begin_asking(held, workspace)
@@ -82,7 +90,10 @@
 
     def _credit(self, held: HeldTokens, ask: TokenAsk, now: float) -> None:
         expires_at = ask.sent_at + self.board.settings.token_hold
-        if now >= expires_at or ask.granted == 0:
+        if ask.granted == 0:
+            return
+        if now >= expires_at:
+            held.unsure = True
             return
         if now >= held.expires_at:
             held.count = 0
@@ -100,6 +111,7 @@
 
     def _begin_asking(self, held: HeldTokens, workspace: str) -> None:
         held.asking = True
+        held.unsure = False
         held.zones_left = self._zones_by_nearness()
         if not self._ask_next(held, workspace):
             held.asking = False
@@ -118,6 +130,7 @@
             zone = held.zones_left.pop()
             allocator = self.board.configuration.allocators.get(zone)
             if allocator is None or now < self.board.shares.suspected.get(zone, 0.0):
+                held.unsure = True
                 continue
             wanted = max(1, len(held.waiting)) + self._ahead(held, now)
             ask = TokenAsk(workspace, zone, allocator.member, wanted, now)
@@ -149,11 +162,12 @@
         return int(rate * self.board.settings.token_hold / 2)
 
     def _refuse_waiting(self, held: HeldTokens, workspace: str) -> None:
+        """Refuse those who wait, but for those that may still get a token by asking again."""
         waiting = list(held.waiting)
         held.waiting.clear()
         now = self.board.clock.now()
         for request in waiting:
-            if request.transaction is not None and now < request.deadline:
+            if self._may_wait(held, request, now):
                 held.waiting.append(request)
             else:
                 self._refuse(
@@ -162,7 +176,15 @@
                     f"Workspace {workspace} has used its rate and burst.",
                 )
         if held.waiting:
-            self.board.changes.post_at(now + TRANSACTION_RETRY_S, Topic.TOKENS_DUE, workspace)
+            self.board.changes.post_at(now + ASK_AGAIN_S, Topic.TOKENS_DUE, workspace)
+
+    def _may_wait(self, held: HeldTokens, request: Request, now: float) -> bool:
+        """Tell whether to ask again: in a transaction, or while an allocator did not answer."""
+        if now + ASK_AGAIN_S >= request.deadline:
+            return False
+        if request.transaction is not None:
+            return True
+        return held.unsure and now < request.arrived_at + UNSURE_WAIT_S
 
     def _refuse(self, request: Request, code: ErrorCode, message: str) -> None:
         request.refuse(code, message)
--- a/packages/gentianspread-lab/src/gentianspread_lab/deployments.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/deployments.py
@@ -59,6 +59,7 @@
         "connections",
         "connect_ms",
         "lag_ms",
+        "statement_ms",
     )
 
     def __init__(
@@ -80,6 +81,7 @@
         self.connections = connections
         self.connect_ms = connect_ms
         self.lag_ms = 200.0
+        self.statement_ms = 1.0
         self.vms = plan_vms(zones, vm_count)
         self.endpoints = plan_endpoints(zones, groups)
 
@@ -88,6 +90,14 @@
         """Return a user's deployment."""
         return {"brackwater": _brackwater, "malabar": _malabar}[name]()
 
+    @classmethod
+    def single_zone(cls) -> Deployment:
+        """Return three VMs before one group without costs, to measure a VM itself."""
+        deployment = cls("bench", ["zone1"], ["bench"], [], 64, 300, 0.0, 3)
+        deployment.lag_ms = 0.0
+        deployment.statement_ms = 0.0
+        return deployment
+
 
 def plan_vms(zones: list[str], count: int) -> list[VMPlan]:
     """Spread VMs over the zones; the first VM of three zones votes, two more have a disk."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
@@ -317,7 +317,7 @@
         if holder.alive and self.reaches(vm.name, ask.member):
             sent = TokenAsk(ask.workspace, ask.zone, ask.member, ask.wanted, ask.sent_at)
             holder.board.post(Topic.TOKENS_ASKED, sent)
-            ask.granted, ask.answered = sent.granted, True
+            ask.granted, ask.answered = sent.granted, sent.answered
         vm.later(lambda: vm.board.post(Topic.TOKENS_ARRIVED, ask))
 
     def send_message(self, message: Message) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
@@ -10,7 +10,7 @@
 import sys
 import tempfile
 import time
-from typing import IO, Any
+from typing import IO
 
 from gentianspread_cli.client import OperatorClient
 from gentianspread_server.connections import LostError, NotSentError
@@ -39,12 +39,13 @@
         self._logs: list[IO[bytes]] = []
 
     def start(self) -> None:
-        """Start all endpoints and VMs, and wait until every VM is ready."""
+        """Start all endpoints and VMs, and wait until all are ready and have primaries."""
         for endpoint in self.deployment.endpoints:
             self.start_endpoint(endpoint)
         for vm in self.deployment.vms:
             self.start_vm(vm)
         self.wait_ready(list(self.addresses))
+        self.wait_primaries()
 
     def start_vm(self, plan: VMPlan) -> None:
         """Start one VM; its data folder is kept over restarts."""
@@ -65,7 +66,7 @@
             "GENTIANSPREAD_FLEET_SECRET": self.fleet_secret,
             "GENTIANSPREAD_OPERATOR_KEY": self.operator_key,
         }
-        self._start(plan.name, "gentianspread_server.main", arguments, environment)
+        self.start_process(plan.name, "gentianspread_server.main", arguments, environment)
 
     def start_endpoint(self, plan: EndpointPlan) -> None:
         """Start one endpoint stand-in."""
@@ -81,8 +82,10 @@
             f"--slots={deployment.slots}",
             f"--connect_ms={deployment.connect_ms}",
             f"--lag_ms={deployment.lag_ms}",
+            f"--read_ms={deployment.statement_ms}",
+            f"--write_ms={deployment.statement_ms}",
         ]
-        self._start(plan.name, "gentianspread_lab.endpoint", arguments, dict(os.environ))
+        self.start_process(plan.name, "gentianspread_lab.endpoint", arguments)
 
     def wait_ready(self, names: list[str], limit: float = READY_LIMIT_S) -> None:
         """Wait until the VMs pass the balancer's check; the limit is in seconds."""
@@ -93,6 +96,19 @@
                     raise TimeoutError(f"{name} was not ready within {limit} s")
                 time.sleep(READY_PAUSE_S)
 
+    def wait_primaries(self, limit: float = READY_LIMIT_S) -> None:
+        """Wait until every group has a primary; the limit is in seconds."""
+        give_up_at = time.monotonic() + limit
+        wanted = set(self.deployment.groups)
+        while not wanted <= self._groups_with_primary():
+            if time.monotonic() > give_up_at:
+                raise TimeoutError(f"not every group had a primary within {limit} s")
+            time.sleep(READY_PAUSE_S)
+
+    def _groups_with_primary(self) -> set[str]:
+        groups = self.operator.status()["groups"]
+        return {group["name"] for group in groups if group["primary"] is not None}
+
     def is_ready(self, name: str) -> bool:
         """Tell whether a VM passes the balancer's check."""
         try:
@@ -140,14 +156,19 @@
         """Return the address of an endpoint."""
         return next(plan.address for plan in self.deployment.endpoints if plan.name == name)
 
-    def _start(
-        self, name: str, module: str, arguments: list[str], environment: dict[str, Any]
+    def start_process(
+        self,
+        name: str,
+        module: str,
+        arguments: list[str],
+        environment: dict[str, str] | None = None,
     ) -> None:
+        """Start a module of the workspace as a process with a name."""
         log = open(os.path.join(self.log_folder, f"{name}.log"), "ab")  # noqa: SIM115
         self._logs.append(log)
         self.processes[name] = subprocess.Popen(
             [sys.executable, "-m", module, *arguments],
-            env=environment,
+            env=environment or dict(os.environ),
             stdout=log,
             stderr=log,
         )
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -63,7 +63,8 @@
             try:
                 answer = self.client.ask(address, TOKENS_PATH, message, TOKENS_LIMIT_S)
                 ask.granted = answer["granted"]
-                ask.answered = True
-            except (NotSentError, LostError):
+                ask.answered = answer["answered"]
+            except (NotSentError, LostError) as error:
+                log.warning("no tokens from %s: %s", ask.member, error)
                 ask.answered = False
         self.board.post(Topic.TOKENS_ARRIVED, ask)
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -222,7 +222,7 @@
         )
         if message["zone"] == self.settings.zone:
             self.board.post(Topic.TOKENS_ASKED, ask)
-        return dump({"granted": ask.granted})
+        return dump({"granted": ask.granted, "answered": ask.answered})
 
     def _answer_proposal(self, body: bytes) -> bytes:
         return dump(self.proposer.answer(load_object(body)))
