Mend what the fuzzing found: a bar that never lifted, a failover that could not end

Causes, each from a shrunk trace: - a voter that lost its disk stayed barred after it was removed and taken in again, so the repair went round for ever. The bar is now state of the election and is lifted on the removal. - when only leaving endpoints were most advanced, none could be promoted, and terms were burnt seven times a second. The most advanced one now leads even if it leaves; a planned change starts once an endpoint that stays has the same position; failed fences pause 0.3 s.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
@@ -15,7 +15,11 @@
 
 
 class Election:
-    """Term, vote and leader; times in seconds of the VM's clock."""
+    """Term, vote and leader; times in seconds of the VM's clock.
+
+    `barred` marks a VM that lost its earlier votes and is still counted as a voter: it takes no
+    part in the control log.
+    """
 
     __slots__ = (
         "term",
@@ -27,6 +31,7 @@
         "votes",
         "deadline",
         "started_at",
+        "barred",
     )
 
     def __init__(self) -> None:
@@ -39,3 +44,4 @@
         self.votes: set[str] = set()
         self.deadline = 0.0
         self.started_at = 0.0
+        self.barred = False
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -34,6 +34,7 @@
             Topic.MESSAGE_RECEIVED: self.on_message,
             Topic.QUORUM_LOST: self.on_quorum_lost,
             Topic.VOTERS_CHANGED: self.on_voters_changed,
+            Topic.CONFIGURATION_CHANGED: self.on_configuration,
         }
 
     def on_started(self, hard_state: HardState) -> None:
@@ -42,9 +43,16 @@
         election.term = hard_state.term
         election.voted_for = hard_state.voted_for
         election.started_at = self.board.clock.now()
+        election.barred = self.board.settings.lost_votes
         self.on_voters_changed(None)
         self._arm()
 
+    def on_configuration(self, revision: int) -> None:
+        """Lift the bar once the voters have removed this VM; it may then come back."""
+        voters = self.board.configuration.voters
+        if voters and self._me() not in voters:
+            self.board.election.barred = False
+
     def on_voters_changed(self, _entry: None) -> None:
         """Become a follower or an observer by the log's newest list of voters."""
         election = self.board.election
@@ -70,7 +78,7 @@
 
     def on_message(self, message: Message) -> None:
         """Take over higher terms, answer votes and count them."""
-        if is_barred(self.board):
+        if self.board.election.barred:
             return
         if message.kind is MessageKind.PRE_VOTE:
             self._answer_pre_vote(message)
@@ -230,14 +238,3 @@
     def _persist(self) -> None:
         election = self.board.election
         self.board.outbox.control.hard_state = HardState(election.term, election.voted_for)
-
-
-def is_barred(board: Board) -> bool:
-    """Tell whether this VM lost its earlier votes and is still counted as a voter.
-
-    It takes no part in the control log until the voters have removed it; then it may come back.
-    """
-    if not board.settings.lost_votes:
-        return False
-    voters = board.configuration.voters
-    return not voters or board.settings.member in voters
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -21,18 +21,21 @@
 PROBE_PURPOSE = "failover"
 ORDER_LIMIT_S = 0.4
 FAILOVER_LIMIT_S = 2.0
+FENCE_PAUSE_S = 0.3
+PLANNED_PAUSE_S = 1.0
 MOST_PROBES_AT_ONCE = 4
 
 
 class FailoverController:
     """Owns the failovers and the endpoints' health."""
 
-    __slots__ = ("board", "_timer", "_followed")
+    __slots__ = ("board", "_timer", "_followed", "_not_before")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._timer: Any = None
         self._followed: dict[str, int] = {}
+        self._not_before: dict[str, float] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -49,6 +52,7 @@
         self.board.groups.failovers.clear()
         self.board.groups.health.clear()
         self._followed.clear()
+        self._not_before.clear()
         if self._leads():
             self._arm()
 
@@ -126,6 +130,8 @@
     def _begin_if_due(self, group: Group) -> None:
         if group.name in self.board.groups.failovers or not self.board.is_fresh():
             return
+        if self.board.clock.now() < self._not_before.get(group.name, 0.0):
+            return
         reason = self._reason(group)
         if not reason or not self._majority_alive(group):
             return
@@ -141,13 +147,33 @@
         if group.primary is None or group.granted_term > group.term:
             return "the group has no primary"
         registration = self.board.configuration.endpoints.get(group.primary)
-        if registration is None or registration.leaving:
+        if registration is None:
+            return f"the primary {group.primary} is not known"
+        if registration.leaving and self._has_successor(group):
             return f"the primary {group.primary} is leaving"
         health = self.board.groups.health.get(group.primary)
         if health and health.failures >= self.board.settings.probe_failures:
             return f"the primary {group.primary} did not answer {health.failures} probes"
         return ""
 
+    def _has_successor(self, group: Group) -> bool:
+        """Tell whether an endpoint that stays has everything that the leaving primary has."""
+        health = self.board.groups.health
+        leaving = health.get(group.primary or "")
+        if leaving is None or leaving.position is None:
+            return False
+        return any(
+            not item.leaving
+            and item.name in health
+            and health[item.name].failures == 0
+            and health[item.name].position == leaving.position
+            for item in self._members(group.name)
+        )
+
+    def _pause(self, group: str, seconds: float) -> None:
+        """Begin no failover of a group for some seconds."""
+        self._not_before[group] = self.board.clock.now() + seconds
+
     def _members(self, group: str) -> list[Registration]:
         endpoints = self.board.configuration.endpoints.values()
         return [item for item in endpoints if item.group == group]
@@ -189,35 +215,36 @@
         if order.accepted and order.position is not None:
             failover.accepted[order.endpoint] = order.position
         group = self.board.configuration.groups[failover.group]
-        if len(failover.accepted) >= group.majority() and self._pick(failover):
+        if len(failover.accepted) >= group.majority():
             self._promote(failover)
         elif not failover.waiting:
             del self.board.groups.failovers[failover.group]
+            self._pause(failover.group, FENCE_PAUSE_S)
             self.board.timeline.record(
                 EventKind.FENCE_FAILED,
                 f"group {failover.group}",
-                "fewer than a majority of endpoints accepted the term, or none may lead",
+                "fewer than a majority of endpoints accepted the term",
                 term=failover.term,
             )
 
-    def _pick(self, failover: Failover) -> str | None:
-        """Return the most advanced endpoint that is not leaving, if none is further ahead."""
-        best: str | None = None
+    def _pick(self, failover: Failover) -> str:
+        """Return the most advanced endpoint; among equals, one that is not leaving."""
+        best = next(iter(failover.accepted))
         for name, position in failover.accepted.items():
-            leads = best is None or not failover.accepted[best].reaches(position)
-            ties = best is not None and failover.accepted[best] == position
-            if leads or (ties and self._is_leaving(best)):
+            is_ahead = not failover.accepted[best].reaches(position)
+            is_equal = failover.accepted[best] == position
+            if is_ahead or (is_equal and self._is_leaving(best)):
                 best = name
-        return None if best is None or self._is_leaving(best) else best
+        return best
 
-    def _is_leaving(self, name: str | None) -> bool:
-        registration = self.board.configuration.endpoints.get(name or "")
+    def _is_leaving(self, name: str) -> bool:
+        registration = self.board.configuration.endpoints.get(name)
         return registration is None or registration.leaving
 
     def _promote(self, failover: Failover) -> None:
         failover.phase = "promoting"
         failover.primary = self._pick(failover)
-        registration = self.board.configuration.endpoints[failover.primary or ""]
+        registration = self.board.configuration.endpoints[failover.primary]
         self._order(EndpointOrderKind.PROMOTE, registration, failover.term, registration.address)
         self._propose(
             CommandKind.NAME_PRIMARY,
@@ -228,6 +255,8 @@
         del self.board.groups.failovers[failover.group]
         if not order.accepted:
             return
+        if self._is_leaving(order.endpoint):
+            self._pause(failover.group, PLANNED_PAUSE_S)
         gap = self.board.clock.now() - failover.started_at
         self.board.timeline.record(
             EventKind.PRIMARY_PROMOTED,
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -15,7 +15,7 @@
 from ..blackboard.log import LogEntry, Peer, Snapshot
 from ..blackboard.messages import Message, MessageKind, Proposal
 from .configuration import AppliedCommand
-from .election import CHECK_QUORUM_TIMEOUTS, is_barred
+from .election import CHECK_QUORUM_TIMEOUTS
 
 ENTRIES_PER_MESSAGE = 64
 
@@ -77,7 +77,7 @@
 
     def on_message(self, message: Message) -> None:
         """Handle appends, snapshots and their replies of the current term."""
-        if is_barred(self.board):
+        if self.board.election.barred:
             return
         if message.term != self.board.election.term:
             self._reject_old(message)
