--- a/features/environment.py
+++ b/features/environment.py
@@ -2,8 +2,17 @@
 
 from __future__ import annotations
 
-from behave import use_fixture
+from behave import register_type, use_fixture
 from fixtures import fleet_world, temporary_folder
+from parse import with_pattern
+
+
+@with_pattern(r'[^"]*')
+def parse_quoted(text):
+    return text
+
+
+register_type(Quoted=parse_quoted)
 
 
 def before_scenario(context, scenario):
--- /dev/null
+++ b/features/limits.feature
@@ -0,0 +1,35 @@
+@world
+Feature: Rate and burst over the whole fleet
+  Background:
+    Given a running fleet
+
+  Scenario: All VMs together stay within rate and burst
+    When a workspace "small" with rate 20 and burst 10 exists
+    And every VM sends 30 reads of "small" at once, 5 times, 0.5 s apart
+    Then at most rate and burst of "small" were permitted in any window
+    And at least 20 reads of "small" ran
+
+  Scenario: One VM may use a whole workspace's rate
+    When a workspace "small" with rate 20 and burst 30 exists
+    And 4 s pass
+    And o1 sends 15 reads of "small" one every 0.06 s
+    Then none of them was refused
+
+  Scenario: Requests that arrive while an ask for tokens is on its way are served
+    When o1 sends 20 reads at 0 and 10 more 0.5 ms later
+    And 1 s pass
+    Then none of them was refused
+
+  Scenario: The loss of an allocator refuses nothing
+    When the allocator of one zone is killed
+    And o1 sends 20 reads of "w" one every 0.1 s
+    Then none of them was refused
+
+  Scenario: A restarted allocator starts with an empty bucket
+    When a workspace "small" with rate 1 and burst 20 exists
+    And 25 s pass
+    And every VM sends 30 reads of "small" at once, 1 times, 0 s apart
+    And all VMs are killed and start again
+    And 6 s pass
+    And every VM sends 30 reads of "small" at once, 1 times, 0 s apart
+    Then at most rate and burst of "small" were permitted in any window
--- /dev/null
+++ b/features/steps/configuration.py
@@ -0,0 +1,57 @@
+"""Steps by which operators change the configuration."""
+
+from __future__ import annotations
+
+from behave import when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import CommandKind
+from gentianspread_core.positions import SessionToken
+from gentianspread_lab.fakes.world import GROUP
+from support import send
+
+IN_FORCE_S = 1.0
+
+
+@when("the key is withdrawn")
+def step_withdraw(context):
+    context.world.change(CommandKind.WITHDRAW_KEY, {"name": "k"})
+
+
+@when('the open route "{name:w}" is made')
+def step_route(context, name):
+    context.world.change(CommandKind.OPEN_ROUTE, {"name": name, "group": GROUP})
+
+
+@when('the preset "{preset:w}" is in force')
+def step_preset(context, preset):
+    context.world.change(CommandKind.SWITCH_PRESET, {"preset": preset})
+    context.world.run(IN_FORCE_S)
+
+
+@when('"{name:w}" is a read with a foreign session sent to {vm:w}')
+def step_foreign(context, name, vm):
+    send(context, name, vm, "read", token=SessionToken("another", {}))
+
+
+@when('"{name:w}" is a write of "{value:Quoted}" that waits at {vm:w} for {seconds:g} s')
+def step_waiting_write(context, name, value, vm, seconds):
+    board = context.world.vms[vm].board
+    group = board.configuration.groups[GROUP]
+    endpoint = board.endpoints.by_name[group.primary]
+    endpoint.suspected = True
+    send(context, name, vm, "write", statement=value, deadline=seconds)
+    context.held_back = (board, endpoint)
+
+
+@when("the endpoint is free again")
+def step_free(context):
+    board, endpoint = context.held_back
+    endpoint.suspected = False
+    board.post(Topic.ENDPOINT_CHANGED, endpoint)
+
+
+@when("a cut isolates {vm:w} from all other VMs")
+def step_isolate_from_vms(context, vm):
+    for other in context.world.vms:
+        if other != vm:
+            context.world.separate(vm, other)
--- /dev/null
+++ b/features/steps/control.py
@@ -0,0 +1,164 @@
+"""Steps about the control log and its voters."""
+
+from __future__ import annotations
+
+from behave import then, when
+from gentianspread_core.blackboard.commands import CommandKind
+from gentianspread_core.blackboard.election import Role
+from gentianspread_lab.fakes import FakeDisk
+from support import create_workspace
+
+
+def voter_that_follows(context):
+    leader = context.world.leader()
+    names = [name for name in leader.board.log.voters if name != leader.name]
+    return next(name for name in sorted(names) if context.world.vms[name].alive)
+
+
+@when("a cut isolates a voter that does not lead")
+def step_isolate_follower(context):
+    leader = context.world.leader()
+    context.before = (leader.name, leader.board.election.term)
+    context.world.isolate(voter_that_follows(context))
+
+
+@when("a cut isolates the control leader")
+def step_isolate_leader(context):
+    leader = context.world.leader()
+    context.before = (leader.name, leader.board.election.term)
+    context.world.isolate(leader.name)
+
+
+@when("a kill ends a voter that does not lead")
+def step_kill_follower(context):
+    context.lost = voter_that_follows(context)
+    context.world.vms[context.lost].kill()
+
+
+@when("a voter loses its disk and starts again")
+def step_lose_disk(context):
+    context.lost = voter_that_follows(context)
+    vm = context.world.vms[context.lost]
+    vm.kill()
+    vm.disk = FakeDisk()
+    vm.start()
+
+
+@when("all VMs are killed and start again")
+def step_restart_all(context):
+    for vm in context.world.vms.values():
+        vm.kill()
+    for vm in context.world.vms.values():
+        vm.start()
+
+
+@when('the workspace "{name:w}" is created with the change "{change:w}"')
+def step_create(context, name, change):
+    before = context.world.leader().board.configuration.operator_revision
+    context.revision_before = getattr(context, "revision_before", before)
+    context.outcomes[change] = create_workspace(context, name, change)
+
+
+@when('two operators create "{first:w}" and "{second:w}" on the same revision')
+def step_race(context, first, second):
+    revision = context.world.leader().board.configuration.operator_revision
+    for name in (first, second):
+        context.outcomes[name] = create_workspace(context, name, name, revision)
+
+
+@when("{count:d} changes are made")
+def step_many(context, count):
+    for number in range(count):
+        kind = CommandKind.SWITCH_PRESET
+        context.world.change(kind, {"preset": ("peak", "ordinary")[number % 2]})
+        if number % 20 == 0:
+            context.world.run(0.2)
+    context.world.run(2.5)
+
+
+@then("the control leader and its term are those of before")
+def step_same_leader(context):
+    leader = context.world.leader()
+    assert (leader.name, leader.board.election.term) == context.before
+
+
+@then("another VM leads in a newer term")
+def step_new_leader(context):
+    leader = context.world.leader()
+    assert leader.name != context.before[0]
+    assert leader.board.election.term > context.before[1]
+
+
+@then("the old leader does not lead")
+def step_old_steps_down(context):
+    board = context.world.vms[context.before[0]].board
+    assert board.election.role is not Role.LEADER
+    assert not board.is_fresh()
+
+
+@then("every VM has the same revision after {seconds:g} s")
+def step_same_revision(context, seconds):
+    context.world.run(seconds)
+    revisions = {vm.name: vm.board.configuration.revision for vm in context.world.vms.values()}
+    assert len(set(revisions.values())) == 1, revisions
+
+
+@then("{name:w} votes and the lost voter does not")
+def step_replaced(context, name):
+    voters = context.world.leader().board.log.voters
+    assert name in voters and context.lost not in voters and len(voters) == 3, voters
+
+
+@then('the time line tells "{later:w}" after "{earlier:w}"')
+def step_order(context, later, earlier):
+    kinds = [event.kind.value for event in context.world.leader().board.timeline.events]
+    assert later in kinds and earlier in kinds, kinds
+    last_earlier = len(kinds) - 1 - kinds[::-1].index(earlier)
+    assert kinds.index(later) > last_earlier, kinds
+
+
+@then("that voter takes no part in the control log")
+def step_barred(context):
+    board = context.world.vms[context.lost].board
+    assert board.election.role is Role.OBSERVER, board.election.role
+    assert board.log.last_index() == 0
+
+
+@then("three VMs vote and all of them have every entry")
+def step_whole(context):
+    leader = context.world.leader()
+    log = leader.board.log
+    assert len(log.voters) == 3 and not log.learners, (log.voters, log.learners)
+    for name in log.voters:
+        held = context.world.vms[name].board.log.last_index()
+        assert held == log.last_index(), (name, held)
+
+
+@then('the change "{change:w}" was accepted')
+def step_accepted(context, change):
+    outcomes = context.outcomes[change]
+    assert outcomes and outcomes[0] is not None and outcomes[0].accepted, outcomes
+
+
+@then('one change was accepted and the other got "{code:w}"')
+def step_one_winner(context, code):
+    outcomes = [items[0] for items in context.outcomes.values()]
+    assert sorted(item.accepted for item in outcomes) == [False, True]
+    assert next(item.code for item in outcomes if not item.accepted) == code
+
+
+@then("the operator revision grew by {count:d}")
+def step_grew(context, count):
+    revision = context.world.leader().board.configuration.operator_revision
+    assert revision == context.revision_before + count, revision
+
+
+@then("{name:w} is not fresh")
+def step_not_fresh(context, name):
+    assert not context.world.vms[name].board.is_fresh()
+
+
+@then('the workspace "{name:w}" exists on every VM')
+def step_exists(context, name):
+    for vm in context.world.vms.values():
+        assert name in vm.board.configuration.workspaces, vm.name
--- /dev/null
+++ b/features/steps/endpoints.py
@@ -0,0 +1,81 @@
+"""Steps about endpoints."""
+
+from __future__ import annotations
+
+from behave import then, when
+from support import primary_of, replicas_of
+
+
+@when("both replicas are cut off from everyone")
+def step_cut_replicas(context):
+    for name in replicas_of(context):
+        context.world.isolate(name)
+
+
+@when("one replica is cut off from everyone")
+def step_cut_one(context):
+    context.world.isolate(replicas_of(context)[0])
+
+
+@when("one replica is cut off from the primary")
+def step_cut_one_pull(context):
+    context.world.separate(replicas_of(context)[0], primary_of(context))
+
+
+@when("a cut isolates the old primary")
+def step_cut_old(context):
+    context.world.isolate(context.old_primary)
+
+
+@when("one replica announces that it leaves")
+def step_leave(context):
+    context.leaving = replicas_of(context)[0]
+    context.world.register_endpoint(context.leaving, leaving=True)
+
+
+@when("the primary announces that it leaves")
+def step_primary_leaves(context):
+    context.leaving = primary_of(context)
+    context.world.register_endpoint(context.leaving, leaving=True)
+
+
+@when("the replicas receive nothing for {seconds:g} s")
+def step_lag(context, seconds):
+    for name in replicas_of(context):
+        context.world.separate(name, primary_of(context))
+    context.world.run(seconds)
+
+
+@then("none of them went to the leaving endpoint")
+def step_not_leaving(context):
+    assert context.sent
+    assert all(request.endpoint != context.leaving for request in context.sent)
+
+
+@then("another endpoint is primary")
+def step_other_primary(context):
+    assert primary_of(context) not in (None, context.leaving)
+
+
+@then("no endpoint but the old primary is primary")
+def step_no_promotion(context):
+    roles = {name: item.role for name, item in context.world.endpoints.items()}
+    assert [name for name, role in roles.items() if role == "primary"] == [context.old_primary]
+
+
+@then("the old primary follows and holds what the new one holds")
+def step_follows(context):
+    old = context.world.endpoints[context.old_primary]
+    new = context.world.endpoints[primary_of(context)]
+    assert old is not new and old.role == "follower", old.role
+    assert [item.position() for item in old.log] == [item.position() for item in new.log]
+
+
+@then('the data of "{name:w}" is at most {age:g} s old')
+def step_age(context, name, age):
+    assert context.requests[name].exchange.reply.age <= age
+
+
+@then('the request "{name:w}" was sent {count:d} time(s)')
+def step_attempts(context, name, count):
+    assert context.requests[name].attempts == count
--- /dev/null
+++ b/features/steps/front.py
@@ -0,0 +1,118 @@
+"""Steps about the callers' JSON, tokens, endpoint answers and the two binaries' settings."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+
+from behave import then, when
+from gentianspread_core.errors import Refusal
+from gentianspread_core.positions import Position, SessionToken
+from gentianspread_server.codec import RequestCodec
+from gentianspread_server.connections import LostError
+from gentianspread_server.driver import read_reply
+from gentianspread_server.tokens import TokenCodec
+
+SECRET = "the secret of this fleet"
+TOKEN = SessionToken("ennis", {"visits": Position(3, 7)})
+START_LIMIT_S = 60
+
+
+def refusal_of(action):
+    try:
+        action()
+    except Refusal as refusal:
+        return refusal
+    return None
+
+
+def run_module(context, module, words):
+    environment = {
+        name: value for name, value in os.environ.items() if not name.startswith("GENTIANSPREAD")
+    }
+    context.done = subprocess.run(
+        [sys.executable, "-m", module, *words.split()],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=START_LIMIT_S,
+        check=False,
+    )
+
+
+@when("a caller sends {body}")
+def step_send_body(context, body):
+    codec = RequestCodec(TokenCodec(SECRET))
+    context.refusal = refusal_of(lambda: codec.decode(body.encode(), "Bearer key", 0.0))
+
+
+@when('an endpoint answers exchange "{number}" with {answer}')
+def step_answer(context, number, answer):
+    context.number, context.answer = number, answer.encode()
+
+
+@when('the daemon starts with the flags "{words}"')
+def step_daemon(context, words):
+    run_module(context, "gentianspread_server.main", words)
+
+
+@when('the command runs with the words "{words}"')
+def step_command(context, words):
+    run_module(context, "gentianspread_cli.main", words)
+
+
+@then('it is refused with "{code:w}"')
+def step_refused(context, code):
+    assert context.refusal is not None
+    assert context.refusal.code.value == code, context.refusal.message
+    assert context.refusal.remedy
+
+
+@then("a token signed by another fleet is refused")
+def step_foreign_token(context):
+    text = TokenCodec("the secret of another fleet").encode(TOKEN)
+    refusal = refusal_of(lambda: TokenCodec(SECRET).decode(text))
+    assert refusal is not None and refusal.code.value == "bad_token"
+
+
+@then("a token signed by this fleet is read with its positions")
+def step_own_token(context):
+    codec = TokenCodec(SECRET)
+    token = codec.decode(codec.encode(TOKEN))
+    assert token.workspace == "ennis" and token.positions == TOKEN.positions
+
+
+@then("no token with one changed character is read")
+def step_changed_token(context):
+    codec = TokenCodec(SECRET)
+    text = codec.encode(TOKEN).rstrip("=")
+    for place in range(len(text)):
+        other = "A" if text[place] != "A" else "B"
+        changed = text[:place] + other + text[place + 1 :]
+        changed += "=" * (-len(changed) % 4)
+        token = None
+        refusal = refusal_of(lambda changed=changed: codec.decode(changed))
+        if refusal is None:
+            token = codec.decode(changed)
+            assert token.positions == TOKEN.positions, "a changed token was read"
+
+
+@then("the answer counts as lost")
+def step_lost(context):
+    try:
+        read_reply(context.answer, context.number)
+    except LostError:
+        return
+    raise AssertionError("the answer was taken")
+
+
+@then("it exits with {code:d}")
+def step_exits(context, code):
+    assert context.done.returncode == code, context.done.stderr
+
+
+@then('it names "{first}" and "{second}"')
+def step_names(context, first, second):
+    output = context.done.stderr + context.done.stdout
+    assert first in output and second in output, output
--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,105 @@
+"""Steps about rates and bursts."""
+
+from __future__ import annotations
+
+from behave import then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import CommandKind
+from gentianspread_core.blackboard.requests import StatementKind
+from gentianspread_core.errors import ErrorCode
+from gentianspread_lab.fakes.world import KEY_HASH
+from support import create_workspace
+
+
+def watch_permits(context, vm):
+    vm.board.changes.subscribe(
+        Topic.REQUEST_PERMITTED,
+        lambda request: context.permits.append((context.world.clock.now(), request.workspace)),
+    )
+
+
+def key_of(workspace):
+    return KEY_HASH if workspace == "w" else f"key-{workspace}"
+
+
+def send_reads(context, vm, workspace, count):
+    for _ in range(count):
+        request = context.world.send(vm, StatementKind.READ, key_hash=key_of(workspace))
+        context.sent.append(request)
+
+
+@when('a workspace "{name:w}" with rate {rate:g} and burst {burst:g} exists')
+def step_workspace(context, name, rate, burst):
+    context.limit = (rate, burst)
+    context.permits = []
+    context.sent = []
+    create_workspace(context, name, f"create-{name}", rate=rate, burst=burst)
+    fields = {"workspace": name, "name": f"k-{name}", "key_hash": key_of(name)}
+    context.world.change(CommandKind.GIVE_KEY, fields)
+    context.world.run(1.0)
+
+
+@when('every VM sends {count:d} reads of "{name:w}" at once, {times:d} times, {pause:g} s apart')
+def step_flood(context, count, name, times, pause):
+    for vm in context.world.vms.values():
+        watch_permits(context, vm)
+    for _ in range(times):
+        for vm in context.world.vms.values():
+            send_reads(context, vm, name, count)
+        context.world.run(pause + 0.001)
+    context.world.run(2.0)
+
+
+@when('{vm:w} sends {count:d} reads of "{name:w}" one every {pause:g} s')
+def step_steady(context, vm, count, name, pause):
+    context.sent = []
+    for _ in range(count):
+        send_reads(context, context.world.vms[vm], name, 1)
+        context.world.run(pause)
+    context.world.run(2.0)
+
+
+@when("{vm:w} sends {first:d} reads at 0 and {second:d} more 0.5 ms later")
+def step_during_ask(context, vm, first, second):
+    context.sent = []
+    send_reads(context, context.world.vms[vm], "w", first)
+    context.world.run(0.0005)
+    send_reads(context, context.world.vms[vm], "w", second)
+
+
+@when("the allocator of one zone is killed")
+def step_kill_allocator(context):
+    leader = context.world.leader()
+    allocators = leader.board.configuration.allocators
+    name = next(
+        item.member for item in allocators.values() if item.member not in (leader.name, "o1")
+    )
+    context.world.vms[name].kill()
+
+
+@then('at most rate and burst of "{name:w}" were permitted in any window')
+def step_limit_kept(context, name):
+    rate, burst = context.limit
+    moments = sorted(moment for moment, workspace in context.permits if workspace == name)
+    assert moments
+    level, last = 0.0, moments[0]
+    for moment in moments:
+        level = max(0.0, level - (moment - last) * rate) + 1
+        last = moment
+        assert level <= burst + 1e-6, level
+
+
+@then('at least {count:d} reads of "{name:w}" ran')
+def step_some_ran(context, count, name):
+    ran = [request for request in context.sent if request.outcome and not request.outcome.refusal]
+    assert len(ran) >= count, len(ran)
+
+
+@then("none of them was refused")
+def step_none_refused(context):
+    assert context.sent
+    for request in context.sent:
+        assert request.outcome is not None
+        refusal = request.outcome.refusal
+        assert refusal is None or refusal.code is not ErrorCode.RATE_LIMITED, refusal.message
+        assert refusal is None, refusal.message
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -2,19 +2,10 @@
 
 from __future__ import annotations
 
-from behave import register_type, then, when
-from parse import with_pattern
+from behave import then, when
 from support import breaks_of, result_of, send, token_of
 
 
-@with_pattern(r'[^"]*')
-def parse_quoted(text):
-    return text
-
-
-register_type(Quoted=parse_quoted)
-
-
 @when('"{name:w}" is a {kind:w} of "{statement:Quoted}" sent to {vm:w}')
 def step_send(context, name, kind, statement, vm):
     send(context, name, vm, kind, statement=statement)
--- /dev/null
+++ b/features/steps/storage.py
@@ -0,0 +1,129 @@
+"""Steps about the control log's files."""
+
+from __future__ import annotations
+
+import os
+
+from behave import then, when
+from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.log import LogEntry, Snapshot
+from gentianspread_core.blackboard.outbox import ControlBatch, HardState
+from gentianspread_core.errors import StorageError
+from gentianspread_server.storage import LOG_FILE, ControlStorage
+
+
+def entry(index, term=3):
+    return LogEntry(index, term, Command(CommandKind.NOTHING, {"number": index}))
+
+
+def batch_of(entries, hard_state=None, snapshot=None):
+    batch = ControlBatch()
+    batch.entries = entries
+    batch.hard_state = hard_state
+    batch.snapshot = snapshot
+    return batch
+
+
+def open_storage(context):
+    storage = ControlStorage(context.folder)
+    context.stored = storage.open()
+    return storage
+
+
+def log_path(context):
+    return os.path.join(context.folder, LOG_FILE)
+
+
+@when("entries {first:d} to {last:d} and a vote in term {term:d} are written")
+def step_write(context, first, last, term):
+    context.storage = open_storage(context)
+    context.storage.write(batch_of([], HardState(term, "v1")))
+    for index in range(first, last + 1):
+        context.storage.write(batch_of([entry(index)]))
+
+
+@when("entry {index:d} is written again in term {term:d}")
+def step_overwrite(context, index, term):
+    context.storage.write(batch_of([entry(index, term)]))
+
+
+@when("the last {count:d} bytes of the log are cut off")
+def step_tear(context, count):
+    context.storage.close()
+    os.truncate(log_path(context), os.path.getsize(log_path(context)) - count)
+
+
+@when("a byte in the middle of the log is changed")
+def step_damage(context):
+    context.storage.close()
+    with open(log_path(context), "r+b") as file:
+        file.seek(os.path.getsize(log_path(context)) // 2)
+        byte = file.read(1)
+        file.seek(-1, os.SEEK_CUR)
+        file.write(bytes([byte[0] ^ 0xFF]))
+
+
+@when("a snapshot of entry {index:d} is written")
+def step_snapshot(context, index):
+    context.storage.write(batch_of([], snapshot=Snapshot(index, 3, {"revision": index})))
+
+
+@when("a snapshot of entry {index:d} replaces its file, and the log stays as it was")
+def step_snapshot_only(context, index):
+    with open(log_path(context), "rb") as file:
+        before = file.read()
+    step_snapshot(context, index)
+    context.storage.close()
+    with open(log_path(context), "wb") as file:
+        file.write(before)
+
+
+@when("the disk takes no more")
+def step_full(context):
+    context.storage.close()
+
+
+@then("a start reads entries {first:d} to {last:d} and the vote in term {term:d}")
+def step_read(context, first, last, term):
+    open_storage(context)
+    held = [item.index for item in context.stored.entries]
+    assert held == list(range(first, last + 1)), held
+    state = context.stored.hard_state
+    assert (state.term, state.voted_for) == (term, "v1")
+
+
+@then("a start reads a snapshot of {index:d} and entries {first:d} to {last:d}")
+def step_read_snapshot(context, index, first, last):
+    open_storage(context)
+    assert context.stored.snapshot.index == index
+    held = [item.index for item in context.stored.entries]
+    assert held == list(range(first, last + 1)), held
+
+
+@then("further entries can be written and read")
+def step_go_on(context):
+    storage = open_storage(context)
+    last = context.stored.entries[-1].index
+    storage.write(batch_of([entry(last + 1)]))
+    open_storage(context)
+    assert context.stored.entries[-1].index == last + 1
+
+
+@then('a start fails with "{code:w}"')
+def step_start_fails(context, code):
+    error = failure_of(lambda: open_storage(context))
+    assert error.code.value == code and error.remedy
+
+
+@then('writing fails with "{code:w}"')
+def step_write_fails(context, code):
+    error = failure_of(lambda: context.storage.write(batch_of([entry(9)])))
+    assert error.code.value == code and error.remedy
+
+
+def failure_of(action):
+    try:
+        action()
+    except StorageError as error:
+        return error
+    raise AssertionError("nothing failed")
--- a/features/support.py
+++ b/features/support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.requests import StatementKind
 from gentianspread_lab.fakes.world import GROUP
 
@@ -46,3 +47,9 @@
         for vm in context.world.vms.values()
         for rule, count in vm.engine.invariants.breaks.items()
     }
+
+
+def create_workspace(context, name, change, expected=None, rate=1.0, burst=2.0):
+    """Create a workspace and return the list that gets its outcome."""
+    fields = {"name": name, "rate": rate, "burst": burst}
+    return context.world.change(CommandKind.CREATE_WORKSPACE, fields, change, expected)
--- /dev/null
+++ b/features/writes.feature
@@ -0,0 +1,81 @@
+@world
+Feature: Writes are acknowledged by a majority and run at most once
+  Background:
+    Given a running fleet
+
+  Scenario: A write that only its primary has is not acknowledged
+    When the primary is cut off from the other endpoints
+    And "w" is a write of "card-1" sent to o1
+    And 1 s pass
+    Then the result of "w" is "waiting"
+
+  Scenario: A primary that was replaced acknowledges nothing, and its tail is dropped
+    When the primary is cut off from the other endpoints
+    And "w" is a write of "card-1" sent to o1
+    And a cut isolates the old primary
+    And 3 s pass
+    Then the result of "w" is "unknown: outcome_unknown"
+    When all cuts are healed
+    And 2 s pass
+    Then the old primary follows and holds what the new one holds
+    And the value "card-1" is held by the primary 0 time(s)
+    And no rule was broken
+
+  Scenario: A resend with the same id through another VM finds the first outcome
+    When every answer of the endpoints is lost
+    And "w1" is a write of "card-1" with id "r1" sent to o1
+    And 3.5 s pass
+    Then the result of "w1" is "unknown: outcome_unknown"
+    When the answers of the endpoints arrive again
+    And "w2" is a write of "card-1" with id "r1" sent to o2
+    And 1 s pass
+    Then the result of "w2" is "run"
+    And the value "card-1" is held by the primary 1 time(s)
+
+  Scenario: Without an id a lost answer is unknown and nothing is sent again
+    When every answer of the endpoints is lost
+    And "w" is a write of "card-1" sent to o1
+    And 3 s pass
+    Then the result of "w" is "unknown: outcome_unknown"
+    And the request "w" was sent 1 time(s)
+
+  Scenario: With fewer than a majority reachable nothing is sent
+    When both replicas are cut off from everyone
+    And "warm" is a read of "all" sent to o1
+    And 4 s pass
+    And "w" is a write of "card-1" sent to o1
+    And 4 s pass
+    Then the result of "w" is "not run: deadline_passed"
+    And the request "w" was sent 0 time(s)
+    And the value "card-1" is held by the primary 0 time(s)
+
+  Scenario: A commit through the VM that holds the transaction is whole
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And "s2" is a write of "card-2" inside "b" sent to o1
+    And 0.2 s pass
+    And "c" is a commit of "" inside "b" sent to o1
+    And 0.5 s pass
+    Then the result of "c" is "run"
+    And the value "card-1" is held by the primary 1 time(s)
+    And the value "card-2" is held by the primary 1 time(s)
+
+  Scenario: A transaction whose VM dies leaves nothing behind
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And a kill ends o1
+    And 1 s pass
+    Then the value "card-1" is held by the primary 0 time(s)
+
+  Scenario: The most advanced replica is promoted
+    When one replica is cut off from the primary
+    And "w" is a write of "card-1" sent to o1
+    And 0.2 s pass
+    Then the result of "w" is "run"
+    When the primary is cut off from everyone
+    And 3 s pass
+    Then the value "card-1" is held by the primary 1 time(s)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -6,7 +6,10 @@
 
 
 class Endpoint:
-    """One database endpoint; times are seconds of the VM's clock."""
+    """One database endpoint.
+
+    `suspected` holds from a failure until a probe succeeds; `lag` is in seconds.
+    """
 
     __slots__ = (
         "name",
@@ -18,7 +21,7 @@
         "lag",
         "in_use",
         "capacity",
-        "suspected_until",
+        "suspected",
         "failures",
         "lost_in_a_row",
         "probing",
@@ -35,7 +38,7 @@
         self.lag = 0.0
         self.in_use = 0
         self.capacity = capacity
-        self.suspected_until = 0.0
+        self.suspected = False
         self.failures = 0
         self.lost_in_a_row = 0
         self.probing = False
@@ -45,9 +48,9 @@
         """Tell whether one more exchange fits this VM's part of the endpoint's connections."""
         return self.in_use < self.capacity
 
-    def is_usable(self, now: float) -> bool:
+    def is_usable(self) -> bool:
         """Tell whether new work may be sent."""
-        return not self.leaving and now >= self.suspected_until
+        return not (self.leaving or self.suspected)
 
 
 class Endpoints:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
@@ -187,9 +187,8 @@
         pending = self.board.groups.pending.get(group, [])
         if not pending:
             return
-        now = self.board.clock.now()
         for endpoint in self.board.endpoints.by_group.get(group, []):
-            if now < endpoint.suspected_until:
+            if endpoint.suspected:
                 continue
             confirmation = self._confirmation(group, endpoint.name)
             write = self._first_lacking(pending, confirmation)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -75,9 +75,9 @@
             self._suspect(endpoint, "no answer on a fresh connection")
             return
         now = self.board.clock.now()
-        was_suspected = endpoint.suspected_until > 0.0
+        was_suspected = endpoint.suspected
         endpoint.failures = 0
-        endpoint.suspected_until = 0.0
+        endpoint.suspected = False
         if was_suspected:
             self.board.timeline.record(EventKind.ENDPOINT_RECOVERED, endpoint.name)
         else:
@@ -89,7 +89,7 @@
 
     def on_check_due(self, endpoint: Endpoint) -> None:
         """Probe a suspected endpoint again."""
-        if endpoint.suspected_until > 0.0:
+        if endpoint.suspected:
             self._probe(endpoint)
 
     def _take_over(self, registration: Registration) -> None:
@@ -122,8 +122,9 @@
         now = self.board.clock.now()
         endpoint.failures += 1
         pause = self.board.settings.suspicion * 2 ** min(endpoint.failures - 1, 4)
-        endpoint.suspected_until = now + min(LONGEST_SUSPICION_S, pause)
-        self.board.changes.post_at(endpoint.suspected_until, Topic.ENDPOINT_CHECK_DUE, endpoint)
+        endpoint.suspected = True
+        due = now + min(LONGEST_SUSPICION_S, pause)
+        self.board.changes.post_at(due, Topic.ENDPOINT_CHECK_DUE, endpoint)
         if endpoint.failures == 1:
             self.board.timeline.record(EventKind.ENDPOINT_SUSPECTED, endpoint.name, reason)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/policies.py
@@ -33,7 +33,7 @@
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in candidates:
-            if not endpoint.has_room() or not endpoint.is_usable(now):
+            if not endpoint.has_room() or not endpoint.is_usable():
                 continue
             cost = self._cost(request, endpoint, endpoint.name == primary, now)
             if cost < best_cost:
@@ -75,7 +75,7 @@
         """Return the primary if it has room."""
         group = self.board.configuration.groups.get(request.group)
         for endpoint in candidates:
-            if group and endpoint.name == group.primary and endpoint.is_usable(now):
+            if group and endpoint.name == group.primary and endpoint.is_usable():
                 return endpoint if endpoint.has_room() else None
         return None
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/routing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/routing.py
@@ -101,21 +101,21 @@
         if request.is_read():
             candidates = self.board.endpoints.by_group.get(request.group, [])
             return self.choice.choose(request, candidates, now)
-        return self._primary_with_room(request.group, now)
+        return self._primary_with_room(request.group)
 
-    def _primary_with_room(self, group_name: str, now: float) -> Endpoint | None:
+    def _primary_with_room(self, group_name: str) -> Endpoint | None:
         group = self.board.configuration.groups.get(group_name)
         if group is None or group.primary is None or group.granted_term != group.term:
             return None
         endpoint = self.board.endpoints.by_name.get(group.primary)
-        if endpoint is None or not endpoint.is_usable(now) or not endpoint.has_room():
+        if endpoint is None or not endpoint.is_usable() or not endpoint.has_room():
             return None
-        return endpoint if self._has_majority(group_name, now) else None
+        return endpoint if self._has_majority(group_name) else None
 
-    def _has_majority(self, group_name: str, now: float) -> bool:
+    def _has_majority(self, group_name: str) -> bool:
         group = self.board.configuration.groups[group_name]
         members = self.board.endpoints.by_group.get(group_name, [])
-        reachable = sum(1 for endpoint in members if now >= endpoint.suspected_until)
+        reachable = sum(1 for endpoint in members if not endpoint.suspected)
         return reachable >= group.majority()
 
     def _route_in_transaction(self, request: Request) -> None:
@@ -167,14 +167,13 @@
             self.board.changes.post(Topic.REQUEST_REFUSED, dropped)
 
     def _waiting_reason(self, request: Request) -> str:
-        now = self.board.clock.now()
-        if not request.is_read() and self._group_lacks_majority(request.group, now):
+        if not request.is_read() and self._group_lacks_majority(request.group):
             return f"Fewer than a majority of the endpoints of {request.group} are reachable."
         return f"No endpoint of {request.group} was free before the deadline."
 
-    def _group_lacks_majority(self, group_name: str, now: float) -> bool:
+    def _group_lacks_majority(self, group_name: str) -> bool:
         known = group_name in self.board.configuration.groups
-        return not known or not self._has_majority(group_name, now)
+        return not known or not self._has_majority(group_name)
 
     def _drain(self, group: str) -> None:
         for queue in (self._writes(group), self._reads(group)):
--- a/packages/gentianspread-server/src/gentianspread_server/driver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/driver.py
@@ -166,10 +166,10 @@
         body = orjson.dumps(self._message(request))
         answer = connection.exchange(self._head(STATEMENT_PATH, address), body, exchange.limit)
         try:
-            return self._reply(orjson.loads(answer), exchange.number)
-        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+            return read_reply(answer, exchange.number)
+        except LostError:
             connection.close()
-            raise LostError(f"the answer does not fit the exchange: {error}") from error
+            raise
 
     def _message(self, request: Request) -> dict[str, Any]:
         exchange = request.exchange
@@ -189,21 +189,6 @@
                 message["at_least"] = request.token.position(request.group).to_pair()
         return message
 
-    def _reply(self, answer: dict[str, Any], number: str) -> Reply:
-        if answer["exchange"] != number:
-            raise ValueError("it answers another exchange")
-        position = answer["position"]
-        return Reply(
-            STATUSES[answer["status"]],
-            answer["rows"],
-            answer["changed"],
-            Position.from_pair(position) if position else None,
-            answer["age_ms"] / 1000,
-            answer["code"],
-            answer["message"],
-            answer["repeated"],
-        )
-
     def _ask_watch(self, name: str, message: object, wait: float) -> Any:
         endpoint = self.board.endpoints.by_name[name]
         pool = self.pools.watch_pool(name, endpoint.address)
@@ -224,3 +209,27 @@
             head = head_for(path, address)
             self._heads[key] = head
         return head
+
+
+def read_reply(answer: bytes, number: str) -> Reply:
+    """Read an endpoint's answer; one that does not fit the exchange counts as lost."""
+    try:
+        return _reply_of(orjson.loads(answer), number)
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        raise LostError(f"the answer does not fit the exchange: {error}") from error
+
+
+def _reply_of(answer: dict[str, Any], number: str) -> Reply:
+    if answer["exchange"] != number:
+        raise ValueError("it answers another exchange")
+    position = answer["position"]
+    return Reply(
+        STATUSES[answer["status"]],
+        answer["rows"],
+        answer["changed"],
+        Position.from_pair(position) if position else None,
+        answer["age_ms"] / 1000,
+        answer["code"],
+        answer["message"],
+        answer["repeated"],
+    )
