Settle a resent commit by recalling its id

Cause: found by reading the paths of "not run": a commit whose answer was lost, or whose VM died inside it, was answered "not run: transaction_unknown" when it was sent again, although it might have run. Ruled out as a mend: remembering outcomes on the VM, which dies with it. Now a commit with an id whose transaction is gone becomes a recall: the primary answers with the recorded outcome, or records in its log that the id never runs, and a majority confirms either. One without an id is "unknown". Links of all pages are checked by make test too.

Before: no check sent a commit twice.

--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -34,6 +34,15 @@
     send(context, name, vm, kind, statement=statement, transaction=transaction)
 
 
+@when(
+    '"{name:w}" is a commit of "{statement:Quoted}" with id "{request_id:w}" inside "{begin:w}"'
+    " sent to {vm:w}"
+)
+def step_commit_with_id(context, name, statement, request_id, begin, vm):
+    transaction = context.requests[begin].outcome.transaction
+    send(context, name, vm, "commit", request_id=request_id, transaction=transaction)
+
+
 @when('"{name:w}" is a read without a key on the route "{route:w}" sent to {vm:w}')
 def step_open_read(context, name, route, vm):
     send(context, name, vm, "read", key_hash=None, open_route=route)
--- a/features/writes.feature
+++ b/features/writes.feature
@@ -90,3 +90,39 @@
     And 0.1 s pass
     Then the result of "w" is "unknown: outcome_unknown"
     And no rule was broken
+
+  Scenario: A commit whose VM died is settled by its id through another VM
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And every answer of the endpoints is lost
+    And "c1" is a commit of "" with id "r1" inside "b" sent to o1
+    And 0.002 s pass
+    And a kill ends o1
+    And the answers of the endpoints arrive again
+    And "c2" is a commit of "" with id "r1" inside "b" sent to o2
+    And 1 s pass
+    Then the result of "c2" is "run"
+    And the value "card-1" is held by the primary 1 time(s)
+
+  Scenario: A commit that never reached its endpoint is settled for good
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And "c1" is a commit of "" with id "r1" inside "b" sent to o2
+    And 1 s pass
+    And "c2" is a commit of "" with id "r1" inside "b" sent to o1
+    And 1 s pass
+    Then the result of "c1" is "not run: transaction_unknown"
+    And the result of "c2" is "not run: transaction_unknown"
+    And the value "card-1" is held by the primary 0 time(s)
+    And no rule was broken
+
+  Scenario: A commit without an id whose transaction is gone is unknown
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "c" is a commit of "" inside "b" sent to o2
+    And 0.2 s pass
+    Then the result of "c" is "unknown: transaction_unknown"
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
@@ -10,13 +10,22 @@
 
 
 class StatementKind(Enum):
-    """What a request does at the endpoint."""
+    """What a request does at the endpoint.
+
+    A recall asks for the recorded outcome of a commit whose transaction is gone; if there is none,
+    the endpoint records that the commit must never run.
+    """
 
     READ = "read"
     WRITE = "write"
     BEGIN = "begin"
     COMMIT = "commit"
     ROLLBACK = "rollback"
+    RECALL = "recall"
+
+
+CALLER_KINDS = tuple(kind for kind in StatementKind if kind is not StatementKind.RECALL)
+NEVER_RUNS = -1
 
 
 class ExchangeStatus(Enum):
@@ -107,10 +116,12 @@
 class Request:
     """One request of a caller.
 
-    The front adapter writes the facts (down to `transaction`) and `waiter`. The columns after them
-    belong each to one controller: `workspace` to keys, `permitted` to limits, `endpoint` to
-    routing, `exchange` and `attempts` to dispatch, `outcome` to acknowledgement; `refusal` is set
-    by the stage that refuses. Times are seconds of the VM's monotonic clock.
+    The front adapter writes the facts (down to `transaction`) and `waiter`; routing turns a commit
+    whose transaction is gone into a recall, and transactions name what a begin opened. The columns
+    after them belong each to one controller: `workspace` to keys, `permitted` to limits,
+    `endpoint` to routing, `exchange` and `attempts` to dispatch, `outcome` to acknowledgement;
+    `refusal` is set by the stage that refuses. `unknown_before` marks a request that may have run
+    in an earlier attempt. Times are seconds of the VM's monotonic clock.
     """
 
     __slots__ = (
@@ -194,7 +205,9 @@
 
     def may_repeat(self) -> bool:
         """Tell whether running the request twice has the effect of running it once."""
-        return self.is_read() or (
+        if self.is_read() or self.kind is StatementKind.RECALL:
+            return True
+        return (
             self.transaction is None
             and self.kind is StatementKind.WRITE
             and (self.idempotent or self.request_id is not None)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
@@ -12,6 +12,7 @@
 from ..blackboard.groups import Confirmation, PendingWrite
 from ..blackboard.outbox import WatchOrder
 from ..blackboard.requests import (
+    NEVER_RUNS,
     Exchange,
     ExchangeStatus,
     Outcome,
@@ -273,6 +274,11 @@
         reply = exchange.reply if exchange else None
         if exchange is None or reply is None or request.outcome is not None:
             return
+        if reply.changed == NEVER_RUNS:
+            message = "The commit did not run and never will."
+            refusal = Refusal(ErrorCode.TRANSACTION_UNKNOWN, message)
+            self._refuse(request, refusal, is_proved=True)
+            return
         outcome = Outcome(
             Result.RUN,
             reply.rows,
@@ -290,10 +296,11 @@
             return token
         return token.advanced(request.group, position)
 
-    def _refuse(self, request: Request, refusal: Refusal) -> None:
+    def _refuse(self, request: Request, refusal: Refusal, is_proved: bool = False) -> None:
+        """Refuse a request; one that may have run before stays unknown unless it is proved."""
         if request.outcome is not None:
             return
-        if request.unknown_before and refusal.result is Result.NOT_RUN:
+        if request.unknown_before and refusal.result is Result.NOT_RUN and not is_proved:
             refusal = Refusal(ErrorCode.OUTCOME_UNKNOWN, refusal.message, Result.UNKNOWN)
         self._complete(request, Outcome.from_refusal(refusal))
         self._record_refusal(request, refusal)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/routing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/routing.py
@@ -10,7 +10,7 @@
 from ..blackboard.queues import WaitingQueue
 from ..blackboard.requests import ExchangeStatus, Request, StatementKind
 from ..blackboard.transactions import Transaction
-from ..errors import ErrorCode
+from ..errors import ErrorCode, Result
 from ..interfaces import QueuePolicy, ReplicaChoice
 from ..settings import POLICIES
 from .policies import FairQueue
@@ -48,7 +48,7 @@
         """Route a request that may run now."""
         if request.outcome is not None:
             return
-        if request.transaction is not None:
+        if request.transaction is not None and not self._becomes_recall(request):
             self._route_in_transaction(request)
             return
         endpoint = self._choose(request)
@@ -118,10 +118,24 @@
         reachable = sum(1 for endpoint in members if not endpoint.suspected)
         return reachable >= group.majority()
 
+    def _becomes_recall(self, request: Request) -> bool:
+        """Turn a commit with an id whose transaction is gone into a recall of its outcome."""
+        is_gone = request.transaction not in self.board.transactions.by_name
+        if request.kind is not StatementKind.COMMIT or request.request_id is None or not is_gone:
+            return False
+        request.kind = StatementKind.RECALL
+        request.transaction = None
+        request.unknown_before = True
+        return True
+
     def _route_in_transaction(self, request: Request) -> None:
         transaction = self.board.transactions.by_name.get(request.transaction or "")
         if transaction is None or transaction.workspace != request.workspace:
-            request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "This VM holds no such transaction.")
+            is_commit = request.kind is StatementKind.COMMIT
+            result = Result.UNKNOWN if is_commit else Result.NOT_RUN
+            request.refuse(
+                ErrorCode.TRANSACTION_UNKNOWN, "This VM holds no such transaction.", result
+            )
         elif transaction.busy:
             request.refuse(ErrorCode.BAD_REQUEST, "The transaction runs another statement.")
         else:
--- a/packages/gentianspread-core/src/gentianspread_core/invariants/rules.py
+++ b/packages/gentianspread-core/src/gentianspread_core/invariants/rules.py
@@ -6,7 +6,7 @@
 
 from ..blackboard import Board
 from ..blackboard.configuration import Configuration
-from ..blackboard.requests import ExchangeStatus, Request
+from ..blackboard.requests import NEVER_RUNS, ExchangeStatus, Request
 from ..errors import Result
 
 
@@ -106,6 +106,8 @@
         return True
     if request.transaction is not None and request.kind.value != "commit":
         return True
+    if reply.changed == NEVER_RUNS:
+        return True
     return reply.status not in (ExchangeStatus.OK, ExchangeStatus.LOST)
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/checks.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/checks.py
@@ -1,17 +1,21 @@
-"""Runs the formatter, the linter and the behave features, and counts what passed.
+"""Runs the formatter, the linter, the check of links and the features, and counts what passed.
 
 Known failures are listed in KNOWN-RED.txt; they are run, printed, and do not fail the run.
 """
 
 from __future__ import annotations
 
+import glob
 import json
 import os
+import re
 import subprocess
 import sys
 import tempfile
 
 KNOWN_RED = "KNOWN-RED.txt"
+README = "README.md"
+LINK = re.compile(r"\]\(([^)]+)\)")
 SCENARIO_PREFIX = "scenario: "
 TOOLS = (
     ("black", ["-m", "black", "--quiet", "--check", "packages", "features"]),
@@ -59,6 +63,23 @@
         tally.add(name, done.returncode == 0)
 
 
+def check_links(tally: Tally) -> None:
+    """Check that every relative link of the pages leads to a file."""
+    pages = [README, *glob.glob("docs/**/*.md", recursive=True)]
+    for page in pages:
+        with open(page, encoding="utf-8") as file:
+            links = LINK.findall(file.read())
+        broken = [link for link in links if not _leads(page, link)]
+        for link in broken:
+            print(f"{page} links to {link}, which is not there")
+        tally.add(f"links of {page}", not broken)
+
+
+def _leads(page: str, link: str) -> bool:
+    path = link.partition("#")[0]
+    return not path or os.path.exists(os.path.join(os.path.dirname(page), path))
+
+
 def run_features(tally: Tally) -> None:
     """Run the features and count their scenarios."""
     with tempfile.TemporaryDirectory() as folder:
@@ -88,6 +109,7 @@
     """Run all checks and print the closing line."""
     tally = Tally(read_known())
     run_tools(tally)
+    check_links(tally)
     run_features(tally)
     for name in tally.failed_known:
         print(f"KNOWN RED {name}")
--- a/packages/gentianspread-lab/src/gentianspread_lab/endpoint/sessions.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/endpoint/sessions.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import gevent
+from gentianspread_core.blackboard.requests import NEVER_RUNS
 from gentianspread_core.positions import Position
 from gevent.lock import BoundedSemaphore
 
@@ -113,6 +114,8 @@
         if kind == "rollback":
             self._end()
             return Answer("ok")
+        if kind == "recall":
+            return self._recall(message)
         if self.in_transaction:
             return self._run_inside(message)
         if kind == "read":
@@ -177,6 +180,23 @@
                 return Answer("ok")
             return self._commit_statements(message, statements)
 
+    def _recall(self, message: dict[str, Any]) -> Answer:
+        """Answer with a recorded outcome; without one, record that the commit never runs."""
+        self._require_primary(message["term"])
+        known = self._recalled(self._session(), message)
+        if known is not None:
+            return known
+        session = self._session()
+        session.execute("BEGIN IMMEDIATE")
+        remember(session, message["workspace"], message["request_id"], NEVER_RUNS)
+        session.execute("COMMIT")
+        answer = Answer("ok")
+        answer.changed = NEVER_RUNS
+        answer.position = self.node.append(
+            [], message["workspace"], message["request_id"], NEVER_RUNS
+        )
+        return answer
+
     def _try_statements(self, statements: list[list[Any]]) -> Answer:
         """Run statements, keep what the last one gave, and take everything back."""
         session = self._session()
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/endpoint.py
@@ -4,6 +4,7 @@
 
 from gentianspread_core.blackboard.outbox import EndpointOrder, EndpointOrderKind, ProbeOrder
 from gentianspread_core.blackboard.requests import (
+    NEVER_RUNS,
     Exchange,
     ExchangeStatus,
     Reply,
@@ -120,8 +121,14 @@
 
     def _write(self, request: Request, values: list[str]) -> Reply:
         request_id = request.request_id or ""
-        if request_id and self._is_recorded(request.workspace, request_id):
-            return Reply(ExchangeStatus.OK, position=last_position(self.log), repeated=True)
+        recorded = self._recorded(request.workspace, request_id)
+        if recorded is not None:
+            position = last_position(self.log)
+            return Reply(ExchangeStatus.OK, changed=recorded, position=position, repeated=True)
+        if request.kind is StatementKind.RECALL:
+            self._append([], request.workspace, request_id, NEVER_RUNS)
+            position = last_position(self.log)
+            return Reply(ExchangeStatus.OK, changed=NEVER_RUNS, position=position)
         for value in values:
             self.runs[value] = self.runs.get(value, 0) + 1
         self._append(values, request.workspace, request_id)
@@ -141,15 +148,18 @@
             values.append(request.statement)
         return Reply(ExchangeStatus.OK, rows=self.values() + values)
 
-    def _is_recorded(self, workspace: str, request_id: str) -> bool:
-        return any(
-            record.request_id == request_id and record.workspace == workspace for record in self.log
-        )
-
-    def _append(self, values: list[str], workspace: str, request_id: str) -> None:
-        record = Record(
-            self.term, len(self.log) + 1, list(values), workspace, request_id, len(values)
-        )
+    def _recorded(self, workspace: str, request_id: str) -> int | None:
+        """Return how many values a recorded request changed, or none."""
+        for record in self.log:
+            if request_id and (record.workspace, record.request_id) == (workspace, request_id):
+                return record.changed
+        return None
+
+    def _append(
+        self, values: list[str], workspace: str, request_id: str, changed: int | None = None
+    ) -> None:
+        count = len(values) if changed is None else changed
+        record = Record(self.term, len(self.log) + 1, list(values), workspace, request_id, count)
         self.log.append(record)
         self.applied = len(self.log)
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
@@ -55,6 +55,17 @@
         self.key_withdrawn_at = key_withdrawn_at
 
 
+class Commit:
+    """A commit that was sent: its transaction, its id if it has one, and what it writes."""
+
+    __slots__ = ("transaction", "request_id", "values")
+
+    def __init__(self, transaction: str, request_id: str | None, values: list[str]) -> None:
+        self.transaction = transaction
+        self.request_id = request_id
+        self.values = values
+
+
 class Witness:
     """What was seen across all VMs: states by revision, leaders by term, permits by time."""
 
@@ -121,6 +132,7 @@
         self.sessions = [Session(), Session()]
         self.told: dict[str, str] = {}
         self.sent_ids: dict[str, str] = {}
+        self.commits: list[Commit] = []
         self.withdrawn_at = float("inf")
         self.withdrawals: list[ChangeOutcome | None] = []
         self.workspaces: dict[str, list[ChangeOutcome | None]] = {}
@@ -169,7 +181,17 @@
             self._statement(holder, StatementKind.WRITE, begin, value)
         if withdraw and self.count % 7 == 0:
             self.withdraw_key()
-        self._send(session, vm, StatementKind.COMMIT, values, None, begin.outcome.transaction)
+        request_id = f"id-{values[0]}" if self.count % 2 == 0 else None
+        commit = Commit(begin.outcome.transaction, request_id, values)
+        self.commits.append(commit)
+        self._send_commit(session, vm, commit)
+
+    @rule(session=st.integers(0, 1), vm=st.sampled_from(VM_NAMES), data=st.data())
+    def resend_commit(self, session: int, vm: str, data: st.DataObject) -> None:
+        """Send an earlier commit again, to any VM."""
+        known = [commit for commit in self.commits if commit.request_id is not None]
+        if known:
+            self._send_commit(session, vm, data.draw(st.sampled_from(known)))
 
     @rule(vm=st.sampled_from(VM_NAMES), count=st.integers(5, 40))
     def flood(self, vm: str, count: int) -> None:
@@ -332,6 +354,16 @@
         self.world.send(vm, kind, value, transaction=transaction)
         self._run(0.1)
 
+    def _send_commit(self, session: int, vm: str, commit: Commit) -> None:
+        self._send(
+            session,
+            vm,
+            StatementKind.COMMIT,
+            commit.values,
+            commit.request_id,
+            commit.transaction,
+        )
+
     def _send(
         self,
         session: int,
@@ -390,9 +422,13 @@
             if result is Result.RUN:
                 self.told[value] = "run"
                 session.acknowledged.add(value)
-            elif result is Result.NOT_RUN and sent.request.request_id is None:
+            elif result is Result.NOT_RUN and self._is_final(sent.request):
                 self.told[value] = "not run"
 
+    def _is_final(self, request: Request) -> bool:
+        """Tell whether "not run" speaks for all attempts with the request's id."""
+        return request.request_id is None or request.kind is StatementKind.RECALL
+
 
 def _merge(first: SessionToken | None, second: SessionToken) -> SessionToken:
     if first is None:
--- a/packages/gentianspread-server/src/gentianspread_server/codec.py
+++ b/packages/gentianspread-server/src/gentianspread_server/codec.py
@@ -7,7 +7,7 @@
 
 import fastjsonschema
 import orjson
-from gentianspread_core.blackboard.requests import Outcome, Request, StatementKind
+from gentianspread_core.blackboard.requests import CALLER_KINDS, Outcome, Request, StatementKind
 from gentianspread_core.errors import ErrorCode, Refusal, Result
 
 from .tokens import TokenCodec
@@ -24,7 +24,7 @@
     "required": ["kind", "group"],
     "additionalProperties": False,
     "properties": {
-        "kind": {"enum": [kind.value for kind in StatementKind]},
+        "kind": {"enum": [kind.value for kind in CALLER_KINDS]},
         "group": {"type": "string", "minLength": 1, "maxLength": LONGEST_NAME},
         "statement": {"type": "string", "maxLength": LONGEST_STATEMENT},
         "parameters": {
--- a/packages/gentianspread-server/src/gentianspread_server/forwarding.py
+++ b/packages/gentianspread-server/src/gentianspread_server/forwarding.py
@@ -36,7 +36,10 @@
     def forward(
         self, request: Request, body: bytes, authorization: str | None
     ) -> ForwardedAnswer | None:
-        """Return the holder's answer, or none if this VM is to serve the request itself."""
+        """Return the holder's answer, or none if this VM is to serve the request itself.
+
+        A commit with an id whose holder does not answer is served here, as a recall.
+        """
         if request.transaction is None:
             return None
         holder = request.transaction.partition(".")[0]
@@ -47,12 +50,10 @@
         message = {"body": body.decode(), "authorization": authorization}
         try:
             answer = self.client.ask(address, FORWARD_PATH, message, limit)
-        except NotSentError:
-            raise Refusal(
-                ErrorCode.TRANSACTION_UNKNOWN, "The VM that held the transaction is gone."
-            ) from None
-        except LostError:
-            raise self._lost(request) from None
+        except (NotSentError, LostError) as error:
+            if request.kind is StatementKind.COMMIT and request.request_id is not None:
+                return None
+            raise self._lost(request) from error
         return ForwardedAnswer(answer["status"], answer["body"].encode())
 
     def _lost(self, request: Request) -> Refusal:
