--- a/Makefile
+++ b/Makefile
@@ -11,8 +11,8 @@
 
 $(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/gentianspread-$(package)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet --constraint constraints.txt setuptools
-	$(BIN)/pip install --quiet --constraint constraints.txt --no-build-isolation \
+	$(BIN)/pip install -qq --no-compile --constraint constraints.txt setuptools
+	$(BIN)/pip install -qq --no-compile --constraint constraints.txt --no-build-isolation \
 		$(foreach package,$(PACKAGES),--editable packages/gentianspread-$(package)) \
 		behave hypothesis black ruff
 	touch $(STAMP)
--- /dev/null
+++ b/features/steps/timeline.py
@@ -0,0 +1,54 @@
+"""Steps about the time line."""
+
+from __future__ import annotations
+
+from behave import then, when
+from gentianspread_cli.causes import explain
+from gentianspread_core.blackboard.timeline import EventKind, Timeline
+
+
+def all_events(context):
+    records = [
+        event.to_record() for vm in context.world.vms.values() for event in vm.board.timeline.events
+    ]
+    return sorted(records, key=lambda event: (event["wall_ms"], event["counter"]))
+
+
+@when("a VM whose clock is {seconds:g} s late hears of an event of another")
+def step_late_clock(context, seconds):
+    ahead = Timeline("vm1", lambda: 100_000)
+    behind = Timeline("vm2", lambda: 100_000 - int(seconds * 1000))
+    ahead.record(EventKind.STARTED, "vm1")
+    behind.observe(ahead.wall_ms, ahead.counter)
+    behind.record(EventKind.STARTED, "vm2")
+    context.stamps = [
+        (event.wall_ms, event.counter) for event in (ahead.events[-1], behind.events[-1])
+    ]
+
+
+@then("its next event comes after that one")
+def step_after(context):
+    assert context.stamps[1] > context.stamps[0], context.stamps
+
+
+@then('the newest event about "{subject:w}" is "{kind:w}" and "{cause:w}" led to it')
+def step_chain(context, subject, kind, cause):
+    chain = explain(all_events(context), subject)
+    kinds = [event["kind"] for event in chain]
+    assert kinds[-1] == kind, kinds
+    assert cause in kinds[:-1], kinds
+
+
+@then('the newest refusal was led to by the change "{change:w}"')
+def step_refusal(context, change):
+    events = all_events(context)
+    refusal = [event for event in events if event["kind"] == "request_refused"][-1]
+    chain = explain(events, refusal["subject"])
+    assert any(change in event["cause"] for event in chain[:-1]), chain
+
+
+@then('{name:w} tells "{first:w}" and then "{second:w}"')
+def step_tells(context, name, first, second):
+    kinds = [event.kind.value for event in context.world.vms[name].board.timeline.events]
+    assert first in kinds, kinds
+    assert second in kinds[kinds.index(first) :], kinds
--- a/packages/gentianspread-cli/src/gentianspread_cli/commands.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/commands.py
@@ -10,6 +10,7 @@
 
 from gentianspread_core.errors import ErrorCode, GentianspreadError
 
+from .causes import explain
 from .client import OperatorClient
 from .views import doctor_lines, status_lines, timeline_lines
 
@@ -153,8 +154,12 @@
 
 
 def timeline(client: OperatorClient, words: list[str], options: Options) -> Report:
-    """Show the events of all VMs in order."""
-    events = [event for event in client.timelines() if _is_wanted(event, options)]
+    """Show the events of all VMs in order, or the chain that led to one."""
+    events = client.timelines()
+    if options.why:
+        chain = explain(events, options.why)
+        return Report(timeline_lines(chain) or [f"Nothing is known of {options.why}."], chain)
+    events = [event for event in events if _is_wanted(event, options)]
     events = events[-options.limit :] if options.limit else events
     return Report(timeline_lines(events), events)
 
--- a/packages/gentianspread-cli/src/gentianspread_cli/views.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/views.py
@@ -29,6 +29,9 @@
         f"Preset {status['preset']}; revision {status['revision']}; "
         f"control leader {status['leader'] or 'none'}; seen from {status['vm']}."
     )
+    behind = [item["name"] for item in _sorted(status["members"]) if _is_behind(status, item)]
+    if behind:
+        lines.append(f"Revision {status['revision']} is not yet on: {', '.join(behind)}.")
     lines.append("VMs:")
     lines += [_member_line(status, member) for member in _sorted(status["members"])]
     lines.append("Database groups:")
@@ -93,16 +96,14 @@
                 "Start its process, or drain it if it will not return.",
             )
         ]
-    if member["revision"] is not None and member["revision"] < status["revision"] - 1:
-        return [
-            Finding(
-                f"VM {member['name']} is at revision {member['revision']}, catching up.",
-                "Wait a few seconds.",
-            )
-        ]
     return []
 
 
+def _is_behind(status: dict[str, Any], member: dict[str, Any]) -> bool:
+    revision = member["revision"]
+    return not member["draining"] and (revision is None or revision < status["revision"])
+
+
 def _group_problems(group: dict[str, Any]) -> list[Finding]:
     if group["primary"] is None or group["granted_term"] != group["term"]:
         return [
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -40,10 +40,10 @@
     CONFIGURATION_CHANGED = auto()
     CONFIGURATION_RECEIVED = auto()
     FRESHNESS_CHANGED = auto()
+    FRESHNESS_DUE = auto()
     MESSAGE_RECEIVED = auto()
     RECORDS_SYNCED = auto()
     PROPOSED = auto()
-    READ_ASKED = auto()
     LEADERSHIP_CHANGED = auto()
     ELECTION_DUE = auto()
     STARTED = auto()
@@ -56,7 +56,6 @@
     REPAIR_DUE = auto()
     MEMBER_SEEN = auto()
     INTENT_POSTED = auto()
-    SHUTDOWN_ORDERED = auto()
 
 
 class Change:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -29,7 +29,6 @@
     FAILOVER_STARTED = "failover_started"
     FENCE_FAILED = "fence_failed"
     PRIMARY_PROMOTED = "primary_promoted"
-    PRIMARY_NAMED = "primary_named"
     ALLOCATOR_NAMED = "allocator_named"
     VOTER_LOST = "voter_lost"
     VOTERS_CHANGED = "voters_changed"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -13,6 +13,7 @@
 from ..state_machine import apply_command
 
 HISTORY_ENTRIES = 512
+FRESHNESS_MARGIN_S = 0.01
 
 
 class ConfigurationUpdate:
@@ -47,14 +48,18 @@
 
 
 class ConfigurationController:
-    """Owns the configuration section and the history that other VMs catch up from."""
+    """Owns the configuration section and the history that other VMs catch up from.
 
-    __slots__ = ("board", "history", "_fresh")
+    It also tells the time line when this VM loses and regains its freshness.
+    """
+
+    __slots__ = ("board", "history", "_is_told_fresh", "_applied_kinds")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self.history: deque[LogEntry] = deque(maxlen=HISTORY_ENTRIES)
-        self._fresh = False
+        self._is_told_fresh = False
+        self._applied_kinds: list[str] = []
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -63,6 +68,7 @@
             Topic.SNAPSHOT_INSTALLED: self.on_snapshot,
             Topic.CONFIGURATION_RECEIVED: self.on_received,
             Topic.FRESHNESS_CHANGED: self.on_confirmed,
+            Topic.FRESHNESS_DUE: self.on_freshness_due,
         }
 
     def on_committed(self, entries: list[LogEntry]) -> None:
@@ -93,6 +99,18 @@
         """Note when a quorum last confirmed the configuration."""
         configuration = self.board.configuration
         configuration.confirmed_at = max(configuration.confirmed_at, confirmed_at)
+        if not self._is_told_fresh and self.board.is_fresh():
+            self._is_told_fresh = True
+            self._tell(EventKind.FRESHNESS_REGAINED, "a quorum confirmed the configuration")
+            self._watch_freshness()
+
+    def on_freshness_due(self, _entry: None) -> None:
+        """Tell the time line if no quorum confirmed the configuration in time."""
+        if self.board.is_fresh():
+            self._watch_freshness()
+        else:
+            self._is_told_fresh = False
+            self._tell(EventKind.FRESHNESS_LOST, "no quorum confirmed the configuration in time")
 
     def catch_up(self, after: int) -> ConfigurationUpdate:
         """Return what a VM at the given revision lacks."""
@@ -109,6 +127,14 @@
             entries, snapshot, configuration.revision, configuration.confirmed_at
         )
 
+    def _watch_freshness(self) -> None:
+        bound = self.board.settings.freshness_bound
+        due = self.board.configuration.confirmed_at + bound + FRESHNESS_MARGIN_S
+        self.board.changes.post_at(due, Topic.FRESHNESS_DUE)
+
+    def _tell(self, kind: EventKind, cause: str) -> None:
+        self.board.timeline.record(kind, self.board.settings.member, cause)
+
     def _load(self, state: dict[str, Any], index: int) -> None:
         if index <= self.board.configuration.revision:
             return
@@ -120,11 +146,14 @@
             return
         outcome = apply_command(self.board.configuration, entry.index, entry.command)
         self.history.append(entry)
+        self._applied_kinds.append(entry.command.kind.value)
         self.board.changes.post(Topic.COMMAND_APPLIED, AppliedCommand(entry, outcome))
 
     def _announce(self, before: int) -> None:
         revision = self.board.configuration.revision
         if revision == before:
             return
-        self.board.timeline.record(EventKind.CONFIGURATION_APPLIED, f"revision {revision}")
+        kinds = ", ".join(dict.fromkeys(self._applied_kinds)) or "snapshot"
+        self._applied_kinds.clear()
+        self.board.timeline.record(EventKind.CONFIGURATION_APPLIED, f"revision {revision}", kinds)
         self.board.changes.post(Topic.CONFIGURATION_CHANGED, revision)
--- a/packages/gentianspread-core/src/gentianspread_core/errors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/errors.py
@@ -25,7 +25,6 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline_passed"
     NO_ENDPOINT = "no_endpoint"
-    NO_MAJORITY = "no_majority"
     TERM_CHANGED = "term_changed"
     TOO_OLD = "data_too_old"
     STATEMENT_FAILED = "statement_failed"
@@ -37,7 +36,6 @@
     INVALID_CHANGE = "invalid_change"
     SETTINGS = "invalid_settings"
     STORAGE = "storage_failed"
-    INVARIANT = "invariant_broken"
 
 
 REMEDIES = {
@@ -50,7 +48,6 @@
     ErrorCode.OVERLOADED: "Send the request again after a short pause.",
     ErrorCode.DEADLINE: "Send the request again with a longer deadline.",
     ErrorCode.NO_ENDPOINT: "Send the request again in a few seconds.",
-    ErrorCode.NO_MAJORITY: "Send the request again once most endpoints of the group are back.",
     ErrorCode.TERM_CHANGED: "Send the request again; the group has a new primary.",
     ErrorCode.TOO_OLD: "Accept a larger age, or read without an accepted age.",
     ErrorCode.STATEMENT_FAILED: "Correct the statement.",
@@ -62,7 +59,6 @@
     ErrorCode.INVALID_CHANGE: "Correct the change as the message says.",
     ErrorCode.SETTINGS: "Correct the named flags and start again.",
     ErrorCode.STORAGE: "Check the disk of the data folder and restart the VM.",
-    ErrorCode.INVARIANT: "Send the time line of this VM to the developers.",
 }
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/plots.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/plots.py
@@ -15,7 +15,6 @@
 MARKED = {
     "failover_started": "tab:red",
     "primary_promoted": "tab:green",
-    "primary_named": "tab:green",
     "request_refused": "tab:orange",
     "request_unknown": "tab:purple",
     "endpoint_suspected": "tab:gray",
