Pause after a promotion until the log has named the primary; draw the time line

Cause, seen in the first picture of a time line: after a promotion the failover was forgotten while the log had not yet named the primary, so the next probe began another ("the group has no primary"). Ruled out: probes that were answered before the promotion (they alone start nothing within the pause). A group now begins no failover for 0.5 s after a promotion.

--- a/features/control.feature
+++ b/features/control.feature
@@ -88,3 +88,12 @@
     When o1 receives the configuration as it was at the start
     Then o1 still has the newest revision
     And no rule was broken
+
+  Scenario: The control leader's disk fills up, and it goes on as an entry
+    When the control leader's disk is full
+    And 4 s pass
+    Then another VM leads in a newer term
+    When the workspace "late" is created with the change "c1"
+    And 1 s pass
+    Then the change "c1" was accepted
+    And a read at the old leader is served
--- a/features/endpoints.feature
+++ b/features/endpoints.feature
@@ -34,3 +34,9 @@
     And one replica is cut off from everyone
     And 5 s pass
     Then no endpoint but the old primary is primary
+
+  Scenario: The loss of a primary costs one term, also while the control log is slow
+    When the control log takes 0.06 s more for each message
+    And the primary is cut off from everyone
+    And 5 s pass
+    Then another endpoint is primary in term 2
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -9,7 +9,7 @@
 from gentianspread_core.blackboard.election import Role
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from gentianspread_lab.fakes import FakeDisk
-from support import create_workspace, watch_permits
+from support import create_workspace, result_of, send, watch_permits
 
 
 def voter_that_follows(context):
@@ -204,3 +204,18 @@
 @then("{name:w} still has the newest revision")
 def step_newest(context, name):
     assert context.world.vms[name].board.configuration.revision >= context.newest > 0
+
+
+@when("the control leader's disk is full")
+def step_full_disk(context):
+    leader = context.world.leader()
+    context.before = (leader.name, leader.board.election.term)
+    leader.disk.is_full = True
+    create_workspace(context, "unsynced", "c0")
+
+
+@then("a read at the old leader is served")
+def step_old_leader_serves(context):
+    send(context, "r", context.before[0], "read")
+    context.world.run(1.0)
+    assert result_of(context, "r") == "run", result_of(context, "r")
--- a/features/steps/endpoints.py
+++ b/features/steps/endpoints.py
@@ -79,3 +79,15 @@
 @then('the request "{name:w}" was sent {count:d} time(s)')
 def step_attempts(context, name, count):
     assert context.requests[name].attempts == count
+
+
+@when("the control log takes {seconds:g} s more for each message")
+def step_slow_log(context, seconds):
+    context.world.message_delay = seconds
+
+
+@then("another endpoint is primary in term {term:d}")
+def step_primary_in_term(context, term):
+    group = context.world.leader().board.configuration.groups["g"]
+    assert group.primary != context.old_primary
+    assert (group.granted_term, group.term) == (term, term), (group.granted_term, group.term)
--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -81,6 +81,7 @@
 @when("the disk takes no more")
 def step_full(context):
     context.storage.close()
+    context.storage._file = os.open("/dev/full", os.O_WRONLY)
 
 
 @then("a start reads entries {first:d} to {last:d} and the vote in term {term:d}")
--- a/packages/gentianspread-cli/src/gentianspread_cli/causes.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/causes.py
@@ -58,8 +58,8 @@
 
 
 def _share_a_thing(event: Event, effect: Event) -> bool:
-    """Tell whether two events name the same group, endpoint or VM."""
-    first, second = _things(event), _things(effect)
+    """Tell whether an event names a group, endpoint, workspace or VM that the effect names too."""
+    first, second = _things(event), _things(effect) | {effect["member"]}
     same_group = any(one.startswith(f"{two}-") for one in first for two in second)
     return bool(first & second) or same_group
 
@@ -67,7 +67,7 @@
 def _things(event: Event) -> set[str]:
     details = event["details"]
     named = {details.get(name, "") for name in ("group", "endpoint", "workspace")}
-    return (named | {event["member"], _last_word(event)}) - {""}
+    return (named | {_last_word(event)}) - {""}
 
 
 def _last_word(event: Event) -> str:
@@ -76,10 +76,10 @@
 
 def _without_repeats(events: list[Event]) -> list[Event]:
     """Keep the first of events that say the same on several VMs."""
-    seen: set[tuple[str, str]] = set()
+    seen: set[tuple[str, str, str]] = set()
     kept = []
     for event in events:
-        key = (event["kind"], event["subject"])
+        key = (event["kind"], event["subject"], event["cause"])
         if key not in seen:
             seen.add(key)
             kept.append(event)
--- a/packages/gentianspread-cli/src/gentianspread_cli/commands.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/commands.py
@@ -12,6 +12,7 @@
 
 from .causes import explain
 from .client import OperatorClient
+from .pictures import draw_timeline
 from .views import doctor_lines, status_lines, timeline_lines
 
 KEY_BYTES = 24
@@ -34,6 +35,7 @@
         "kind",
         "request",
         "why",
+        "picture",
     )
 
     def __init__(self, **values: Any) -> None:
@@ -160,6 +162,9 @@
         chain = explain(events, options.why)
         return Report(timeline_lines(chain) or [f"Nothing is known of {options.why}."], chain)
     events = [event for event in events if _is_wanted(event, options)]
+    if options.picture:
+        draw_timeline(events, options.picture)
+        return Report([f"The picture is in {options.picture}."], {"picture": options.picture})
     events = events[-options.limit :] if options.limit else events
     return Report(timeline_lines(events), events)
 
--- a/packages/gentianspread-cli/src/gentianspread_cli/main.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/main.py
@@ -43,6 +43,7 @@
 flags.DEFINE_string("group", None, "Show events of this database group.")
 flags.DEFINE_string("vm", None, "Show events of this VM.")
 flags.DEFINE_string("kind", None, "Show events of this kind.")
+flags.DEFINE_string("picture", None, "Write a picture of the time line to this file.")
 flags.DEFINE_string("why", None, "Show what led to the newest event about this subject.")
 flags.DEFINE_string("request", None, "Show events of this request id.")
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -23,6 +23,7 @@
 FAILOVER_LIMIT_S = 2.0
 FENCE_PAUSE_S = 0.3
 PLANNED_PAUSE_S = 1.0
+PROMOTION_PAUSE_S = 0.5
 MOST_PROBES_AT_ONCE = 4
 
 
@@ -255,8 +256,8 @@
         del self.board.groups.failovers[failover.group]
         if not order.accepted:
             return
-        if self._is_leaving(order.endpoint):
-            self._pause(failover.group, PLANNED_PAUSE_S)
+        is_planned = self._is_leaving(order.endpoint)
+        self._pause(failover.group, PLANNED_PAUSE_S if is_planned else PROMOTION_PAUSE_S)
         gap = self.board.clock.now() - failover.started_at
         self.board.timeline.record(
             EventKind.PRIMARY_PROMOTED,
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
@@ -37,6 +37,7 @@
         self.name = settings.member
         self.alive = False
         self.frozen = False
+        self.has_failed = False
         self.incarnation = 0
         self.engine: Engine
 
@@ -50,6 +51,7 @@
         world = self.world
         self.alive = True
         self.frozen = False
+        self.has_failed = False
         self.incarnation += 1
         self.settings.lost_votes = self._lost_votes()
         self.engine = Engine.from_settings(
@@ -80,6 +82,8 @@
             return
         batch = self.board.outbox.take_control()
         if batch.needs_sync() and (self.disk is None or not self.disk.write(batch)):
+            self.has_failed = True
+        if self.has_failed:
             return
         for message in batch.messages:
             self.world.send_message(message)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
@@ -71,6 +71,7 @@
         self.lose_replies = 0.0
         self.late_exchanges = 0.0
         self.token_delay = 0.0
+        self.message_delay = 0.0
         self._deliveries: list[Delivery] = []
         self._count = 0
         self._requests = 0
@@ -247,7 +248,8 @@
                 copy = Message.from_record(message.to_record())
                 receiver.board.post(Topic.MESSAGE_RECEIVED, copy)
 
-        self.later(arrive, LATENCY_S * self.randomness.uniform(0.5, 2.0))
+        delay = LATENCY_S * self.randomness.uniform(0.5, 2.0) + self.message_delay
+        self.later(arrive, delay)
 
     def _add_vms(self, voters: int, others: int, standbys: int) -> None:
         first = [f"v{number}" for number in range(1, voters + 1)]
