Compare signatures and the operator key as bytes

Cause: found by trying raw bad input on a VM: the comparison of texts raises on letters outside ASCII, so such a header gave a 500 and a traceback in place of a typed 401. Ruled out: slow, oversize, chunked and unsigned bodies, which all got their typed 4xx in the same trial. Before: 114 checks. After: 118 passed, 0 failed, with the signature, the long body and the missing length as scenarios.

--- a/features/front.feature
+++ b/features/front.feature
@@ -49,3 +49,17 @@
     When the command runs with the words "status"
     Then it exits with 2
     And it names "GENTIANSPREAD_OPERATOR_KEY" and "--operator_key_file"
+
+  Scenario Outline: A message between VMs counts only with the fleet's signature
+    When a message between VMs shows the signature "<signature>"
+    Then the message is refused
+
+    Examples:
+      | signature |
+      | none      |
+      | 00ff      |
+      | é         |
+
+  Scenario: A body that is too long, or says no length, is refused unread
+    Then a body of 99999999 bytes is refused with "bad_request"
+    And a body without a length is refused with "bad_request"
--- a/features/steps/front.py
+++ b/features/steps/front.py
@@ -12,6 +12,8 @@
 from gentianspread_server.codec import RequestCodec
 from gentianspread_server.connections import LostError
 from gentianspread_server.driver import read_reply
+from gentianspread_server.front import MOST_BODY_BYTES, read_body
+from gentianspread_server.peers import FleetSigner
 from gentianspread_server.tokens import TokenCodec
 
 SECRET = "the secret of this fleet"
@@ -116,3 +118,27 @@
 def step_names(context, first, second):
     output = context.done.stderr + context.done.stdout
     assert first in output and second in output, output
+
+
+@when('a message between VMs shows the signature "{signature}"')
+def step_signature(context, signature):
+    context.is_taken = FleetSigner(SECRET).is_valid("/peer/poll", b"{}", signature)
+
+
+@then("the message is refused")
+def step_message_refused(context):
+    assert context.is_taken is False
+    signer = FleetSigner(SECRET)
+    assert signer.is_valid("/peer/poll", b"{}", signer.sign("/peer/poll", b"{}"))
+
+
+@then('a body of {length:d} bytes is refused with "{code:w}"')
+def step_long_body(context, length, code):
+    refusal = refusal_of(lambda: read_body({"CONTENT_LENGTH": str(length)}, MOST_BODY_BYTES))
+    assert refusal is not None and refusal.code.value == code
+
+
+@then('a body without a length is refused with "{code:w}"')
+def step_no_length(context, code):
+    refusal = refusal_of(lambda: read_body({}, MOST_BODY_BYTES))
+    assert refusal is not None and refusal.code.value == code
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -197,7 +197,7 @@
 
     def _check_operator(self, environ: Environ) -> None:
         shown = environ.get("HTTP_AUTHORIZATION", "")
-        if not hmac.compare_digest(shown, f"Bearer {self.operator_key}"):
+        if not hmac.compare_digest(shown.encode(), f"Bearer {self.operator_key}".encode()):
             raise Refusal(
                 ErrorCode.KEY_REFUSED,
                 "The operator key is not valid.",
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -41,7 +41,7 @@
 
     def is_valid(self, path: str, body: bytes, signature: str) -> bool:
         """Tell whether a message was signed by this fleet."""
-        return hmac.compare_digest(self.sign(path, body), signature)
+        return hmac.compare_digest(self.sign(path, body).encode(), signature.encode())
 
 
 class Addresses:
