Remove state that nothing reads, and work that was done twice

Cause: a last reading of the whole change. Nothing read these: a flush time of endpoints, a time of last life in the failover's health, a mark of transactions, a lease in the settings, an election's start, a poll's upstream, a margin, a look-up of plans; a follower's leader argument was always none. Each VM counted the members once for every endpoint on each change; it now counts them once. Asking ahead worked its amount out twice for a request.

Behaviour and checks are as they were.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
@@ -30,7 +30,6 @@
         "pre_votes",
         "votes",
         "deadline",
-        "started_at",
         "barred",
     )
 
@@ -43,5 +42,4 @@
         self.pre_votes: set[str] = set()
         self.votes: set[str] = set()
         self.deadline = 0.0
-        self.started_at = 0.0
         self.barred = False
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -25,7 +25,6 @@
         "failures",
         "lost_in_a_row",
         "probing",
-        "flush_before",
     )
 
     def __init__(self, name: str, address: str, zone: str, group: str, capacity: int) -> None:
@@ -42,7 +41,6 @@
         self.failures = 0
         self.lost_in_a_row = 0
         self.probing = False
-        self.flush_before = 0.0
 
     def has_room(self) -> bool:
         """Tell whether one more exchange fits this VM's part of the endpoint's connections."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -50,11 +50,10 @@
 class Health:
     """The control leader's view of an endpoint; times in seconds."""
 
-    __slots__ = ("failures", "last_alive", "probes", "position", "term")
+    __slots__ = ("failures", "probes", "position", "term")
 
     def __init__(self) -> None:
         self.failures = 0
-        self.last_alive = float("-inf")
         self.probes = 0
         self.position: Position | None = None
         self.term = 0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/transactions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/transactions.py
@@ -19,7 +19,6 @@
         "last_used",
         "token",
         "request_id",
-        "wrote",
     )
 
     def __init__(
@@ -43,7 +42,6 @@
         self.last_used = now
         self.token = token
         self.request_id: str | None = None
-        self.wrote = False
 
 
 class Transactions:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -42,7 +42,6 @@
         election = self.board.election
         election.term = hard_state.term
         election.voted_for = hard_state.voted_for
-        election.started_at = self.board.clock.now()
         election.barred = self.board.settings.lost_votes
         self.on_voters_changed(None)
         self._arm()
@@ -74,7 +73,7 @@
     def on_quorum_lost(self, _entry: None) -> None:
         """Step down: a majority has not answered for longer than a timeout."""
         if self.board.election.role is Role.LEADER:
-            self._follow(None)
+            self._follow()
 
     def on_message(self, message: Message) -> None:
         """Take over higher terms, answer votes and count them."""
@@ -218,14 +217,14 @@
         election.term = term
         election.voted_for = None
         self._persist()
-        self._follow(None)
+        self._follow()
 
-    def _follow(self, leader: str | None) -> None:
+    def _follow(self) -> None:
         election = self.board.election
         was_leader = election.role is Role.LEADER
         if election.role is not Role.OBSERVER:
             election.role = Role.FOLLOWER
-        election.leader = leader
+        election.leader = None
         election.pre_votes = set()
         election.votes = set()
         if was_leader:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -43,8 +43,10 @@
 
     def on_configuration(self, revision: int) -> None:
         """Take over new endpoints, changed addresses and endpoints that are leaving."""
+        members = self.board.configuration.members.values()
+        serving = sum(1 for item in members if not item.draining)
         for registration in self.board.configuration.endpoints.values():
-            self._take_over(registration)
+            self._take_over(registration, self._capacity(registration, serving))
 
     def on_exchange_ended(self, request: Request) -> None:
         """Learn from an exchange: position, lag, failures."""
@@ -92,7 +94,7 @@
         if endpoint.suspected:
             self._probe(endpoint)
 
-    def _take_over(self, registration: Registration) -> None:
+    def _take_over(self, registration: Registration, capacity: int) -> None:
         endpoints = self.board.endpoints
         endpoint = endpoints.by_name.get(registration.name)
         if endpoint is None:
@@ -101,7 +103,7 @@
                 registration.address,
                 registration.zone,
                 registration.group,
-                self._capacity(registration),
+                capacity,
             )
             endpoints.by_name[registration.name] = endpoint
             endpoints.by_group.setdefault(registration.group, []).append(endpoint)
@@ -109,12 +111,11 @@
         if endpoint.leaving and not registration.leaving:
             self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
         endpoint.leaving = registration.leaving
-        endpoint.capacity = self._capacity(registration)
+        endpoint.capacity = capacity
         endpoint.address = registration.address
 
-    def _capacity(self, registration: Registration) -> int:
+    def _capacity(self, registration: Registration, serving: int) -> int:
         """Return this VM's equal part of the endpoint's connections, less the one for watches."""
-        serving = sum(1 for item in self.board.configuration.members.values() if not item.draining)
         part = registration.connections // max(1, serving)
         return max(MINIMUM_CONNECTIONS, part - WATCH_CONNECTIONS)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -80,7 +80,6 @@
         group = self.board.configuration.groups[registration.group]
         if probe.alive:
             health.failures = 0
-            health.last_alive = self.board.clock.now()
             health.position = probe.position
             health.term = probe.term
             self._correct(registration, group, probe)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -146,9 +146,10 @@
             self.board.changes.post(Topic.INTENT_POSTED, ask)
 
     def _ask_ahead(self, held: HeldTokens, workspace: str, now: float) -> None:
-        if held.asking or held.count > self._ahead(held, now) // 4:
+        if held.asking:
             return
-        if self._ahead(held, now) > 0:
+        ahead = self._ahead(held, now)
+        if ahead > 0 and held.count <= ahead // 4:
             self._begin_asking(held, workspace)
 
     def _ahead(self, held: HeldTokens, now: float) -> int:
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -46,7 +46,6 @@
         "exchange_limit",
         "read_limit",
         "token_hold",
-        "allocator_lease",
         "voter_loss_after",
         "attempts",
         "transaction_idle",
@@ -71,7 +70,6 @@
         self.exchange_limit = 1.0
         self.read_limit = 0.6
         self.token_hold = 0.1
-        self.allocator_lease = 3.0
         self.voter_loss_after = 5.0
         self.attempts = 4
         self.transaction_idle = 10.0
--- a/packages/gentianspread-lab/src/gentianspread_lab/capacity.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/capacity.py
@@ -78,43 +78,55 @@
     return "\n".join(parts) + "\n"
 
 
+def _table(header: list[str], rows: list[list[str]]) -> str:
+    """Return a table of the page."""
+    lines = [header, ["---"] * len(header), *rows]
+    return "".join(f"| {' | '.join(cells)} |\n" for cells in lines)
+
+
 def _slope_table(slopes: list[Slope]) -> str:
-    lines = ["| slope | median | least | most | unit |", "| --- | --- | --- | --- | --- |"]
-    lines += [
-        f"| {item.name} | {item.median:.4g} | {item.least:.4g} | {item.most:.4g} | {item.unit} |"
+    rows = [
+        [item.name, f"{item.median:.4g}", f"{item.least:.4g}", f"{item.most:.4g}", item.unit]
         for item in slopes
     ]
-    return "\n".join(lines) + "\n"
+    return _table(["slope", "median", "least", "most", "unit"], rows)
 
 
 def _idle_table(idle: list[IdleFigures]) -> str:
-    lines = [
-        "Idle fleets that the traffic and time slopes come from:",
-        "",
-        "| VMs | endpoints | pollers of a voter | entry bytes/s | entry % core | leader % core "
-        "| voter % core | entry MB |",
-        "| --- | --- | --- | --- | --- | --- | --- | --- |",
-    ]
-    lines += [
-        f"| {item.vms} | {item.endpoints} | {item.pollers} | {item.entry_bytes:.0f} "
-        f"| {item.entry_core:.1%} | {item.leader_core:.1%} | {item.voter_core:.1%} "
-        f"| {item.entry_mb:.0f} |"
+    header = ["VMs", "endpoints", "pollers of a voter", "entry bytes/s", "entry % core"]
+    header += ["leader % core", "voter % core", "entry MB"]
+    rows = [
+        [
+            f"{item.vms}",
+            f"{item.endpoints}",
+            f"{item.pollers}",
+            f"{item.entry_bytes:.0f}",
+            f"{item.entry_core:.1%}",
+            f"{item.leader_core:.1%}",
+            f"{item.voter_core:.1%}",
+            f"{item.entry_mb:.0f}",
+        ]
         for item in idle
     ]
-    return "\n".join(lines) + "\n"
+    title = "Idle fleets that the traffic and time slopes come from:"
+    return f"{title}\n\n{_table(header, rows)}"
 
 
 def _row_table(rows: list[Row]) -> str:
-    lines = [
-        "| role | what | formula | product | limit | fits | mechanism |",
-        "| --- | --- | --- | --- | --- | --- | --- |",
-    ]
-    lines += [
-        f"| {row.role} | {row.what} | {row.formula} | {row.product:.4g} {row.unit} "
-        f"| {row.limit:.4g} {row.unit} | {'yes' if row.fits() else '**no**'} | {row.mechanism} |"
+    header = ["role", "what", "formula", "product", "limit", "fits", "mechanism"]
+    cells = [
+        [
+            row.role,
+            row.what,
+            row.formula,
+            f"{row.product:.4g} {row.unit}",
+            f"{row.limit:.4g} {row.unit}",
+            "yes" if row.fits() else "**no**",
+            row.mechanism,
+        ]
         for row in rows
     ]
-    return "\n".join(lines) + "\n"
+    return _table(header, cells)
 
 
 def _misfits(rows: list[Row]) -> str:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
@@ -148,10 +148,6 @@
             log.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def vm_plan(self, name: str) -> VMPlan:
-        """Return the plan of a VM."""
-        return next(plan for plan in self.deployment.vms if plan.name == name)
-
     def endpoint_address(self, name: str) -> str:
         """Return the address of an endpoint."""
         return next(plan.address for plan in self.deployment.endpoints if plan.name == name)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -76,7 +76,6 @@
         "_reports",
         "_leader",
         "_registering",
-        "upstream",
     )
 
     def __init__(
@@ -94,7 +93,6 @@
         self._reports: dict[str, MemberReport] = {}
         self._leader: str | None = None
         self._registering: set[str] = set()
-        self.upstream = ""
         board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_changed)
 
     def start(self) -> None:
@@ -193,7 +191,6 @@
         answer = self._poll_once(name, POLL_WAIT_S)
         if answer is None:
             return False
-        self.upstream = name
         if answer["leader"] is not None:
             self._leader = answer["leader"]
         self.board.timeline.observe(*answer["stamp"])
--- a/packages/gentianspread-server/src/gentianspread_server/operations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/operations.py
@@ -18,7 +18,6 @@
 from .proposals import Proposer
 
 HIGHEST_RATE = 1_000_000
-MARGIN_S = 0.1
 NAME = {"type": "string", "pattern": "^[A-Za-z0-9_-]{1,100}$"}
 
 
