--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -8,13 +8,16 @@
 from ..settings import CoreSettings
 from .changes import Changes, Topic
 from .configuration import Configuration
+from .connections import Connections
 from .election import Election
 from .endpoints import Endpoints
 from .groups import Groups
 from .log import ControlLog
 from .members import Members
+from .observations import Observations
 from .outbox import Outbox
 from .queues import Queues
+from .sessions import Sessions
 from .shares import Shares
 from .timeline import Timeline
 from .transactions import Transactions
@@ -30,9 +33,12 @@
         "configuration",
         "election",
         "log",
+        "connections",
         "endpoints",
         "groups",
+        "observations",
         "queues",
+        "sessions",
         "shares",
         "transactions",
         "members",
@@ -49,9 +55,12 @@
         self.configuration = Configuration()
         self.election = Election()
         self.log = ControlLog()
+        self.connections = Connections()
         self.endpoints = Endpoints()
         self.groups = Groups()
+        self.observations = Observations()
         self.queues = Queues()
+        self.sessions = Sessions()
         self.shares = Shares()
         self.transactions = Transactions()
         self.members = Members()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -25,6 +25,8 @@
     NAME_ALLOCATOR = "name_allocator"
     CHANGE_VOTERS = "change_voters"
     VOTER_JOINED = "voter_joined"
+    DECLARE = "declare"
+    ENDPOINT_GONE = "endpoint_gone"
 
 
 OPERATOR_KINDS = frozenset(
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from .commands import ChangeOutcome, Preset
+from .declarations import Declaration
 
 REMEMBERED_CHANGES = 4096
 
@@ -33,7 +34,11 @@
 
 
 class Registration:
-    """An endpoint that announced itself."""
+    """An endpoint that announced itself.
+
+    `incarnation` grows with each start of the endpoint and `sequence` with each announcement of one
+    incarnation; both are 0 where endpoints count neither. `claims_primary` is its own view.
+    """
 
     __slots__ = (
         "name",
@@ -44,6 +49,9 @@
         "connections",
         "slots",
         "group_size",
+        "incarnation",
+        "sequence",
+        "claims_primary",
     )
 
     def __init__(
@@ -56,6 +64,9 @@
         connections: int,
         slots: int,
         group_size: int,
+        incarnation: int = 0,
+        sequence: int = 0,
+        claims_primary: bool = False,
     ) -> None:
         self.name = name
         self.address = address
@@ -65,24 +76,47 @@
         self.connections = connections
         self.slots = slots
         self.group_size = group_size
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.claims_primary = claims_primary
+
+    def differs_from(self, other: Registration) -> bool:
+        """Tell whether an announcement says anything else than that the endpoint is alive."""
+        return any(
+            getattr(self, slot) != getattr(other, slot)
+            for slot in self.__slots__
+            if slot != "sequence"
+        )
+
+    def is_newer_than(self, other: Registration) -> bool:
+        """Tell whether this announcement was sent after another of the same endpoint."""
+        return (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
 
 
 class Group:
     """A database group: the newest term granted, and the primary of the newest term filled.
 
-    `size` is the number of endpoints that majorities are counted over.
+    `size` is the number of endpoints that majorities are counted over. Where `counts_own_terms`
+    holds, the endpoints number their terms themselves and `granted_term` only fences promotions.
     """
 
-    __slots__ = ("name", "granted_term", "term", "primary", "size")
+    __slots__ = ("name", "granted_term", "term", "primary", "size", "counts_own_terms")
 
     def __init__(
-        self, name: str, granted_term: int, term: int, primary: str | None, size: int
+        self,
+        name: str,
+        granted_term: int,
+        term: int,
+        primary: str | None,
+        size: int,
+        counts_own_terms: bool = False,
     ) -> None:
         self.name = name
         self.granted_term = granted_term
         self.term = term
         self.primary = primary
         self.size = size
+        self.counts_own_terms = counts_own_terms
 
     def majority(self) -> int:
         """Return the number of endpoints that any two majorities share one of."""
@@ -138,6 +172,7 @@
         "joined_voters",
         "outcomes",
         "confirmed_at",
+        "declaration",
     )
 
     def __init__(self) -> None:
@@ -156,6 +191,7 @@
         self.joined_voters: list[str] = []
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.confirmed_at = float("-inf")
+        self.declaration: Declaration | None = None
 
     def remember(self, change_id: str, outcome: ChangeOutcome) -> None:
         """Keep the first outcome of a change, dropping the oldest beyond the bound."""
@@ -188,6 +224,8 @@
         "joined_voters": list(configuration.joined_voters),
         "outcomes": {name: item.to_record() for name, item in configuration.outcomes.items()},
     }
+    if configuration.declaration is not None:
+        snapshot["declaration"] = configuration.declaration.to_record()
     for table, kind in TABLES.items():
         rows = getattr(configuration, table).values()
         snapshot[table] = [[getattr(row, slot) for slot in kind.__slots__] for row in rows]
@@ -203,6 +241,8 @@
     configuration.voters = list(snapshot["voters"])
     configuration.learners = list(snapshot["learners"])
     configuration.joined_voters = list(snapshot["joined_voters"])
+    declared = snapshot.get("declaration")
+    configuration.declaration = Declaration.from_record(declared) if declared else None
     configuration.outcomes = {
         name: ChangeOutcome.from_record(item) for name, item in snapshot["outcomes"].items()
     }
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/declarations.py
@@ -0,0 +1,153 @@
+"""A declared configuration: the whole of routes, groups and workspaces under one version."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Any
+
+
+class Consistency(Enum):
+    """What a read of a route must see."""
+
+    LATEST = "latest"
+    BOUNDED = "bounded"
+    OWN_WRITES = "own_writes"
+
+
+class Route:
+    """One database name that callers open, and how its statements are served.
+
+    `max_age`, `statement_limit` and `objective` are in seconds; `max_age` is none where reads must
+    see every acknowledged commit. Priority 0 is the highest. An open route needs no key.
+    """
+
+    __slots__ = (
+        "name",
+        "database",
+        "group",
+        "consistency",
+        "max_age",
+        "statement_limit",
+        "objective",
+        "priority",
+        "is_open",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        database: str,
+        group: str,
+        consistency: Consistency,
+        max_age: float | None,
+        statement_limit: float,
+        objective: float,
+        priority: int,
+        is_open: bool,
+    ) -> None:
+        self.name = name
+        self.database = database
+        self.group = group
+        self.consistency = consistency
+        self.max_age = max_age
+        self.statement_limit = statement_limit
+        self.objective = objective
+        self.priority = priority
+        self.is_open = is_open
+
+    @classmethod
+    def from_record(cls, record: list[Any]) -> Route:
+        """Build from the plain form."""
+        name, database, group, consistency, *rest = record
+        return cls(name, database, group, Consistency(consistency), *rest)
+
+    def to_record(self) -> list[Any]:
+        """Return the plain form: the slots in order."""
+        values = [getattr(self, slot) for slot in self.__slots__]
+        values[3] = self.consistency.value
+        return values
+
+
+class DeclaredGroup:
+    """A database group as the operators declare it.
+
+    `confirms_commits` holds where an endpoint answers a commit only once a replica has it.
+    """
+
+    __slots__ = ("name", "max_connections", "confirms_commits")
+
+    def __init__(self, name: str, max_connections: int, confirms_commits: bool) -> None:
+        self.name = name
+        self.max_connections = max_connections
+        self.confirms_commits = confirms_commits
+
+
+class DeclaredWorkspace:
+    """A workspace with the hashes of its keys; rate in operations a second, burst in operations."""
+
+    __slots__ = ("name", "rate", "burst", "key_hashes")
+
+    def __init__(self, name: str, rate: float, burst: float, key_hashes: list[str]) -> None:
+        self.name = name
+        self.rate = rate
+        self.burst = burst
+        self.key_hashes = key_hashes
+
+
+class Declaration:
+    """The whole declared configuration.
+
+    `document` is the operators' own text, given back as it came. `transaction_idle` is in seconds.
+    """
+
+    __slots__ = ("version", "routes", "groups", "workspaces", "transaction_idle", "document")
+
+    def __init__(
+        self,
+        version: int,
+        routes: list[Route],
+        groups: list[DeclaredGroup],
+        workspaces: list[DeclaredWorkspace],
+        transaction_idle: float,
+        document: str,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.groups = groups
+        self.workspaces = workspaces
+        self.transaction_idle = transaction_idle
+        self.document = document
+
+    @classmethod
+    def from_record(cls, record: dict[str, Any]) -> Declaration:
+        """Build from the plain form that the log stores."""
+        return cls(
+            record["version"],
+            [Route.from_record(item) for item in record["routes"]],
+            [DeclaredGroup(*item) for item in record["groups"]],
+            [DeclaredWorkspace(*item) for item in record["workspaces"]],
+            record["transaction_idle"],
+            record["document"],
+        )
+
+    def to_record(self) -> dict[str, Any]:
+        """Return the plain form that the log stores."""
+        return {
+            "version": self.version,
+            "routes": [item.to_record() for item in self.routes],
+            "groups": [_row(item) for item in self.groups],
+            "workspaces": [_row(item) for item in self.workspaces],
+            "transaction_idle": self.transaction_idle,
+            "document": self.document,
+        }
+
+    def route_of(self, database: str) -> Route | None:
+        """Return the route that callers open under a database name, or none."""
+        for route in self.routes:
+            if route.database == database:
+                return route
+        return None
+
+
+def _row(item: Any) -> list[Any]:
+    return [getattr(item, slot) for slot in item.__slots__]
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -8,7 +8,7 @@
 class Endpoint:
     """One database endpoint.
 
-    `suspected` holds from a failure until a probe succeeds; `lag` is in seconds.
+    `suspected` holds from a failure until a probe succeeds; `lag` and `latency` are in seconds.
     """
 
     __slots__ = (
@@ -19,6 +19,7 @@
         "leaving",
         "position",
         "lag",
+        "latency",
         "in_use",
         "capacity",
         "suspected",
@@ -35,6 +36,7 @@
         self.leaving = False
         self.position: Position = START
         self.lag = 0.0
+        self.latency = 0.0
         self.in_use = 0
         self.capacity = capacity
         self.suspected = False
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -1,6 +1,7 @@
 """Section of groups' write confirmations and failovers.
 
-`confirmations` is owned by the acknowledgement controller, `failovers` by the failover controller.
+`confirmations` is owned by the acknowledgement controller, `failovers` by the failover controller,
+`promotions` by the promotion controller; one of the two owns `health`.
 """
 
 from __future__ import annotations
@@ -47,25 +48,65 @@
         self.phase = "granting"
 
 
+class Promotion:
+    """A change of primary by fenced calls, under way on the control leader; times in seconds.
+
+    `fence` is the number from the control log, `held` the positions of replicas that stopped
+    receiving, `waiting` the endpoints whose answers are due, `target` the endpoint to promote.
+    `is_planned` marks a hand-over from a primary that leaves, `settles` a call that only overtakes
+    earlier ones.
+    """
+
+    __slots__ = (
+        "group",
+        "fence",
+        "began_at",
+        "phase",
+        "waiting",
+        "held",
+        "target",
+        "is_planned",
+        "settles",
+        "stepped_down",
+        "due",
+    )
+
+    def __init__(self, group: str, fence: int, now: float) -> None:
+        self.group = group
+        self.fence = fence
+        self.began_at = now
+        self.phase = "granting"
+        self.waiting: set[str] = set()
+        self.held: dict[str, Position] = {}
+        self.target: str | None = None
+        self.is_planned = False
+        self.settles = False
+        self.stepped_down: Position | None = None
+        self.due = now
+
+
 class Health:
     """The control leader's view of an endpoint; times in seconds."""
 
-    __slots__ = ("failures", "probes", "position", "term")
+    __slots__ = ("failures", "probes", "position", "term", "is_primary", "answered")
 
     def __init__(self) -> None:
         self.failures = 0
         self.probes = 0
         self.position: Position | None = None
         self.term = 0
+        self.is_primary = False
+        self.answered = False
 
 
 class Groups:
-    """Confirmations and pending writes by group; failovers and health on the control leader."""
+    """Confirmations and pending writes by group; changes of primary and health on the leader."""
 
-    __slots__ = ("confirmations", "pending", "failovers", "health")
+    __slots__ = ("confirmations", "pending", "failovers", "promotions", "health")
 
     def __init__(self) -> None:
         self.confirmations: dict[str, dict[str, Confirmation]] = {}
         self.pending: dict[str, list[PendingWrite]] = {}
         self.failovers: dict[str, Failover] = {}
+        self.promotions: dict[str, Promotion] = {}
         self.health: dict[str, Health] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/members.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/members.py
@@ -4,20 +4,25 @@
 
 
 class Sighting:
-    """A VM's last contact: seconds of this VM's clock, and the revision it had."""
+    """A VM's last contact: seconds of this VM's clock, and the revision it had.
 
-    __slots__ = ("member", "at", "revision")
+    `lost_votes` marks a VM whose disk came back empty.
+    """
 
-    def __init__(self, member: str, at: float, revision: int) -> None:
+    __slots__ = ("member", "at", "revision", "lost_votes")
+
+    def __init__(self, member: str, at: float, revision: int, lost_votes: bool = False) -> None:
         self.member = member
         self.at = at
         self.revision = revision
+        self.lost_votes = lost_votes
 
 
 class Members:
-    """Sightings by VM name."""
+    """Sightings by VM name, and how many VMs hold connections to endpoints."""
 
-    __slots__ = ("sightings",)
+    __slots__ = ("sightings", "entries")
 
     def __init__(self) -> None:
         self.sightings: dict[str, Sighting] = {}
+        self.entries = 0
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
@@ -0,0 +1,50 @@
+"""Section of positions seen at leading primaries; owned by the observation controller."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ..positions import Position
+
+MOST_OBSERVATIONS = 64
+
+
+class Observation:
+    """A log position that covers every commit acknowledged before a time.
+
+    `taken_at` is when the endpoint was asked, in seconds of the VM's clock, never later than the
+    true time.
+    """
+
+    __slots__ = ("position", "taken_at")
+
+    def __init__(self, position: Position, taken_at: float) -> None:
+        self.position = position
+        self.taken_at = taken_at
+
+
+class Observations:
+    """Observations by group, the oldest first."""
+
+    __slots__ = ("by_group",)
+
+    def __init__(self) -> None:
+        self.by_group: dict[str, deque[Observation]] = {}
+
+    def newest(self, group: str) -> Observation | None:
+        """Return the newest observation of a group, or none."""
+        held = self.by_group.get(group)
+        return held[-1] if held else None
+
+    def covering(self, group: str, since: float) -> Observation | None:
+        """Return the oldest observation taken at or after a time, or none."""
+        for observation in self.by_group.get(group, ()):
+            if observation.taken_at >= since:
+                return observation
+        return None
+
+    def add(self, group: str, observation: Observation) -> None:
+        """Keep an observation unless a newer one is held."""
+        held = self.by_group.setdefault(group, deque(maxlen=MOST_OBSERVATIONS))
+        if not held or observation.taken_at > held[-1].taken_at:
+            held.append(observation)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -26,7 +26,10 @@
 
 
 class ProbeOrder:
-    """Ask an endpoint on a fresh connection how it is; by the endpoint and failover controllers."""
+    """Ask an endpoint how it is; by the endpoint, failover and promotion controllers.
+
+    `sent_at` is in seconds of the VM's clock.
+    """
 
     __slots__ = (
         "endpoint",
@@ -38,9 +41,12 @@
         "position",
         "is_primary",
         "follows",
+        "sent_at",
     )
 
-    def __init__(self, endpoint: str, address: str, limit: float, purpose: str) -> None:
+    def __init__(
+        self, endpoint: str, address: str, limit: float, purpose: str, sent_at: float = 0.0
+    ) -> None:
         self.endpoint = endpoint
         self.address = address
         self.limit = limit
@@ -50,18 +56,26 @@
         self.position: Position | None = None
         self.is_primary = False
         self.follows = False
+        self.sent_at = sent_at
 
 
 class EndpointOrderKind(Enum):
-    """What the failover controller orders an endpoint to do."""
+    """What the failover and promotion controllers order an endpoint to do."""
 
     FENCE = "fence"
     PROMOTE = "promote"
     FOLLOW = "follow"
+    HOLD = "hold"
+    RESUME = "resume"
+    STEP_DOWN = "step_down"
 
 
 class EndpointOrder:
-    """Fence, promote or follow; by the failover controller."""
+    """An order to one endpoint; by the failover and promotion controllers.
+
+    `attempt` is the fencing number of the promotion that the order belongs to, `position` what the
+    endpoint has received.
+    """
 
     __slots__ = (
         "kind",
@@ -71,6 +85,7 @@
         "term",
         "primary_address",
         "limit",
+        "attempt",
         "accepted",
         "position",
     )
@@ -84,6 +99,7 @@
         term: int,
         primary_address: str,
         limit: float,
+        attempt: int = 0,
     ) -> None:
         self.kind = kind
         self.endpoint = endpoint
@@ -92,6 +108,7 @@
         self.term = term
         self.primary_address = primary_address
         self.limit = limit
+        self.attempt = attempt
         self.accepted = False
         self.position: Position | None = None
 
@@ -117,6 +134,15 @@
         self.before = before
 
 
+class ConnectionClose:
+    """Close one connection to an endpoint, by its number; by the placement controller."""
+
+    __slots__ = ("number",)
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+
+
 class HardState:
     """Term and vote that must be synced before a message leaves."""
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -92,12 +92,18 @@
         if bucket is None or bucket.epoch != epoch:
             bucket = self._new_bucket(workspace, epoch)
             self.board.shares.buckets[workspace.name] = bucket
+        else:
+            part = self._part(workspace)
+            bucket.rate, bucket.capacity = part.rate, part.capacity
         return bucket
 
-    def _new_bucket(self, workspace: Workspace, epoch: int) -> Bucket:
+    def _part(self, workspace: Workspace) -> BucketPart:
         settings = self.board.settings
-        part = BucketPart.from_workspace(
+        return BucketPart.from_workspace(
             workspace, settings.zone, settings.zones, settings.token_hold
         )
+
+    def _new_bucket(self, workspace: Workspace, epoch: int) -> Bucket:
+        part = self._part(workspace)
         first_grant = max(self.board.clock.now(), self._first_grant)
         return Bucket(part.rate, part.capacity, first_grant, epoch)
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -0,0 +1,176 @@
+"""Completion controller: turns endpoints' replies to sessions into outcomes, or tries again.
+
+What a caller is told of a statement follows from whether it was sent, whether it may have run, and
+whether its transaction can still be committed.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..blackboard import Board, Topic
+from ..blackboard.requests import ExchangeStatus, Outcome, StatementKind
+from ..blackboard.sessions import SessionReply, SessionRequest
+from ..blackboard.timeline import EventKind
+from ..errors import ErrorCode, Refusal, Result
+from ..positions import SessionToken
+from .retries import RetryBudget
+
+RETRY_PAUSE_S = 0.01  # seconds, times the number of attempts; ten round trips to an endpoint
+LONGEST_RETRY_PAUSE_S = 0.1  # seconds; a new primary is noticed within this time
+MOST_ATTEMPTS = 12  # sendings of one request; bounded by its deadline before this
+
+CODES = {
+    "READONLY": ErrorCode.TERM_CHANGED,
+    "LAGGING": ErrorCode.LAGGING,
+    "BUSY": ErrorCode.OVERLOADED,
+    "CONNLIMIT": ErrorCode.CONNECTION_LIMIT,
+    "NOSTMT": ErrorCode.NO_STATEMENT,
+    "ABORTED": ErrorCode.TRANSACTION_UNKNOWN,
+    "MALFORMED": ErrorCode.BAD_REQUEST,
+}
+
+
+class CompletionController:
+    """Owns the `outcome` column of sessions' requests."""
+
+    __slots__ = ("board", "budget")
+
+    def __init__(self, board: Board, budget: RetryBudget) -> None:
+        self.board = board
+        self.budget = budget
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.REQUEST_PERMITTED: self.on_permitted,
+            Topic.REQUEST_DUE_LOCALLY: self.on_local,
+            Topic.REQUEST_REFUSED: self.on_refused,
+            Topic.EXCHANGE_ENDED: self.on_exchange_ended,
+        }
+
+    def on_permitted(self, request: SessionRequest) -> None:
+        """Answer a begin here: it reaches an endpoint with its first statement."""
+        if request.kind is StatementKind.BEGIN:
+            self.on_local(request)
+
+    def on_local(self, request: SessionRequest) -> None:
+        """Answer a request that needs no endpoint."""
+        self._finish(request, [], None)
+
+    def on_refused(self, request: SessionRequest) -> None:
+        """Tell the caller that the request was refused."""
+        if request.refusal is not None:
+            self._refuse(request, request.refusal)
+
+    def on_exchange_ended(self, request: SessionRequest) -> None:
+        """Decide on an endpoint's reply, or on the lack of one."""
+        exchange = request.exchange
+        reply = exchange.reply if exchange else None
+        if not isinstance(reply, SessionReply) or request.outcome is not None:
+            return
+        self.budget.earn()
+        if request.kind is StatementKind.ROLLBACK:
+            self._finish(request, [], None)
+        elif reply.status is ExchangeStatus.OK:
+            self._finish(request, reply.rows, reply)
+        elif request.session.transaction is not None and not exchange.opens_transaction:
+            self._answer_in_transaction(request, reply)
+        elif self._has_not_run(reply):
+            self._retry_or_refuse(request, self._not_run(reply))
+        elif exchange.opens_transaction and reply.status is ExchangeStatus.LOST:
+            self._retry_or_refuse(request, self._rolled_back(reply))
+        elif request.is_single_read():
+            self._retry_or_refuse(request, self._failed(reply))
+        elif reply.status is ExchangeStatus.LOST:
+            self._refuse(request, self._unknown(reply))
+        else:
+            self._refuse(request, self._failed(reply))
+
+    def _has_not_run(self, reply: SessionReply) -> bool:
+        if not reply.was_sent:
+            return True
+        return reply.status is ExchangeStatus.REFUSED
+
+    def _answer_in_transaction(self, request: SessionRequest, reply: SessionReply) -> None:
+        """A transaction's statement is never repeated: its connection is lost or has failed."""
+        if reply.status is ExchangeStatus.LOST:
+            is_unknown = request.kind is StatementKind.COMMIT and reply.was_sent
+            refusal = self._unknown(reply) if is_unknown else self._rolled_back(reply)
+        elif reply.status is ExchangeStatus.REFUSED:
+            refusal = self._not_run(reply)
+        else:
+            refusal = self._failed(reply)
+        self._refuse(request, refusal)
+
+    def _not_run(self, reply: SessionReply) -> Refusal:
+        code = CODES.get(reply.code, ErrorCode.NO_ENDPOINT)
+        return Refusal(code, reply.message or "The endpoint could not be reached.")
+
+    def _failed(self, reply: SessionReply) -> Refusal:
+        if reply.status is ExchangeStatus.LOST:
+            return Refusal(ErrorCode.DEADLINE, "No answer came in time.", Result.UNKNOWN)
+        code = ErrorCode.DEADLINE if reply.code == "TIMEOUT" else ErrorCode.STATEMENT_FAILED
+        return Refusal(code, reply.message, Result.UNKNOWN)
+
+    def _unknown(self, reply: SessionReply) -> Refusal:
+        return Refusal(ErrorCode.OUTCOME_UNKNOWN, reply.message or "No answer.", Result.UNKNOWN)
+
+    def _rolled_back(self, reply: SessionReply) -> Refusal:
+        return Refusal(ErrorCode.TRANSACTION_UNKNOWN, "The connection was lost; nothing is kept.")
+
+    def _retry_or_refuse(self, request: SessionRequest, refusal: Refusal) -> None:
+        now = self.board.clock.now()
+        pause = min(RETRY_PAUSE_S * request.attempts, LONGEST_RETRY_PAUSE_S)
+        request.tried.add(request.endpoint or "")
+        if refusal.code in (ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT):
+            self._refuse(request, refusal)
+        elif now + pause < request.deadline and request.attempts < MOST_ATTEMPTS:
+            self.board.changes.post_at(now + pause, Topic.REQUEST_RETRIED, request)
+        else:
+            self._refuse(request, refusal)
+
+    def _finish(self, request: SessionRequest, rows: list[str], reply: SessionReply | None) -> None:
+        token = request.token
+        writes = request.kind in (StatementKind.WRITE, StatementKind.COMMIT)
+        if reply is not None and writes and reply.position is not None:
+            token = token or SessionToken(request.workspace, {})
+            token = token.advanced(request.group, reply.position)
+        outcome = Outcome(Result.RUN, rows, 0, token, None, None, request.endpoint)
+        self._complete(request, outcome)
+
+    def _refuse(self, request: SessionRequest, refusal: Refusal) -> None:
+        if request.outcome is not None:
+            return
+        self._complete(request, Outcome.from_refusal(refusal))
+        kind = EventKind.REQUEST_REFUSED
+        if refusal.result is Result.UNKNOWN:
+            kind = EventKind.REQUEST_UNKNOWN
+        exchange = request.exchange
+        reply = exchange.reply if exchange else None
+        now = self.board.clock.now()
+        self.board.timeline.record(
+            kind,
+            f"request {request.request_id}",
+            refusal.code.value,
+            workspace=request.workspace,
+            group=request.group,
+            endpoint=request.endpoint or "",
+            statement=request.kind.value,
+            attempts=request.attempts,
+            waited_ms=round((now - request.arrived_at) * 1000),
+            configuration_age_ms=self._age_ms(now),
+            revision=self.board.configuration.revision,
+            reply=reply.status.value if reply else "",
+            message=refusal.message,
+        )
+
+    def _age_ms(self, now: float) -> int:
+        confirmed_at = self.board.configuration.confirmed_at
+        return round((now - confirmed_at) * 1000) if confirmed_at > float("-inf") else -1
+
+    def _complete(self, request: SessionRequest, outcome: Outcome) -> None:
+        request.outcome = outcome
+        if request.timer is not None:
+            request.timer.cancelled = True
+        self.board.changes.post(Topic.REQUEST_DONE, request)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -10,6 +10,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.configuration import Registration
+from ..blackboard.declarations import Declaration
 from ..blackboard.endpoints import Endpoint
 from ..blackboard.outbox import PoolFlush, ProbeOrder
 from ..blackboard.requests import ExchangeStatus, Request
@@ -18,6 +19,8 @@
 
 LONGEST_SUSPICION_S = 2.0
 LAG_SMOOTHING = 0.2
+LATENCY_SMOOTHING = 0.1  # share of the newest exchange; follows a change within ten exchanges
+RESERVED_CONNECTIONS = 4  # of each endpoint; for probes by the leader, its successor, and checks
 PROBE_PURPOSE = "endpoint"
 MINIMUM_CONNECTIONS = 1
 WATCH_CONNECTIONS = 1
@@ -39,12 +42,14 @@
             Topic.EXCHANGE_ENDED: self.on_exchange_ended,
             Topic.PROBE_ENDED: self.on_probe_ended,
             Topic.ENDPOINT_CHECK_DUE: self.on_check_due,
+            Topic.ENTRIES_COUNTED: self.on_configuration,
         }
 
-    def on_configuration(self, revision: int) -> None:
-        """Take over new endpoints, changed addresses and endpoints that are leaving."""
+    def on_configuration(self, _entry: int | None) -> None:
+        """Take over new endpoints, changed addresses and endpoints that are leaving or gone."""
         members = self.board.configuration.members.values()
         serving = sum(1 for item in members if not item.draining)
+        self._forget_gone()
         for registration in self.board.configuration.endpoints.values():
             self._take_over(registration, self._capacity(registration, serving))
 
@@ -62,6 +67,9 @@
         else:
             endpoint.failures = 0
             endpoint.lost_in_a_row = 0
+        if reply.status is ExchangeStatus.OK:
+            elapsed = self.board.clock.now() - exchange.sent_at
+            endpoint.latency += (elapsed - endpoint.latency) * LATENCY_SMOOTHING
         if reply.status is ExchangeStatus.OK and reply.position is not None:
             endpoint.position = later(endpoint.position, reply.position)
             if request.is_read():
@@ -110,15 +118,37 @@
             self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
         if endpoint.leaving and not registration.leaving:
             self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
+        if registration.address != endpoint.address:
+            endpoint.suspected = False
+            endpoint.failures = 0
         endpoint.leaving = registration.leaving
         endpoint.capacity = capacity
         endpoint.address = registration.address
 
     def _capacity(self, registration: Registration, serving: int) -> int:
-        """Return this VM's equal part of the endpoint's connections, less the one for watches."""
+        """Return this VM's equal part of the endpoint's connections, less those kept back."""
+        declaration = self.board.configuration.declaration
+        if declaration is not None:
+            return self._declared_capacity(registration.group, declaration)
         part = registration.connections // max(1, serving)
         return max(MINIMUM_CONNECTIONS, part - WATCH_CONNECTIONS)
 
+    def _declared_capacity(self, name: str, declaration: Declaration) -> int:
+        entries = max(1, self.board.members.entries)
+        for group in declaration.groups:
+            if group.name == name:
+                part = (group.max_connections - RESERVED_CONNECTIONS) // entries
+                return max(MINIMUM_CONNECTIONS, part)
+        return MINIMUM_CONNECTIONS
+
+    def _forget_gone(self) -> None:
+        """Drop the endpoints that the configuration no longer knows."""
+        known = self.board.configuration.endpoints
+        endpoints = self.board.endpoints
+        for name in [name for name in endpoints.by_name if name not in known]:
+            gone = endpoints.by_name.pop(name)
+            endpoints.by_group[gone.group].remove(gone)
+
     def _suspect(self, endpoint: Endpoint, reason: str) -> None:
         now = self.board.clock.now()
         endpoint.failures += 1
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
@@ -6,7 +6,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.requests import Request, StatementKind
-from ..errors import ErrorCode
+from ..errors import ErrorCode, Refusal
 from ..settings import POLICIES
 
 OPEN_WORKSPACE_PREFIX = "open:"
@@ -50,7 +50,7 @@
         group = self.board.configuration.open_routes.get(request.open_route or "")
         if group is None or group != request.group:
             request.refuse(ErrorCode.KEY_REFUSED, "There is no such open route for this group.")
-        elif not request.is_read():
+        elif not request.is_read() and self.board.configuration.declaration is None:
             request.refuse(ErrorCode.KEY_REFUSED, "An open route serves reads only.")
         else:
             request.workspace = f"{OPEN_WORKSPACE_PREFIX}{request.open_route}"
@@ -73,13 +73,19 @@
 
 def check_key(board: Board, request: Request) -> bool:
     """Tell whether the request's key is valid by a fresh configuration; refuse it otherwise."""
+    refusal = check_key_hash(board, request.key_hash or "")
+    if refusal is not None:
+        request.refusal = refusal
+    return refusal is None
+
+
+def check_key_hash(board: Board, key_hash: str) -> Refusal | None:
+    """Return why a key is not valid by a fresh configuration, or none."""
     if not board.is_fresh():
-        request.refuse(
+        return Refusal(
             ErrorCode.NOT_FRESH, "This VM has no recent confirmation of its configuration."
         )
-        return False
-    key = board.configuration.keys.get(request.key_hash or "")
+    key = board.configuration.keys.get(key_hash)
     if key is None or key.withdrawn:
-        request.refuse(ErrorCode.KEY_REFUSED, "The key is not valid.")
-        return False
-    return True
+        return Refusal(ErrorCode.KEY_REFUSED, "The key is not valid.")
+    return None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -40,6 +40,9 @@
 
     def on_checked(self, request: Request) -> None:
         """Permit the request from held tokens, or have it wait for an allocator."""
+        if request.permitted:
+            self.board.changes.post(Topic.REQUEST_PERMITTED, request)
+            return
         held = self._held(request.workspace)
         now = self.board.clock.now()
         if held.count > 0 and now < held.expires_at and not held.waiting:
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -0,0 +1,347 @@
+"""Placement controller: chooses endpoint and connection for each request of a session.
+
+A request in a transaction stays on its connection. Any other goes to the endpoint that is expected
+to answer first among those that may serve it, or waits in a fair queue until one has room.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from ..blackboard import Board, Topic
+from ..blackboard.connections import BackendConnection, ConnectionState
+from ..blackboard.declarations import Consistency
+from ..blackboard.endpoints import Endpoint
+from ..blackboard.outbox import ConnectionClose, PoolFlush
+from ..blackboard.queues import WaitingQueue
+from ..blackboard.requests import Request, StatementKind
+from ..blackboard.sessions import (
+    SessionExchange,
+    SessionReply,
+    SessionRequest,
+    SessionTransaction,
+)
+from ..errors import ErrorCode
+from ..positions import Position, later
+from .keys import check_key
+from .policies import FairQueue
+from .steps import steps_for
+
+QUEUE_LIMIT = 512  # requests a group; bounds the memory of a VM under overload
+WORKSPACE_QUEUE_LIMIT = 64  # requests a workspace and group; as the ordinary preset has
+OPENING_COST_S = 0.014  # seconds; an endpoint takes 12 ms of a slot for a new connection
+OTHER_ZONE_COST_S = 0.003  # seconds; a round trip between zones and the price of its bytes
+EVICTION_COST_S = 0.004  # seconds; another workspace's connection must be opened again
+TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
+PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
+OBSERVATION_MARGIN_S = 0.05  # seconds; covers the time from the choice to the endpoint
+SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
+
+
+class PlacementController:
+    """Owns the connections, the queues, and the `endpoint` and `exchange` columns of requests."""
+
+    __slots__ = ("board", "_queue_policy", "_count")
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self._queue_policy = FairQueue(WORKSPACE_QUEUE_LIMIT)
+        self._count = 0
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.REQUEST_PERMITTED: self.on_permitted,
+            Topic.REQUEST_RETRIED: self.on_permitted,
+            Topic.REQUEST_EXPIRED: self.on_expired,
+            Topic.EXCHANGE_ENDED: self.on_exchange_ended,
+            Topic.TRANSACTION_ENDED: self.on_transaction_ended,
+            Topic.ENDPOINT_CHANGED: self.on_endpoint_changed,
+            Topic.CONFIGURATION_CHANGED: self.on_configuration,
+            Topic.INTENT_POSTED: self.on_intent,
+        }
+
+    def on_permitted(self, request: SessionRequest) -> None:
+        """Order the exchange of a request, or have it wait."""
+        if request.outcome is not None or request.kind is StatementKind.BEGIN:
+            return
+        if not self._may_run(request):
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
+            return
+        transaction = request.session.transaction
+        if transaction is not None and transaction.connection is not None:
+            self._order(request, transaction.connection, [])
+        elif request.kind is StatementKind.ROLLBACK:
+            self.board.changes.post(Topic.REQUEST_DUE_LOCALLY, request)
+        elif not self._place(request):
+            self._wait(request)
+
+    def on_expired(self, request: SessionRequest) -> None:
+        """Refuse a request whose deadline passed while it waited."""
+        if request.outcome is None and request.refusal is None and not request.holds:
+            request.refuse(ErrorCode.DEADLINE, f"No endpoint of {request.group} was free in time.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
+
+    def on_exchange_ended(self, request: SessionRequest) -> None:
+        """Keep, free or drop the connection by how its exchange ended."""
+        exchange = request.exchange
+        if not isinstance(exchange, SessionExchange):
+            return
+        reply = exchange.reply
+        connection = exchange.connection
+        request.holds = False
+        connection.last_used = self.board.clock.now()
+        if not isinstance(reply, SessionReply) or not reply.is_reusable:
+            self._drop(connection)
+        self._note_running(request, -1)
+        transaction = request.session.transaction
+        if transaction is not None and not request.session.closed:
+            self._keep_transaction(transaction, connection, reply)
+        elif isinstance(reply, SessionReply) and reply.keeps_transaction:
+            self._close(connection)
+        elif connection.state is not ConnectionState.CLOSED:
+            connection.state = ConnectionState.IDLE
+        self._drain(request.group)
+
+    def on_transaction_ended(self, transaction: SessionTransaction) -> None:
+        """Free a transaction's connection; one that may still be in it is closed."""
+        connection = transaction.connection
+        transaction.connection = None
+        if connection is None or connection.state is ConnectionState.CLOSED:
+            return
+        if connection.state is ConnectionState.HELD:
+            self._close(connection)
+        self._drain(connection.group)
+
+    def on_endpoint_changed(self, endpoint: Endpoint) -> None:
+        """Try the waiting requests of the endpoint's group again."""
+        self._drain(endpoint.group)
+
+    def on_configuration(self, revision: int) -> None:
+        """Close idle connections to endpoints that left; try the waiting requests again."""
+        known = self.board.configuration.endpoints
+        for name, connections in list(self.board.connections.by_endpoint.items()):
+            registration = known.get(name)
+            for connection in list(connections):
+                is_gone = registration is None or registration.address != connection.address
+                is_unwanted = is_gone or registration.leaving
+                if is_unwanted and connection.state is ConnectionState.IDLE:
+                    self._close(connection)
+        for group in list(self.board.queues.reads):
+            self._drain(group)
+
+    def on_intent(self, intent: object) -> None:
+        """Close an endpoint's idle connections once they count as silent."""
+        if not isinstance(intent, PoolFlush):
+            return
+        for connection in list(self.board.connections.of(intent.endpoint)):
+            is_idle = connection.state is ConnectionState.IDLE
+            if is_idle and connection.last_used < intent.before:
+                self._close(connection)
+
+    def _may_run(self, request: SessionRequest) -> bool:
+        if request.kind is StatementKind.ROLLBACK:
+            return True
+        if self.board.clock.now() >= request.deadline:
+            request.refuse(ErrorCode.DEADLINE, "The deadline passed before dispatch.")
+            return False
+        return request.open_route is not None or check_key(self.board, request)
+
+    def _place(self, request: SessionRequest) -> bool:
+        """Choose endpoint and connection; return false if none has room."""
+        candidates = self._candidates(request)
+        best: Endpoint | None = None
+        best_cost = float("inf")
+        for endpoint in candidates:
+            cost = self._cost(request, endpoint)
+            if cost < best_cost:
+                best, best_cost = endpoint, cost
+        if best is None:
+            return False
+        connection, evicted = self._take(request, best)
+        self._order(request, connection, evicted)
+        return True
+
+    def _candidates(self, request: SessionRequest) -> list[Endpoint]:
+        """Return the usable endpoints that may serve a request; the position demanded is noted."""
+        request.min_position = self._min_position(request)
+        primary = self._primary(request.group)
+        if request.min_position is None:
+            return [primary] if primary is not None and primary.is_usable() else []
+        endpoints = self.board.endpoints.by_group.get(request.group, [])
+        return [item for item in endpoints if item.is_usable()]
+
+    def _primary(self, group: str) -> Endpoint | None:
+        known = self.board.configuration.groups.get(group)
+        return self.board.endpoints.by_name.get(known.primary or "") if known else None
+
+    def _min_position(self, request: SessionRequest) -> Position | None:
+        """Return what a replica's log must hold, or none if only the primary may serve."""
+        transaction = request.session.transaction
+        is_read = request.kind is StatementKind.READ
+        if transaction is not None:
+            is_read = transaction.is_read_only
+        route = request.route
+        if not is_read or route.consistency is Consistency.LATEST or route.max_age is None:
+            return None
+        began = transaction.began_at if transaction is not None else request.arrived_at
+        since = began - route.max_age + OBSERVATION_MARGIN_S
+        seen = self.board.observations.covering(request.group, since)
+        if seen is None:
+            return None
+        if request.token is None:
+            return seen.position
+        return later(seen.position, request.token.position(request.group))
+
+    def _cost(self, request: SessionRequest, endpoint: Endpoint) -> float:
+        """Return the expected seconds to an answer, infinite without room."""
+        connections = self.board.connections.of(endpoint.name)
+        cost = self._connection_cost(request, endpoint, connections)
+        busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
+        cost += max(endpoint.latency, SHORTEST_WORK_S) * (busy + 1)
+        if endpoint.zone != self.board.settings.zone:
+            cost += OTHER_ZONE_COST_S
+        if endpoint.name in request.tried:
+            cost += TRIED_COST_S
+        wanted = request.min_position
+        if wanted is not None:
+            if endpoint is self._primary(request.group):
+                cost += PRIMARY_READ_COST_S
+            elif not endpoint.position.reaches(wanted):
+                cost += endpoint.lag + SHORTEST_WORK_S
+        return cost
+
+    def _connection_cost(
+        self, request: SessionRequest, endpoint: Endpoint, connections: list[BackendConnection]
+    ) -> float:
+        idle_others = 0
+        for connection in connections:
+            if connection.state is ConnectionState.IDLE:
+                if connection.workspace == request.workspace:
+                    return 0.0
+                idle_others += 1
+        if len(connections) < endpoint.capacity:
+            return OPENING_COST_S
+        return OPENING_COST_S + EVICTION_COST_S if idle_others else float("inf")
+
+    def _take(
+        self, request: SessionRequest, endpoint: Endpoint
+    ) -> tuple[BackendConnection, list[BackendConnection]]:
+        """Return a connection of the request's workspace, and those closed to make room."""
+        connections = self.board.connections.of(endpoint.name)
+        idle = [item for item in connections if item.state is ConnectionState.IDLE]
+        own = [item for item in idle if item.workspace == request.workspace]
+        if own:
+            return min(own, key=lambda item: _differences(item, request)), []
+        evicted: list[BackendConnection] = []
+        if len(connections) >= endpoint.capacity:
+            oldest = min(idle, key=lambda item: item.last_used)
+            self._drop(oldest)
+            evicted.append(oldest)
+        self._count += 1
+        connection = BackendConnection(
+            self._count,
+            endpoint.name,
+            endpoint.address,
+            endpoint.group,
+            request.workspace,
+            self.board.clock.now(),
+        )
+        connections.append(connection)
+        return connection, evicted
+
+    def _order(
+        self,
+        request: SessionRequest,
+        connection: BackendConnection,
+        evicted: list[BackendConnection],
+    ) -> None:
+        now = self.board.clock.now()
+        rounds, proves_primary = steps_for(request, connection)
+        number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
+        exchange = SessionExchange(
+            number, connection.endpoint, now, request.deadline - now, connection, evicted, rounds
+        )
+        exchange.proves_primary = proves_primary
+        transaction = request.session.transaction
+        exchange.opens_transaction = transaction is not None and transaction.connection is None
+        connection.state = ConnectionState.BUSY
+        request.endpoint = connection.endpoint
+        request.exchange = exchange
+        request.attempts += 1
+        request.holds = True
+        self._note_running(request, 1)
+        self.board.changes.post(Topic.EXCHANGE_ORDERED, request)
+
+    def _keep_transaction(
+        self, transaction: SessionTransaction, connection: BackendConnection, reply: Any
+    ) -> None:
+        """Bind the connection to its transaction for as long as the endpoint keeps that open."""
+        if connection.state is ConnectionState.CLOSED:
+            transaction.connection = None
+        elif reply.keeps_transaction:
+            connection.state = ConnectionState.HELD
+            transaction.connection = connection
+        else:
+            connection.state = ConnectionState.IDLE
+            transaction.connection = None
+
+    def _note_running(self, request: SessionRequest, change: int) -> None:
+        running = self._queue(request.group).running
+        count = running.get(request.workspace, 0) + change
+        if count > 0:
+            running[request.workspace] = count
+        else:
+            running.pop(request.workspace, None)
+
+    def _drop(self, connection: BackendConnection) -> None:
+        """Forget a connection that its adapter closes or has closed."""
+        connection.state = ConnectionState.CLOSED
+        connections = self.board.connections.of(connection.endpoint)
+        if connection in connections:
+            connections.remove(connection)
+
+    def _close(self, connection: BackendConnection) -> None:
+        self._drop(connection)
+        self.board.changes.post(Topic.INTENT_POSTED, ConnectionClose(connection.number))
+
+    def _wait(self, request: SessionRequest) -> None:
+        if request.timer is None:
+            request.timer = self.board.changes.post_at(
+                request.deadline, Topic.REQUEST_EXPIRED, request
+            )
+        dropped = self._queue_policy.push(self._queue(request.group), request)
+        if dropped is not None:
+            dropped.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, dropped)
+
+    def _drain(self, group: str) -> None:
+        """Place waiting requests, in the order of the fair queue, until one finds no room."""
+        queue = self._queue(group)
+        while queue.length:
+            request = self._queue_policy.pop(queue)
+            if request is None:
+                return
+            if request.outcome is not None or request.refusal is not None:
+                continue
+            if not self._may_run(request):
+                self.board.changes.post(Topic.REQUEST_REFUSED, request)
+            elif not self._place(request):
+                self._put_back(queue, request)
+                return
+
+    def _put_back(self, queue: WaitingQueue, request: Request) -> None:
+        line = queue.by_workspace.setdefault(request.workspace, deque())
+        line.appendleft(request)
+        queue.length += 1
+
+    def _queue(self, group: str) -> WaitingQueue:
+        return self.board.queues.reads.setdefault(group, WaitingQueue(QUEUE_LIMIT))
+
+
+def _differences(connection: BackendConnection, request: SessionRequest) -> int:
+    """Return how many messages bring a connection to the session's values."""
+    wanted, held = request.session.values, connection.values
+    missing = sum(1 for name, value in wanted.items() if held.get(name) != value)
+    return missing + (len(wanted) + 1 if any(name not in wanted for name in held) else 0)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -127,8 +127,10 @@
         if self._repairing:
             self._report_when_whole()
         lost = self._lost_voter()
-        wanted = len(self.board.settings.initial_voters)
-        if log.learners:
+        wanted = self.board.settings.wanted_voters()
+        if not self.board.configuration.voters and self.board.settings.records_voters:
+            self._change_voters(list(log.voters), [])
+        elif log.learners:
             self._promote_learner(log.learners[0])
         elif lost is not None and len(log.voters) > wanted:
             self._remove_voter(lost)
@@ -141,6 +143,9 @@
         limit = self.board.settings.voter_loss_after
         now = self.board.clock.now()
         for name in self.board.log.voters:
+            sighting = self.board.members.sightings.get(name)
+            if sighting is not None and sighting.lost_votes and now - sighting.at < limit:
+                return name
             peer = self.board.log.peers.get(name)
             if peer is not None and now - max(peer.last_heard, self._since) > limit:
                 return name
@@ -204,7 +209,7 @@
 
     def _report_when_whole(self) -> None:
         log = self.board.log
-        if log.learners or len(log.voters) != len(self.board.settings.initial_voters):
+        if log.learners or len(log.voters) != self.board.settings.wanted_voters():
             return
         for name in log.voters:
             if name == self.board.settings.member:
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -0,0 +1,254 @@
+"""Session controller: values, prepared statements and transactions of callers' sessions.
+
+Statements that only change the session are answered here; all others become requests.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..blackboard import Board, Topic
+from ..blackboard.declarations import Route
+from ..blackboard.requests import Outcome, StatementKind
+from ..blackboard.sessions import (
+    Prepared,
+    Session,
+    SessionRequest,
+    SessionState,
+    SessionTransaction,
+    StatementAnswer,
+    StatementCall,
+    Verb,
+)
+from ..errors import ErrorCode, Refusal, Result
+from .keys import check_key_hash
+
+MOST_VALUES = 64  # entries a session; bounds its memory
+MOST_PREPARED = 256  # entries a session; bounds its memory
+IDLE_CHECK_S = 0.1  # seconds at least between two looks at an idle transaction
+DEFAULT_TRANSACTION_IDLE_S = 10.0  # seconds; holds until a declaration names its own
+
+ENDS = frozenset({Verb.COMMIT, Verb.ROLLBACK})
+KIND_OF_VERB = {
+    Verb.READ: StatementKind.READ,
+    Verb.WRITE: StatementKind.WRITE,
+    Verb.BEGIN: StatementKind.BEGIN,
+    Verb.BEGIN_READ: StatementKind.BEGIN,
+    Verb.COMMIT: StatementKind.COMMIT,
+    Verb.ROLLBACK: StatementKind.ROLLBACK,
+}
+
+
+class SessionController:
+    """Owns the sessions section, but for the `connection` of their transactions."""
+
+    __slots__ = ("board", "_count")
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self._count = 0
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.SESSION_OPENED: self.on_opened,
+            Topic.SESSION_CLOSED: self.on_closed,
+            Topic.STATEMENT_ARRIVED: self.on_statement,
+            Topic.REQUEST_DONE: self.on_done,
+            Topic.SESSION_DUE: self.on_due,
+        }
+
+    def on_opened(self, session: Session) -> None:
+        """Accept a session, or note why not."""
+        session.refusal = self._opening_refusal(session)
+        if session.refusal is None:
+            self.board.sessions.by_number[session.number] = session
+
+    def on_closed(self, session: Session) -> None:
+        """Forget a session."""
+        session.closed = True
+        self.board.sessions.by_number.pop(session.number, None)
+        self._end(session)
+
+    def on_statement(self, call: StatementCall) -> None:
+        """Answer a statement from the session, or make it a request."""
+        call.session.call = call
+        session, statement = call.session, call.statement
+        if statement.verb is Verb.MALFORMED:
+            self._refuse(call, ErrorCode.BAD_REQUEST, "The statement cannot be read.")
+        elif session.state is SessionState.FAILED:
+            self._answer_failed(call)
+        elif statement.verb is Verb.SET:
+            self._set(call)
+        elif statement.verb is Verb.PREPARE:
+            self._prepare(call)
+        elif statement.verb is Verb.DEALLOCATE:
+            self._deallocate(call)
+        else:
+            self._request(call)
+
+    def on_done(self, request: SessionRequest) -> None:
+        """Take over a request's outcome into its session and answer the statement."""
+        session, outcome = request.session, request.outcome
+        if outcome is None or session.call is not request.call:
+            return
+        if outcome.refusal is None:
+            self._take_success(session, request, outcome)
+        else:
+            self._take_refusal(session, request)
+        self._answer(request.call, outcome.rows, outcome.refusal, self._signature(request))
+
+    def on_due(self, session: Session) -> None:
+        """End a transaction that was idle for too long."""
+        transaction = session.transaction
+        if transaction is None or session.closed or session.state is not SessionState.OPEN:
+            return
+        idle_until = transaction.last_used + self._transaction_idle()
+        if session.call is None and self.board.clock.now() >= idle_until:
+            session.state = SessionState.FAILED
+            self.board.changes.post(Topic.TRANSACTION_ENDED, transaction)
+        else:
+            self._watch(session)
+
+    def _opening_refusal(self, session: Session) -> Refusal | None:
+        declaration = self.board.configuration.declaration
+        if declaration is None or not self.board.is_fresh():
+            return Refusal(ErrorCode.NOT_FRESH, "This VM has no recent configuration.")
+        if self.board.stopping:
+            return Refusal(ErrorCode.DRAINING, "This VM is stopping.")
+        route = declaration.route_of(session.database)
+        if route is None:
+            return Refusal(ErrorCode.NO_DATABASE, f"There is no database {session.database}.")
+        if route.is_open:
+            return None
+        refusal = check_key_hash(self.board, session.key_hash)
+        if refusal is None:
+            session.workspace = self.board.configuration.keys[session.key_hash].workspace
+        return refusal
+
+    def _set(self, call: StatementCall) -> None:
+        values, statement = call.session.values, call.statement
+        if len(values) >= MOST_VALUES and statement.name not in values:
+            self._refuse(call, ErrorCode.OVERLOADED, "The session holds too many values.")
+            return
+        values[statement.name] = statement.value
+        self._answer(call, [], None)
+
+    def _prepare(self, call: StatementCall) -> None:
+        prepared, statement = call.session.prepared, call.statement
+        if len(prepared) >= MOST_PREPARED and statement.name not in prepared:
+            self._refuse(call, ErrorCode.OVERLOADED, "The session holds too many statements.")
+            return
+        prepared[statement.name] = Prepared(statement.writes, statement.value)
+        self._answer(call, [], None)
+
+    def _deallocate(self, call: StatementCall) -> None:
+        if call.session.prepared.pop(call.statement.name, None) is None:
+            self._refuse(call, ErrorCode.NO_STATEMENT, "No statement of this name is prepared.")
+        else:
+            self._answer(call, [], None)
+
+    def _answer_failed(self, call: StatementCall) -> None:
+        """Answer in a failed transaction: only its end is accepted."""
+        session, verb = call.session, call.statement.verb
+        if verb not in ENDS:
+            self._refuse(call, ErrorCode.BAD_REQUEST, "The transaction failed; end it first.")
+            return
+        self._end(session)
+        if verb is Verb.COMMIT:
+            self._refuse(call, ErrorCode.TRANSACTION_UNKNOWN, "The transaction was rolled back.")
+        else:
+            self._answer(call, [], None)
+
+    def _request(self, call: StatementCall) -> None:
+        session, statement = call.session, call.statement
+        is_begin = statement.verb in (Verb.BEGIN, Verb.BEGIN_READ)
+        in_transaction = session.transaction is not None
+        if is_begin == in_transaction and (is_begin or statement.verb in ENDS):
+            self._refuse(call, ErrorCode.BAD_REQUEST, "This does not fit the transaction's state.")
+            return
+        prepared = session.prepared.get(statement.name)
+        if statement.verb is Verb.EXECUTE and prepared is None:
+            self._refuse(call, ErrorCode.NO_STATEMENT, "No statement of this name is prepared.")
+            return
+        route = self._route(session)
+        if route is None:
+            self._refuse(call, ErrorCode.NO_DATABASE, "The database is no longer served.")
+            return
+        request = self._new_request(call, route, prepared)
+        if in_transaction:
+            request.permitted = True
+        self.board.changes.post(Topic.REQUEST_ARRIVED, request)
+
+    def _route(self, session: Session) -> Route | None:
+        declaration = self.board.configuration.declaration
+        return declaration.route_of(session.database) if declaration else None
+
+    def _new_request(
+        self, call: StatementCall, route: Route, prepared: Prepared | None
+    ) -> SessionRequest:
+        verb = call.statement.verb
+        if verb is Verb.EXECUTE and prepared is not None:
+            kind = StatementKind.WRITE if prepared.writes else StatementKind.READ
+        else:
+            kind = KIND_OF_VERB[verb]
+        self._count += 1
+        request = SessionRequest(self._count, kind, call, route, route.statement_limit)
+        request.prepared = prepared if verb is Verb.EXECUTE else None
+        return request
+
+    def _take_success(self, session: Session, request: SessionRequest, outcome: Outcome) -> None:
+        session.workspace = request.workspace
+        session.token = outcome.token
+        if request.kind is StatementKind.BEGIN:
+            is_read_only = request.call.statement.verb is Verb.BEGIN_READ
+            session.transaction = SessionTransaction(is_read_only, self.board.clock.now())
+            session.state = SessionState.OPEN
+            self._watch(session)
+        elif request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            self._end(session)
+        elif session.transaction is not None:
+            session.transaction.last_used = self.board.clock.now()
+            if request.kind is StatementKind.WRITE:
+                session.transaction.has_written = True
+
+    def _take_refusal(self, session: Session, request: SessionRequest) -> None:
+        """A refused statement fails its transaction; a refused end leaves none."""
+        if session.transaction is None:
+            return
+        if request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
+            self._end(session)
+        else:
+            session.state = SessionState.FAILED
+            self.board.changes.post(Topic.TRANSACTION_ENDED, session.transaction)
+
+    def _end(self, session: Session) -> None:
+        if session.transaction is not None:
+            self.board.changes.post(Topic.TRANSACTION_ENDED, session.transaction)
+        session.transaction = None
+        session.state = SessionState.IDLE
+
+    def _transaction_idle(self) -> float:
+        declaration = self.board.configuration.declaration
+        return declaration.transaction_idle if declaration else DEFAULT_TRANSACTION_IDLE_S
+
+    def _watch(self, session: Session) -> None:
+        if session.transaction is None:
+            return
+        idle_until = session.transaction.last_used + self._transaction_idle()
+        due = max(idle_until, self.board.clock.now() + IDLE_CHECK_S)
+        self.board.changes.post_at(due, Topic.SESSION_DUE, session)
+
+    def _signature(self, request: SessionRequest) -> str:
+        reply = request.exchange.reply if request.exchange else None
+        return getattr(reply, "signature", "") if reply else ""
+
+    def _refuse(self, call: StatementCall, code: ErrorCode, message: str) -> None:
+        self._answer(call, [], Refusal(code, message, Result.NOT_RUN))
+
+    def _answer(
+        self, call: StatementCall, rows: list[str], refusal: Refusal | None, signature: str = ""
+    ) -> None:
+        call.session.call = None
+        call.answer = StatementAnswer(rows, signature, refusal, call.session.state)
+        self.board.changes.post(Topic.STATEMENT_ANSWERED, call)
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -8,6 +8,7 @@
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
 from .controllers.allocator import AllocatorController
+from .controllers.completion import CompletionController
 from .controllers.configuration import ConfigurationController
 from .controllers.dispatch import DispatchController
 from .controllers.election import ElectionController
@@ -15,14 +16,19 @@
 from .controllers.failover import FailoverController
 from .controllers.keys import KeyController
 from .controllers.limits import LimitController
+from .controllers.observations import ObservationController
+from .controllers.placement import PlacementController
 from .controllers.policies import NearestReplica
+from .controllers.promotion import PromotionController
 from .controllers.repair import RepairController
 from .controllers.replication import ReplicationController
 from .controllers.retries import RetryBudget
 from .controllers.routing import RoutingController
+from .controllers.sessions import SessionController
 from .controllers.transactions import TransactionController
 from .interfaces import Clock, Controller, QueuePolicy, Randomness, ReplicaChoice
 from .invariants import InvariantController
+from .invariants.session_rules import SESSION_COMPLETION_RULES, SESSION_DISPATCH_RULES
 from .settings import CoreSettings
 
 
@@ -36,7 +42,7 @@
         board: Board,
         configuration: ConfigurationController,
         invariants: InvariantController,
-        routing: RoutingController,
+        routing: RoutingController | None,
         controllers: list[Controller],
     ) -> None:
         self.board = board
@@ -80,6 +86,32 @@
         ]
         return cls(board, configuration, invariants, routing, controllers)
 
+    @classmethod
+    def for_sessions(
+        cls, settings: CoreSettings, clock: Clock, randomness: Randomness, wall_clock: Any
+    ) -> Engine:
+        """Build the engine of a VM whose callers hold sessions and whose routes are declared."""
+        board = Board(settings, clock, Timeline(settings.member, wall_clock))
+        configuration = ConfigurationController(board)
+        invariants = InvariantController(board, SESSION_DISPATCH_RULES, SESSION_COMPLETION_RULES)
+        controllers: list[Controller] = [
+            ElectionController(board, randomness),
+            ReplicationController(board),
+            configuration,
+            invariants,
+            KeyController(board),
+            LimitController(board, randomness),
+            AllocatorController(board),
+            EndpointController(board),
+            ObservationController(board),
+            PlacementController(board),
+            CompletionController(board, RetryBudget()),
+            SessionController(board),
+            PromotionController(board),
+            RepairController(board),
+        ]
+        return cls(board, configuration, invariants, None, controllers)
+
     def _subscribe(self, controller: Controller) -> None:
         for topic, handler in controller.subscriptions().items():
             self.board.changes.subscribe(topic, handler)
--- a/packages/gentianspread-core/src/gentianspread_core/errors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/errors.py
@@ -36,6 +36,11 @@
     INVALID_CHANGE = "invalid_change"
     SETTINGS = "invalid_settings"
     STORAGE = "storage_failed"
+    NO_DATABASE = "no_database"
+    NO_STATEMENT = "no_statement"
+    LAGGING = "replica_lagging"
+    CONNECTION_LIMIT = "connection_limit"
+    INVALID_DECLARATION = "invalid_declaration"
 
 
 REMEDIES = {
@@ -58,6 +63,11 @@
     ErrorCode.NO_LEADER: "Send the change again with the same change id in a few seconds.",
     ErrorCode.INVALID_CHANGE: "Correct the change as the message says.",
     ErrorCode.SETTINGS: "Correct the named flags and start again.",
+    ErrorCode.NO_DATABASE: "Open one of the databases that the operators declared.",
+    ErrorCode.NO_STATEMENT: "Prepare the statement before executing it.",
+    ErrorCode.LAGGING: "Send the request again; the replicas are catching up.",
+    ErrorCode.CONNECTION_LIMIT: "Send the request again after a short pause.",
+    ErrorCode.INVALID_DECLARATION: "Correct the declaration as the message says.",
     ErrorCode.STORAGE: "Check the disk of the data folder and restart the VM.",
 }
 
@@ -89,3 +99,7 @@
 
 class StorageError(GentianspreadError):
     """A write to the data folder that failed."""
+
+
+class DeclarationError(GentianspreadError):
+    """A declared configuration that failed its checks."""
--- a/packages/gentianspread-core/src/gentianspread_core/invariants/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/invariants/controller.py
@@ -13,10 +13,17 @@
 class InvariantController:
     """Owns the witness of the newest state seen; a break is an event and a count."""
 
-    __slots__ = ("board", "witness", "breaks")
-
-    def __init__(self, board: Board) -> None:
+    __slots__ = ("board", "witness", "breaks", "_dispatch_rules", "_completion_rules")
+
+    def __init__(
+        self,
+        board: Board,
+        dispatch_rules: tuple[Rule, ...] = DISPATCH_RULES,
+        completion_rules: tuple[Rule, ...] = COMPLETION_RULES,
+    ) -> None:
         self.board = board
+        self._dispatch_rules = dispatch_rules
+        self._completion_rules = completion_rules
         self.witness = StateWitness()
         self.breaks: dict[str, int] = {}
 
@@ -30,11 +37,11 @@
 
     def on_ordered(self, request: Request) -> None:
         """Check a request as it is sent to an endpoint."""
-        self._check(DISPATCH_RULES, request)
+        self._check(self._dispatch_rules, request)
 
     def on_done(self, request: Request) -> None:
         """Check a request as its caller is answered."""
-        self._check(COMPLETION_RULES, request)
+        self._check(self._completion_rules, request)
 
     def on_configuration(self, revision: int) -> None:
         """Check that revisions and terms only grow."""
--- a/packages/gentianspread-core/src/gentianspread_core/invariants/rules.py
+++ b/packages/gentianspread-core/src/gentianspread_core/invariants/rules.py
@@ -90,7 +90,7 @@
         return True
     group = board.configuration.groups.get(request.group)
     reply = request.exchange.reply if request.exchange else None
-    if group is None or reply is None or reply.position is None:
+    if group is None or reply is None or reply.position is None or group.counts_own_terms:
         return True
     if request.transaction is not None and request.kind.value != "commit":
         return True
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -51,6 +51,9 @@
         "transaction_idle",
         "suspicion",
         "snapshot_every",
+        "voters_wanted",
+        "records_voters",
+        "registers_entries",
     )
 
     def __init__(self, member: str, zone: str, address: str) -> None:
@@ -75,3 +78,10 @@
         self.transaction_idle = 10.0
         self.suspicion = 0.5
         self.snapshot_every = 256
+        self.voters_wanted = 0
+        self.records_voters = False
+        self.registers_entries = True
+
+    def wanted_voters(self) -> int:
+        """Return how many voters the control log should have."""
+        return self.voters_wanted or len(self.initial_voters)
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -20,6 +20,7 @@
     Registration,
     Workspace,
 )
+from .blackboard.declarations import Declaration
 from .errors import ChangeRejected, ErrorCode
 
 
@@ -118,18 +119,54 @@
 
 
 def _register_endpoint(configuration: Configuration, command: Command) -> None:
-    fields = command.fields
-    configuration.endpoints[fields["name"]] = Registration(
-        fields["name"],
-        fields["address"],
-        fields["zone"],
-        fields["group"],
-        fields["leaving"],
-        fields["connections"],
-        fields["slots"],
-        fields["group_size"],
-    )
-    _resize_group(configuration, fields["group"])
+    registration = Registration(**command.fields)
+    known = configuration.endpoints.get(registration.name)
+    if known is not None and known.incarnation and not registration.is_newer_than(known):
+        raise ChangeRejected(ErrorCode.CONFLICT, "A newer announcement is known.")
+    if registration.incarnation and not _takes_address(configuration, registration):
+        raise ChangeRejected(ErrorCode.CONFLICT, "A newer endpoint has this address.")
+    configuration.endpoints[registration.name] = registration
+    _resize_group(configuration, registration.group)
+
+
+def _takes_address(configuration: Configuration, registration: Registration) -> bool:
+    """Remove an older endpoint at the same address; return false if that one is newer."""
+    for other in list(configuration.endpoints.values()):
+        if other.address != registration.address or other.name == registration.name:
+            continue
+        if other.incarnation > registration.incarnation:
+            return False
+        del configuration.endpoints[other.name]
+    return True
+
+
+def _endpoint_gone(configuration: Configuration, command: Command) -> None:
+    known = configuration.endpoints.get(command.fields["name"])
+    if known is not None and known.incarnation <= command.fields["incarnation"]:
+        del configuration.endpoints[known.name]
+
+
+def _declare(configuration: Configuration, command: Command) -> None:
+    """Replace the declared configuration, unless the one in force is as new."""
+    declaration = Declaration.from_record(command.fields)
+    held = configuration.declaration
+    if held is not None and declaration.version <= held.version:
+        return
+    configuration.declaration = declaration
+    configuration.workspaces = {
+        item.name: Workspace(item.name, item.rate, item.burst) for item in declaration.workspaces
+    }
+    configuration.keys = {
+        key_hash: Key(f"{item.name}-{number}", key_hash, item.name, False)
+        for item in declaration.workspaces
+        for number, key_hash in enumerate(item.key_hashes)
+    }
+    configuration.open_routes = {
+        route.name: route.group for route in declaration.routes if route.is_open
+    }
+    for item in declaration.groups:
+        group = configuration.groups.setdefault(item.name, Group(item.name, 0, 0, None, 0))
+        group.counts_own_terms = True
 
 
 def _resize_group(configuration: Configuration, name: str) -> None:
@@ -212,4 +249,6 @@
     CommandKind.NAME_ALLOCATOR: _name_allocator,
     CommandKind.CHANGE_VOTERS: _change_voters,
     CommandKind.VOTER_JOINED: _voter_joined,
+    CommandKind.DECLARE: _declare,
+    CommandKind.ENDPOINT_GONE: _endpoint_gone,
 }
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -9,12 +9,14 @@
 import gevent
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.configuration import Registration
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
 from .proposals import Proposer
 
 log = logging.getLogger(__name__)
 
+REGISTRATION_LIMIT_S = 0.7  # seconds; endpoints wait 1 s before they turn to another VM
 ANNOUNCEMENT_SCHEMA = {
     "type": "object",
     "required": [
@@ -62,6 +64,36 @@
             self._pending.add(message["name"])
             gevent.spawn(self._propose, message)
 
+    def register(self, fields: dict[str, Any]) -> bool:
+        """Have the log know an endpoint's registration; return whether it is taken for certain.
+
+        What tells nothing new, or is older than what is known, counts as taken.
+        """
+        known = self.board.configuration.endpoints.get(fields["name"])
+        registration = Registration(**fields)
+        if known is not None and not registration.is_newer_than(known):
+            return True
+        if known is not None and not known.differs_from(registration):
+            return True
+        command = Command(CommandKind.REGISTER_ENDPOINT, fields)
+        return self._propose_now(command, registration.name)
+
+    def forget(self, name: str, incarnation: int) -> bool:
+        """Have the log forget an endpoint that ended; return whether it is taken for certain."""
+        known = self.board.configuration.endpoints.get(name)
+        if known is None:
+            return True
+        fields = {"name": name, "incarnation": incarnation or known.incarnation}
+        return self._propose_now(Command(CommandKind.ENDPOINT_GONE, fields), name)
+
+    def _propose_now(self, command: Command, name: str) -> bool:
+        try:
+            self.proposer.propose(command, REGISTRATION_LIMIT_S)
+        except GentianspreadError as error:
+            log.warning("announcement of %s: %s", name, error.message)
+            return False
+        return True
+
     def _is_known(self, message: dict[str, Any]) -> bool:
         known = self.board.configuration.endpoints.get(message["name"])
         return known is not None and all(
--- a/packages/gentianspread-server/src/gentianspread_server/clocks.py
+++ b/packages/gentianspread-server/src/gentianspread_server/clocks.py
@@ -15,6 +15,16 @@
         return time.monotonic()
 
 
+class BootClock:
+    """The machine's clock that also counts the time in which it was suspended, in seconds."""
+
+    __slots__ = ()
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def wall_ms() -> int:
     """Return the wall time in milliseconds since the epoch."""
     return int(time.time() * 1000)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -9,7 +9,6 @@
 
 import logging
 import math
-import time
 from typing import Any
 
 import gevent
@@ -23,6 +22,8 @@
     ConfigurationController,
     ConfigurationUpdate,
 )
+from gentianspread_core.controllers.observations import ReceivedObservation
+from gentianspread_core.positions import Position
 from gevent.event import Event
 
 from .connections import LostError, NotSentError
@@ -35,17 +36,40 @@
 POLL_LIMIT_S = 0.4
 POLL_PAUSE_S = 0.05
 SIGHTING_AGE_S = 2.0
+OBSERVATION_AGE_S = 5.0  # seconds; no route accepts reads that are older
+ENTRY_COUNT_HOLD_S = 5.0  # seconds; a killed VM is back and a new leader has counted by then
 TOO_OLD_S = 1.2
 JOIN_PAUSE_S = 0.2
 
 
 class MemberReport:
-    """What a VM tells of itself or of another, with the age of the news in seconds."""
+    """What a VM tells of itself or of another, with the age of the news in seconds.
 
-    __slots__ = ("name", "address", "zone", "has_disk", "revision", "age")
+    `lost_votes` marks a voter whose disk came back empty; `entries` counts the VMs without a disk
+    that poll this one.
+    """
+
+    __slots__ = (
+        "name",
+        "address",
+        "zone",
+        "has_disk",
+        "revision",
+        "age",
+        "lost_votes",
+        "entries",
+    )
 
     def __init__(
-        self, name: str, address: str, zone: str, has_disk: bool, revision: int, age: float
+        self,
+        name: str,
+        address: str,
+        zone: str,
+        has_disk: bool,
+        revision: int,
+        age: float,
+        lost_votes: bool = False,
+        entries: int = 0,
     ) -> None:
         self.name = name
         self.address = address
@@ -53,6 +77,8 @@
         self.has_disk = has_disk
         self.revision = revision
         self.age = age
+        self.lost_votes = lost_votes
+        self.entries = entries
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> MemberReport:
@@ -64,6 +90,38 @@
         return {slot: getattr(self, slot) for slot in self.__slots__}
 
 
+class EntryCount:
+    """The VMs without a disk that polled this one, and how long a lower count has lasted."""
+
+    __slots__ = ("_seen", "_lower_since")
+
+    def __init__(self) -> None:
+        self._seen: dict[str, float] = {}
+        self._lower_since: float | None = None
+
+    def note(self, name: str, at: float) -> None:
+        """Note a poll at a time in seconds."""
+        self._seen[name] = at
+
+    def count(self, now: float) -> int:
+        """Return how many polled lately."""
+        for name in [name for name, at in self._seen.items() if now - at > SIGHTING_AGE_S]:
+            del self._seen[name]
+        return len(self._seen)
+
+    def accepts(self, count: int, held: int, now: float) -> bool:
+        """Tell whether a count replaces the one held."""
+        if count >= held:
+            self._lower_since = None
+            return count > held
+        if self._lower_since is None:
+            self._lower_since = now
+        if now - self._lower_since < ENTRY_COUNT_HOLD_S:
+            return False
+        self._lower_since = None
+        return True
+
+
 class Distribution:
     """Polls other VMs for the configuration, and answers their polls."""
 
@@ -76,6 +134,7 @@
         "_reports",
         "_leader",
         "_registering",
+        "_entries",
     )
 
     def __init__(
@@ -93,6 +152,7 @@
         self._reports: dict[str, MemberReport] = {}
         self._leader: str | None = None
         self._registering: set[str] = set()
+        self._entries = EntryCount()
         board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_changed)
 
     def start(self) -> None:
@@ -110,24 +170,30 @@
 
     def answer_poll(self, message: dict[str, Any]) -> dict[str, Any]:
         """Answer a VM once there is news for it, or after the wait that it asked for."""
-        started = time.monotonic()
+        started = self.board.clock.now()
         for record in message["reports"]:
-            self._take_report(MemberReport.from_record(record))
+            report = MemberReport.from_record(record)
+            if report.has_disk or self.board.settings.registers_entries:
+                self._take_report(report)
+            else:
+                self._entries.note(report.name, self.board.clock.now() - report.age)
         after = message["revision"]
         if self.board.configuration.revision <= after:
             self._changed.wait(min(message["wait_s"], POLL_WAIT_S))
         update = self.configuration.catch_up(after)
-        age = time.monotonic() - update.confirmed_at
+        age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
         return {
             "revision": update.revision,
             "entries": [entry.to_record() for entry in update.entries],
             "snapshot": update.snapshot,
             "age_s": age if math.isfinite(age) else None,
-            "waited_s": time.monotonic() - started,
+            "waited_s": self.board.clock.now() - started,
             "leader": self.leader(),
             "joined": self.board.configuration.joined_voters,
             "stamp": [timeline.wall_ms, timeline.counter],
+            "entry_vms": self._count_entries(),
+            "observations": self._observations(),
         }
 
     def may_vote_blank(self) -> bool:
@@ -173,12 +239,16 @@
         if settings.member in voters and leader is not None:
             names.append(leader)
         names += [name for name in voters if self._zone_of(name) == settings.zone]
+        if not settings.registers_entries:
+            near = [item for item in configuration.members.values() if item.zone == settings.zone]
+            names += [item.name for item in near if item.has_disk]
         allocator = configuration.allocators.get(settings.zone)
         if allocator is not None:
             names.append(allocator.member)
         names += [leader] if leader else []
         names += voters
         names += list(self.addresses.seeds)
+        names += [item.name for item in configuration.members.values() if item.has_disk]
         return [name for name in dict.fromkeys(names) if name != settings.member]
 
     def _zone_of(self, name: str) -> str:
@@ -187,7 +257,7 @@
 
     def _poll(self, name: str) -> bool:
         """Poll a VM; tell whether it answered and is itself fresh enough to stay with."""
-        sent_at = time.monotonic()
+        sent_at = self.board.clock.now()
         answer = self._poll_once(name, POLL_WAIT_S)
         if answer is None:
             return False
@@ -201,6 +271,11 @@
         entries = [LogEntry.from_record(record) for record in answer["entries"]]
         update = ConfigurationUpdate(entries, answer["snapshot"], answer["revision"], confirmed_at)
         self.board.post(Topic.CONFIGURATION_RECEIVED, update)
+        self._take_entries(answer["entry_vms"])
+        for group, position, position_age in answer["observations"]:
+            taken_at = sent_at + answer["waited_s"] - position_age
+            received = ReceivedObservation(group, Position.from_pair(position), taken_at)
+            self.board.post(Topic.OBSERVATION_RECEIVED, received)
         return age is not None and age < TOO_OLD_S
 
     def _poll_once(self, name: str, wait: float = 0.0) -> dict[str, Any] | None:
@@ -217,12 +292,47 @@
         except (NotSentError, LostError):
             return None
 
+    def _observations(self) -> list[list[Any]]:
+        """Return the newest position seen at each group's primary, with its age in seconds."""
+        now = self.board.clock.now()
+        newest = [
+            (group, self.board.observations.newest(group))
+            for group in self.board.configuration.groups
+        ]
+        return [
+            [group, seen.position.to_pair(), now - seen.taken_at]
+            for group, seen in newest
+            if seen is not None and now - seen.taken_at < OBSERVATION_AGE_S
+        ]
+
+    def _count_entries(self) -> int:
+        """Return how many VMs hold connections to endpoints, as far as this VM knows."""
+        if self.board.election.role is Role.LEADER:
+            now = self.board.clock.now()
+            fresh = [item for item in self._reports.values() if now - item.age < SIGHTING_AGE_S]
+            total = self._entries.count(now) + sum(item.entries for item in fresh)
+            self._take_entries(total)
+        return self.board.members.entries
+
+    def _take_entries(self, count: int) -> None:
+        """Take over a count; a lower one only once it has lasted, as a new leader counts anew."""
+        if self._entries.accepts(count, self.board.members.entries, self.board.clock.now()):
+            self.board.members.entries = count
+            self.board.post(Topic.ENTRIES_COUNTED)
+
     def _reports_to_send(self) -> list[MemberReport]:
         settings = self.board.settings
         revision = self.board.configuration.revision
-        now = time.monotonic()
+        now = self.board.clock.now()
         own = MemberReport(
-            settings.member, settings.address, settings.zone, settings.has_disk, revision, 0.0
+            settings.member,
+            settings.address,
+            settings.zone,
+            settings.has_disk,
+            revision,
+            0.0,
+            self.board.election.barred,
+            self._entries.count(now),
         )
         reports = [own]
         for report in self._reports.values():
@@ -236,18 +346,20 @@
                         report.has_disk,
                         report.revision,
                         age,
+                        report.lost_votes,
+                        report.entries,
                     )
                 )
         return reports
 
     def _take_report(self, report: MemberReport) -> None:
-        seen_at = time.monotonic() - report.age
+        seen_at = self.board.clock.now() - report.age
         known = self._reports.get(report.name)
         if report.name == self.board.settings.member or (known and known.age >= seen_at):
             return
         report.age = seen_at
         self._reports[report.name] = report
-        sighting = Sighting(report.name, seen_at, report.revision)
+        sighting = Sighting(report.name, seen_at, report.revision, report.lost_votes)
         self.board.post(Topic.MEMBER_SEEN, sighting)
         if self.board.election.role is Role.LEADER:
             self.register(report)
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -12,12 +12,12 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
-from gevent.event import Event
 
 from .codec import OK_STATUS, OTHER_STATUS, STATUS_OF_CODE, RequestCodec, encode_refusal, status_of
 from .driver import EndpointDriver
 from .metrics import Metrics
 from .peers import SIGNATURE_VARIABLE, FleetSigner
+from .waiting import Waiter
 
 log = logging.getLogger(__name__)
 
@@ -31,27 +31,7 @@
 
 Environ = dict[str, Any]
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
-
-
-class Waiter:
-    """Where a caller's greenlet waits for its request: an exchange to carry out, or the end."""
-
-    __slots__ = ("exchange_due", "event")
-
-    def __init__(self) -> None:
-        self.exchange_due = False
-        self.event: Event | None = None
-
-    def wake(self) -> None:
-        """Wake the greenlet, if it waits."""
-        if self.event is not None:
-            self.event.set()
-
-    def wait(self) -> None:
-        """Wait until woken."""
-        self.event = Event()
-        self.event.wait()
-        self.event = None
+Application = Callable[[Environ, StartResponse], list[bytes]]
 
 
 class RequestRunner:
@@ -75,8 +55,7 @@
         try:
             self.board.post(Topic.REQUEST_ARRIVED, request)
             while request.outcome is None:
-                if waiter.exchange_due:
-                    waiter.exchange_due = False
+                if waiter.take_due() is not None:
                     self.driver.run(request)
                 else:
                     waiter.wait()
@@ -85,8 +64,7 @@
         self.metrics.count(request, self.board.clock.now())
 
     def _on_ordered(self, request: Request) -> None:
-        request.waiter.exchange_due = True
-        request.waiter.wake()
+        request.waiter.give(request)
 
     def _on_done(self, request: Request) -> None:
         request.waiter.wake()
@@ -115,13 +93,14 @@
         "routes",
         "forwarder",
         "closing",
+        "extension",
     )
 
     def __init__(
         self,
         board: Board,
-        codec: RequestCodec,
-        runner: RequestRunner,
+        codec: RequestCodec | None,
+        runner: RequestRunner | None,
         signer: FleetSigner,
         operator_key: str,
         forwarder: Any,
@@ -134,6 +113,7 @@
         self.forwarder = forwarder
         self.routes: dict[str, Route] = {}
         self.closing = False
+        self.extension: Application | None = None
 
     def add(self, path: str, handler: Callable[..., bytes], guard: str = "") -> None:
         """Serve a path; the guard is `peer`, `operator` or nothing."""
@@ -143,7 +123,9 @@
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Serve one HTTP request."""
         path = environ["PATH_INFO"]
-        if path == "/v1/request":
+        if self.extension is not None and path not in self.routes:
+            return self.extension(environ, start_response)
+        if path == "/v1/request" and self.runner is not None:
             return self._serve_caller(environ, start_response)
         try:
             body = self._serve_route(path, environ)
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -7,6 +7,7 @@
 
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.outbox import (
+    ConnectionClose,
     EndpointOrder,
     PoolFlush,
     ProbeOrder,
@@ -53,6 +54,8 @@
             self.driver.release(intent)
         elif isinstance(intent, PoolFlush):
             self.driver.flush(intent)
+        elif isinstance(intent, ConnectionClose):
+            self.driver.close(intent)
         else:
             self._workers.spawn(self._handlers[type(intent)], intent)
 
--- a/packages/gentianspread-server/src/gentianspread_server/operations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/operations.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from typing import Any
 
 import fastjsonschema
@@ -143,7 +142,7 @@
         row["seen_s"] = 0.0 if is_self else None
         row["revision"] = self.board.configuration.revision if is_self else None
         if sighting is not None and not is_self:
-            row["seen_s"] = round(time.monotonic() - sighting.at, 3)
+            row["seen_s"] = round(self.board.clock.now() - sighting.at, 3)
             row["revision"] = sighting.revision
         return row
 
--- /dev/null
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -0,0 +1,69 @@
+"""The routes by which VMs reach each other: control messages, polls, tokens and proposals."""
+
+from __future__ import annotations
+
+from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.messages import Message
+from gentianspread_core.blackboard.shares import TokenAsk
+
+from .codec import load_object
+from .distribution import POLL_PATH, Distribution
+from .front import Front, dump
+from .intents import TOKENS_PATH
+from .peers import MESSAGES_PATH
+from .proposals import PROPOSE_PATH, Proposer
+
+PEER = "peer"
+
+
+def add_peer_routes(
+    front: Front, board: Board, distribution: Distribution, proposer: Proposer
+) -> None:
+    """Serve the other VMs' messages on a front."""
+    routes = PeerRoutes(board, distribution, proposer)
+    front.add(MESSAGES_PATH, routes.take_messages, PEER)
+    front.add(POLL_PATH, routes.answer_poll, PEER)
+    front.add(TOKENS_PATH, routes.answer_tokens, PEER)
+    front.add(PROPOSE_PATH, routes.answer_proposal, PEER)
+
+
+class PeerRoutes:
+    """Answers the other VMs."""
+
+    __slots__ = ("board", "distribution", "proposer")
+
+    def __init__(self, board: Board, distribution: Distribution, proposer: Proposer) -> None:
+        self.board = board
+        self.distribution = distribution
+        self.proposer = proposer
+
+    def take_messages(self, body: bytes) -> bytes:
+        """Take control messages."""
+        message = load_object(body)
+        self.board.timeline.observe(*message["stamp"])
+        for record in message["messages"]:
+            self.board.post(Topic.MESSAGE_RECEIVED, Message.from_record(record))
+        return b"{}"
+
+    def answer_poll(self, body: bytes) -> bytes:
+        """Answer a poll for the configuration."""
+        return dump(self.distribution.answer_poll(load_object(body)))
+
+    def answer_tokens(self, body: bytes) -> bytes:
+        """Answer an ask for tokens of a rate."""
+        message = load_object(body)
+        settings = self.board.settings
+        ask = TokenAsk(
+            message["workspace"],
+            message["zone"],
+            settings.member,
+            message["wanted"],
+            self.board.clock.now(),
+        )
+        if message["zone"] == settings.zone:
+            self.board.post(Topic.TOKENS_ASKED, ask)
+        return dump({"granted": ask.granted, "answered": ask.answered})
+
+    def answer_proposal(self, body: bytes) -> bytes:
+        """Answer another VM's proposal."""
+        return dump(self.proposer.answer(load_object(body)))
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -19,6 +19,7 @@
 
 log = logging.getLogger(__name__)
 
+MESSAGES_PATH = "/peer/messages"
 SIGNATURE_HEADER = "X-Fleet-Signature"
 SIGNATURE_VARIABLE = "HTTP_X_FLEET_SIGNATURE"
 PEER_LIMIT_S = 0.5
@@ -141,6 +142,6 @@
             "stamp": [timeline.wall_ms, timeline.counter],
         }
         try:
-            self.client.ask(address, "/peer/messages", body, PEER_LIMIT_S)
+            self.client.ask(address, MESSAGES_PATH, body, PEER_LIMIT_S)
         except (NotSentError, LostError):
             gevent.sleep(RECONNECT_PAUSE_S)
--- a/packages/gentianspread-server/src/gentianspread_server/proposals.py
+++ b/packages/gentianspread-server/src/gentianspread_server/proposals.py
@@ -43,9 +43,9 @@
         self.addresses = addresses
         self.client = client
 
-    def propose(self, command: Command) -> ChangeOutcome:
-        """Return the outcome, or raise a refusal that says what is known."""
-        give_up_at = self.board.clock.now() + PROPOSAL_LIMIT_S
+    def propose(self, command: Command, limit: float = PROPOSAL_LIMIT_S) -> ChangeOutcome:
+        """Return the outcome, or raise a refusal that says what is known; `limit` in seconds."""
+        give_up_at = self.board.clock.now() + limit
         was_sent = False
         while self.board.clock.now() < give_up_at:
             outcome = self._try_once(command)
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -10,8 +10,6 @@
 import gevent
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.election import Role
-from gentianspread_core.blackboard.messages import Message
-from gentianspread_core.blackboard.shares import TokenAsk
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
@@ -27,14 +25,16 @@
 from .driver import EndpointDriver
 from .forwarding import FORWARD_PATH, Forwarder
 from .front import Front, RequestRunner, dump
-from .intents import TOKENS_PATH, IntentRunner
+from .intents import IntentRunner
 from .logs import log_event
 from .metrics import Metrics
 from .operations import Operations
+from .peerroutes import add_peer_routes
 from .peers import Addresses, FleetSigner, PeerClient
-from .proposals import PROPOSE_PATH, Proposer
+from .proposals import Proposer
 from .settings import Settings
 from .storage import ControlStorage
+from .timers import run_timers
 from .tokens import TokenCodec
 
 log = logging.getLogger(__name__)
@@ -42,7 +42,6 @@
 CALLER_IDLE_S = 75.0
 BALANCER_NOTICE_S = 1.0
 STOP_CHECK_S = 0.05
-LONGEST_SLEEP_S = 1.0
 
 
 class CallerHandler(WSGIHandler):
@@ -108,7 +107,7 @@
             backlog=1024,
         )
         self._server.start()
-        gevent.spawn(self._run_timers)
+        gevent.spawn(run_timers, self.board, self._timer_moved)
         gevent.spawn(self._join)
         self.board.timeline.record(EventKind.STARTED, self.settings.name, "start of the process")
         self._stopped.wait()
@@ -146,17 +145,6 @@
     def _is_busy(self) -> bool:
         return bool(self.runner.running or self.board.transactions.by_name)
 
-    def _run_timers(self) -> None:
-        """Settle the board whenever a timer is due."""
-        while True:
-            due = self.board.changes.next_due()
-            now = self.board.clock.now()
-            pause = LONGEST_SLEEP_S if due is None else min(LONGEST_SLEEP_S, due - now)
-            if pause > 0:
-                self._timer_moved.clear()
-                self._timer_moved.wait(pause)
-            self.board.settle()
-
     def _on_leadership(self, _entry: None) -> None:
         if self.board.election.role is Role.LEADER:
             gevent.spawn_later(0.2, self.distribution.register_self)
@@ -175,10 +163,7 @@
         add("/operator/change", self.operations.change, "operator")
         add("/operator/status", self.operations.status, "operator")
         add("/operator/timeline", self.operations.timeline, "operator")
-        add("/peer/messages", self._take_messages, "peer")
-        add("/peer/poll", self._answer_poll, "peer")
-        add(TOKENS_PATH, self._answer_tokens, "peer")
-        add(PROPOSE_PATH, self._answer_proposal, "peer")
+        add_peer_routes(self.front, self.board, self.distribution, self.proposer)
         add(FORWARD_PATH, self._answer_forward, "peer")
 
     def _ready(self, body: bytes) -> bytes:
@@ -193,32 +178,6 @@
         self.announcements.take(load_object(body))
         return dump({"taken": True})
 
-    def _take_messages(self, body: bytes) -> bytes:
-        message = load_object(body)
-        self.board.timeline.observe(*message["stamp"])
-        for record in message["messages"]:
-            self.board.post(Topic.MESSAGE_RECEIVED, Message.from_record(record))
-        return b"{}"
-
-    def _answer_poll(self, body: bytes) -> bytes:
-        return dump(self.distribution.answer_poll(load_object(body)))
-
-    def _answer_tokens(self, body: bytes) -> bytes:
-        message = load_object(body)
-        ask = TokenAsk(
-            message["workspace"],
-            message["zone"],
-            self.settings.name,
-            message["wanted"],
-            self.board.clock.now(),
-        )
-        if message["zone"] == self.settings.zone:
-            self.board.post(Topic.TOKENS_ASKED, ask)
-        return dump({"granted": ask.granted, "answered": ask.answered})
-
-    def _answer_proposal(self, body: bytes) -> bytes:
-        return dump(self.proposer.answer(load_object(body)))
-
     def _answer_forward(self, body: bytes) -> bytes:
         message = load_object(body)
         try:
