Frame each write of the control log, and write again what a disk refused

Cause: a last write torn in its middle looked like damage and kept a VM from starting; a full disk put a VM out of the control log for good. Ruled out: dropping everything after the first bad record, which would hide real damage. Two scenarios failed before and pass now.

--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -53,6 +53,32 @@
     os.truncate(log_path(context), os.path.getsize(log_path(context)) - count)
 
 
+@when("entries {first:d} to {last:d} are written at once and a hole is torn into them")
+def step_hole(context, first, last):
+    length = os.path.getsize(log_path(context))
+    context.storage.write(batch_of([entry(index) for index in range(first, last + 1)]))
+    context.storage.close()
+    with open(log_path(context), "r+b") as file:
+        file.seek(length)
+        file.write(bytes((os.path.getsize(log_path(context)) - length) // 2))
+
+
+@when("entry {index:d} fails halfway and is written again")
+def step_fails_halfway(context, index):
+    write_all = ControlStorage._write_all
+
+    def half(storage, file, content):
+        os.write(file, content[: len(content) // 2])
+        raise OSError("the disk is full")
+
+    ControlStorage._write_all = half
+    try:
+        failure_of(lambda: context.storage.write(batch_of([entry(index)])))
+    finally:
+        ControlStorage._write_all = write_all
+    context.storage.write(batch_of([entry(index)]))
+
+
 @when("a byte in the middle of the log is changed")
 def step_damage(context):
     context.storage.close()
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -15,6 +15,17 @@
       | 1     |
       | 40    |
 
+  Scenario: A last write that was torn in its middle is dropped
+    When entries 1 to 5 and a vote in term 3 are written
+    And entries 6 to 9 are written at once and a hole is torn into them
+    Then a start reads entries 1 to 5 and the vote in term 3
+    And further entries can be written and read
+
+  Scenario: A disk that was full takes the same batch again
+    When entries 1 to 5 and a vote in term 3 are written
+    And entry 6 fails halfway and is written again
+    Then a start reads entries 1 to 6 and the vote in term 3
+
   Scenario: Damage before the end is an error that names the remedy
     When entries 1 to 5 and a vote in term 3 are written
     And a byte in the middle of the log is changed
--- a/packages/gentianspread-server/src/gentianspread_server/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/control.py
@@ -9,7 +9,7 @@
 from gentianspread_core.blackboard.log import Snapshot
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
 from gentianspread_core.controllers.replication import RecoveredLog, SyncedRecords
-from gentianspread_core.errors import StorageError
+from gentianspread_core.errors import ErrorCode, StorageError
 from gevent.event import Event
 
 from .peers import Addresses, PeerClient, PeerSender
@@ -17,14 +17,17 @@
 
 log = logging.getLogger(__name__)
 
+WRITE_PAUSE_S = 0.3  # seconds before a failed write is repeated
+
 
 class ControlLoop:
     """Carries out the control batches of one VM's board.
 
-    After a failed write the VM takes no further part in the control log; it goes on as an entry.
+    A write that fails is repeated until the disk takes it; meanwhile the VM sends no message, so it
+    takes no part in the control log.
     """
 
-    __slots__ = ("board", "storage", "addresses", "client", "_senders", "_event", "failed")
+    __slots__ = ("board", "storage", "addresses", "client", "_senders", "_event", "failing")
 
     def __init__(
         self,
@@ -39,7 +42,7 @@
         self.client = client
         self._senders: dict[str, PeerSender] = {}
         self._event = Event()
-        self.failed = False
+        self.failing = False
 
     def recover(self) -> StoredState | None:
         """Return what the disk held, or none if it held nothing."""
@@ -68,28 +71,35 @@
             self._event.wait()
             self._event.clear()
             batch = self.board.outbox.take_control()
-            if not batch.is_empty() and not self.failed:
+            if not batch.is_empty():
                 self._carry_out(batch)
 
     def _carry_out(self, batch: ControlBatch) -> None:
-        if batch.needs_sync() and not self._sync(batch):
-            return
+        if batch.needs_sync():
+            self._sync(batch)
         for message in batch.messages:
             self._sender(message.receiver).send(message)
         if batch.entries:
             last = batch.entries[-1]
             self.board.post(Topic.RECORDS_SYNCED, SyncedRecords(last.index, last.term))
 
-    def _sync(self, batch: ControlBatch) -> bool:
+    def _sync(self, batch: ControlBatch) -> None:
+        """Return once a batch is on the disk."""
         if self.storage is None:
-            return False
-        try:
-            gevent.get_hub().threadpool.apply(self.storage.write, (batch,))
-        except StorageError as error:
-            self.failed = True
-            log.error("%s %s", error.message, error.remedy)
-            return False
-        return True
+            raise StorageError(ErrorCode.STORAGE, "This VM has no data folder.")
+        while True:
+            try:
+                gevent.get_hub().threadpool.apply(self.storage.write, (batch,))
+            except StorageError as error:
+                if not self.failing:
+                    log.error("%s Trying again. %s", error.message, error.remedy)
+                self.failing = True
+                gevent.sleep(WRITE_PAUSE_S)
+            else:
+                if self.failing:
+                    log.info("the disk takes writes again")
+                self.failing = False
+                return
 
     def _sender(self, name: str) -> PeerSender:
         sender = self._senders.get(name)
--- a/packages/gentianspread-server/src/gentianspread_server/storage.py
+++ b/packages/gentianspread-server/src/gentianspread_server/storage.py
@@ -1,8 +1,9 @@
 """The data folder: a synced write-ahead log with checksums, and snapshots, of the control log.
 
-A record is a length and a CRC-32 (both 4 bytes, big-endian) before a JSON payload. A record that is
-cut off at the end of the file was never acknowledged and is dropped; damage before the end is an
-error.
+Each write is one frame: a marker, a length and a CRC-32 (4 bytes each, big-endian) before a JSON
+list of records. A write begins only after the one before it was synced. So a frame that cannot be
+read and has no whole frame after it was never acknowledged, and is dropped in whatever way it was
+torn; with a whole frame after it, it is damage, and an error.
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 
 log = logging.getLogger(__name__)
 
-HEADER = struct.Struct(">II")
+HEADER = struct.Struct(">4sII")
+MARKER = b"GSF1"
 LOG_FILE = "control.log"
 SNAPSHOT_FILE = "control.snapshot"
 TEMPORARY_SUFFIX = ".new"
@@ -40,7 +42,7 @@
 class ControlStorage:
     """Reads and writes the control log's files in one folder."""
 
-    __slots__ = ("folder", "_file", "_hard_state", "_entries", "_snapshot")
+    __slots__ = ("folder", "_file", "_hard_state", "_entries", "_snapshot", "_length", "_is_torn")
 
     def __init__(self, folder: str) -> None:
         self.folder = folder
@@ -48,6 +50,8 @@
         self._hard_state = HardState(0, None)
         self._entries: list[LogEntry] = []
         self._snapshot = Snapshot(0, 0, {})
+        self._length = 0
+        self._is_torn = False
 
     def open(self) -> StoredState:
         """Read the files, drop a torn tail, and open the log for appending."""
@@ -59,11 +63,16 @@
         os.lseek(self._file, length, os.SEEK_SET)
         os.fsync(self._file)
         self._sync_folder()
+        self._length = length
         return StoredState(self._hard_state, self._snapshot, list(self._entries))
 
     def write(self, batch: ControlBatch) -> None:
-        """Write a batch and sync it; raises `StorageError` if anything did not reach the disk."""
+        """Write a batch and sync it; raises `StorageError` if anything did not reach the disk.
+
+        The same batch may be written again; what a failed write left is cut off first.
+        """
         try:
+            self._cut_torn()
             if batch.snapshot is not None:
                 self._write_snapshot(batch)
             else:
@@ -87,8 +96,12 @@
             records.append(_hard_record(batch.hard_state))
         for entry in batch.entries:
             self._remember(entry)
-            records.append(_encode({"entry": entry.to_record()}))
-        self._write_all(self._file, b"".join(records))
+            records.append({"entry": entry.to_record()})
+        content = _encode(records)
+        self._is_torn = True
+        self._write_all(self._file, content)
+        self._length += len(content)
+        self._is_torn = False
 
     def _write_snapshot(self, batch: ControlBatch) -> None:
         snapshot = batch.snapshot
@@ -101,12 +114,14 @@
         self._entries = [entry for entry in self._entries if entry.index > snapshot.index]
         self._snapshot = snapshot
         record = {"index": snapshot.index, "term": snapshot.term, "state": snapshot.state}
-        self._replace(SNAPSHOT_FILE, _encode(record))
+        self._replace(SNAPSHOT_FILE, _encode([record]))
         records = [_hard_record(self._hard_state)]
-        records += [_encode({"entry": entry.to_record()}) for entry in self._entries]
-        self._replace(LOG_FILE, b"".join(records))
+        records += [{"entry": entry.to_record()} for entry in self._entries]
+        content = _encode(records)
+        self._replace(LOG_FILE, content)
         self.close()
         self._file = os.open(self._path(LOG_FILE), os.O_RDWR | os.O_APPEND)
+        self._length = len(content)
 
     def _replace(self, name: str, content: bytes) -> None:
         """Write a file beside the old one, sync it, and put it in its place."""
@@ -119,6 +134,14 @@
         os.rename(temporary, self._path(name))
         self._sync_folder()
 
+    def _cut_torn(self) -> None:
+        """Cut off what a failed write may have left behind."""
+        if self._is_torn and self._file is not None:
+            os.ftruncate(self._file, self._length)
+            os.lseek(self._file, self._length, os.SEEK_SET)
+            os.fsync(self._file)
+            self._is_torn = False
+
     def _write_all(self, file: int | None, content: bytes) -> None:
         if file is None:
             raise OSError("the log is closed")
@@ -171,36 +194,47 @@
             return b""
 
 
-def _encode(record: dict[str, Any]) -> bytes:
-    payload = orjson.dumps(record)
-    return HEADER.pack(len(payload), zlib.crc32(payload)) + payload
+def _encode(records: list[dict[str, Any]]) -> bytes:
+    payload = orjson.dumps(records)
+    return HEADER.pack(MARKER, len(payload), zlib.crc32(payload)) + payload
 
 
-def _hard_record(hard_state: HardState) -> bytes:
-    return _encode({"hard": {"term": hard_state.term, "voted_for": hard_state.voted_for}})
+def _hard_record(hard_state: HardState) -> dict[str, Any]:
+    return {"hard": {"term": hard_state.term, "voted_for": hard_state.voted_for}}
 
 
 def _decode_all(content: bytes, name: str) -> tuple[list[dict[str, Any]], int]:
-    """Return the whole records, and the length in bytes that they fill."""
+    """Return the records of the whole frames, and the length in bytes that these fill."""
     records: list[dict[str, Any]] = []
     offset = 0
-    while offset + HEADER.size <= len(content):
-        size, checksum = HEADER.unpack_from(content, offset)
-        end = offset + HEADER.size + size
-        payload = content[offset + HEADER.size : end]
-        if end > len(content) or zlib.crc32(payload) != checksum:
-            _require_tail(content, offset, end, name)
+    while offset < len(content):
+        payload = _payload_at(content, offset)
+        if payload is None:
+            _require_tail(content, offset, name)
             break
-        records.append(orjson.loads(payload))
-        offset = end
+        records.extend(orjson.loads(payload))
+        offset += HEADER.size + len(payload)
     return records, offset
 
 
-def _require_tail(content: bytes, offset: int, end: int, name: str) -> None:
-    """Raise if a bad record has more data after it, and so is damage and not a torn write."""
-    if end < len(content) and any(content[end:]):
-        raise StorageError(
-            ErrorCode.STORAGE,
-            f"{name} is damaged at byte {offset}.",
-            remedy="Empty the data folder; the VM comes back as a standby and catches up.",
-        )
+def _payload_at(content: bytes, offset: int) -> bytes | None:
+    """Return the payload of the frame at an offset, or none if it is not whole."""
+    if offset + HEADER.size > len(content):
+        return None
+    marker, size, checksum = HEADER.unpack_from(content, offset)
+    payload = content[offset + HEADER.size : offset + HEADER.size + size]
+    is_whole = marker == MARKER and len(payload) == size and zlib.crc32(payload) == checksum
+    return payload if is_whole else None
+
+
+def _require_tail(content: bytes, offset: int, name: str) -> None:
+    """Raise if a bad frame has a whole one after it, and so is damage and not a torn write."""
+    later = content.find(MARKER, offset + 1)
+    while later >= 0:
+        if _payload_at(content, later) is not None:
+            raise StorageError(
+                ErrorCode.STORAGE,
+                f"{name} is damaged at byte {offset}.",
+                remedy="Empty the data folder; the VM comes back as a standby and catches up.",
+            )
+        later = content.find(MARKER, later + 1)
