--- /dev/null
+++ b/features/platform_parts.feature
@@ -0,0 +1,6 @@
+@sessions
+Feature: Parts of the platform's programs
+
+  Scenario: A voter that is not among the seeds is reached after all control VMs were restarted
+    Given the address book of a VM that knows only its seeds
+    Then the voter "10.4.0.7:8708" is reached at "10.4.0.7:8708"
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -46,18 +46,27 @@
 
 
 class Addresses:
-    """Where the VMs are: the seeds, and the configuration's members over them."""
+    """Where the VMs are: the seeds, and the configuration's members over them.
 
-    __slots__ = ("board", "seeds")
+    Where VMs are named by their addresses, a voter is reached even while nothing else of it is
+    known, as after a restart of all control VMs.
+    """
 
-    def __init__(self, board: Board, seeds: dict[str, str]) -> None:
+    __slots__ = ("board", "seeds", "names_are_addresses")
+
+    def __init__(
+        self, board: Board, seeds: dict[str, str], names_are_addresses: bool = False
+    ) -> None:
         self.board = board
         self.seeds = seeds
+        self.names_are_addresses = names_are_addresses
 
     def of(self, name: str) -> str | None:
         """Return a VM's address, or none if it is not known."""
         member = self.board.configuration.members.get(name)
-        return member.address if member else self.seeds.get(name)
+        if member is not None:
+            return member.address
+        return self.seeds.get(name, name if self.names_are_addresses else None)
 
 
 class PeerClient:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vms.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vms.py
@@ -56,7 +56,8 @@
         self.board.timeline.sink = log_event
         signer = FleetSigner(os.environ.get(SECRET_VARIABLE, ""))
         client = PeerClient(signer)
-        addresses = Addresses(self.board, {seed: seed for seed in boot.seeds})
+        seeds = {seed: seed for seed in boot.seeds}
+        addresses = Addresses(self.board, seeds, names_are_addresses=True)
         self.client = client
         self.signer = signer
         self.addresses = addresses
