--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -139,14 +139,18 @@
 
 
 class Allocator:
-    """The VM that holds an availability zone's part of every rate and burst."""
+    """The VM that holds an availability zone's part of every rate and burst.
 
-    __slots__ = ("zone", "member", "epoch")
+    `revision` is that of the log's entry that named it.
+    """
+
+    __slots__ = ("zone", "member", "epoch", "revision")
 
-    def __init__(self, zone: str, member: str, epoch: int) -> None:
+    def __init__(self, zone: str, member: str, epoch: int, revision: int = 0) -> None:
         self.zone = zone
         self.member = member
         self.epoch = epoch
+        self.revision = revision
 
 
 class Configuration:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -8,7 +8,8 @@
 class Endpoint:
     """One database endpoint.
 
-    `suspected` holds from a failure until a probe succeeds; `lag` and `latency` are in seconds.
+    `suspected` holds from a failure until a probe succeeds; `suspected_since` and the durations
+    `lag` and `latency` are in seconds.
     """
 
     __slots__ = (
@@ -23,6 +24,7 @@
         "in_use",
         "capacity",
         "suspected",
+        "suspected_since",
         "failures",
         "lost_in_a_row",
         "probing",
@@ -40,6 +42,7 @@
         self.in_use = 0
         self.capacity = capacity
         self.suspected = False
+        self.suspected_since = 0.0
         self.failures = 0
         self.lost_in_a_row = 0
         self.probing = False
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -39,9 +39,20 @@
 
 
 class Peer:
-    """The leader's view of one voter or learner; times in seconds."""
+    """The leader's view of one voter or learner; times in seconds.
 
-    __slots__ = ("name", "next_index", "match_index", "acked_sent_at", "last_heard", "in_flight")
+    `in_flight` holds from sending entries or a snapshot, at `filled_at`, until they are answered.
+    """
+
+    __slots__ = (
+        "name",
+        "next_index",
+        "match_index",
+        "acked_sent_at",
+        "last_heard",
+        "in_flight",
+        "filled_at",
+    )
 
     def __init__(self, name: str, next_index: int, now: float) -> None:
         self.name = name
@@ -50,10 +61,14 @@
         self.acked_sent_at = float("-inf")
         self.last_heard = now
         self.in_flight = False
+        self.filled_at = float("-inf")
 
 
 class ControlLog:
-    """Entries after the snapshot, and how far they are synced and committed."""
+    """Entries after the snapshot, and how far they are synced and committed.
+
+    `recovered_index` is the last entry that the disk held at start.
+    """
 
     __slots__ = (
         "entries",
@@ -64,9 +79,11 @@
         "confirmed_at",
         "voters",
         "learners",
+        "recovered_index",
     )
 
     def __init__(self) -> None:
+        self.recovered_index = 0
         self.entries: list[LogEntry] = []
         self.snapshot: Snapshot = Snapshot(0, 0, {})
         self.synced_index = 0
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -1,7 +1,8 @@
 """Allocator controller: holds one availability zone's part of every rate and burst.
 
 A bucket starts empty, and a new allocator grants nothing until its predecessor can no longer be
-fresh, so that two allocators of one zone never grant at the same time.
+fresh, so that two allocators of one zone never grant at the same time. One that was named before it
+restarted has no predecessor but itself.
 """
 
 from __future__ import annotations
@@ -65,8 +66,9 @@
         settings = self.board.settings
         if allocator.epoch != self._epoch:
             self._epoch = allocator.epoch
-            predecessor_ends = settings.freshness_bound + settings.token_hold
-            self._first_grant = self.board.clock.now() + predecessor_ends
+            self._first_grant = self.board.clock.now() + settings.token_hold
+            if allocator.revision > self.board.log.recovered_index:
+                self._first_grant += settings.freshness_bound
         for workspace in self.board.configuration.workspaces.values():
             self._bucket(workspace, allocator.epoch)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -112,12 +112,12 @@
             self._is_told_fresh = False
             self._tell(EventKind.FRESHNESS_LOST, "no quorum confirmed the configuration in time")
 
-    def catch_up(self, after: int) -> ConfigurationUpdate:
-        """Return what a VM at the given revision lacks."""
+    def catch_up(self, after: int, has_log: bool = False) -> ConfigurationUpdate:
+        """Return what a VM at the given revision lacks; one with the log gets entries there."""
         configuration = self.board.configuration
         entries: list[LogEntry] = []
         snapshot = None
-        if after < configuration.revision:
+        if after < configuration.revision and not has_log:
             first = self.history[0].index if self.history else configuration.revision + 1
             if first <= after + 1:
                 entries = [entry for entry in self.history if entry.index > after]
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -153,6 +153,8 @@
         now = self.board.clock.now()
         endpoint.failures += 1
         pause = self.board.settings.suspicion * 2 ** min(endpoint.failures - 1, 4)
+        if not endpoint.suspected:
+            endpoint.suspected_since = now
         endpoint.suspected = True
         due = now + min(LONGEST_SUSPICION_S, pause)
         self.board.changes.post_at(due, Topic.ENDPOINT_CHECK_DUE, endpoint)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -36,6 +36,7 @@
 TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
 PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
 OBSERVATION_MARGIN_S = 0.05  # seconds; covers the time from the choice to the endpoint
+LONGEST_CHANGE_S = 2.0  # seconds from a primary's loss to the next; after it none is expected
 SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
 
 
@@ -128,7 +129,7 @@
                 is_unwanted = is_gone or registration.leaving
                 if is_unwanted and connection.state is ConnectionState.IDLE:
                     self._close(connection)
-        for group in list(self.board.queues.reads):
+        for group in {*self.board.queues.reads, *self.board.queues.writes}:
             self._drain(group)
 
     def on_intent(self, intent: object) -> None:
@@ -288,7 +289,7 @@
             transaction.connection = None
 
     def _note_running(self, request: SessionRequest, change: int) -> None:
-        running = self._queue(request.group).running
+        running = self._queue(request).running
         count = running.get(request.workspace, 0) + change
         if count > 0:
             running[request.workspace] = count
@@ -311,14 +312,22 @@
             request.timer = self.board.changes.post_at(
                 request.deadline, Topic.REQUEST_EXPIRED, request
             )
-        dropped = self._queue_policy.push(self._queue(request.group), request)
+        if self._cannot_be_served(request):
+            request.refuse(ErrorCode.NO_ENDPOINT, f"{request.group} has no primary at present.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
+            return
+        dropped = self._queue_policy.push(self._queue(request), request)
         if dropped is not None:
             dropped.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
             self.board.changes.post(Topic.REQUEST_REFUSED, dropped)
 
     def _drain(self, group: str) -> None:
+        """Place waiting requests; those for the primary hold up no others."""
+        for queue in (self._writes(group), self._reads(group)):
+            self._drain_queue(queue)
+
+    def _drain_queue(self, queue: WaitingQueue) -> None:
         """Place waiting requests, in the order of the fair queue, until one finds no room."""
-        queue = self._queue(group)
         while queue.length:
             request = self._queue_policy.pop(queue)
             if request is None:
@@ -336,9 +345,26 @@
         line.appendleft(request)
         queue.length += 1
 
-    def _queue(self, group: str) -> WaitingQueue:
+    def _cannot_be_served(self, request: SessionRequest) -> bool:
+        """Tell whether only a primary may serve, and it has been away for longer than a change."""
+        if request.min_position is not None:
+            return False
+        primary = self._primary(request.group)
+        if primary is None or not primary.suspected:
+            return False
+        return self.board.clock.now() - primary.suspected_since > LONGEST_CHANGE_S
+
+    def _queue(self, request: SessionRequest) -> WaitingQueue:
+        if request.min_position is None:
+            return self._writes(request.group)
+        return self._reads(request.group)
+
+    def _reads(self, group: str) -> WaitingQueue:
         return self.board.queues.reads.setdefault(group, WaitingQueue(QUEUE_LIMIT))
 
+    def _writes(self, group: str) -> WaitingQueue:
+        return self.board.queues.writes.setdefault(group, WaitingQueue(QUEUE_LIMIT))
+
 
 def _differences(connection: BackendConnection, request: SessionRequest) -> int:
     """Return how many messages bring a connection to the session's values."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -24,7 +24,7 @@
 PROBE_PURPOSE = "promotion"
 PROBE_INTERVAL_S = 0.2  # seconds; with two misses a crash is noticed within half a second
 PROBE_LIMIT_S = 0.3  # seconds; an endpoint answers within 2 ms when it is not overloaded
-MOST_PROBES_AT_ONCE = 2  # to one endpoint; bounds what a silent endpoint holds up
+SETTLING_S = 1.5  # seconds after a call; the endpoint leads some hundred milliseconds later
 LOST_AFTER_FAILURES = 2  # probes; one can be lost with a connection that went silent
 ORDER_LIMIT_S = 0.5  # seconds; an order takes a slot, which statements may hold for 60 ms
 CALL_LIMIT_S = 1.5  # seconds; a promotion takes up to 0.6 s
@@ -129,7 +129,7 @@
 
     def _probe(self, registration: Registration) -> None:
         health = self.board.groups.health.setdefault(registration.name, Health())
-        if health.probes >= MOST_PROBES_AT_ONCE:
+        if health.probes:
             return
         health.probes += 1
         now = self.board.clock.now()
@@ -322,7 +322,7 @@
             self._give_up(promotion, "the call was refused or got no answer")
             return
         del self.board.groups.promotions[promotion.group]
-        self._pause(promotion.group, RETRY_PAUSE_S)
+        self._pause(promotion.group, SETTLING_S)
         for name in list(self.board.groups.health):
             registration = self.board.configuration.endpoints.get(name)
             if registration is not None and registration.group == promotion.group:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -18,6 +18,7 @@
 from .election import CHECK_QUORUM_TIMEOUTS
 
 ENTRIES_PER_MESSAGE = 64
+RESEND_AFTER_S = 0.5  # seconds; entries and snapshots of 100 KB are answered within it
 
 
 class SyncedRecords:
@@ -70,6 +71,7 @@
         log.snapshot = recovered.snapshot
         log.entries = recovered.entries
         log.synced_index = log.last_index()
+        log.recovered_index = log.last_index()
         log.commit_index = recovered.snapshot.index
         self._read_voters()
         if recovered.snapshot.index:
@@ -218,11 +220,12 @@
     def _send_to(self, peer: Peer) -> None:
         log = self.board.log
         now = self.board.clock.now()
-        if peer.next_index <= log.snapshot.index:
+        is_due = not peer.in_flight or now - peer.filled_at >= RESEND_AFTER_S
+        if peer.next_index <= log.snapshot.index and is_due:
             self._send_snapshot(peer, now)
             return
-        previous = peer.next_index - 1
-        entries = log.entries_from(peer.next_index, ENTRIES_PER_MESSAGE)
+        previous = max(peer.next_index - 1, log.snapshot.index)
+        entries = log.entries_from(previous + 1, ENTRIES_PER_MESSAGE) if is_due else []
         message = Message(
             MessageKind.APPEND,
             self._me(),
@@ -234,11 +237,15 @@
             commit=log.commit_index,
             sent_at=now,
         )
-        peer.in_flight = bool(entries)
+        if entries:
+            peer.in_flight = True
+            peer.filled_at = now
         self.board.outbox.control.messages.append(message)
 
     def _send_snapshot(self, peer: Peer, now: float) -> None:
         snapshot = self.board.log.snapshot
+        peer.in_flight = True
+        peer.filled_at = now
         message = Message(
             MessageKind.SNAPSHOT,
             self._me(),
@@ -317,7 +324,10 @@
             return
         peer.last_heard = self.board.clock.now()
         peer.acked_sent_at = max(peer.acked_sent_at, message.sent_at)
-        peer.in_flight = False
+        if not message.granted and self._awaits_snapshot(peer):
+            return
+        if not message.granted or message.index >= peer.next_index:
+            peer.in_flight = False
         if not message.granted:
             peer.next_index = max(1, min(message.index + 1, peer.next_index - 1))
             self._send_to(peer)
@@ -328,6 +338,12 @@
         if peer.next_index <= log.last_index():
             self._send_to(peer)
 
+    def _awaits_snapshot(self, peer: Peer) -> bool:
+        """Tell whether a snapshot is on its way, so that a rejection only tells what is known."""
+        is_recent = self.board.clock.now() - peer.filled_at < RESEND_AFTER_S
+        is_behind = peer.next_index <= self.board.log.snapshot.index
+        return peer.in_flight and is_recent and is_behind
+
     def _advance_commit(self) -> None:
         log = self.board.log
         held = [self._match_of(name) for name in log.voters]
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -204,7 +204,9 @@
     zone = command.fields["zone"]
     known = configuration.allocators.get(zone)
     epoch = known.epoch + 1 if known else 1
-    configuration.allocators[zone] = Allocator(zone, command.fields["member"], epoch)
+    configuration.allocators[zone] = Allocator(
+        zone, command.fields["member"], epoch, configuration.revision
+    )
 
 
 def _change_voters(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/declarations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/declarations.py
@@ -31,6 +31,9 @@
 
         Raises a refusal if that is not known in time; the same may be applied again anywhere.
         """
+        held = self.board.configuration.declaration
+        if held is not None and held.version >= declaration.version:
+            return
         digest = hashlib.sha256(declaration.document.encode()).hexdigest()
         change_id = f"declaration {declaration.version} {digest}"
         command = Command(CommandKind.DECLARE, declaration.to_record(), change_id)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -180,7 +180,7 @@
         after = message["revision"]
         if self.board.configuration.revision <= after:
             self._changed.wait(min(message["wait_s"], POLL_WAIT_S))
-        update = self.configuration.catch_up(after)
+        update = self.configuration.catch_up(after, message.get("has_log", False))
         age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
         return {
@@ -285,6 +285,7 @@
         message = {
             "revision": self.board.configuration.revision,
             "wait_s": wait,
+            "has_log": self.board.election.role is not Role.OBSERVER,
             "reports": [report.to_record() for report in self._reports_to_send()],
         }
         try:
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -16,7 +16,7 @@
 from .codec import OK_STATUS, OTHER_STATUS, STATUS_OF_CODE, RequestCodec, encode_refusal, status_of
 from .driver import EndpointDriver
 from .metrics import Metrics
-from .peers import SIGNATURE_VARIABLE, FleetSigner
+from .peers import SIGNATURE_VARIABLE, FleetSigner, plain_body
 from .waiting import Waiter
 
 log = logging.getLogger(__name__)
@@ -156,7 +156,8 @@
         body = read_body(environ, route.most_bytes) if environ["REQUEST_METHOD"] == "POST" else b""
         if route.guard == "peer":
             self._check_peer(path, body, environ)
-        elif route.guard == "operator":
+            return route.handler(plain_body(body))
+        if route.guard == "operator":
             self._check_operator(environ)
         return route.handler(body)
 
--- a/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -10,7 +10,7 @@
 from .distribution import POLL_PATH, Distribution
 from .front import Front, dump
 from .intents import TOKENS_PATH
-from .peers import MESSAGES_PATH
+from .peers import MESSAGES_PATH, encode_body
 from .proposals import PROPOSE_PATH, Proposer
 
 PEER = "peer"
@@ -47,7 +47,7 @@
 
     def answer_poll(self, body: bytes) -> bytes:
         """Answer a poll for the configuration."""
-        return dump(self.distribution.answer_poll(load_object(body)))
+        return encode_body(self.distribution.answer_poll(load_object(body)))
 
     def answer_tokens(self, body: bytes) -> bytes:
         """Answer an ask for tokens of a rate."""
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -6,6 +6,7 @@
 import hmac
 import logging
 import time
+import zlib
 from collections import deque
 from typing import Any
 
@@ -23,11 +24,27 @@
 SIGNATURE_HEADER = "X-Fleet-Signature"
 SIGNATURE_VARIABLE = "HTTP_X_FLEET_SIGNATURE"
 PEER_LIMIT_S = 0.5
+COMPRESS_FROM_BYTES = 1000  # bytes; shorter messages gain less than their header
+COMPRESSION_LEVEL = 6  # the library's own balance of time and size
+COMPRESSED_START = b"x"  # first byte of a zlib stream; JSON never begins with it
 MOST_QUEUED_MESSAGES = 64
 RECONNECT_PAUSE_S = 0.1
 IDLE_LINK_S = 5.0
 
 
+def encode_body(message: object) -> bytes:
+    """Return the JSON of a message between VMs, compressed if it is long."""
+    body = orjson.dumps(message)
+    if len(body) < COMPRESS_FROM_BYTES:
+        return body
+    return zlib.compress(body, COMPRESSION_LEVEL)
+
+
+def plain_body(body: bytes) -> bytes:
+    """Return the JSON of a body; raises `zlib.error` if it is neither JSON nor compressed JSON."""
+    return zlib.decompress(body) if body[:1] == COMPRESSED_START else body
+
+
 class FleetSigner:
     """Signs and checks the bodies of messages between VMs with the fleet's secret."""
 
@@ -82,7 +99,7 @@
 
     def ask(self, address: str, path: str, message: object, limit: float) -> Any:
         """Send a message and return the answer, within the limit in seconds."""
-        body = orjson.dumps(message)
+        body = encode_body(message)
         headers = f"{SIGNATURE_HEADER}: {self.signer.sign(path, body)}\r\n"
         connection = self._take(address, limit)
         head = head_for(path, address, headers)
@@ -92,8 +109,8 @@
         connection.last_used = time.monotonic()
         self._idle.setdefault(address, []).append(connection)
         try:
-            return orjson.loads(answer)
-        except orjson.JSONDecodeError as error:
+            return orjson.loads(plain_body(answer))
+        except (orjson.JSONDecodeError, zlib.error) as error:
             raise LostError("the answer is not JSON") from error
 
     def _take(self, address: str, limit: float) -> Connection:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -68,7 +68,7 @@
         self.board = board
         self.calls = calls
         self._sockets: dict[int, LineSocket] = {}
-        self._probes: dict[str, LineSocket] = {}
+        self._probes: dict[tuple[str, str], LineSocket] = {}
 
     def run(self, request: SessionRequest) -> None:
         """Carry out a request's exchange in the calling greenlet and post its reply."""
@@ -99,11 +99,13 @@
             with gevent.Timeout(order.limit):
                 self._probe(order)
         except gevent.Timeout:
-            self._drop_probe(order.endpoint)
+            log.debug("probe of %s got no answer", order.endpoint)
         except (OSError, ProtocolError, NotOpenedError) as error:
             log.debug("probe of %s: %s", order.endpoint, error)
-            self._drop_probe(order.endpoint)
-        self.board.post(Topic.PROBE_ENDED, order)
+        finally:
+            if not order.alive:
+                self._drop_probe(order.endpoint, order.purpose)
+            self.board.post(Topic.PROBE_ENDED, order)
 
     def order(self, order: EndpointOrder) -> None:
         """Carry out an order of the promotion controller and post whether it was accepted."""
@@ -234,7 +236,7 @@
         return lines
 
     def _probe(self, order: ProbeOrder) -> None:
-        lines = self._probe_lines(order.endpoint, order.address, order.purpose == PROBE_PURPOSE)
+        lines = self._probe_lines(order)
         order.sent_at = self.board.clock.now()
         lines.send(encode_own("BEGIN"))
         answer = read_answer(lines)
@@ -244,25 +246,27 @@
         if answer.state != IDLE_STATE:
             lines.send(encode_own("ROLLBACK"))
             read_answer(lines)
-
-    def _probe_lines(self, endpoint: str, address: str, is_fresh: bool) -> LineSocket:
-        """Return the connection kept for probes and orders, or a new one where it must be."""
-        if is_fresh:
-            self._drop_probe(endpoint)
-        lines = self._probes.get(endpoint)
+        if order.purpose == PROBE_PURPOSE:
+            self._drop_probe(order.endpoint, order.purpose)
+
+    def _probe_lines(self, order: ProbeOrder) -> LineSocket:
+        """Return the connection kept for probes of a purpose, or a new one where it must be."""
+        if order.purpose == PROBE_PURPOSE:
+            self._drop_probe(order.endpoint, order.purpose)
+        lines = self._probes.get((order.endpoint, order.purpose))
         if lines is None or not _is_quiet(lines):
-            self._drop_probe(endpoint)
-            registration = self.board.configuration.endpoints.get(endpoint)
+            self._drop_probe(order.endpoint, order.purpose)
+            registration = self.board.configuration.endpoints.get(order.endpoint)
             group = registration.group if registration else ""
-            lines = self._open(address, group, self._any_workspace(), endpoint)
-            self._probes[endpoint] = lines
+            lines = self._open(order.address, group, self._any_workspace(), order.endpoint)
+            self._probes[(order.endpoint, order.purpose)] = lines
         return lines
 
     def _any_workspace(self) -> str:
         return next(iter(self.board.configuration.workspaces), "")
 
-    def _drop_probe(self, endpoint: str) -> None:
-        lines = self._probes.pop(endpoint, None)
+    def _drop_probe(self, endpoint: str, purpose: str) -> None:
+        lines = self._probes.pop((endpoint, purpose), None)
         if lines is not None:
             lines.close()
 
