--- /dev/null
+++ b/features/steps/logs.py
@@ -0,0 +1,107 @@
+"""Steps about the structured logs."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import time
+
+from behave import given, then, when
+from gentianspread_core.blackboard.timeline import Event, EventKind
+from gentianspread_server.logs import (
+    LINES_PER_S,
+    MOST_SAVED_LINES,
+    BoundedHandler,
+    JsonFormatter,
+    log_event,
+)
+
+
+def _handler(context):
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    context.reader = reader
+    handler = BoundedHandler(writer)
+    handler.setFormatter(JsonFormatter())
+    context.handler = handler
+    return handler
+
+
+def _record(text):
+    return logging.LogRecord("test", logging.INFO, "", 0, text, (), None)
+
+
+def _read(context):
+    content = b""
+    while True:
+        try:
+            piece = os.read(context.reader, 65536)
+        except BlockingIOError:
+            break
+        content += piece
+        context.handler.flush()
+    return [json.loads(line) for line in content.splitlines()]
+
+
+@given("a log whose reader reads everything")
+@given("a log whose reader reads nothing")
+def step_log(context):
+    _handler(context)
+
+
+@when("{count:d} lines are logged at once")
+def step_many(context, count):
+    for number in range(count):
+        context.handler.emit(_record(f"line {number}"))
+
+
+@then("fewer than {count:d} lines arrive")
+def step_fewer(context, count):
+    lines = _read(context)
+    assert MOST_SAVED_LINES / 2 < len(lines) < count, len(lines)
+
+
+@when("the log's rate allows lines again and one more is logged")
+def step_again(context):
+    context.handler._saved_at -= 1.0
+    context.handler.emit(_record("one more"))
+
+
+@then("the lines that arrive tell how many were dropped")
+def step_told(context):
+    told = [line for line in _read(context) if line["message"] == "lines_dropped"]
+    assert len(told) == 1 and told[0]["details"]["count"] > 500, told
+
+
+@when("{count:d} lines of {size:d} bytes are logged as the rate allows")
+def step_slow_reader(context, count, size):
+    began = time.monotonic()
+    for _ in range(count):
+        context.handler._saved_at -= 1.0 / LINES_PER_S
+        context.handler.emit(_record("x" * size))
+    context.took = time.monotonic() - began
+
+
+@then("logging them took less than {seconds:d} s")
+def step_took(context, seconds):
+    assert context.took < seconds, context.took
+    assert context.handler.dropped > 0
+
+
+@when('an event about "{subject:Quoted}" caused by "{cause:w}" is logged')
+def step_event(context, subject, cause):
+    root = logging.getLogger()
+    before, level = root.handlers, root.level
+    root.handlers, root.level = [context.handler], logging.INFO
+    try:
+        log_event(Event(1, 0, "vm", EventKind.REQUEST_REFUSED, subject, cause, {}))
+    finally:
+        root.handlers, root.level = before, level
+
+
+@then('the line that arrives holds the subject "{subject:Quoted}" and the cause "{cause:w}"')
+def step_line(context, subject, cause):
+    (line,) = _read(context)
+    assert line["subject"] == subject and line["cause"] == cause, line
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
@@ -20,12 +20,14 @@
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
 READY_PATH = "/ready"
+METRICS_PATH = "/metrics"
 MOST_BODY_BYTES = 8 * 1024 * 1024  # bytes; a document of 20,000 routes
 OK = "200 OK"
 INVALID = "400 Bad Request"
 NOT_FOUND = "404 Not Found"
 UNAVAILABLE = "503 Service Unavailable"
 HEADERS = [("Content-Type", "application/json")]
+TEXT_HEADERS = [("Content-Type", "text/plain; version=0.0.4")]
 
 
 class ControlApi:
@@ -87,6 +89,21 @@
         return UNAVAILABLE, b"{}"
 
 
+class MetricsApi:
+    """The HTTP application that gives this VM's metrics."""
+
+    __slots__ = ("text",)
+
+    def __init__(self, text: Callable[[], bytes]) -> None:
+        self.text = text
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
+        """Answer one read."""
+        if environ["PATH_INFO"] != METRICS_PATH:
+            return _respond(start_response, NOT_FOUND, b"{}")
+        return _respond(start_response, OK, self.text(), TEXT_HEADERS)
+
+
 class ReadyApi:
     """The HTTP application that tells whether this VM takes new callers."""
 
@@ -102,8 +119,13 @@
         return _respond(start_response, OK if self.is_ready() else UNAVAILABLE, b"{}")
 
 
-def _respond(start_response: StartResponse, status: str, body: bytes) -> list[bytes]:
-    start_response(status, [*HEADERS, ("Content-Length", str(len(body)))])
+def _respond(
+    start_response: StartResponse,
+    status: str,
+    body: bytes,
+    headers: list[tuple[str, str]] = HEADERS,
+) -> list[bytes]:
+    start_response(status, [*headers, ("Content-Length", str(len(body)))])
     return [body]
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vms.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vms.py
@@ -34,12 +34,13 @@
 from .bootfile import BootFile
 from .callers import CallerServer
 from .calls import PlatformCalls
-from .control_api import ControlApi, ReadyApi
+from .control_api import ControlApi, MetricsApi, ReadyApi
 from .endpoints import WireDriver
 
 log = logging.getLogger(__name__)
 
 SECRET_VARIABLE = "GENTIANSPREAD_FLEET_SECRET"
+METRICS_PORT_VARIABLE = "GENTIANSPREAD_METRICS_PORT"
 BALANCER_NOTICE_S = 2.2  # seconds; two missed checks, a second apart, take a VM out
 STOP_CHECK_S = 0.05  # seconds between two looks at what still runs
 STOP_SHARE = 0.85  # of the time before a kill in which statements may finish
@@ -64,6 +65,8 @@
         self.driver = WireDriver(self.board, PlatformCalls(boot.calls_address, boot.name))
         self.intents = IntentRunner(self.board, self.driver, addresses, client)
         self.distribution = Distribution(self.board, self.engine.configuration, addresses, client)
+        self.metrics = SessionMetrics(self.engine)
+        self._metrics_server = _metrics_server(boot, self.metrics)
         self.stopped = Event()
         self._timer_moved = Event()
         self._file_time = _modified(boot.path)
@@ -85,6 +88,8 @@
     def start(self) -> None:
         """Begin to serve."""
         self.distribution.start()
+        if self._metrics_server is not None:
+            self._metrics_server.start()
 
     def stop(self) -> None:
         """Begin a planned stop."""
@@ -115,7 +120,6 @@
 
     def __init__(self, boot: BootFile) -> None:
         super().__init__(boot)
-        self.metrics = SessionMetrics(self.engine)
         self.runner = SessionRunner(self.board, self.driver, self.metrics)
         self.callers = CallerServer(boot.callers, self.runner)
         self._ready_server = _http_server(boot.ready, ReadyApi(self.is_ready))
@@ -182,6 +186,11 @@
             gevent.spawn_later(0.1, self.distribution.register_self)
 
 
+def _metrics_server(boot: BootFile, metrics: SessionMetrics) -> WSGIServer | None:
+    port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    return _http_server(f"{boot.address}:{port}", MetricsApi(metrics.text)) if port else None
+
+
 def _http_server(address: str, application: Any) -> WSGIServer:
     host, _, port = address.rpartition(":")
     return WSGIServer((host, int(port)), application, log=None, error_log=log, backlog=512)
