--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -30,7 +30,7 @@
 QUEUE_LIMIT = 512  # requests a group; bounds the memory of a VM under overload
 WORKSPACE_QUEUE_LIMIT = 64  # requests a workspace and group; as the ordinary preset has
 OPENING_COST_S = 0.04  # seconds; 12 to 27 ms of a slot that others wait for, and the wait
-OTHER_ZONE_COST_S = 0.003  # seconds; a round trip between zones and the price of its bytes
+OTHER_ZONE_COST_S = 0.02  # seconds; bytes between zones cost more than the round trip of 1 to 3 ms
 EVICTION_COST_S = 0.02  # seconds; another workspace's connection must be opened again
 TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
 FULL_COST_S = 0.1  # seconds; what an endpoint's queue holds up
