Bound waiting by the objective, serve the newest first under overload, adapt what runs at once

A read's attempt ends at half of its objective or five usual latencies. Ruled out: hedging, which adds load to an overloaded group. The idea that the oldest requests are the ones to drop is that of the queue's bound in 'Bounded Systems Architecture and SLO-Driven Load Control' (Salgotra, 2026), measured here by requests in their objective and not by the latency of survivors.

--- a/features/load.feature
+++ b/features/load.feature
@@ -53,3 +53,18 @@
     Given 10 sessions of "bounded" for each of 4 workspaces
     When every session sends a read every 0.2 s for 4 s
     Then at most 0.1 connections were opened for each read
+
+  Scenario: A replica that goes silent costs its readers half of their objective at most
+    Pattern: gray failure, answered by a limit for each attempt below the objective.
+    Given 6 sessions of "bounded" and 0 of "latest"
+    When "b2" goes silent
+    And every session sends a read every 0.6 s for 6 s
+    Then all reads of "bounded" were served within 0.5 s
+
+  Scenario: Nobody waits beyond the objective for an overloaded primary
+    Pattern: queue collapse, answered by refusing what cannot meet its objective.
+    Given a group with 1 slot an endpoint and 0.1 s of work a statement
+    And 40 sessions of "latest" and 0 of "bounded"
+    When every session sends a read every 0.1 s for 4 s
+    Then at least 30 reads of "latest" were served within 0.7 s
+    And reads of "latest" after 0 s were answered within 1.1 s
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -121,3 +121,33 @@
     opened = sum(item.opened for item in context.sworld.backends.values())
     served = sum(1 for _, call in context.load_calls if call.answer.refusal is None)
     assert served and opened / served <= share, opened / served
+
+
+@when('"{name:w}" goes silent')
+def step_silent(context, name):
+    context.sworld.backends[name].is_silent = True
+
+
+@given("a group with {slots:d} slot an endpoint and {work:g} s of work a statement")
+def step_slow_group(context, slots, work):
+    for backend in context.sworld.backends.values():
+        backend.slots, backend.work = slots, work
+        backend.free_at = [0.0] * slots
+
+
+@then('at least {count:d} reads of "{database:w}" were served within {seconds:g} s')
+def step_served_in_time(context, count, database, seconds):
+    served = [
+        call
+        for name, call in context.load_calls
+        if name == database and call.answer.refusal is None and _took(context, call) <= seconds
+    ]
+    assert len(served) >= count, len(served)
+
+
+@then('reads of "{database:w}" after {after:g} s were answered within {seconds:g} s')
+def step_answered(context, database, after, seconds):
+    since = context.began + after
+    calls = [call for name, call in context.load_calls if name == database]
+    took = [_took(context, call) for call in calls if call.arrived_at >= since]
+    assert took and max(took) <= seconds, max(took)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -8,7 +8,9 @@
 class Endpoint:
     """One database endpoint.
 
-    `behind_until` and `full_until` are times until which it counts as lacking newer positions, and
+    `window` is how many statements this VM runs on it at once; it was last lowered at
+    `window_cut_at`. `behind_until` and `full_until` are times until which it counts as lacking
+    newer positions, and
     as having no room for more work.
     `suspected` holds from a failure until a probe succeeds; `suspected_since` and the durations
     `lag` and `latency` are in seconds.
@@ -23,6 +25,8 @@
         "position",
         "lag",
         "latency",
+        "window",
+        "window_cut_at",
         "behind_until",
         "full_until",
         "in_use",
@@ -43,6 +47,8 @@
         self.position: Position = START
         self.lag = 0.0
         self.latency = 0.0
+        self.window = float(capacity)
+        self.window_cut_at = 0.0
         self.behind_until = 0.0
         self.full_until = 0.0
         self.in_use = 0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -260,9 +260,11 @@
 
     `route` is the one in force when the operation began. `min_position` is what a replica's log
     must hold, or none if only the primary may serve. `tried` names endpoints that did not run it.
+    Until `wait_until`, in seconds, it may wait or be tried again; an answer after the objective is
+    worth little, and waiting for it holds up others.
     """
 
-    __slots__ = ("session", "call", "route", "prepared", "min_position", "tried")
+    __slots__ = ("session", "call", "route", "prepared", "min_position", "tried", "wait_until")
 
     def __init__(
         self, number: int, kind: StatementKind, call: StatementCall, route: Any, limit: float
@@ -290,8 +292,14 @@
         self.prepared: Prepared | None = None
         self.min_position: Any = None
         self.tried: set[str] = set()
+        self.wait_until = call.arrived_at + min(limit, route.objective)
         self.waiter = call.waiter
 
+    def in_transaction(self) -> bool:
+        """Tell whether this is a statement of a transaction that has a connection."""
+        transaction = self.session.transaction
+        return transaction is not None and transaction.connection is not None
+
     def is_single_read(self) -> bool:
         """Tell whether this is a read outside any transaction."""
         return self.kind is StatementKind.READ and self.session.transaction is None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -19,7 +19,7 @@
 RETRY_PAUSE_S = 0.01  # seconds, times the number of attempts; ten round trips to an endpoint
 FULL_PAUSE_S = 0.04  # seconds, times the number of attempts; a queue of 24 empties in 0.2 s
 LONGEST_RETRY_PAUSE_S = 0.1  # seconds; a new primary is noticed within this time
-MOST_ATTEMPTS = 12  # sendings of one request; bounded by its deadline before this
+MOST_ATTEMPTS = 12  # sendings of one request; bounded by its objective before this
 
 CODES = {
     "READONLY": ErrorCode.TERM_CHANGED,
@@ -127,7 +127,7 @@
         request.tried.add(request.endpoint or "")
         if refusal.code in (ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT):
             self._refuse(request, refusal)
-        elif now + pause < request.deadline and request.attempts < MOST_ATTEMPTS:
+        elif now + pause < request.wait_until and request.attempts < MOST_ATTEMPTS:
             self.board.changes.post_at(now + pause, Topic.REQUEST_RETRIED, request)
         else:
             self._refuse(request, refusal)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -24,6 +24,8 @@
 PROBE_PURPOSE = "endpoint"
 LAGGING_CODE = "LAGGING"
 BUSY_CODE = "BUSY"
+LATE_SHARE = 0.5  # of the objective; the other half is for waiting here and for another endpoint
+WINDOW_DECREASE = 0.7  # usual for a gentle decrease; three of them make a third
 BEHIND_S = 0.25  # seconds; a replica that is behind by more is asked four times a second
 FULL_S = 0.05  # seconds; the time in which an endpoint's slots finish a few statements
 MINIMUM_CONNECTIONS = 1
@@ -82,7 +84,8 @@
             endpoint.failures = 0
             endpoint.lost_in_a_row = 0
         self._note_refusal(endpoint, reply)
-        if reply.status is ExchangeStatus.OK:
+        self._adapt_window(endpoint, request, reply)
+        if reply.status in (ExchangeStatus.OK, ExchangeStatus.LOST):
             elapsed = self.board.clock.now() - exchange.sent_at
             endpoint.latency += (elapsed - endpoint.latency) * LATENCY_SMOOTHING
         if reply.status is ExchangeStatus.OK and getattr(request, "min_position", None):
@@ -92,6 +95,25 @@
             if request.is_read():
                 endpoint.lag += (reply.age - endpoint.lag) * LAG_SMOOTHING
 
+    def _adapt_window(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
+        """Run fewer statements at once on an endpoint that answers late, and more on others.
+
+        Additive increase, multiplicative decrease; at most one decrease for the statements that
+        were under way together.
+        """
+        exchange, route = request.exchange, getattr(request, "route", None)
+        if exchange is None or route is None or reply.code == LAGGING_CODE:
+            return
+        now = self.board.clock.now()
+        is_late = now - exchange.sent_at > LATE_SHARE * route.objective
+        if is_late or reply.status is ExchangeStatus.LOST or reply.code == BUSY_CODE:
+            if exchange.sent_at >= endpoint.window_cut_at:
+                endpoint.window = max(1.0, endpoint.window * WINDOW_DECREASE)
+                endpoint.window_cut_at = now
+        elif reply.status is ExchangeStatus.OK:
+            grown = endpoint.window + 1.0 / endpoint.window
+            endpoint.window = min(float(endpoint.capacity), grown)
+
     def _note_refusal(self, endpoint: Endpoint, reply: Reply) -> None:
         """Learn from a refusal that the endpoint is behind, or has no room."""
         now = self.board.clock.now()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -37,6 +37,9 @@
 BEHIND_COST_S = 0.3  # seconds; a replica that was behind a moment ago most likely still is
 PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
 OBSERVATION_MARGIN_S = 0.05  # seconds; covers the time from the choice to the endpoint
+OVERLOAD_SHARE = 0.5  # of the objective; with the other half spent at the endpoint it is missed
+READ_PATIENCE_SHARE = 0.5  # of the objective; the other half is for another endpoint
+READ_PATIENCE_LATENCIES = 5.0  # an endpoint's usual answers; a slow one is not taken for silent
 LONGEST_CHANGE_S = 2.0  # seconds from a primary's loss to the next; after it none is expected
 SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
 
@@ -145,7 +148,9 @@
     def _may_run(self, request: SessionRequest) -> bool:
         if request.kind is StatementKind.ROLLBACK:
             return True
-        if self.board.clock.now() >= request.deadline:
+        now = self.board.clock.now()
+        is_late = now >= (request.deadline if request.in_transaction() else request.wait_until)
+        if is_late:
             request.refuse(ErrorCode.DEADLINE, "The deadline passed before dispatch.")
             return False
         return request.open_route is not None or check_key(self.board, request)
@@ -237,6 +242,9 @@
     def _connection_cost(
         self, request: SessionRequest, endpoint: Endpoint, connections: list[BackendConnection]
     ) -> float:
+        busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
+        if busy >= int(endpoint.window):
+            return float("inf")
         idle_others = 0
         for connection in connections:
             if connection.state is ConnectionState.IDLE:
@@ -282,8 +290,9 @@
         now = self.board.clock.now()
         rounds, proves_primary = steps_for(request, connection)
         number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
+        limit = self._exchange_limit(request, connection.endpoint, now)
         exchange = SessionExchange(
-            number, connection.endpoint, now, request.deadline - now, connection, evicted, rounds
+            number, connection.endpoint, now, limit, connection, evicted, rounds
         )
         exchange.proves_primary = proves_primary
         transaction = request.session.transaction
@@ -296,6 +305,15 @@
         self._note_running(request, 1)
         self.board.changes.post(Topic.EXCHANGE_ORDERED, request)
 
+    def _exchange_limit(self, request: SessionRequest, name: str, now: float) -> float:
+        """Return the seconds to wait for an answer; a read leaves time to try another endpoint."""
+        left = request.deadline - now
+        endpoint = self.board.endpoints.by_name.get(name)
+        if not request.is_single_read() or endpoint is None:
+            return left
+        patience = READ_PATIENCE_SHARE * request.route.objective
+        return min(left, max(patience, READ_PATIENCE_LATENCIES * endpoint.latency))
+
     def _keep_transaction(
         self, transaction: SessionTransaction, connection: BackendConnection, reply: Any
     ) -> None:
@@ -331,7 +349,7 @@
     def _wait(self, request: SessionRequest) -> None:
         if request.timer is None:
             request.timer = self.board.changes.post_at(
-                request.deadline, Topic.REQUEST_EXPIRED, request
+                request.wait_until, Topic.REQUEST_EXPIRED, request
             )
         if self._cannot_be_served(request):
             request.refuse(ErrorCode.NO_ENDPOINT, f"{request.group} has no primary at present.")
@@ -356,9 +374,14 @@
                 is_placed = self._serve_first(queue, workspace) or is_placed
 
     def _serve_first(self, queue: WaitingQueue, workspace: str) -> bool:
-        """Take the oldest request of a workspace out of the queue, unless it must wait on."""
+        """Take a request of a workspace out of the queue, unless it must wait on.
+
+        The oldest is next while it can meet its objective. Beyond that the newest is: those that
+        are late already would make every other one late too.
+        """
         line = queue.by_workspace[workspace]
-        request = line.popleft()
+        is_overloaded = self._has_waited_long(line[0])
+        request = line.pop() if is_overloaded else line.popleft()
         queue.length -= 1
         if request.outcome is not None or request.refusal is not None:
             return True
@@ -367,10 +390,17 @@
             return True
         if self._place(request):
             return True
-        line.appendleft(request)
+        if is_overloaded:
+            line.append(request)
+        else:
+            line.appendleft(request)
         queue.length += 1
         return False
 
+    def _has_waited_long(self, request: SessionRequest) -> bool:
+        waited = self.board.clock.now() - request.arrived_at
+        return waited > OVERLOAD_SHARE * request.route.objective
+
     def _cannot_be_served(self, request: SessionRequest) -> bool:
         """Tell whether only a primary may serve, and it has been away for longer than a change."""
         if request.min_position is not None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -90,6 +90,8 @@
         else:
             health.failures += 1
             health.is_primary = False
+            if health.failures < LOST_AFTER_FAILURES:
+                self._probe(registration)
         group = self.board.configuration.groups.get(registration.group)
         if group is not None:
             self._look_at(group)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
@@ -48,6 +48,7 @@
         self.alive = True
         self.held = False
         self.is_deaf = False
+        self.is_silent = False
         self.followers: list[FakeBackend] = []
         self.term = 1
         self.log: list[str] = []
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
@@ -256,6 +256,9 @@
             reply = SessionReply(ExchangeStatus.NOT_SENT)
             self.later(lambda: self._end_exchange(request, exchange, reply), LATENCY_S)
             return
+        if backend.is_silent:
+            self.later(lambda: self._lose_exchange(request, exchange), exchange.limit)
+            return
         now = self.clock.now()
         connection = str(exchange.connection.number)
         for evicted in exchange.evicted:
@@ -278,6 +281,12 @@
         exchange.reply = reply
         self.board.post(Topic.EXCHANGE_ENDED, request)
 
+    def _lose_exchange(self, request: SessionRequest, exchange: SessionExchange) -> None:
+        reply = SessionReply(ExchangeStatus.LOST)
+        reply.was_sent = True
+        exchange.reply = reply
+        self.board.post(Topic.EXCHANGE_ENDED, request)
+
     def _on_intent(self, intent: Any) -> None:
         if isinstance(intent, ProbeOrder):
             self.later(lambda: self._probe(intent), LATENCY_S)
@@ -289,7 +298,7 @@
 
     def _probe(self, order: ProbeOrder) -> None:
         backend = self.backends.get(order.endpoint)
-        if backend is not None and backend.alive:
+        if backend is not None and backend.alive and not backend.is_silent:
             order.alive = True
             order.is_primary = backend.is_primary
             order.position = backend.position()
