--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -30,7 +30,7 @@
 QUEUE_LIMIT = 512  # requests a group; bounds the memory of a VM under overload
 WORKSPACE_QUEUE_LIMIT = 64  # requests a workspace and group; as the ordinary preset has
 OPENING_COST_S = 0.04  # seconds; 12 to 27 ms of a slot that others wait for, and the wait
-OTHER_ZONE_COST_S = 0.02  # seconds; bytes between zones cost more than the round trip of 1 to 3 ms
+OTHER_ZONE_COST_S = 0.06  # seconds; an opening and an eviction in the own zone cost callers less
 EVICTION_COST_S = 0.02  # seconds; another workspace's connection must be opened again
 TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
 FULL_COST_S = 0.1  # seconds; what an endpoint's queue holds up
@@ -184,7 +184,8 @@
             )
             if busy:
                 latency = max(endpoint.latency, SHORTEST_WORK_S)
-                best = min(best, latency * (2.0 + waiting / busy))
+                cost = latency * (2.0 + waiting / busy) + self._zone_cost(endpoint)
+                best = min(best, cost)
         return best
 
     def _candidates(self, request: SessionRequest) -> list[Endpoint]:
@@ -224,8 +225,7 @@
         cost = self._connection_cost(request, endpoint, connections)
         busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
         cost += max(endpoint.latency, SHORTEST_WORK_S) * (busy + 1)
-        if endpoint.zone != self.board.settings.zone:
-            cost += OTHER_ZONE_COST_S
+        cost += self._zone_cost(endpoint)
         if endpoint.name in request.tried:
             cost += TRIED_COST_S
         now = self.board.clock.now()
@@ -239,6 +239,9 @@
                 cost += BEHIND_COST_S if now < endpoint.behind_until else SHORTEST_WORK_S
         return cost
 
+    def _zone_cost(self, endpoint: Endpoint) -> float:
+        return 0.0 if endpoint.zone == self.board.settings.zone else OTHER_ZONE_COST_S
+
     def _connection_cost(
         self, request: SessionRequest, endpoint: Endpoint, connections: list[BackendConnection]
     ) -> float:
