Log each decision on a request with its inputs, and repeat a release that got no answer

Cause: on-call engineers found only refused requests in the logs; a replica held by a promotion that was settled stayed held if the release was lost, and a commit needs a replica that receives. One line for each retried and each answered request, not kept in memory.

--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -38,3 +38,10 @@
     And "a" sends "WRITE x 2" and waits 1 s
     Then the last answer of "a" is a success
     And the endpoints committed 2 writes
+
+  Scenario: A replica that was held for nothing is released, though the release was lost once
+    When the endpoint "b3" crashes
+    And the primary goes silent for 2 s and the next release is lost
+    And 4 s go by
+    Then "b2" receives again
+    And nothing new was promoted
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -104,3 +104,26 @@
 @then('"{name:w}" counts as leaving')
 def step_counts_as_leaving(context, name):
     assert context.sworld.board.configuration.endpoints[name].leaving
+
+
+@when("the primary goes silent for {seconds:g} s and the next release is lost")
+def step_primary_silent(context, seconds):
+    world = context.sworld
+    backend = world.primary()
+    context.led = backend.name
+    world.lose_resumes = 1
+    backend.is_silent = True
+    world.run(seconds)
+    assert world.backends["b2"].held
+    backend.is_silent = False
+
+
+@then('"{name:w}" receives again')
+def step_receives(context, name):
+    assert not context.sworld.backends[name].held
+
+
+@then("nothing new was promoted")
+def step_same_primary(context):
+    assert context.sworld.primary().name == context.led
+    assert all(name == context.led for name, _ in context.sworld.promotions)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -23,6 +23,8 @@
     FRESHNESS_REGAINED = "freshness_regained"
     REQUEST_REFUSED = "request_refused"
     REQUEST_UNKNOWN = "request_unknown"
+    REQUEST_RETRIED = "request_retried"
+    REQUEST_ANSWERED = "request_answered"
     ENDPOINT_SUSPECTED = "endpoint_suspected"
     ENDPOINT_RECOVERED = "endpoint_recovered"
     POOL_FLUSHED = "pool_flushed"
@@ -93,6 +95,13 @@
         if self.sink is not None:
             self.sink(event)
 
+    def tell(self, kind: EventKind, subject: str, cause: str = "", **details: Any) -> None:
+        """Pass an event on to the log without keeping it, for what happens with every request."""
+        self._advance(self._wall_clock())
+        self.counts[kind] = self.counts.get(kind, 0) + 1
+        if self.sink is not None:
+            self.sink(Event(self.wall_ms, self.counter, self.member, kind, subject, cause, details))
+
     def observe(self, wall_ms: int, counter: int) -> None:
         """Move the clock past a stamp seen on a message from another VM."""
         if (wall_ms, counter) > (self.wall_ms, self.counter):
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -128,6 +128,7 @@
         if refusal.code in (ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT):
             self._refuse(request, refusal)
         elif now + pause < request.wait_until and request.attempts < MOST_ATTEMPTS:
+            self._tell(EventKind.REQUEST_RETRIED, request, refusal.code.value, refusal.message)
             self.board.changes.post_at(now + pause, Topic.REQUEST_RETRIED, request)
         else:
             self._refuse(request, refusal)
@@ -140,6 +141,8 @@
             token = token.advanced(request.group, reply.position)
         outcome = Outcome(Result.RUN, rows, 0, token, None, None, request.endpoint)
         self._complete(request, outcome)
+        if reply is not None:
+            self._tell(EventKind.REQUEST_ANSWERED, request, "ok", "")
 
     def _refuse(self, request: SessionRequest, refusal: Refusal) -> None:
         if request.outcome is not None:
@@ -148,23 +151,30 @@
         kind = EventKind.REQUEST_REFUSED
         if refusal.result is Result.UNKNOWN:
             kind = EventKind.REQUEST_UNKNOWN
+        self._tell(kind, request, refusal.code.value, refusal.message)
+
+    def _tell(self, kind: EventKind, request: SessionRequest, cause: str, message: str) -> None:
+        """Log a decision on a request with the inputs that decided it, their age and version."""
         exchange = request.exchange
         reply = exchange.reply if exchange else None
         now = self.board.clock.now()
-        self.board.timeline.record(
+        position = request.min_position
+        self.board.timeline.tell(
             kind,
             f"request {request.request_id}",
-            refusal.code.value,
+            cause,
             workspace=request.workspace,
             group=request.group,
             endpoint=request.endpoint or "",
             statement=request.kind.value,
+            session=request.session.number,
             attempts=request.attempts,
             waited_ms=round((now - request.arrived_at) * 1000),
             configuration_age_ms=self._age_ms(now),
             revision=self.board.configuration.revision,
+            min_position=f"{position.term}.{position.index}" if position else "",
             reply=reply.status.value if reply else "",
-            message=refusal.message,
+            message=message,
         )
 
     def _age_ms(self, now: float) -> int:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -31,18 +31,18 @@
 ATTEMPT_LIMIT_S = 3.0  # seconds; all rounds of an attempt with their limits
 RETRY_PAUSE_S = 0.2  # seconds between two attempts
 CATCH_UP_PAUSE_S = 0.02  # seconds; replicas are 20 ms behind
-GRANT_LIMIT_S = 1.0  # seconds; an entry of the control log commits within 20 ms
 
 
 class PromotionController:
     """Owns the promotions and the endpoints' health of groups that number their terms."""
 
-    __slots__ = ("board", "_timer", "_not_before")
+    __slots__ = ("board", "_timer", "_not_before", "_unanswered")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._timer: Any = None
         self._not_before: dict[str, float] = {}
+        self._unanswered: list[EndpointOrder] = []
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -59,6 +59,7 @@
         self.board.groups.promotions.clear()
         self.board.groups.health.clear()
         self._not_before.clear()
+        self._unanswered.clear()
         if self._leads():
             self._arm()
 
@@ -70,6 +71,7 @@
             self._probe(registration)
         for group in list(self.board.configuration.groups.values()):
             self._look_at(group)
+        self._resume_again()
         self._arm()
 
     def on_probe_ended(self, probe: ProbeOrder) -> None:
@@ -107,6 +109,8 @@
     def on_order_ended(self, order: EndpointOrder) -> None:
         """Take an endpoint's answer, or the answer to the call."""
         promotion = self.board.groups.promotions.get(order.group)
+        if promotion is None and order.kind is EndpointOrderKind.RESUME and not order.accepted:
+            self._unanswered.append(order)
         if promotion is None or promotion.fence != order.attempt:
             return
         promotion.waiting.discard(order.endpoint)
@@ -349,6 +353,26 @@
         for item in self._receivers(group):
             self._order(EndpointOrderKind.RESUME, item, promotion)
 
+    def _resume_again(self) -> None:
+        """Repeat releases that got no answer, unless a newer promotion may hold the replica."""
+        orders, self._unanswered = self._unanswered, []
+        for order in orders:
+            group = self.board.configuration.groups.get(order.group)
+            registration = self.board.configuration.endpoints.get(order.endpoint)
+            is_current = group is not None and group.granted_term == order.attempt
+            if is_current and registration is not None:
+                repeated = EndpointOrder(
+                    EndpointOrderKind.RESUME,
+                    order.endpoint,
+                    registration.address,
+                    order.group,
+                    order.term,
+                    "",
+                    ORDER_LIMIT_S,
+                    order.attempt,
+                )
+                self.board.changes.post(Topic.INTENT_POSTED, repeated)
+
     def _give_up(self, promotion: Promotion, reason: str) -> None:
         """End an attempt; the next one has a higher number and settles this one."""
         self.board.groups.promotions.pop(promotion.group, None)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
@@ -85,6 +85,7 @@
         self.backends: dict[str, FakeBackend] = {}
         self.promotions: list[tuple[str, int]] = []
         self.lose_calls = 0
+        self.lose_resumes = 0
         self.disk = FakeDisk()
         self._pending: list[Pending] = []
         self._count = 0
@@ -311,7 +312,10 @@
             self.promotions.append((order.endpoint, order.attempt))
             self.later(lambda: self._end_promotion(order), PROMOTION_S)
             return
-        if backend.alive:
+        is_lost = order.kind is EndpointOrderKind.RESUME and self.lose_resumes > 0
+        if is_lost:
+            self.lose_resumes -= 1
+        elif backend.alive:
             order.accepted = True
             order.position = backend.position()
             if order.kind is EndpointOrderKind.HOLD:
