--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,9 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core server cli lab
 
-.PHONY: test demo bench capacity soak mutants format
+SOAK_SEEDS ?= 5
+
+.PHONY: test demo platform-demo platform-soak bench capacity soak mutants format
 
 $(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/gentianspread-$(package)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -23,6 +25,12 @@
 demo: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.demo --deployment=$(DEPLOYMENT)
 
+platform-demo: $(STAMP)
+	$(BIN)/python -m gentianspread_lab.platform.demo
+
+platform-soak: $(STAMP)
+	$(BIN)/python -m gentianspread_lab.platform.soak --seed=$(SEED) --count=$(SOAK_SEEDS)
+
 bench: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.bench
 
--- /dev/null
+++ b/features/steps/explain.py
@@ -0,0 +1,57 @@
+"""Steps about explaining requests from log files."""
+
+from __future__ import annotations
+
+import json
+import os
+
+from behave import given, then, when
+from gentianspread_cli.commands import Options, explain_request
+
+
+def _line(time_ms, member, message, subject, cause, **details):
+    record = {
+        "time_ms": time_ms,
+        "member": member,
+        "message": message,
+        "subject": subject,
+        "cause": cause,
+        "details": details,
+    }
+    return "   1.0 vm " + json.dumps(record)
+
+
+def _write(context, name, lines):
+    with open(os.path.join(context.folder, name), "w", encoding="utf-8") as file:
+        file.write("\n".join(lines) + "\n")
+
+
+@given('logs of a request "{request:w}" whose primary was lost before its commit was answered')
+def step_logs(context, request):
+    unknown = _line(
+        3000, "e1", "request_unknown", f"request {request}", "outcome_unknown", group="g"
+    )
+    _write(context, "e1.log", [unknown])
+    failover = _line(2000, "c1", "failover_started", "group g", "no answer to 2 probes")
+    _write(context, "c1.log", [failover])
+
+
+@given("logs with broken lines and lines of other programs")
+def step_broken(context):
+    _write(context, "x.log", ["", "{broken", "no object", '{"message": "hello"}', "\udcff"[:0]])
+
+
+@when('"{request:w}" is explained from the logs')
+def step_explain(context, request):
+    context.lines = explain_request(None, [request, context.folder], Options()).lines
+
+
+@then('the explanation names "{first:w}" before "{second:w}"')
+def step_names(context, first, second):
+    text = "\n".join(context.lines)
+    assert 0 <= text.find(first) < text.find(second), text
+
+
+@then('the explanation is "{text:Quoted}"')
+def step_is(context, text):
+    assert context.lines == [text], context.lines
--- /dev/null
+++ b/features/steps/platform_processes.py
@@ -0,0 +1,36 @@
+"""Steps that run the platform's real programs."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+from behave import then, when
+
+RUN_LIMIT_S = 240
+
+
+def _run(context, *arguments):
+    context.ran = subprocess.run(
+        [sys.executable, "-m", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=RUN_LIMIT_S,
+        check=False,
+    )
+
+
+@when("the demo of the platform's programs runs with phases of {seconds:g} s")
+def step_demo(context, seconds):
+    _run(context, "gentianspread_lab.platform.demo", "--seconds", str(seconds))
+
+
+@when("the soak of the platform's programs runs with seed {seed:d} for {seconds:g} s")
+def step_soak(context, seed, seconds):
+    arguments = ("--seed", str(seed), "--seconds", str(seconds))
+    _run(context, "gentianspread_lab.platform.soak", *arguments)
+
+
+@then("every promise held")
+def step_held(context):
+    assert context.ran.returncode == 0, context.ran.stdout + context.ran.stderr
--- a/packages/gentianspread-cli/src/gentianspread_cli/commands.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/commands.py
@@ -12,6 +12,7 @@
 
 from .causes import explain
 from .client import OperatorClient
+from .logfiles import read_events
 from .pictures import draw_timeline
 from .views import doctor_lines, status_lines, timeline_lines
 
@@ -59,9 +60,12 @@
 
 
 class Command:
-    """One command: its words, its number of arguments, what it does."""
+    """One command: its words, its number of arguments, what it does.
 
-    __slots__ = ("words", "arguments", "help", "consequence", "run")
+    `needs_fleet` tells whether it talks to VMs, and so needs their addresses and a key.
+    """
+
+    __slots__ = ("words", "arguments", "help", "consequence", "run", "needs_fleet")
 
     def __init__(
         self,
@@ -70,7 +74,9 @@
         help_text: str,
         run: Callable[[OperatorClient, list[str], Options], Report],
         consequence: str = "",
+        needs_fleet: bool = True,
     ) -> None:
+        self.needs_fleet = needs_fleet
         self.words = words
         self.arguments = arguments
         self.help = help_text
@@ -169,6 +175,19 @@
     return Report(timeline_lines(events), events)
 
 
+def explain_request(client: OperatorClient | None, words: list[str], options: Options) -> Report:
+    """Show from collected logs what became of a request, and what led to it."""
+    events = read_events(words[1])
+    chain = explain(events, f"request {words[0]}")
+    own = [event for event in events if event["subject"] == f"request {words[0]}"]
+    shown = sorted({id(event): event for event in [*chain, *own]}.values(), key=_wall_ms)
+    return Report(timeline_lines(shown) or [f"Nothing is known of {words[0]}."], shown)
+
+
+def _wall_ms(event: dict[str, Any]) -> int:
+    return event["wall_ms"]
+
+
 def _is_wanted(event: dict[str, Any], options: Options) -> bool:
     details = event["details"]
     wanted = (
@@ -204,6 +223,13 @@
     Command("status", [], "Show the fleet at a glance.", status),
     Command("doctor", [], "Look for what is wrong and name the remedy.", doctor),
     Command("timeline", [], "Show what happened, on all VMs in order.", timeline),
+    Command(
+        "explain",
+        ["REQUEST_ID", "LOGS"],
+        "Show from a log file or folder why a request failed.",
+        explain_request,
+        needs_fleet=False,
+    ),
     Command("workspace create", ["NAME"], "Create a workspace.", create_workspace),
     Command("key give", ["WORKSPACE", "KEY_NAME"], "Give a workspace a key.", give_key),
     Command(
--- a/packages/gentianspread-cli/src/gentianspread_cli/main.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/main.py
@@ -78,7 +78,7 @@
     command, arguments = find(words)
     values = flags.FLAGS
     options = Options(**{name: values[name].value for name in Options.__slots__ if name in values})
-    client = OperatorClient(_operator_key(), _vms())
+    client = OperatorClient(_operator_key(), _vms()) if command.needs_fleet else None
     _confirm(command)
     return command.run(client, arguments, options)
 
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for the users' platform: endpoints, calls and settings for the real programs."""
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -0,0 +1,283 @@
+"""Starts the platform's real programs on loopback, with endpoints and calls stood in for."""
+
+from __future__ import annotations
+
+import logging
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+from typing import Any
+
+import gevent
+import orjson
+from gentianspread_server.connections import Connection, LostError, NotSentError
+from gevent import socket
+from gevent.pywsgi import WSGIServer
+
+from .database import Database
+from .endpoint import StandInEndpoint
+from .links import FaultyLink
+
+log = logging.getLogger(__name__)
+
+GROUP = "db1"
+ZONES = ("z1", "z2", "z3")
+HEARTBEAT_S = 0.4  # seconds between two announcements of an endpoint
+CALL_LIMIT_S = 2.0  # seconds for one call to a control VM
+START_LIMIT_S = 30.0  # seconds; a start takes half a second on an idle machine
+MAX_CONNECTIONS = 40
+STOP_LIMIT_S = 12.0  # seconds; the grace of the settings is 6
+
+
+def free_address(host: str = "127.0.0.1") -> str:
+    """Return an address whose port is free now."""
+    probe = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    probe.bind((host, 0))
+    port = probe.getsockname()[1]
+    probe.close()
+    return f"{host}:{port}"
+
+
+class PlatformFleet:
+    """Control and entry VMs as processes, three endpoints and the promotion call in this one."""
+
+    def __init__(self, entries: int = 3) -> None:
+        self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
+        self.controls = [free_address() for _ in ZONES]
+        self.entries = {f"entry-{number}": free_address() for number in range(1, entries + 1)}
+        self.ready = {name: free_address() for name in self.entries}
+        self.calls = free_address()
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        names = ["e1", "e2", "e3"]
+        self.database = Database(names)
+        self.endpoints = {
+            name: StandInEndpoint(name, GROUP, self.database, free_address()) for name in names
+        }
+        self.links = {
+            name: FaultyLink(free_address(), endpoint.address)
+            for name, endpoint in self.endpoints.items()
+        }
+        self._sequence = 0
+        self._server = WSGIServer(
+            (self.calls.partition(":")[0], int(self.calls.partition(":")[2])),
+            self._promote,
+            log=None,
+        )
+        self._stopped = False
+
+    def start(self) -> None:
+        """Start everything and return once every entry VM takes callers."""
+        self._server.start()
+        for endpoint in self.endpoints.values():
+            endpoint.start()
+        for link in self.links.values():
+            link.start()
+        for number in range(len(self.controls)):
+            self.start_control(number, is_first=True)
+        for name in self.entries:
+            self.start_entry(name)
+        gevent.spawn(self._announce)
+        self.declare(1, {"w1": ["key-1"], "w2": ["key-2"]})
+        for name in self.entries:
+            self._await_ready(name)
+
+    def start_control(self, number: int, is_first: bool = False) -> None:
+        """Start a control VM."""
+        name = f"control-{number + 1}"
+        settings = self._settings(name, ZONES[number], is_first)
+        settings["listenAddrs.control"] = self.controls[number]
+        settings["dataDir"] = os.path.join(self.folder, name)
+        self._start(name, settings)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry VM."""
+        zone = ZONES[(int(name.rpartition("-")[2]) - 1) % len(ZONES)]
+        settings = self._settings(name, zone, False)
+        settings["listenAddrs.front"] = self.entries[name]
+        settings["listenAddrs.ready"] = self.ready[name]
+        self._start(name, settings)
+
+    def restart_endpoint(self, name: str) -> None:
+        """Start a crashed endpoint with its log, or with the log of a newer primary."""
+        self.database.rejoin(name)
+        self.endpoints[name].start()
+
+    def kill(self, name: str) -> None:
+        """Kill a process of this fleet at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def terminate(self, name: str) -> int:
+        """Stop a process in the planned way and return its exit code."""
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        give_up = gevent.Timeout(STOP_LIMIT_S)
+        with give_up:
+            while process.poll() is None:
+                gevent.sleep(0.05)
+        return process.returncode
+
+    def declare(self, version: int, keys: dict[str, list[str]]) -> None:
+        """Declare routes and workspaces; repeat until it is acknowledged."""
+        document = {
+            "version": version,
+            "routes": [
+                _route("latest", "primary", None),
+                _route("bounded", "bounded_stale", 1500),
+                _route("own", "read_own", 2500),
+            ],
+            "services": [{"name": GROUP, "maxConns": MAX_CONNECTIONS, "syncReplicas": 1}],
+            "limits": {"txIdleMs": 3000},
+            "tenants": [
+                {"name": name, "apiKeys": items, "ratePerS": 2000, "burstSize": 2000}
+                for name, items in keys.items()
+            ],
+        }
+        body = orjson.dumps(document)
+        with gevent.Timeout(START_LIMIT_S):
+            while not any(self.call(item, "/Config.Replace", body) for item in self.controls):
+                gevent.sleep(0.1)
+
+    def call(self, address: str, path: str, body: bytes) -> bool:
+        """Post a body to a control VM and return whether it answered 200."""
+        connection = Connection(address)
+        head = f"POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len(body)}\r\n\r\n"
+        try:
+            connection.open(CALL_LIMIT_S)
+            return connection.request(head.encode() + body, "POST", CALL_LIMIT_S).status == 200
+        except (NotSentError, LostError) as error:
+            log.debug("no answer from %s: %s", address, error)
+            return False
+        finally:
+            connection.close()
+
+    def stop(self) -> None:
+        """End every process of this fleet and remove its folder."""
+        self._stopped = True
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+        for endpoint in self.endpoints.values():
+            endpoint.crash()
+        for link in self.links.values():
+            link.stop()
+        self._server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def last_log_line(self, name: str) -> str:
+        """Return the last line that a process wrote."""
+        with open(os.path.join(self.folder, f"{name}.log"), "rb") as file:
+            lines = file.read().splitlines()
+        return lines[-1].decode(errors="replace") if lines else "(nothing)"
+
+    def _settings(self, name: str, zone: str, is_first: bool) -> dict[str, str]:
+        settings = {
+            "nodeName": name,
+            "ip": "127.0.0.1",
+            "zone": zone,
+            "seedNodes": ",".join(self.controls),
+            "bootstrap": "true" if is_first else "false",
+            "faultTolerance.machines": "1",
+            "bounds.graceS": "6",
+            "bounds.revokeMs": "5000",
+            "cloudApi.address": self.calls,
+        }
+        settings.update({f"zones.{item}": "region" for item in ZONES})
+        return settings
+
+    def _start(self, name: str, settings: dict[str, str]) -> None:
+        path = os.path.join(self.folder, f"{name}.conf")
+        with open(path, "w", encoding="utf-8") as file:
+            file.writelines(f"{key}={value}\n" for key, value in settings.items())
+        environment = {
+            **os.environ,
+            "GENTIANSPREAD_BOOT": path,
+            "GENTIANSPREAD_FLEET_SECRET": "a-secret-of-the-stand-in",
+        }
+        with open(os.path.join(self.folder, f"{name}.log"), "ab") as output:
+            self.processes[name] = subprocess.Popen(
+                [sys.executable, "-m", "gentianspread_server.platform"],
+                env=environment,
+                stdout=output,
+                stderr=output,
+            )
+
+    def _await_ready(self, name: str) -> None:
+        address = self.ready[name]
+        host, _, port = address.rpartition(":")
+        try:
+            with gevent.Timeout(START_LIMIT_S):
+                while not _is_ready(host, int(port)):
+                    gevent.sleep(0.1)
+        except gevent.Timeout:
+            raise TimeoutError(
+                f"{name} was not ready in {START_LIMIT_S:g} s; it last wrote: "
+                f"{self.last_log_line(name)}"
+            ) from None
+
+    def _announce(self) -> None:
+        while not self._stopped:
+            self._sequence += 1
+            for name, endpoint in self.endpoints.items():
+                if self.database.copies[name].alive:
+                    self._announce_one(name, endpoint)
+            gevent.sleep(HEARTBEAT_S)
+
+    def _announce_one(self, name: str, endpoint: StandInEndpoint) -> None:
+        message = {
+            "service": GROUP,
+            "address": self.links[name].address,
+            "zone": ZONES[int(name[1:]) - 1],
+            "version": "v1",
+            "slots": 3,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "dbRole": "primary" if self.database.leads(name) else "replica",
+            "sequence": self._sequence,
+            "born": 1_700_000_000_000,
+        }
+        body = orjson.dumps(message)
+        for address in self.controls:
+            if self.call(address, f"/Instances.Heartbeat/{name}", body):
+                return
+
+    def _promote(self, environ: Any, start_response: Any) -> list[bytes]:
+        body = orjson.loads(environ["wsgi.input"].read())
+        fence = int(environ["HTTP_X_FENCE_TOKEN"])
+        is_done = self.database.promote(body["id"], fence)
+        start_response("200 OK" if is_done else "409 Conflict", [("Content-Length", "2")])
+        return [b"{}"]
+
+
+def _route(host: str, kind: str, max_age_ms: int | None) -> dict[str, Any]:
+    route = {
+        "name": f"r-{host}",
+        "host": host,
+        "pathPrefix": "/",
+        "routeType": kind,
+        "timeoutMs": 1000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": GROUP,
+    }
+    if max_age_ms is not None:
+        route["maxStalenessMs"] = max_age_ms
+    return route
+
+
+def _is_ready(host: str, port: int) -> bool:
+    connection = Connection(f"{host}:{port}")
+    try:
+        connection.open(CALL_LIMIT_S)
+        request = f"GET /ready HTTP/1.1\r\nHost: {host}\r\n\r\n".encode()
+        return connection.request(request, "GET", CALL_LIMIT_S).status == 200
+    except (NotSentError, LostError) as error:
+        log.debug("not ready yet: %s", error)
+        return False
+    finally:
+        connection.close()
