--- a/features/callers.feature
+++ b/features/callers.feature
@@ -175,3 +175,14 @@
     And "a" leaves
     Then the endpoints hold no open transaction
     And the endpoints committed 0 writes
+
+  Scenario: A key taken away while its request waits for an endpoint stops that request
+    Given the endpoints take one connection each and 0.3 s a statement
+    And a session "a" on "latest"
+    And a session "b" on "latest"
+    When "a" sends "READ x" and waits 0.05 s
+    And "b" sends "READ x" and waits 0.05 s
+    And version 3 takes the key "k1" away
+    And 1 s go by
+    Then the last answer of "b" is refused as "key_refused"
+    And 1 statements ran
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -1,3 +1,4 @@
+@processes
 Feature: The platform's real programs keep their promises as processes on loopback
   Scenario: A primary, a control VM and an entry VM are lost, and a key is withdrawn
     When the demo of the platform's programs runs with phases of 1 s
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -73,6 +73,18 @@
     context.sworld.run(seconds)
 
 
+@given("the endpoints take one connection each and {work:g} s a statement")
+def step_narrow(context, work):
+    for backend in context.sworld.backends.values():
+        backend.work = work
+    context.sworld.declare(2, max_connections=4, limit=2.0)
+
+
+@then("{count:d} statements ran")
+def step_ran(context, count):
+    assert len(_ran(context)) == count, len(_ran(context))
+
+
 @when('"{name:w}" leaves')
 def step_leaves(context, name):
     context.sworld.board.post(Topic.SESSION_CLOSED, context.sessions[name])
--- /dev/null
+++ b/features/steps/declarations.py
@@ -0,0 +1,65 @@
+"""Steps about declared configurations."""
+
+from __future__ import annotations
+
+from behave import then, when
+from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.configuration import (
+    Configuration,
+    load_snapshot,
+    to_snapshot,
+)
+from gentianspread_core.blackboard.declarations import (
+    Consistency,
+    Declaration,
+    DeclaredGroup,
+    DeclaredWorkspace,
+    Route,
+)
+from gentianspread_lab.fakes.sessionworld import GROUP
+
+
+@when('version {version:d} with the key "{key:w}" is declared')
+def step_declare(context, version, key):
+    routes = [Route("own", "own", GROUP, Consistency.OWN_WRITES, 2.5, 1.0, 0.5, 1, False)]
+    workspaces = [DeclaredWorkspace("w1", 100.0, 100.0, [key])]
+    document = f"document {version} {key}"
+    declaration = Declaration(
+        version, routes, [DeclaredGroup(GROUP, 46, True)], workspaces, 3.0, document
+    )
+    command = Command(CommandKind.DECLARE, declaration.to_record(), document)
+    context.outcomes.setdefault("declared", []).append(context.sworld.propose(command))
+    context.sworld.run(0.2)
+
+
+@then("both were accepted")
+def step_accepted(context):
+    outcomes = [items[0] for items in context.outcomes["declared"]]
+    assert len(outcomes) == 2 and all(item.accepted for item in outcomes)
+
+
+@then("version {version:d} is in force and its document is given back")
+def step_in_force(context, version):
+    declaration = context.sworld.board.configuration.declaration
+    assert declaration.version == version
+    assert declaration.document.startswith(f"document {version} ")
+
+
+@then('the key "{key:w}" opens no session')
+def step_no_session(context, key):
+    refusal = context.sworld.open("own", key).refusal
+    assert refusal is not None and refusal.code.value == "key_refused"
+
+
+@then('the key "{key:w}" opens a session')
+def step_session(context, key):
+    assert context.sworld.open("own", key).refusal is None
+
+
+@then("the state that is saved and loaded holds version {version:d} and its document")
+def step_saved(context, version):
+    loaded = Configuration()
+    load_snapshot(loaded, to_snapshot(context.sworld.board.configuration))
+    assert loaded.declaration.version == version
+    assert loaded.declaration.document == f"document {version} five"
+    assert list(loaded.keys) == ["five"]
