--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -23,34 +23,28 @@
 )
 from ..errors import ErrorCode
 from ..positions import Position, later
+from .costs import EndpointCosts
 from .keys import check_key
 from .policies import FairQueue
 from .steps import steps_for
 
 QUEUE_LIMIT = 512  # requests a group; bounds the memory of a VM under overload
 WORKSPACE_QUEUE_LIMIT = 64  # requests a workspace and group; as the ordinary preset has
-OPENING_COST_S = 0.04  # seconds; 12 to 27 ms of a slot that others wait for, and the wait
-OTHER_ZONE_COST_S = 0.06  # seconds; an opening and an eviction in the own zone cost callers less
-EVICTION_COST_S = 0.02  # seconds; another workspace's connection must be opened again
-TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
-FULL_COST_S = 0.1  # seconds; what an endpoint's queue holds up
-BEHIND_COST_S = 0.3  # seconds; a replica that was behind a moment ago most likely still is
-PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
 OBSERVATION_MARGIN_S = 0.05  # seconds; covers the time from the choice to the endpoint
 OVERLOAD_SHARE = 0.5  # of the objective; with the other half spent at the endpoint it is missed
 READ_PATIENCE_SHARE = 0.5  # of the objective; the other half is for another endpoint
 READ_PATIENCE_LATENCIES = 5.0  # an endpoint's usual answers; a slow one is not taken for silent
 LONGEST_CHANGE_S = 2.0  # seconds from a primary's loss to the next; after it none is expected
-SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
 
 
 class PlacementController:
     """Owns the connections, the queues, and the `endpoint` and `exchange` columns of requests."""
 
-    __slots__ = ("board", "_queue_policy", "_count")
+    __slots__ = ("board", "_costs", "_queue_policy", "_count")
 
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._costs = EndpointCosts(board)
         self._queue_policy = FairQueue(WORKSPACE_QUEUE_LIMIT)
         self._count = 0
 
@@ -161,33 +155,17 @@
         best: Endpoint | None = None
         best_cost = float("inf")
         for endpoint in candidates:
-            cost = self._cost(request, endpoint)
+            cost = self._costs.of(request, endpoint)
             if cost < best_cost:
                 best, best_cost = endpoint, cost
-        if best is None or self._wait_cost(request, candidates) < best_cost:
+        line = self._queue(request).by_workspace.get(request.workspace)
+        waiting = len(line) if line else 0
+        if best is None or self._costs.of_waiting(request, candidates, waiting) < best_cost:
             return False
         connection, evicted = self._take(request, best)
         self._order(request, connection, evicted)
         return True
 
-    def _wait_cost(self, request: SessionRequest, candidates: list[Endpoint]) -> float:
-        """Return the expected seconds until a connection of the workspace is free."""
-        line = self._queue(request).by_workspace.get(request.workspace)
-        waiting = len(line) if line else 0
-        best = float("inf")
-        for endpoint in candidates:
-            held = self.board.connections.of(endpoint.name)
-            busy = sum(
-                1
-                for item in held
-                if item.state is ConnectionState.BUSY and item.workspace == request.workspace
-            )
-            if busy:
-                latency = max(endpoint.latency, SHORTEST_WORK_S)
-                cost = latency * (2.0 + waiting / busy) + self._zone_cost(endpoint)
-                best = min(best, cost)
-        return best
-
     def _candidates(self, request: SessionRequest) -> list[Endpoint]:
         """Return the usable endpoints that may serve a request; the position demanded is noted."""
         request.min_position = self._min_position(request)
@@ -219,45 +197,6 @@
             return seen.position
         return later(seen.position, request.token.position(request.group))
 
-    def _cost(self, request: SessionRequest, endpoint: Endpoint) -> float:
-        """Return the expected seconds to an answer, infinite without room."""
-        connections = self.board.connections.of(endpoint.name)
-        cost = self._connection_cost(request, endpoint, connections)
-        busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
-        cost += max(endpoint.latency, SHORTEST_WORK_S) * (busy + 1)
-        cost += self._zone_cost(endpoint)
-        if endpoint.name in request.tried:
-            cost += TRIED_COST_S
-        now = self.board.clock.now()
-        if now < endpoint.full_until:
-            cost += FULL_COST_S
-        wanted = request.min_position
-        if wanted is not None:
-            if endpoint is self._primary(request.group):
-                cost += PRIMARY_READ_COST_S
-            elif not endpoint.position.reaches(wanted):
-                cost += BEHIND_COST_S if now < endpoint.behind_until else SHORTEST_WORK_S
-        return cost
-
-    def _zone_cost(self, endpoint: Endpoint) -> float:
-        return 0.0 if endpoint.zone == self.board.settings.zone else OTHER_ZONE_COST_S
-
-    def _connection_cost(
-        self, request: SessionRequest, endpoint: Endpoint, connections: list[BackendConnection]
-    ) -> float:
-        busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
-        if busy >= int(endpoint.window):
-            return float("inf")
-        idle_others = 0
-        for connection in connections:
-            if connection.state is ConnectionState.IDLE:
-                if connection.workspace == request.workspace:
-                    return 0.0
-                idle_others += 1
-        if len(connections) < endpoint.capacity:
-            return OPENING_COST_S
-        return OPENING_COST_S + EVICTION_COST_S if idle_others else float("inf")
-
     def _take(
         self, request: SessionRequest, endpoint: Endpoint
     ) -> tuple[BackendConnection, list[BackendConnection]]:
--- a/packages/gentianspread-lab/src/gentianspread_lab/slopes.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/slopes.py
@@ -14,7 +14,7 @@
 from gentianspread_core.blackboard.log import LogEntry
 from gentianspread_core.state_machine import apply_command
 from gentianspread_server.connections import head_for
-from gentianspread_server.distribution import MemberReport
+from gentianspread_server.reports import MemberReport
 
 from .client import get
 from .deployments import Deployment
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -46,7 +46,6 @@
 READONLY = "READONLY"
 FAILED_WORDS = frozenset({"FAILED", "TIMEOUT"})
 OPEN_STATE = "T"
-FAILED_STATE = "E"
 IDLE_STATE = "I"
 PEEK_BYTES = 1
 
