Send a voter that was replaced behind a cut the configuration again

Cause: a control VM that was cut off and replaced still took itself for a voter, so polls left its entries to a control log that no longer served it. It was never fresh again; its availability zone had no allocator, and entry VMs there polled across zones. Ruled out: addresses (it was reached), first grant of a restarted allocator (no start line in time). Conclusion: the VM that answers a poll tells by the voters it knows who gets entries by the log.

--- a/features/control.feature
+++ b/features/control.feature
@@ -25,6 +25,13 @@
     Then s1 votes and the lost voter does not
     And the time line tells "redundancy_whole" after "voters_changed"
 
+  Scenario: A voter that was replaced while it was cut off gets the configuration again
+    When a cut isolates a voter that does not lead
+    And 10 s pass
+    And all cuts are healed
+    And 3 s pass
+    Then the replaced voter is fresh and takes itself for none
+
   Scenario: A second voter is lost right after the repair
     When a kill ends a voter that does not lead
     And 10 s pass
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -23,7 +23,8 @@
 def step_isolate_follower(context):
     leader = context.world.leader()
     context.before = (leader.name, leader.board.election.term)
-    context.world.isolate(voter_that_follows(context))
+    context.lost = voter_that_follows(context)
+    context.world.isolate(context.lost)
 
 
 @when("a cut isolates the control leader")
@@ -130,6 +131,16 @@
     assert board.log.last_index() == 0
 
 
+@then("the replaced voter is fresh and takes itself for none")
+def step_replaced_follows(context):
+    leader = context.world.leader()
+    assert context.lost not in leader.board.log.voters, leader.board.log.voters
+    board = context.world.vms[context.lost].board
+    assert board.is_fresh()
+    assert board.configuration.revision == leader.board.configuration.revision
+    assert board.election.role is Role.OBSERVER, board.election.role
+
+
 @then("three VMs vote and all of them have every entry")
 def step_whole(context):
     leader = context.world.leader()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -113,17 +113,19 @@
             self._tell(EventKind.FRESHNESS_LOST, "no quorum confirmed the configuration in time")
 
     def catch_up(
-        self, after: int, has_log: bool = False, only_serves: bool = False
+        self, after: int, member: str, has_log: bool = False, only_serves: bool = False
     ) -> ConfigurationUpdate:
-        """Return what a VM at the given revision lacks; one with the log gets entries there.
+        """Return what a VM at the given revision lacks; a voter gets its entries by the log.
 
-        A VM that has nothing gets the state, which is shorter than all changes that led to it; one
-        that only serves callers gets what that needs.
+        A VM that takes itself for a voter, but was replaced, is sent none by the log. A VM that has
+        nothing gets the state, which is shorter than all changes that led to it; one that only
+        serves callers gets what that needs.
         """
         configuration = self.board.configuration
         entries: list[LogEntry] = []
         snapshot = None
-        if after < configuration.revision and not has_log:
+        is_replicated = has_log and self._receives_log(member)
+        if after < configuration.revision and not is_replicated:
             first = self.history[0].index if self.history else configuration.revision + 1
             if after > 0 and first <= after + 1:
                 entries = [entry for entry in self.history if entry.index > after]
@@ -135,6 +137,11 @@
             entries, snapshot, configuration.revision, configuration.confirmed_at
         )
 
+    def _receives_log(self, member: str) -> bool:
+        log, configuration = self.board.log, self.board.configuration
+        voters = configuration.voters or log.voters
+        return member in voters or member in configuration.learners or member in log.learners
+
     def _watch_freshness(self) -> None:
         bound = self.board.settings.freshness_bound
         lost_at = self.board.configuration.confirmed_at + bound
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -51,11 +51,12 @@
         voters = self.board.configuration.voters
         if voters and self._me() not in voters:
             self.board.election.barred = False
+        self.on_voters_changed(None)
 
     def on_voters_changed(self, _entry: None) -> None:
-        """Become a follower or an observer by the log's newest list of voters."""
+        """Become a follower or an observer by the newest list of voters that is known."""
         election = self.board.election
-        is_voter = self._me() in self.board.log.voters
+        is_voter = self._me() in self.board.log.voters and not self._was_replaced()
         if is_voter and election.role is Role.OBSERVER:
             election.role = Role.FOLLOWER
         elif not is_voter and election.role in (Role.FOLLOWER, Role.CANDIDATE):
@@ -94,6 +95,12 @@
         elif message.kind in (MessageKind.APPEND, MessageKind.SNAPSHOT):
             self._note_leader(message)
 
+    def _was_replaced(self) -> bool:
+        """Tell whether others committed a list of voters without this VM, which its log lacks."""
+        configuration = self.board.configuration
+        is_ahead = configuration.revision > self.board.log.commit_index
+        return is_ahead and bool(configuration.voters) and self._me() not in configuration.voters
+
     def _me(self) -> str:
         return self.board.settings.member
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
@@ -296,7 +296,10 @@
         if not sources:
             return
         source = self.randomness.choice(sources)
-        update = source.engine.configuration.catch_up(vm.board.configuration.revision)
+        has_log = vm.board.election.role is not Role.OBSERVER
+        update = source.engine.configuration.catch_up(
+            vm.board.configuration.revision, vm.name, has_log
+        )
         copy = ConfigurationUpdate(
             update.entries, update.snapshot, update.revision, update.confirmed_at
         )
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -105,7 +105,9 @@
         if self.board.configuration.revision <= after and self.board.is_fresh():
             self._changed.wait(min(message["wait_s"], POLL_WAIT_S))
         only_serves = message.get("only_serves", False)
-        update = self.configuration.catch_up(after, message.get("has_log", False), only_serves)
+        update = self.configuration.catch_up(
+            after, message["reports"][0]["name"], message.get("has_log", False), only_serves
+        )
         age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
         return {
@@ -167,7 +169,7 @@
         configuration = self.board.configuration
         names: list[str] = []
         leader = self.leader()
-        voters = self.board.log.voters or list(self.addresses.seeds)
+        voters = configuration.voters or self.board.log.voters or list(self.addresses.seeds)
         if settings.member in voters and leader is not None:
             names.append(leader)
         names += [name for name in voters if self._zone_of(name) == settings.zone]
