Promote without a replica that has ended, and keep a departure that found no leader

Cause: an endpoint that left told its end while the control leader changed; the log never learnt it, and every promotion of its group waited for it. Ruled out: leaving out whatever refuses connections, since some cuts refuse them. Change: a departure is proposed until the log has it; a leaving endpoint that refuses connections, or one whose address another endpoint has, is left out once a replica has all that the primary had after that, and a leaving one is forgotten. Each case has a scenario.

--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -13,6 +13,43 @@
     And 3 s go by
     Then nothing was promoted
 
+  Scenario: A replica that only refuses connections may live behind a cut and is waited for
+    When the endpoint "b3" crashes
+    And 1 s go by
+    And the primary crashes
+    And 3 s go by
+    Then nothing was promoted
+
+  Scenario: A replica whose address another endpoint has is left out
+    When another endpoint takes the address of "b3"
+    And 1 s go by
+    And the primary crashes
+    And 2 s go by
+    Then "b2" leads
+
+  Scenario: A replica that left and ended is left out
+    When "b3" announces with sequence 5 that it leaves
+    And the endpoint "b3" crashes
+    And 0.6 s go by
+    And the primary crashes
+    And 2 s go by
+    Then "b2" leads
+
+  Scenario: A replica that ended is waited for while the others lack what it may have confirmed
+    When the endpoint "b2" receives nothing
+    And the primary has commits that the replicas lack for 0.1 s
+    And another endpoint takes the address of "b3"
+    And 1 s go by
+    And the primary crashes
+    And 3 s go by
+    Then nothing was promoted
+
+  Scenario: An endpoint that leaves and ends without a word is forgotten
+    When "b3" announces with sequence 5 that it leaves
+    And the endpoint "b3" crashes
+    And 2 s go by
+    Then "b3" is not known any more
+
   Scenario: A call without an answer is followed by one with a higher fencing number
     When the next promotion call gets no answer
     And the primary crashes
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -18,7 +18,7 @@
 def step_poll_from_nothing(context, count):
     for version in range(2, 2 + count):
         context.sworld.declare(version)
-    context.update = context.sworld.engine.configuration.catch_up(0, only_serves=True)
+    context.update = context.sworld.engine.configuration.catch_up(0, "e1", only_serves=True)
 
 
 @then("it gets the state and not the changes")
@@ -39,7 +39,7 @@
 
 @then("a VM with a disk gets the document")
 def step_full(context):
-    update = context.sworld.engine.configuration.catch_up(0)
+    update = context.sworld.engine.configuration.catch_up(0, "s1")
     assert update.snapshot["declaration"]["document"].startswith("document")
 
 
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -31,6 +31,22 @@
     context.sworld.backends[name].alive = False
 
 
+@when('the endpoint "{name:w}" receives nothing')
+def step_endpoint_deaf(context, name):
+    context.sworld.backends[name].is_deaf = True
+
+
+@when('another endpoint takes the address of "{name:w}"')
+def step_replaced(context, name):
+    context.sworld.backends[name].alive = False
+    context.sworld.backends[name].is_replaced = True
+
+
+@then('"{name:w}" is not known any more')
+def step_not_known(context, name):
+    assert name not in context.sworld.board.configuration.endpoints
+
+
 @when('the replica "{first:w}" has received more than "{second:w}"')
 def step_received_more(context, first, second):
     context.sworld.backends[first].applied = 5
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -52,7 +52,8 @@
     """A change of primary by fenced calls, under way on the control leader; times in seconds.
 
     `fence` is the number from the control log, `held` the positions of replicas that stopped
-    receiving, `waiting` the endpoints whose answers are due, `target` the endpoint to promote.
+    receiving, `waiting` the endpoints whose answers are due, `absent` those that have ended,
+    `target` the endpoint to promote.
     `is_planned` marks a hand-over from a primary that leaves, `settles` a call that only overtakes
     earlier ones.
     """
@@ -64,6 +65,7 @@
         "phase",
         "waiting",
         "held",
+        "absent",
         "target",
         "is_planned",
         "settles",
@@ -78,6 +80,7 @@
         self.phase = "granting"
         self.waiting: set[str] = set()
         self.held: dict[str, Position] = {}
+        self.absent: set[str] = set()
         self.target: str | None = None
         self.is_planned = False
         self.settles = False
@@ -88,7 +91,8 @@
 class Health:
     """The control leader's view of an endpoint; times in seconds.
 
-    `refusals` counts the probes in a row in which it answered that it does not lead.
+    `refusals` counts the probes in a row in which it answered that it does not lead. Since
+    `gone_since` each probe told that it has ended; none if the last one did not.
     """
 
     __slots__ = (
@@ -99,6 +103,7 @@
         "is_primary",
         "answered",
         "refusals",
+        "gone_since",
     )
 
     def __init__(self) -> None:
@@ -109,6 +114,7 @@
         self.is_primary = False
         self.answered = False
         self.refusals = 0
+        self.gone_since: float | None = None
 
 
 class Groups:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -9,6 +9,17 @@
 from .messages import Message
 
 
+class Absence(Enum):
+    """Why an endpoint could not be asked, as its host answered.
+
+    Some network cuts refuse connections, so that nobody listens does not prove that it has ended;
+    that another endpoint has its address does.
+    """
+
+    NOT_LISTENING = "not listening"
+    REPLACED = "replaced"
+
+
 class WatchOrder:
     """Wait until a replica has received a position under a term; by acknowledgement."""
 
@@ -28,7 +39,8 @@
 class ProbeOrder:
     """Ask an endpoint how it is; by the endpoint, failover and promotion controllers.
 
-    `sent_at` is in seconds of the VM's clock.
+    `absence` tells what its host answered in its place, if it did; `sent_at` is in seconds of the
+    VM's clock.
     """
 
     __slots__ = (
@@ -37,6 +49,7 @@
         "limit",
         "purpose",
         "alive",
+        "absence",
         "term",
         "position",
         "is_primary",
@@ -52,6 +65,7 @@
         self.limit = limit
         self.purpose = purpose
         self.alive = False
+        self.absence: Absence | None = None
         self.term = 0
         self.position: Position | None = None
         self.is_primary = False
@@ -74,7 +88,7 @@
     """An order to one endpoint; by the failover and promotion controllers.
 
     `attempt` is the fencing number of the promotion that the order belongs to, `position` what the
-    endpoint has received.
+    endpoint has received. `absence` tells what its host answered in its place, if it did.
     """
 
     __slots__ = (
@@ -87,6 +101,7 @@
         "limit",
         "attempt",
         "accepted",
+        "absence",
         "position",
     )
 
@@ -110,6 +125,7 @@
         self.limit = limit
         self.attempt = attempt
         self.accepted = False
+        self.absence: Absence | None = None
         self.position: Position | None = None
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -2,7 +2,8 @@
 
 For groups whose endpoints number their terms themselves. A commit is acknowledged once one replica
 has it. So every replica must first stop receiving, and then the one that has received most is
-promoted: it holds whatever was acknowledged. With one replica out of reach the choice is to wait.
+promoted: it holds whatever was acknowledged. With one replica out of reach the choice is to wait,
+unless that one has certainly ended and another has all that the primary had after its end.
 A call that got no answer may still be carried out later; only a call with a higher fencing number
 settles it.
 """
@@ -17,7 +18,7 @@
 from ..blackboard.election import Role
 from ..blackboard.groups import Health, Promotion
 from ..blackboard.messages import Proposal
-from ..blackboard.outbox import EndpointOrder, EndpointOrderKind, ProbeOrder
+from ..blackboard.outbox import Absence, EndpointOrder, EndpointOrderKind, ProbeOrder
 from ..blackboard.timeline import EventKind
 from ..positions import Position
 
@@ -31,6 +32,7 @@
 ATTEMPT_LIMIT_S = 3.0  # seconds; all rounds of an attempt with their limits
 RETRY_PAUSE_S = 0.2  # seconds between two attempts
 CATCH_UP_PAUSE_S = 0.02  # seconds; replicas are 20 ms behind
+FORGET_GONE_S = 1.0  # seconds; a leaving endpoint ends once, five probes in a row tell it
 
 
 class PromotionController:
@@ -67,8 +69,9 @@
         """Probe every endpoint and move every group's promotion on."""
         if not self._leads():
             return
-        for registration in self.board.configuration.endpoints.values():
+        for registration in list(self.board.configuration.endpoints.values()):
             self._probe(registration)
+            self._forget_if_gone(registration)
         for group in list(self.board.configuration.groups.values()):
             self._look_at(group)
         self._resume_again()
@@ -89,15 +92,23 @@
             health.position = probe.position
             health.is_primary = probe.is_primary
             health.refusals = 0 if probe.is_primary else health.refusals + 1
+            health.gone_since = None
         else:
-            health.failures += 1
-            health.is_primary = False
+            self._note_failure(health, probe, registration)
             if health.failures < LOST_AFTER_FAILURES:
                 self._probe(registration)
         group = self.board.configuration.groups.get(registration.group)
         if group is not None:
             self._look_at(group)
 
+    def _note_failure(self, health: Health, probe: ProbeOrder, registration: Registration) -> None:
+        health.failures += 1
+        health.is_primary = False
+        if not _has_ended(registration, probe.absence):
+            health.gone_since = None
+        elif health.gone_since is None:
+            health.gone_since = self.board.clock.now()
+
     def on_configuration(self, _revision: int) -> None:
         """Send the first orders of a promotion once the log has granted its number."""
         for promotion in list(self.board.groups.promotions.values()):
@@ -118,11 +129,22 @@
             self._end_call(promotion, order)
         elif order.kind is EndpointOrderKind.STEP_DOWN:
             self._take_step_down(promotion, order)
-        elif order.accepted and order.position is not None:
+        else:
+            self._take_position(promotion, order)
+
+    def _take_position(self, promotion: Promotion, order: EndpointOrder) -> None:
+        """Note what a replica has received, or that it is gone."""
+        if order.accepted and order.position is not None:
             promotion.held[order.endpoint] = order.position
-            self._choose_target(promotion)
-        elif not promotion.waiting:
-            self._choose_target(promotion)
+        elif self._is_absent(order):
+            promotion.absent.add(order.endpoint)
+        elif promotion.waiting:
+            return
+        self._choose_target(promotion)
+
+    def _is_absent(self, order: EndpointOrder) -> bool:
+        registration = self.board.configuration.endpoints.get(order.endpoint)
+        return registration is None or _has_ended(registration, order.absence)
 
     def _leads(self) -> bool:
         return self.board.election.role is Role.LEADER
@@ -144,6 +166,32 @@
         )
         self.board.changes.post(Topic.INTENT_POSTED, order)
 
+    def _forget_if_gone(self, registration: Registration) -> None:
+        """Have the log forget a leaving endpoint that ended without a word."""
+        health = self.board.groups.health.get(registration.name)
+        if not registration.leaving or health is None or health.gone_since is None:
+            return
+        if self.board.clock.now() - health.gone_since < FORGET_GONE_S:
+            return
+        others = [
+            self.board.groups.health[item.name].position
+            for item in self._members(registration.group)
+            if item.name != registration.name and self._is_healthy(item.name)
+        ]
+        if self._has_all_since(registration.group, health.gone_since, others):
+            fields = {"name": registration.name, "incarnation": registration.incarnation}
+            self._propose(CommandKind.ENDPOINT_GONE, fields)
+
+    def _has_all_since(self, group: str, since: float, held: list[Position | None]) -> bool:
+        """Tell whether a replica has all that the primary had at some moment after a time.
+
+        Whatever an endpoint that ended before then has confirmed, that replica has as well.
+        """
+        seen = self.board.observations.covering(group, since)
+        if seen is None:
+            return False
+        return any(item is not None and item.reaches(seen.position) for item in held)
+
     def _look_at(self, group: Group) -> None:
         """Begin, repeat or give up a promotion as the endpoints' health demands."""
         if not group.counts_own_terms or not self.board.is_fresh():
@@ -280,7 +328,7 @@
         group = self.board.configuration.groups[promotion.group]
         if promotion.phase == "holding":
             missing = [item for item in self._receivers(group) if item.name not in promotion.held]
-            if not missing and promotion.held:
+            if promotion.held and self._may_leave_out(promotion, missing):
                 self._call(promotion, self._most_advanced(promotion))
             elif not promotion.waiting:
                 self._give_up(promotion, f"{len(missing)} replicas did not answer")
@@ -290,6 +338,18 @@
                     self._call(promotion, name)
                     return
 
+    def _may_leave_out(self, promotion: Promotion, missing: list[Registration]) -> bool:
+        """Tell whether the replicas that were not heard of cannot hold an acknowledged commit."""
+        held = list(promotion.held.values())
+        for item in missing:
+            health = self.board.groups.health.get(item.name)
+            gone_since = health.gone_since if health else None
+            if item.name not in promotion.absent or gone_since is None:
+                return False
+            if not self._has_all_since(promotion.group, gone_since, held):
+                return False
+        return True
+
     def _most_advanced(self, promotion: Promotion) -> str:
         """Return the endpoint that received most; among equals one that stays."""
         best = next(iter(promotion.held))
@@ -416,5 +476,12 @@
         self.board.changes.post(Topic.PROPOSED, proposal)
 
 
+def _has_ended(registration: Registration, absence: Absence | None) -> bool:
+    """Tell whether an endpoint's absence proves that it ended; one that leaves is expected to."""
+    if absence is Absence.REPLACED:
+        return True
+    return absence is Absence.NOT_LISTENING and registration.leaving
+
+
 def _ignore_outcome(outcome: ChangeOutcome | None) -> None:
     """Leave the outcome to the next look at the configuration."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
@@ -46,6 +46,7 @@
         self.opening = 0.012
         self.is_primary = False
         self.alive = True
+        self.is_replaced = False
         self.held = False
         self.is_deaf = False
         self.is_silent = False
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
@@ -18,6 +18,7 @@
 )
 from gentianspread_core.blackboard.messages import Proposal
 from gentianspread_core.blackboard.outbox import (
+    Absence,
     ConnectionClose,
     EndpointOrder,
     EndpointOrderKind,
@@ -304,8 +305,15 @@
             order.is_primary = backend.is_primary
             order.position = backend.position()
             order.sent_at = self.clock.now()
+        order.absence = self._absence(order.endpoint)
         self.board.post(Topic.PROBE_ENDED, order)
 
+    def _absence(self, name: str) -> Absence | None:
+        backend = self.backends[name]
+        if backend.alive:
+            return None
+        return Absence.REPLACED if backend.is_replaced else Absence.NOT_LISTENING
+
     def _order(self, order: EndpointOrder) -> None:
         backend = self.backends[order.endpoint]
         if order.kind is EndpointOrderKind.PROMOTE:
@@ -315,7 +323,9 @@
         is_lost = order.kind is EndpointOrderKind.RESUME and self.lose_resumes > 0
         if is_lost:
             self.lose_resumes -= 1
-        elif backend.alive:
+        elif not backend.alive:
+            order.absence = self._absence(order.endpoint)
+        else:
             order.accepted = True
             order.position = backend.position()
             if order.kind is EndpointOrderKind.HOLD:
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -16,6 +16,8 @@
 
 log = logging.getLogger(__name__)
 
+DEPARTURE_PAUSE_S = 0.5  # seconds between two proposals of a departure
+DEPARTURE_LIMIT_S = 30.0  # seconds; by then the endpoint's silence has told the control leader
 REGISTRATION_LIMIT_S = 0.7  # seconds; endpoints wait 1 s before they turn to another VM
 ANNOUNCEMENT_SCHEMA = {
     "type": "object",
@@ -47,12 +49,13 @@
 class Announcements:
     """Has the control log know each endpoint as it last announced itself."""
 
-    __slots__ = ("board", "proposer", "_pending")
+    __slots__ = ("board", "proposer", "_pending", "_departing")
 
     def __init__(self, board: Board, proposer: Proposer) -> None:
         self.board = board
         self.proposer = proposer
         self._pending: set[str] = set()
+        self._departing: set[str] = set()
 
     def take(self, message: dict[str, Any]) -> None:
         """Check an announcement; propose it if it tells something new."""
@@ -84,7 +87,22 @@
         if known is None:
             return True
         fields = {"name": name, "incarnation": incarnation or known.incarnation}
-        return self._propose_now(Command(CommandKind.ENDPOINT_GONE, fields), name)
+        command = Command(CommandKind.ENDPOINT_GONE, fields)
+        if self._propose_now(command, name):
+            return True
+        if name not in self._departing:
+            self._departing.add(name)
+            gevent.spawn(self._forget_later, command, name)
+        return False
+
+    def _forget_later(self, command: Command, name: str) -> None:
+        """Propose a departure until the log has it: the endpoint may not tell it again."""
+        give_up_at = self.board.clock.now() + DEPARTURE_LIMIT_S
+        while name in self.board.configuration.endpoints:
+            gevent.sleep(DEPARTURE_PAUSE_S)
+            if self._propose_now(command, name) or self.board.clock.now() > give_up_at:
+                break
+        self._departing.discard(name)
 
     def _propose_now(self, command: Command, name: str) -> bool:
         try:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -8,6 +8,7 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.connections import BackendConnection
 from gentianspread_core.blackboard.outbox import (
+    Absence,
     ConnectionClose,
     EndpointOrder,
     EndpointOrderKind,
@@ -44,6 +45,7 @@
 CONNECT_LIMIT_S = 0.6  # seconds; a connection opens in 1 ms and its slot is free within 60 ms
 CLEANUP_LIMIT_S = 0.2  # seconds for a rollback after a failed statement; it takes 1 ms
 READONLY = "READONLY"
+WRONG_ENDPOINT = "WRONGNODE"
 FAILED_WORDS = frozenset({"FAILED", "TIMEOUT"})
 OPEN_STATE = "T"
 IDLE_STATE = "I"
@@ -53,9 +55,10 @@
 class NotOpenedError(Exception):
     """No connection could be opened; `word` is the endpoint's refusal, or empty."""
 
-    def __init__(self, word: str, message: str) -> None:
+    def __init__(self, word: str, message: str, absence: Absence | None = None) -> None:
         super().__init__(message)
         self.word = word
+        self.absence = Absence.REPLACED if word == WRONG_ENDPOINT else absence
 
 
 class WireDriver:
@@ -99,7 +102,10 @@
                 self._probe(order)
         except gevent.Timeout:
             log.debug("probe of %s got no answer", order.endpoint)
-        except (OSError, ProtocolError, NotOpenedError) as error:
+        except NotOpenedError as error:
+            order.absence = error.absence
+            log.debug("probe of %s: %s", order.endpoint, error)
+        except (OSError, ProtocolError) as error:
             log.debug("probe of %s: %s", order.endpoint, error)
         finally:
             if not order.alive:
@@ -217,6 +223,8 @@
         host, _, port = address.rpartition(":")
         try:
             connected = socket.create_connection((host, int(port)), timeout=CONNECT_LIMIT_S)
+        except ConnectionRefusedError as error:
+            raise NotOpenedError("", str(error), Absence.NOT_LISTENING) from error
         except (OSError, ValueError) as error:
             raise NotOpenedError("", str(error)) from error
         lines = LineSocket(connected)
@@ -286,7 +294,10 @@
             self._take_order(order, answer)
         except gevent.Timeout:
             log.warning("%s got no answer from %s", order.kind.value, order.endpoint)
-        except (OSError, ProtocolError, NotOpenedError) as error:
+        except NotOpenedError as error:
+            order.absence = error.absence
+            log.warning("%s to %s: %s", order.kind.value, order.endpoint, error)
+        except (OSError, ProtocolError) as error:
             log.warning("%s to %s: %s", order.kind.value, order.endpoint, error)
         finally:
             if lines is not None:
