Share a rate by use while no allocator answers, and refuse at once what no allocator can grant

Cause: with all control VMs without power, each entry VM went by rate / VMs, a tenth of a request a second, and held requests for up to 1.5 s before it refused them. Parts of small rates lost tokens by rounding: at 5 a second each of four availability zones gathers one token. Ruled out: suspected allocators alone (all four answered nothing within 0.6 s). Change: a VM's part is what it used of late; buckets do not fill for a time in which no VM was heard of; half of the platform's tolerance covers the division over zones, the other half outages; an allocator tells when it will have a token, so requests wait only for one that comes in time.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -41,6 +41,31 @@
     And every VM sends 100 reads of "small" at once, 1 times, 0 s apart
     Then at most rate and burst of "small" were permitted in any window
 
+  Scenario: VMs that reach no allocator go on at the rate that they used
+    Given rates may be exceeded by 0.1 and 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 20 and o2 sends 2 reads of "small" a second for 12 s
+    And the VMs that serve callers reach no allocator
+    And o1 sends 20 and o2 sends 2 reads of "small" a second for 1.8 s
+    Then at least 0.75 of the last reads ran
+
+  Scenario: The rate is kept while no allocator is reached, and afterwards
+    Given rates may be exceeded by 0.1 and 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 200 and o2 sends 200 reads of "small" a second for 12 s
+    And the VMs that serve callers reach no allocator
+    And o1 sends 200 and o2 sends 200 reads of "small" a second for 1.8 s
+    And all cuts are healed
+    And o1 sends 200 and o2 sends 200 reads of "small" a second for 6 s
+    Then no window of 5 s had more of "small" than may be exceeded
+
+  Scenario: A workspace that is within its rate is served though its parts are small
+    Given rates may be exceeded by 0.1 and 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 5 and burst 5 exists
+    And 4 s pass
+    And o1 sends 2 and o2 sends 2 reads of "small" a second for 10 s
+    Then at least 1 of the last reads ran
+
   Scenario: Two allocators of one zone never grant at the same time
     When a workspace "small" with rate 300 and burst 100 exists
     And 3 s pass
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
-from behave import then, when
+from behave import given, then, when
 from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.requests import StatementKind
 from gentianspread_core.errors import ErrorCode
+from gentianspread_core.settings import RateTolerance
 from gentianspread_lab.fakes.world import KEY_HASH
 from support import create_workspace, watch_permits
 
+REFILL_S = 0.05
+
 
 def key_of(workspace):
     return KEY_HASH if workspace == "w" else f"key-{workspace}"
@@ -59,6 +62,64 @@
     send_reads(context, context.world.vms[vm], "w", second)
 
 
+@given(
+    "rates may be exceeded by {share:g} and {count:g} requests in {window:g} s, "
+    "and {serving:d} VMs serve callers"
+)
+def step_tolerance(context, share, count, window, serving):
+    context.tolerance = RateTolerance(window, share, count)
+    for vm in context.world.vms.values():
+        vm.settings.tolerance = context.tolerance
+        vm.board.members.entries = serving
+
+
+@when(
+    "{first:w} sends {one:d} and {second:w} sends {two:d} reads "
+    'of "{name:w}" a second for {seconds:g} s'
+)
+def step_rates(context, first, one, second, two, name, seconds):
+    context.sent = []
+    rates = {first: one, second: two}
+    sent = dict.fromkeys(rates, 0)
+    steps = round(seconds / REFILL_S)
+    for number in range(1, steps + 1):
+        for vm, rate in rates.items():
+            due = int(rate * number * REFILL_S) - sent[vm]
+            send_reads(context, context.world.vms[vm], name, due)
+            sent[vm] += due
+        context.world.run(REFILL_S)
+
+
+@when("the VMs that serve callers reach no allocator")
+def step_no_allocator_reached(context):
+    world = context.world
+    for name in ("o1", "o2"):
+        for other in world.vms:
+            if not other.startswith("o"):
+                world.separate(name, other)
+
+
+@then("at least {share:g} of the last reads ran")
+def step_share_ran(context, share):
+    context.world.run(0.5)
+    ran = sum(1 for item in context.sent if item.outcome and not item.outcome.refusal)
+    assert ran >= share * len(context.sent), (ran, len(context.sent))
+
+
+@then('no window of {window:g} s had more of "{name:w}" than may be exceeded')
+def step_window_kept(context, window, name):
+    rate, burst = context.limit
+    tolerance = context.tolerance
+    most = (rate * window + burst) * (1 + tolerance.share) + tolerance.count
+    moments = sorted(moment for moment, workspace in context.permits if workspace == name)
+    assert moments
+    first = 0
+    for last, moment in enumerate(moments):
+        while moments[first] <= moment - window:
+            first += 1
+        assert last - first + 1 <= most, (last - first + 1, most)
+
+
 @when("the allocator of one zone is killed")
 def step_kill_allocator(context):
     leader = context.world.leader()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -24,6 +24,7 @@
     EXCHANGE_ORDERED = auto()
     EXCHANGE_ENDED = auto()
     WATCH_ENDED = auto()
+    POLLED = auto()
     TOKENS_ARRIVED = auto()
     TOKENS_ASKED = auto()
     TOKENS_DUE = auto()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
@@ -26,6 +26,8 @@
 
 CALLER_KINDS = tuple(kind for kind in StatementKind if kind is not StatementKind.RECALL)
 NEVER_RUNS = -1
+CERTAIN_PATIENCE_S = 1.0  # seconds; a third of the usual deadline
+TOKEN_PATIENCE_S = 0.25  # seconds; a rate of 4 a second gives one token in it
 
 
 class ExchangeStatus(Enum):
@@ -199,6 +201,13 @@
         """Record why the request is not carried out."""
         self.refusal = Refusal(code, message, result)
 
+    def token_patience(self, is_certain: bool = False) -> float:
+        """Return the seconds to wait for a token of the workspace's rate.
+
+        `is_certain` holds where it is known that there will be one.
+        """
+        return CERTAIN_PATIENCE_S if is_certain else TOKEN_PATIENCE_S
+
     def is_read(self) -> bool:
         """Tell whether any up-to-date endpoint may serve the request."""
         return self.kind is StatementKind.READ and self.transaction is None
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -10,6 +10,9 @@
 from .connections import BackendConnection
 from .requests import Exchange, Reply, Request, StatementKind
 
+CERTAIN_PATIENCE_SHARE = 0.75  # of the objective; statements usually take a tenth of it
+TOKEN_PATIENCE_SHARE = 0.25  # of the objective
+
 
 class Verb(Enum):
     """What a caller asks of its session."""
@@ -300,6 +303,11 @@
         transaction = self.session.transaction
         return transaction is not None and transaction.connection is not None
 
+    def token_patience(self, is_certain: bool = False) -> float:
+        """Return the seconds to wait for a token; the rest of the objective is for the endpoint."""
+        share = CERTAIN_PATIENCE_SHARE if is_certain else TOKEN_PATIENCE_SHARE
+        return share * self.route.objective
+
     def is_single_read(self) -> bool:
         """Tell whether this is a read outside any transaction."""
         return self.kind is StatementKind.READ and self.session.transaction is None
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/shares.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/shares.py
@@ -5,10 +5,13 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 from .requests import Request
 
+METER_S = 10.0  # seconds that a meter averages over; ten times what a burst usually holds
+
 
 class Bucket:
     """One availability zone's part of a workspace's rate and burst, held by its allocator.
@@ -36,24 +39,54 @@
         self.tokens -= taken
         return taken
 
+    def next_token(self, number: int = 1) -> float:
+        """Return the seconds until a number of whole tokens came, infinite without a part."""
+        if self.rate <= 0.0 or self.capacity < 1.0:
+            return math.inf
+        return max(0.0, number - self.tokens) / self.rate
+
+    def skip(self, now: float) -> None:
+        """Leave out the time since the last refill: others may have spent what it would give."""
+        self.filled_at = max(self.filled_at, now)
+
+
+class Meter:
+    """How much is used a second, averaged over the last `METER_S` seconds; times in seconds."""
+
+    __slots__ = ("level", "noted_at")
+
+    def __init__(self) -> None:
+        self.level = 0.0
+        self.noted_at = 0.0
+
+    def note(self, now: float) -> None:
+        """Count one use."""
+        self.level = self.rate(now) + 1.0 / METER_S
+        self.noted_at = now
+
+    def rate(self, now: float) -> float:
+        """Return the uses a second."""
+        return self.level * math.exp((self.noted_at - now) / METER_S)
+
 
 class HeldTokens:
     """Tokens this VM may spend on one workspace until they expire, and who waits for more.
 
     `answered` tells whether any allocator answered in this round of asking; while none does, the
-    VM takes its equal part of the rate from `fallback`. Until `empty_until`, in seconds, every
-    allocator is known to have nothing.
+    VM takes its part of the rate from `fallback`. `empty_until` gives for a zone the time, in
+    seconds, until which its allocator is known to have nothing. `meter` counts what allocators
+    permitted.
     """
 
     __slots__ = (
         "answered",
         "fallback",
         "empty_until",
+        "meter",
         "count",
         "expires_at",
         "waiting",
         "asking",
-        "unsure",
         "zones_left",
         "used",
         "used_since",
@@ -62,21 +95,34 @@
     def __init__(self) -> None:
         self.answered = False
         self.fallback: Bucket | None = None
-        self.empty_until = 0.0
+        self.empty_until: dict[str, float] = {}
+        self.meter = Meter()
         self.count = 0
         self.expires_at = 0.0
         self.waiting: deque[Request] = deque()
         self.asking = False
-        self.unsure = False
         self.zones_left: list[str] = []
         self.used = 0
         self.used_since = 0.0
 
 
 class TokenAsk:
-    """A VM's ask for tokens of a workspace; answered by the zone's allocator."""
+    """A VM's ask for tokens of a workspace; answered by the zone's allocator.
 
-    __slots__ = ("workspace", "zone", "member", "wanted", "sent_at", "local", "granted", "answered")
+    `next_token` is in how many seconds the allocator will have one more.
+    """
+
+    __slots__ = (
+        "workspace",
+        "zone",
+        "member",
+        "wanted",
+        "sent_at",
+        "local",
+        "granted",
+        "answered",
+        "next_token",
+    )
 
     def __init__(self, workspace: str, zone: str, member: str, wanted: int, sent_at: float) -> None:
         self.workspace = workspace
@@ -87,17 +133,30 @@
         self.local = False
         self.granted = 0
         self.answered = False
+        self.next_token = 0.0
+
+
+class Suspicion:
+    """An allocator that did not answer; it is not asked before `until`, in seconds."""
+
+    __slots__ = ("failures", "until")
+
+    def __init__(self) -> None:
+        self.failures = 0
+        self.until = 0.0
 
 
 class Shares:
     """Buckets by workspace (on an allocator) and held tokens by workspace (on every VM).
 
-    `suspected` gives for a zone the time, in seconds, until which its allocator is not asked.
+    `suspected` gives the suspicion of a zone's allocator. `granted_since` is when an allocator
+    first permitted this VM anything, in seconds.
     """
 
-    __slots__ = ("buckets", "held", "suspected")
+    __slots__ = ("buckets", "held", "suspected", "granted_since")
 
     def __init__(self) -> None:
         self.buckets: dict[str, Bucket] = {}
         self.held: dict[str, HeldTokens] = {}
-        self.suspected: dict[str, float] = {}
+        self.suspected: dict[str, Suspicion] = {}
+        self.granted_since: float | None = None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -12,8 +12,10 @@
 from ..blackboard import Board, Topic
 from ..blackboard.configuration import Workspace
 from ..blackboard.shares import Bucket, TokenAsk
+from ..settings import RateTolerance
 
 MINIMUM_CAPACITY = 1.0
+SILENCE_S = 0.7  # seconds without a poll; VMs poll at least twice in it
 
 
 class BucketPart:
@@ -27,34 +29,42 @@
 
     @classmethod
     def from_workspace(
-        cls, workspace: Workspace, zone: str, zones: list[str], hold: float
+        cls,
+        workspace: Workspace,
+        zone: str,
+        zones: list[str],
+        hold: float,
+        tolerance: RateTolerance,
     ) -> BucketPart:
         """Divide a workspace over the zones; `hold` is how long VMs keep tokens, in seconds.
 
         Tokens on their way count against the burst, so `rate * hold` is kept back. Only as many
         zones hold a part as get a capacity of one whole token.
         """
-        usable = workspace.burst - workspace.rate * hold
+        rate, burst = tolerance.rate(workspace.rate), tolerance.burst(workspace.burst)
+        usable = burst - rate * hold
         holders = max(1, min(len(zones), int(usable / MINIMUM_CAPACITY)))
         if zone not in sorted(zones)[:holders]:
             return cls(0.0, 0.0)
-        return cls(workspace.rate / holders, usable / holders)
+        return cls(rate / holders, usable / holders)
 
 
 class AllocatorController:
     """Owns the buckets."""
 
-    __slots__ = ("board", "_epoch", "_first_grant")
+    __slots__ = ("board", "_epoch", "_first_grant", "_heard_at")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._epoch = 0
         self._first_grant = float("inf")
+        self._heard_at = float("inf")
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
         return {
             Topic.TOKENS_ASKED: self.on_asked,
+            Topic.POLLED: self.on_polled,
             Topic.CONFIGURATION_CHANGED: self.on_configuration,
         }
 
@@ -72,12 +82,26 @@
         for workspace in self.board.configuration.workspaces.values():
             self._bucket(workspace, allocator.epoch)
 
+    def on_polled(self, _entry: None) -> None:
+        """Let no bucket fill for a time in which no VM was heard of.
+
+        VMs that reach no allocator spend their part of the rate on their own.
+        """
+        now = self.board.clock.now()
+        if self.board.members.entries and now - self._heard_at > SILENCE_S:
+            for bucket in self.board.shares.buckets.values():
+                bucket.skip(now)
+        self._heard_at = now
+
     def on_asked(self, ask: TokenAsk) -> None:
         """Grant what the bucket holds; leave the ask unanswered if this VM may not grant now."""
+        if not ask.local:
+            self.on_polled(None)
         workspace = self.board.configuration.workspaces.get(ask.workspace)
         if workspace is not None and self._may_grant():
             bucket = self._bucket(workspace, self._epoch)
             ask.granted = bucket.take(ask.wanted, self.board.clock.now())
+            ask.next_token = bucket.next_token()
             ask.answered = True
         if ask.local:
             self.board.changes.post(Topic.TOKENS_ARRIVED, ask)
@@ -102,7 +126,7 @@
     def _part(self, workspace: Workspace) -> BucketPart:
         settings = self.board.settings
         return BucketPart.from_workspace(
-            workspace, settings.zone, settings.zones, settings.token_hold
+            workspace, settings.zone, settings.zones, settings.token_hold, settings.tolerance
         )
 
     def _new_bucket(self, workspace: Workspace, epoch: int) -> Bucket:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -9,17 +9,18 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
+from ..blackboard.configuration import Workspace
 from ..blackboard.requests import Request
-from ..blackboard.shares import Bucket, HeldTokens, TokenAsk
+from ..blackboard.shares import METER_S, Bucket, HeldTokens, Suspicion, TokenAsk
 from ..errors import ErrorCode
 from ..interfaces import Randomness
 
 RATE_WINDOW_S = 1.0
-ALLOCATOR_SUSPICION_S = 0.3
+FIRST_SUSPICION_S = 0.3  # seconds; an allocator that restarts is back within a second
+LONGEST_SUSPICION_S = 2.0  # seconds; one ask in it finds out whether the allocator is back
 ASK_AGAIN_S = 0.05
-EMPTY_PAUSE_S = 0.05  # seconds; bounds the asks of a workspace that sends far beyond its rate
 FALLBACK_BURST_SHARE = 0.25  # of the burst; with the allocators' own it stays within the overage
-UNSURE_WAIT_S = 1.5
+FALLBACK_SHARE = 0.9  # of the rate that this VM used; the rest covers what a window overlaps
 MOST_WAITING = 256
 
 
@@ -48,10 +49,11 @@
         held = self._held(request.workspace)
         now = self.board.clock.now()
         if held.count > 0 and now < held.expires_at and not held.waiting:
+            self._note_granted(held, now)
             self._permit(held, request)
             self._ask_ahead(held, request.workspace, now)
             return
-        if now < held.empty_until:
+        if not self._may_gain(held, request, now):
             self._refuse_limited(request)
             return
         if len(held.waiting) >= MOST_WAITING:
@@ -65,13 +67,7 @@
         """Spend the tokens that an allocator granted; ask the next zone for what lacks."""
         held = self._held(ask.workspace)
         now = self.board.clock.now()
-        if ask.answered:
-            held.answered = True
-        else:
-            held.unsure = True
-            self.board.shares.suspected[ask.zone] = now + ALLOCATOR_SUSPICION_S
-        if ask.granted >= ask.wanted:
-            held.zones_left.append(ask.zone)
+        self._note_answer(held, ask, now)
         self._credit(held, ask, now)
         self._serve_waiting(held)
         if held.waiting and self._ask_next(held, ask.workspace):
@@ -92,6 +88,21 @@
             self.board.shares.held[workspace] = held
         return held
 
+    def _note_answer(self, held: HeldTokens, ask: TokenAsk, now: float) -> None:
+        """Learn whether the zone's allocator answers, and when it will have tokens."""
+        if not ask.answered:
+            suspicion = self.board.shares.suspected.setdefault(ask.zone, Suspicion())
+            pause = FIRST_SUSPICION_S * 2**suspicion.failures
+            suspicion.failures += 1
+            suspicion.until = now + min(LONGEST_SUSPICION_S, pause)
+            return
+        self.board.shares.suspected.pop(ask.zone, None)
+        held.answered = True
+        if ask.granted >= ask.wanted:
+            held.zones_left.append(ask.zone)
+        else:
+            held.empty_until[ask.zone] = now + ask.next_token
+
     def _permit(self, held: HeldTokens, request: Request) -> None:
         held.count -= 1
         held.used += 1
@@ -100,10 +111,7 @@
 
     def _credit(self, held: HeldTokens, ask: TokenAsk, now: float) -> None:
         expires_at = ask.sent_at + self.board.settings.token_hold
-        if ask.granted == 0:
-            return
-        if now >= expires_at:
-            held.unsure = True
+        if ask.granted == 0 or now >= expires_at:
             return
         if now >= held.expires_at:
             held.count = 0
@@ -115,13 +123,19 @@
         while held.waiting and held.count > 0 and now < held.expires_at:
             request = held.waiting.popleft()
             if now < request.deadline:
+                self._note_granted(held, now)
                 self._permit(held, request)
             else:
                 self._refuse(request, ErrorCode.DEADLINE, "The deadline passed in the queue.")
 
+    def _note_granted(self, held: HeldTokens, now: float) -> None:
+        """Remember what allocators let this VM use."""
+        held.meter.note(now)
+        if self.board.shares.granted_since is None:
+            self.board.shares.granted_since = now
+
     def _begin_asking(self, held: HeldTokens, workspace: str) -> None:
         held.asking = True
-        held.unsure = False
         held.answered = False
         held.zones_left = self._zones_by_nearness()
         if not self._ask_next(held, workspace):
@@ -140,8 +154,10 @@
         while held.zones_left:
             zone = held.zones_left.pop()
             allocator = self.board.configuration.allocators.get(zone)
-            if allocator is None or now < self.board.shares.suspected.get(zone, 0.0):
-                held.unsure = True
+            if allocator is None or self._is_suspected(zone, now):
+                continue
+            if now < held.empty_until.get(zone, 0.0):
+                held.answered = True
                 continue
             wanted = max(1, len(held.waiting)) + self._ahead(held, now)
             ask = TokenAsk(workspace, zone, allocator.member, wanted, now)
@@ -149,6 +165,24 @@
             return True
         return False
 
+    def _is_suspected(self, zone: str, now: float) -> bool:
+        """Tell whether a zone is not to be asked; one ask at a time tries it again."""
+        suspicion = self.board.shares.suspected.get(zone)
+        if suspicion is None:
+            return False
+        if now >= suspicion.until:
+            suspicion.until = now + FIRST_SUSPICION_S
+            return False
+        return True
+
+    def _may_gain(self, held: HeldTokens, request: Request, now: float) -> bool:
+        """Tell whether any allocator, or this VM's own part, may have a token in time."""
+        zones = self.board.configuration.allocators
+        if not zones or request.transaction is not None:
+            return True
+        limit = request.arrived_at + request.token_patience()
+        return any(held.empty_until.get(zone, 0.0) <= limit for zone in zones)
+
     def _send(self, ask: TokenAsk) -> None:
         if ask.member == self.board.settings.member:
             ask.local = True
@@ -178,8 +212,6 @@
         waiting = list(held.waiting)
         held.waiting.clear()
         now = self.board.clock.now()
-        if held.answered and not held.unsure and waiting:
-            held.empty_until = now + EMPTY_PAUSE_S
         for request in waiting:
             if not held.answered and self._take_fallback(held, workspace, now):
                 self._permit(held, request)
@@ -188,18 +220,28 @@
             else:
                 self._refuse_limited(request)
         if held.waiting:
-            self.board.changes.post_at(now + ASK_AGAIN_S, Topic.TOKENS_DUE, workspace)
+            due = now + max(ASK_AGAIN_S, self._next_token(held, 1, now))
+            self.board.changes.post_at(due, Topic.TOKENS_DUE, workspace)
+
+    def _next_token(self, held: HeldTokens, number: int, now: float) -> float:
+        """Return the seconds until an allocator, or this VM's own part, may have tokens."""
+        if not held.answered and held.fallback is not None:
+            return held.fallback.next_token(number)
+        zones = self.board.configuration.allocators
+        return min((held.empty_until.get(zone, 0.0) - now for zone in zones), default=0.0)
 
     def _may_wait(self, held: HeldTokens, request: Request, now: float) -> bool:
-        """Tell whether to ask again: in a transaction, or while an allocator did not answer."""
-        if now + ASK_AGAIN_S >= request.deadline:
+        """Tell whether a token may come in time; a statement of a transaction waits on."""
+        is_certain = not held.answered and held.fallback is not None
+        wait = max(ASK_AGAIN_S, self._next_token(held, len(held.waiting) + 1, now))
+        if now + wait >= request.deadline:
             return False
         if request.transaction is not None:
             return True
-        return held.unsure and now < request.arrived_at + UNSURE_WAIT_S
+        return now + wait < request.arrived_at + request.token_patience(is_certain)
 
     def _take_fallback(self, held: HeldTokens, name: str, now: float) -> bool:
-        """Take a token of this VM's equal part of the rate, for while no allocator answers.
+        """Take a token of this VM's part of the rate, for while no allocator answers.
 
         Only where the VMs that divide the rate are counted, and while the configuration is fresh.
         """
@@ -207,16 +249,33 @@
         entries = self.board.members.entries
         if workspace is None or not entries or not self.board.is_fresh():
             return False
-        rate = workspace.rate / entries
-        capacity = max(1.0, FALLBACK_BURST_SHARE * workspace.burst / entries)
-        if held.fallback is None:
-            held.fallback = Bucket(rate, capacity, now - 1.0 / max(rate, 1.0), 0)
-        held.fallback.rate, held.fallback.capacity = rate, capacity
+        if held.fallback is None or now - held.fallback.filled_at > METER_S:
+            held.fallback = self._new_fallback(held, workspace, entries, now)
         if held.fallback.take(1, now) == 0:
             return False
         held.count += 1
         return True
 
+    def _new_fallback(
+        self, held: HeldTokens, workspace: Workspace, entries: int, now: float
+    ) -> Bucket:
+        """Return this VM's part: what it used of late, or an equal part where that is not known.
+
+        All VMs together use at most rate + burst / METER_S over the time of a meter.
+        """
+        since = self.board.shares.granted_since
+        if since is None or now - since < METER_S:
+            rate = workspace.rate / entries
+            capacity = max(1.0, FALLBACK_BURST_SHARE * workspace.burst / entries)
+            return Bucket(rate, capacity, now - 1.0 / max(rate, 1.0), 0)
+        most = workspace.rate + workspace.burst / METER_S
+        rate = FALLBACK_SHARE * held.meter.rate(now) * workspace.rate / max(most, 1.0)
+        bucket = Bucket(rate, max(1.0, rate), now, 0)
+        reserve = self.board.settings.tolerance.reserve(workspace.rate, workspace.burst)
+        if self.randomness.random() < reserve / entries:
+            bucket.tokens = 1.0
+        return bucket
+
     def _refuse_limited(self, request: Request) -> None:
         self._refuse(
             request,
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -26,6 +26,38 @@
 }
 
 
+class RateTolerance:
+    """How far the fleet may go beyond a workspace's rate and burst in any window.
+
+    `window` is in seconds, `share` of what rate and burst allow in it, `count` in requests. Half of
+    it covers what is lost by dividing a rate over availability zones, the other half the time in
+    which no allocator answers.
+    """
+
+    __slots__ = ("window", "share", "count")
+
+    def __init__(self, window: float = 0.0, share: float = 0.0, count: float = 0.0) -> None:
+        self.window = window
+        self.share = share
+        self.count = count
+
+    def rate(self, rate: float) -> float:
+        """Return the rate to divide over the zones, in requests a second."""
+        if not self.window:
+            return rate
+        return rate * (1.0 + self.share / 2) + self.count / (4 * self.window)
+
+    def burst(self, burst: float) -> float:
+        """Return the burst to divide over the zones, in requests."""
+        if not self.window:
+            return burst
+        return burst * (1.0 + self.share / 2) + self.count / 4
+
+    def reserve(self, rate: float, burst: float) -> float:
+        """Return the requests a window that are kept for when no allocator answers."""
+        return (self.share * (rate * self.window + burst) + self.count) / 2
+
+
 class CoreSettings:
     """Who this VM is, and the limits that its controllers keep."""
 
@@ -46,6 +78,7 @@
         "exchange_limit",
         "read_limit",
         "token_hold",
+        "tolerance",
         "voter_loss_after",
         "attempts",
         "transaction_idle",
@@ -73,6 +106,7 @@
         self.exchange_limit = 1.0
         self.read_limit = 0.6
         self.token_hold = 0.1
+        self.tolerance = RateTolerance()
         self.voter_loss_after = 5.0
         self.attempts = 4
         self.transaction_idle = 10.0
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/world.py
@@ -234,6 +234,7 @@
             sent = TokenAsk(ask.workspace, ask.zone, ask.member, ask.wanted, ask.sent_at)
             holder.board.post(Topic.TOKENS_ASKED, sent)
             ask.granted, ask.answered = sent.granted, sent.answered
+            ask.next_token = sent.next_token
         delay = LATENCY_S + self.token_delay
         vm.later(lambda: vm.board.post(Topic.TOKENS_ARRIVED, ask), delay)
 
@@ -296,6 +297,7 @@
         if not sources:
             return
         source = self.randomness.choice(sources)
+        source.board.post(Topic.POLLED)
         has_log = vm.board.election.role is not Role.OBSERVER
         update = source.engine.configuration.catch_up(
             vm.board.configuration.revision, vm.name, has_log
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -95,6 +95,7 @@
     def answer_poll(self, message: dict[str, Any]) -> dict[str, Any]:
         """Answer a VM once there is news for it, or after the wait that it asked for."""
         started = self.board.clock.now()
+        self.board.post(Topic.POLLED)
         for record in message["reports"]:
             report = MemberReport.from_record(record)
             if report.has_disk or self.board.settings.registers_entries:
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -67,6 +67,7 @@
                 answer = self.client.ask(address, TOKENS_PATH, message, TOKENS_LIMIT_S)
                 ask.granted = answer["granted"]
                 ask.answered = answer["answered"]
+                ask.next_token = answer["next_token_s"]
             except (NotSentError, LostError) as error:
                 log.warning("no tokens from %s: %s", ask.member, error)
                 ask.answered = False
--- a/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -14,6 +14,7 @@
 from .proposals import PROPOSE_PATH, Proposer
 
 PEER = "peer"
+LONGEST_TOKEN_WAIT_S = 10.0  # seconds; stands for an allocator that has no part of the rate
 
 
 def add_peer_routes(
@@ -62,7 +63,13 @@
         )
         if message["zone"] == settings.zone:
             self.board.post(Topic.TOKENS_ASKED, ask)
-        return dump({"granted": ask.granted, "answered": ask.answered})
+        return dump(
+            {
+                "granted": ask.granted,
+                "answered": ask.answered,
+                "next_token_s": min(ask.next_token, LONGEST_TOKEN_WAIT_S),
+            }
+        )
 
     def answer_proposal(self, body: bytes) -> bytes:
         """Answer another VM's proposal."""
--- a/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
@@ -5,7 +5,7 @@
 import os
 
 from gentianspread_core.errors import ErrorCode, SettingsError
-from gentianspread_core.settings import CoreSettings
+from gentianspread_core.settings import CoreSettings, RateTolerance
 
 PATH_VARIABLE = "GENTIANSPREAD_BOOT"
 FRESHNESS_SHARE = 0.76  # of the time in which a withdrawn key must stop; the rest covers clocks
@@ -20,7 +20,8 @@
 
     `seeds` are control addresses, `control`, `callers` and `ready` addresses to listen on, empty
     where the role does not serve them. `is_first_start` holds only when the whole fleet starts for
-    the first time. `losses_borne` is how many VMs with a disk may be lost at once.
+    the first time. `losses_borne` is how many VMs with a disk may be lost at once, `tolerance` how
+    far rates may be exceeded.
     """
 
     __slots__ = (
@@ -38,6 +39,7 @@
         "losses_borne",
         "stop_limit",
         "freshness_bound",
+        "tolerance",
         "calls_address",
         "first_port",
     )
@@ -59,6 +61,11 @@
         self.stop_limit = float(values.get("bounds.graceS", "6"))
         revoke_ms = float(values.get("bounds.revokeMs", DEFAULT_REVOKE_MS))
         self.freshness_bound = FRESHNESS_SHARE * revoke_ms / 1000
+        self.tolerance = RateTolerance(
+            float(values.get("bounds.quotaWindowS", "0")),
+            float(values.get("bounds.quotaOverage", "0")),
+            float(values.get("bounds.quotaSlack", "0")),
+        )
         self.calls_address = values.get("cloudApi.address", "")
         self.first_port = int(values.get("portRange", "0,0").partition(",")[0])
 
@@ -100,6 +107,7 @@
         core.records_voters = True
         core.registers_entries = False
         core.freshness_bound = self.freshness_bound
+        core.tolerance = self.tolerance
         core.voter_loss_after = LOST_VOTER_S
         core.election_timeout = ELECTION_TIMEOUT_S
         return core
