Remember departed endpoints until a replica has what they may have confirmed

Cause: an endpoint that left took with it its copies of commits that the primary had acknowledged on its word alone. Ruled out: the new rule on refused connections (the call came after the departure, not after a hold that was refused). Change: the log keeps the departed of a group until a replica has reached a position that the primary had after the departure; until then only a promotion that asked the primary itself may go on. One that finds the primary leading again is given up. Tests: two scenarios; the first fails without the check.

--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -44,6 +44,21 @@
     And 3 s go by
     Then nothing was promoted
 
+  Scenario: What a departed replica alone had confirmed is not given up by a promotion
+    When the endpoint "b2" receives nothing
+    And the primary has commits that the replicas lack for 0.1 s
+    And the primary crashes
+    And "b3" departs
+    And 3 s go by
+    Then nothing was promoted
+
+  Scenario: A departed replica is of no account once another has all that the primary had since
+    When "b3" departs
+    And 1 s go by
+    And the primary crashes
+    And 2 s go by
+    Then "b2" leads
+
   Scenario: An endpoint that leaves and ends without a word is forgotten
     When "b3" announces with sequence 5 that it leaves
     And the endpoint "b3" crashes
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from behave import then, when
+from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_lab.fakes.sessionworld import GROUP
 
 
@@ -36,6 +37,14 @@
     context.sworld.backends[name].is_deaf = True
 
 
+@when('"{name:w}" departs')
+def step_departs(context, name):
+    world = context.sworld
+    world.backends[name].alive = False
+    world.propose(Command(CommandKind.ENDPOINT_GONE, {"name": name, "incarnation": 1}))
+    world.run(0.1)
+
+
 @when('another endpoint takes the address of "{name:w}"')
 def step_replaced(context, name):
     context.sworld.backends[name].alive = False
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -27,6 +27,7 @@
     VOTER_JOINED = "voter_joined"
     DECLARE = "declare"
     ENDPOINT_GONE = "endpoint_gone"
+    DEPARTURES_COVERED = "departures_covered"
 
 
 OPERATOR_KINDS = frozenset(
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -98,9 +98,18 @@
 
     `size` is the number of endpoints that majorities are counted over. Where `counts_own_terms`
     holds, the endpoints number their terms themselves and `granted_term` only fences promotions.
+    `departed` names endpoints that left and may have confirmed commits that only the primary has.
     """
 
-    __slots__ = ("name", "granted_term", "term", "primary", "size", "counts_own_terms")
+    __slots__ = (
+        "name",
+        "granted_term",
+        "term",
+        "primary",
+        "size",
+        "counts_own_terms",
+        "departed",
+    )
 
     def __init__(
         self,
@@ -110,6 +119,7 @@
         primary: str | None,
         size: int,
         counts_own_terms: bool = False,
+        departed: list[str] | None = None,
     ) -> None:
         self.name = name
         self.granted_term = granted_term
@@ -117,6 +127,7 @@
         self.primary = primary
         self.size = size
         self.counts_own_terms = counts_own_terms
+        self.departed = departed if departed is not None else []
 
     def majority(self) -> int:
         """Return the number of endpoints that any two majorities share one of."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -38,13 +38,14 @@
 class PromotionController:
     """Owns the promotions and the endpoints' health of groups that number their terms."""
 
-    __slots__ = ("board", "_timer", "_not_before", "_unanswered")
+    __slots__ = ("board", "_timer", "_not_before", "_unanswered", "_departed_since")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._timer: Any = None
         self._not_before: dict[str, float] = {}
         self._unanswered: list[EndpointOrder] = []
+        self._departed_since: dict[str, dict[str, float]] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -62,6 +63,7 @@
         self.board.groups.health.clear()
         self._not_before.clear()
         self._unanswered.clear()
+        self._departed_since.clear()
         if self._leads():
             self._arm()
 
@@ -73,6 +75,7 @@
             self._probe(registration)
             self._forget_if_gone(registration)
         for group in list(self.board.configuration.groups.values()):
+            self._look_at_departed(group)
             self._look_at(group)
         self._resume_again()
         self._arm()
@@ -182,6 +185,24 @@
             fields = {"name": registration.name, "incarnation": registration.incarnation}
             self._propose(CommandKind.ENDPOINT_GONE, fields)
 
+    def _look_at_departed(self, group: Group) -> None:
+        """Have the log know once a replica has all that a departed endpoint may have confirmed."""
+        if not group.departed or self._departed_at(group) is None:
+            return
+        receivers = [item for item in self._receivers(group) if self._is_healthy(item.name)]
+        held = [self.board.groups.health[item.name].position for item in receivers]
+        if self._has_all_since(group.name, self._departed_at(group), held):
+            fields = {"group": group.name, "names": group.departed}
+            self._propose(CommandKind.DEPARTURES_COVERED, fields)
+
+    def _departed_at(self, group: Group) -> float | None:
+        """Return when this leader knew of all departures that are not covered, or none."""
+        now = self.board.clock.now()
+        known = self._departed_since.get(group.name, {})
+        since = {name: known.get(name, now) for name in group.departed}
+        self._departed_since[group.name] = since
+        return max(since.values(), default=None)
+
     def _has_all_since(self, group: str, since: float, held: list[Position | None]) -> bool:
         """Tell whether a replica has all that the primary had at some moment after a time.
 
@@ -328,27 +349,43 @@
         group = self.board.configuration.groups[promotion.group]
         if promotion.phase == "holding":
             missing = [item for item in self._receivers(group) if item.name not in promotion.held]
-            if promotion.held and self._may_leave_out(promotion, missing):
+            if self._leads_again(group, promotion):
+                self._give_up(promotion, f"the primary {group.primary} answers again")
+            elif promotion.held and self._may_leave_out(group, promotion, missing):
                 self._call(promotion, self._most_advanced(promotion))
             elif not promotion.waiting:
-                self._give_up(promotion, f"{len(missing)} replicas did not answer")
+                reason = f"{len(missing)} replicas did not answer, {len(group.departed)} left"
+                self._give_up(promotion, reason)
         elif promotion.phase == "catching up" and promotion.stepped_down is not None:
             for name, position in promotion.held.items():
                 if name != group.primary and position.reaches(promotion.stepped_down):
                     self._call(promotion, name)
                     return
 
-    def _may_leave_out(self, promotion: Promotion, missing: list[Registration]) -> bool:
-        """Tell whether the replicas that were not heard of cannot hold an acknowledged commit."""
+    def _leads_again(self, group: Group, promotion: Promotion) -> bool:
+        health = self.board.groups.health.get(group.primary or "")
+        is_asked = group.primary in promotion.held
+        return not is_asked and health is not None and health.failures == 0 and health.is_primary
+
+    def _may_leave_out(
+        self, group: Group, promotion: Promotion, missing: list[Registration]
+    ) -> bool:
+        """Tell whether all that was acknowledged is on the replicas that were heard of."""
         held = list(promotion.held.values())
-        for item in missing:
-            health = self.board.groups.health.get(item.name)
-            gone_since = health.gone_since if health else None
-            if item.name not in promotion.absent or gone_since is None:
-                return False
-            if not self._has_all_since(promotion.group, gone_since, held):
-                return False
-        return True
+        departed_at = self._departed_at(group)
+        is_covered = departed_at is None or group.primary in promotion.held
+        if not is_covered and not self._has_all_since(group.name, departed_at, held):
+            return False
+        return all(self._is_made_up(promotion, item, held) for item in missing)
+
+    def _is_made_up(
+        self, promotion: Promotion, item: Registration, held: list[Position | None]
+    ) -> bool:
+        """Tell whether a replica has ended, and another has all that it may have confirmed."""
+        health = self.board.groups.health.get(item.name)
+        if item.name not in promotion.absent or health is None or health.gone_since is None:
+            return False
+        return self._has_all_since(promotion.group, health.gone_since, held)
 
     def _most_advanced(self, promotion: Promotion) -> str:
         """Return the endpoint that received most; among equals one that stays."""
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -137,14 +137,28 @@
             continue
         if other.incarnation > registration.incarnation:
             return False
-        del configuration.endpoints[other.name]
+        _remove_endpoint(configuration, other)
     return True
 
 
+def _remove_endpoint(configuration: Configuration, gone: Registration) -> None:
+    """Forget an endpoint, but not that a commit may be on the primary alone since it left."""
+    del configuration.endpoints[gone.name]
+    group = configuration.groups.get(gone.group)
+    if group is not None and group.counts_own_terms and gone.name != group.primary:
+        group.departed = [*group.departed, gone.name]
+
+
 def _endpoint_gone(configuration: Configuration, command: Command) -> None:
     known = configuration.endpoints.get(command.fields["name"])
     if known is not None and known.incarnation <= command.fields["incarnation"]:
-        del configuration.endpoints[known.name]
+        _remove_endpoint(configuration, known)
+
+
+def _departures_covered(configuration: Configuration, command: Command) -> None:
+    group = _require_group(configuration, command.fields["group"])
+    covered = command.fields["names"]
+    group.departed = [name for name in group.departed if name not in covered]
 
 
 def _declare(configuration: Configuration, command: Command) -> None:
@@ -187,6 +201,8 @@
     if term != group.granted_term:
         raise ChangeRejected(ErrorCode.CONFLICT, f"Term {term} of {group.name} was overtaken.")
     group.term = term
+    if group.primary != command.fields["endpoint"]:
+        group.departed = []
     group.primary = command.fields["endpoint"]
 
 
@@ -243,4 +259,5 @@
     CommandKind.VOTER_JOINED: _voter_joined,
     CommandKind.DECLARE: _declare,
     CommandKind.ENDPOINT_GONE: _endpoint_gone,
+    CommandKind.DEPARTURES_COVERED: _departures_covered,
 }
