Hand statements over to the VMs that hold an endpoint's connections

Each entry VM has some 30 pairs of workspace and group, and three connections an endpoint. Ruled out: fewer connections by better eviction (a VM's pairs exceed its connections), waiting instead of opening (in place; it does not help where no connection of the workspace exists). Change: an endpoint's homes, two VMs of its zone a slot, hold its connections, each for some of the workspaces by rendezvous hashing; other VMs hand their statements over and keep all decisions on the request. The list of VMs that serve callers is gathered by the control VMs and spread with polls.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -12,11 +12,13 @@
 from .election import Election
 from .endpoints import Endpoints
 from .groups import Groups
+from .homes import Homes
 from .log import ControlLog
 from .members import Members
 from .observations import Observations
 from .outbox import Outbox
 from .queues import Queues
+from .relays import Relays
 from .sessions import Sessions
 from .shares import Shares
 from .timeline import Timeline
@@ -24,7 +26,11 @@
 
 
 class Board:
-    """All sections; the settings and the clock are read-only for every controller."""
+    """All sections; the settings and the clock are read-only for every controller.
+
+    `leaving` holds from the begin of a planned stop: other VMs are told to hand nothing over any
+    more. From `stopping` on, nothing new is taken.
+    """
 
     __slots__ = (
         "settings",
@@ -36,14 +42,17 @@
         "connections",
         "endpoints",
         "groups",
+        "homes",
         "observations",
         "queues",
+        "relays",
         "sessions",
         "shares",
         "transactions",
         "members",
         "outbox",
         "timeline",
+        "leaving",
         "stopping",
     )
 
@@ -58,13 +67,16 @@
         self.connections = Connections()
         self.endpoints = Endpoints()
         self.groups = Groups()
+        self.homes = Homes()
         self.observations = Observations()
         self.queues = Queues()
+        self.relays = Relays()
         self.sessions = Sessions()
         self.shares = Shares()
         self.transactions = Transactions()
         self.members = Members()
         self.outbox = Outbox()
+        self.leaving = False
         self.stopping = False
 
     def post(self, topic: Topic, entry: Any = None) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -64,6 +64,12 @@
     OBSERVATION_RECEIVED = auto()
     ENTRIES_COUNTED = auto()
     MEMBER_SEEN = auto()
+    HOMES_RECEIVED = auto()
+    HOMES_CHANGED = auto()
+    RELAY_ARRIVED = auto()
+    RELAY_RELEASED = auto()
+    RELAY_ANSWERED = auto()
+    RELAY_DUE = auto()
     INTENT_POSTED = auto()
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/connections.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/connections.py
@@ -4,6 +4,8 @@
 
 from enum import Enum
 
+from .homes import ServingVM
+
 
 class ConnectionState(Enum):
     """Whether a connection can be taken."""
@@ -19,7 +21,8 @@
     """One connection, opened in the name of one workspace.
 
     `values` and `prepared` are what the endpoint holds for it; `last_used` is in seconds of the
-    VM's clock.
+    VM's clock. Where `home` is another VM, that one holds the connection and statements are handed
+    over to it.
     """
 
     __slots__ = (
@@ -32,6 +35,7 @@
         "values",
         "prepared",
         "last_used",
+        "home",
     )
 
     def __init__(
@@ -46,6 +50,7 @@
         self.values: dict[str, str] = {}
         self.prepared: set[str] = set()
         self.last_used = now
+        self.home: ServingVM | None = None
 
 
 class Connections:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
@@ -21,10 +21,11 @@
 
 
 class Queues:
-    """Waiting queues: reads and writes of each group apart."""
+    """Waiting queues: reads and writes of each group apart, and those for one endpoint only."""
 
-    __slots__ = ("reads", "writes")
+    __slots__ = ("reads", "writes", "pinned")
 
     def __init__(self) -> None:
         self.reads: dict[str, WaitingQueue] = {}
         self.writes: dict[str, WaitingQueue] = {}
+        self.pinned: dict[str, WaitingQueue] = {}
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -0,0 +1,203 @@
+"""Section of statements that VMs hand over to the VM that holds a workspace's connections.
+
+Owned by the relay controller.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..positions import Position
+from .declarations import Route
+from .requests import ExchangeStatus, StatementKind
+from .sessions import Prepared, Session, SessionReply, SessionRequest, SessionStatement, Verb
+
+PATIENCE_SHARE = 0.6  # of the whole time; the rest is for the endpoint's answer
+
+
+class RelayOrder:
+    """One statement of another VM's caller, for a given endpoint.
+
+    `handle` names the sender's connection, which is the transaction's if `in_transaction`; `opens`
+    holds for its first statement. `limit` and `patience` are seconds in all and until the statement
+    is sent. `reply` is what the endpoint answered; posted back with `waiter` woken.
+    """
+
+    __slots__ = (
+        "handle",
+        "endpoint",
+        "key_hash",
+        "route",
+        "values",
+        "kind",
+        "verb",
+        "number",
+        "text",
+        "arguments",
+        "prepared",
+        "min_position",
+        "limit",
+        "patience",
+        "opens",
+        "in_transaction",
+        "is_read_only",
+        "reply",
+        "waiter",
+    )
+
+    def __init__(
+        self,
+        handle: str,
+        endpoint: str,
+        key_hash: str,
+        route: Route,
+        values: dict[str, str],
+        kind: StatementKind,
+        statement: SessionStatement,
+        prepared: Prepared | None,
+        min_position: Position | None,
+        limit: float,
+        patience: float,
+    ) -> None:
+        self.handle = handle
+        self.endpoint = endpoint
+        self.key_hash = key_hash
+        self.route = route
+        self.values = values
+        self.kind = kind
+        self.verb = statement.verb
+        self.number = statement.number
+        self.text = statement.text
+        self.arguments = statement.arguments
+        self.prepared = prepared
+        self.min_position = min_position
+        self.limit = limit
+        self.patience = patience
+        self.opens = False
+        self.in_transaction = False
+        self.is_read_only = False
+        self.reply: SessionReply | None = None
+        self.waiter: Any = None
+
+    @classmethod
+    def from_request(cls, request: SessionRequest, handle: str, now: float) -> RelayOrder:
+        """Build the order that carries out a request's exchange elsewhere."""
+        exchange = request.exchange
+        left = max(0.0, request.wait_until - now)
+        patience = min(PATIENCE_SHARE * exchange.limit, left)
+        order = cls(
+            handle,
+            exchange.endpoint,
+            request.key_hash or "",
+            request.route,
+            request.session.values,
+            request.kind,
+            request.call.statement,
+            request.prepared,
+            request.min_position,
+            exchange.limit,
+            patience,
+        )
+        transaction = request.session.transaction
+        if transaction is not None:
+            order.in_transaction = True
+            order.opens = exchange.opens_transaction
+            order.is_read_only = transaction.is_read_only
+        return order
+
+    def statement(self) -> SessionStatement:
+        """Return the caller's statement."""
+        return SessionStatement(self.verb, self.number, self.text, arguments=self.arguments)
+
+    def to_record(self) -> dict[str, Any]:
+        """Return the plain form."""
+        prepared, position = self.prepared, self.min_position
+        return {
+            "handle": self.handle,
+            "endpoint": self.endpoint,
+            "key_hash": self.key_hash,
+            "route": self.route.to_record(),
+            "values": self.values,
+            "kind": self.kind.value,
+            "verb": self.verb.value,
+            "number": self.number,
+            "text": self.text,
+            "arguments": self.arguments,
+            "prepared": [prepared.writes, prepared.shape] if prepared else None,
+            "min_position": position.to_pair() if position else None,
+            "limit_s": self.limit,
+            "patience_s": self.patience,
+            "transaction": [self.opens, self.is_read_only] if self.in_transaction else None,
+        }
+
+    @classmethod
+    def from_record(cls, record: dict[str, Any]) -> RelayOrder:
+        """Build from the plain form."""
+        prepared, position = record["prepared"], record["min_position"]
+        statement = SessionStatement(
+            Verb(record["verb"]), record["number"], record["text"], arguments=record["arguments"]
+        )
+        order = cls(
+            record["handle"],
+            record["endpoint"],
+            record["key_hash"],
+            Route.from_record(record["route"]),
+            record["values"],
+            StatementKind(record["kind"]),
+            statement,
+            Prepared(*prepared) if prepared else None,
+            Position.from_pair(position) if position else None,
+            record["limit_s"],
+            record["patience_s"],
+        )
+        if record["transaction"] is not None:
+            order.in_transaction = True
+            order.opens, order.is_read_only = record["transaction"]
+        return order
+
+
+REPLY_FLAGS = ("was_sent", "keeps_transaction", "is_reusable")
+
+
+def reply_to_record(reply: SessionReply) -> dict[str, Any]:
+    """Return the plain form of an endpoint's answer."""
+    return {
+        "status": reply.status.value,
+        "rows": reply.rows,
+        "position": reply.position.to_pair() if reply.position else None,
+        "code": reply.code,
+        "message": reply.message,
+        "signature": reply.signature,
+        "flags": [getattr(reply, name) for name in REPLY_FLAGS],
+    }
+
+
+def take_record(reply: SessionReply, record: dict[str, Any]) -> None:
+    """Fill an answer from its plain form."""
+    reply.status = ExchangeStatus(record["status"])
+    reply.rows = record["rows"]
+    reply.position = Position.from_pair(record["position"]) if record["position"] else None
+    reply.code = record["code"]
+    reply.message = record["message"]
+    reply.signature = record["signature"]
+    for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
+        setattr(reply, name, value)
+
+
+class RelayedTransaction:
+    """A transaction of another VM's caller; `last_used` is in seconds of this VM's clock."""
+
+    __slots__ = ("session", "last_used")
+
+    def __init__(self, session: Session, now: float) -> None:
+        self.session = session
+        self.last_used = now
+
+
+class Relays:
+    """Open transactions of other VMs' callers by handle."""
+
+    __slots__ = ("transactions",)
+
+    def __init__(self) -> None:
+        self.transactions: dict[str, RelayedTransaction] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/requests.py
@@ -201,6 +201,10 @@
         """Record why the request is not carried out."""
         self.refusal = Refusal(code, message, result)
 
+    def goes_on(self) -> bool:
+        """Tell whether this belongs to a transaction that is under way."""
+        return self.transaction is not None
+
     def token_patience(self, is_certain: bool = False) -> float:
         """Return the seconds to wait for a token of the workspace's rate.
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -245,10 +245,11 @@
 
     `was_sent` tells whether the statement itself may have reached the endpoint; `keeps_transaction`
     whether the connection is still in a transaction that can go on; `is_reusable` whether the
-    connection may be used again.
+    connection may be used again. `home_failed` holds where the VM that holds the connection gave no
+    answer, which says nothing of the endpoint.
     """
 
-    __slots__ = ("signature", "was_sent", "keeps_transaction", "is_reusable")
+    __slots__ = ("signature", "was_sent", "keeps_transaction", "is_reusable", "home_failed")
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
@@ -256,6 +257,7 @@
         self.was_sent = False
         self.keeps_transaction = False
         self.is_reusable = False
+        self.home_failed = False
 
 
 class SessionRequest(Request):
@@ -264,10 +266,20 @@
     `route` is the one in force when the operation began. `min_position` is what a replica's log
     must hold, or none if only the primary may serve. `tried` names endpoints that did not run it.
     Until `wait_until`, in seconds, it may wait or be tried again; an answer after the objective is
-    worth little, and waiting for it holds up others.
+    worth little, and waiting for it holds up others. `order` is that of another VM which handed the
+    statement over, for one endpoint only; it is not tried again here.
     """
 
-    __slots__ = ("session", "call", "route", "prepared", "min_position", "tried", "wait_until")
+    __slots__ = (
+        "session",
+        "call",
+        "route",
+        "prepared",
+        "min_position",
+        "tried",
+        "wait_until",
+        "order",
+    )
 
     def __init__(
         self, number: int, kind: StatementKind, call: StatementCall, route: Any, limit: float
@@ -297,12 +309,17 @@
         self.tried: set[str] = set()
         self.wait_until = call.arrived_at + min(limit, route.objective)
         self.waiter = call.waiter
+        self.order: Any = None
 
     def in_transaction(self) -> bool:
         """Tell whether this is a statement of a transaction that has a connection."""
         transaction = self.session.transaction
         return transaction is not None and transaction.connection is not None
 
+    def goes_on(self) -> bool:
+        """Tell whether this belongs to a transaction that is under way."""
+        return self.session.transaction is not None
+
     def token_patience(self, is_certain: bool = False) -> float:
         """Return the seconds to wait for a token; the rest of the objective is for the endpoint."""
         share = CERTAIN_PATIENCE_SHARE if is_certain else TOKEN_PATIENCE_SHARE
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -26,6 +26,7 @@
     REQUEST_RETRIED = "request_retried"
     REQUEST_ANSWERED = "request_answered"
     ENDPOINT_SUSPECTED = "endpoint_suspected"
+    HOME_SUSPECTED = "home_suspected"
     ENDPOINT_RECOVERED = "endpoint_recovered"
     POOL_FLUSHED = "pool_flushed"
     FAILOVER_STARTED = "failover_started"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -10,7 +10,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.requests import ExchangeStatus, Outcome, StatementKind
-from ..blackboard.sessions import SessionReply, SessionRequest
+from ..blackboard.sessions import SessionExchange, SessionReply, SessionRequest
 from ..blackboard.timeline import EventKind
 from ..errors import ErrorCode, Refusal, Result
 from ..positions import SessionToken
@@ -30,6 +30,8 @@
     "ABORTED": ErrorCode.TRANSACTION_UNKNOWN,
     "MALFORMED": ErrorCode.BAD_REQUEST,
 }
+OWN_CODES = {code.value: code for code in ErrorCode}
+FINAL_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT, ErrorCode.KEY_REFUSED})
 
 
 class CompletionController:
@@ -71,7 +73,9 @@
         if not isinstance(reply, SessionReply) or request.outcome is not None:
             return
         self.budget.earn()
-        if request.kind is StatementKind.ROLLBACK:
+        if request.order is not None:
+            self._answer_as_it_came(request, reply)
+        elif request.kind is StatementKind.ROLLBACK:
             self._finish(request, [], None)
         elif reply.status is ExchangeStatus.OK:
             self._finish(request, reply.rows, reply)
@@ -88,6 +92,15 @@
         else:
             self._refuse(request, self._failed(reply))
 
+    def _answer_as_it_came(self, request: SessionRequest, reply: SessionReply) -> None:
+        """End a request that another VM handed over; that one decides on the reply."""
+        if reply.status is ExchangeStatus.OK:
+            self._finish(request, reply.rows, reply)
+        elif self._has_not_run(reply):
+            self._refuse(request, self._not_run(reply))
+        else:
+            self._refuse(request, self._unknown(reply))
+
     def _has_not_run(self, reply: SessionReply) -> bool:
         if not reply.was_sent:
             return True
@@ -105,7 +118,7 @@
         self._refuse(request, refusal)
 
     def _not_run(self, reply: SessionReply) -> Refusal:
-        code = CODES.get(reply.code, ErrorCode.NO_ENDPOINT)
+        code = CODES.get(reply.code) or OWN_CODES.get(reply.code, ErrorCode.NO_ENDPOINT)
         return Refusal(code, reply.message or "The endpoint could not be reached.")
 
     def _failed(self, reply: SessionReply) -> Refusal:
@@ -125,7 +138,7 @@
         base = FULL_PAUSE_S if refusal.code is ErrorCode.OVERLOADED else RETRY_PAUSE_S
         pause = min(base * request.attempts, LONGEST_RETRY_PAUSE_S)
         request.tried.add(request.endpoint or "")
-        if refusal.code in (ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT):
+        if refusal.code in FINAL_CODES:
             self._refuse(request, refusal)
         elif now + pause < request.wait_until and request.attempts < MOST_ATTEMPTS:
             self._tell(EventKind.REQUEST_RETRIED, request, refusal.code.value, refusal.message)
@@ -141,7 +154,7 @@
             token = token.advanced(request.group, reply.position)
         outcome = Outcome(Result.RUN, rows, 0, token, None, None, request.endpoint)
         self._complete(request, outcome)
-        if reply is not None:
+        if reply is not None and request.order is None:
             self._tell(EventKind.REQUEST_ANSWERED, request, "ok", "")
 
     def _refuse(self, request: SessionRequest, refusal: Refusal) -> None:
@@ -157,6 +170,7 @@
         """Log a decision on a request with the inputs that decided it, their age and version."""
         exchange = request.exchange
         reply = exchange.reply if exchange else None
+        home = exchange.connection.home if isinstance(exchange, SessionExchange) else None
         now = self.board.clock.now()
         position = request.min_position
         self.board.timeline.tell(
@@ -166,6 +180,7 @@
             workspace=request.workspace,
             group=request.group,
             endpoint=request.endpoint or "",
+            home=home.name if home else "",
             statement=request.kind.value,
             session=request.session.number,
             attempts=request.attempts,
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
@@ -5,6 +5,7 @@
 from ..blackboard import Board
 from ..blackboard.connections import BackendConnection, ConnectionState
 from ..blackboard.endpoints import Endpoint
+from ..blackboard.homes import ServingVM
 from ..blackboard.sessions import SessionRequest
 
 OPENING_COST_S = 0.04  # seconds; 12 to 27 ms of a slot that others wait for, and the wait
@@ -14,6 +15,7 @@
 FULL_COST_S = 0.1  # seconds; what an endpoint's queue holds up
 BEHIND_COST_S = 0.3  # seconds; a replica that was behind a moment ago most likely still is
 PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
+RELAY_COST_S = 0.003  # seconds; a hop inside the zone, with its processor time at both ends
 SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
 
 
@@ -25,11 +27,17 @@
     def __init__(self, board: Board) -> None:
         self.board = board
 
-    def of(self, request: SessionRequest, endpoint: Endpoint) -> float:
-        """Return the expected seconds to an answer, infinite without room."""
+    def of(self, request: SessionRequest, endpoint: Endpoint, home: ServingVM | None) -> float:
+        """Return the expected seconds to an answer, infinite without room.
+
+        `home` is the VM that the statement would be handed over to, none for this one.
+        """
         connections = self.board.connections.of(endpoint.name)
-        cost = self._connection_cost(request, endpoint, connections)
         busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
+        if home is None:
+            cost = self._connection_cost(request, endpoint, connections)
+        else:
+            cost = self._relay_cost(endpoint, connections)
         cost += max(endpoint.latency, SHORTEST_WORK_S) * (busy + 1)
         cost += self._zone_cost(endpoint)
         if endpoint.name in request.tried:
@@ -48,19 +56,28 @@
     def _zone_cost(self, endpoint: Endpoint) -> float:
         return 0.0 if endpoint.zone == self.board.settings.zone else OTHER_ZONE_COST_S
 
+    def _relay_cost(self, endpoint: Endpoint, connections: list[BackendConnection]) -> float:
+        handed_over = sum(
+            1
+            for item in connections
+            if item.home is not None and item.state is ConnectionState.BUSY
+        )
+        return RELAY_COST_S if handed_over < int(endpoint.relay_window.size) else float("inf")
+
     def _connection_cost(
         self, request: SessionRequest, endpoint: Endpoint, connections: list[BackendConnection]
     ) -> float:
-        busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
-        if busy >= int(endpoint.window):
+        own = [item for item in connections if item.home is None]
+        busy = sum(1 for item in own if item.state is ConnectionState.BUSY)
+        if busy >= int(endpoint.window.size):
             return float("inf")
         idle_others = 0
-        for connection in connections:
+        for connection in own:
             if connection.state is ConnectionState.IDLE:
                 if connection.workspace == request.workspace:
                     return 0.0
                 idle_others += 1
-        if len(connections) < endpoint.capacity:
+        if len(own) < endpoint.capacity:
             return OPENING_COST_S
         return OPENING_COST_S + EVICTION_COST_S if idle_others else float("inf")
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -13,8 +13,10 @@
 from ..blackboard.declarations import Declaration
 from ..blackboard.endpoints import Endpoint
 from ..blackboard.outbox import PoolFlush, ProbeOrder
-from ..blackboard.requests import ExchangeStatus, Reply, Request
+from ..blackboard.requests import Exchange, ExchangeStatus, Reply, Request
+from ..blackboard.sessions import SessionExchange
 from ..blackboard.timeline import EventKind
+from ..errors import ErrorCode
 from ..positions import later
 
 LONGEST_SUSPICION_S = 2.0
@@ -23,7 +25,9 @@
 RESERVED_CONNECTIONS = 4  # of each endpoint; for probes by the leader, its successor, and checks
 PROBE_PURPOSE = "endpoint"
 LAGGING_CODE = "LAGGING"
-BUSY_CODE = "BUSY"
+FULL_CODES = frozenset({"BUSY", ErrorCode.OVERLOADED.value})
+IN_FLIGHT_PER_SLOT = 6  # statements; five wait for each that runs, most end in the objective
+HOMES_SHARE = 0.8  # of an endpoint's connections; the rest is for VMs that reach none of its homes
 LATE_SHARE = 0.5  # of the objective; the other half is for waiting here and for another endpoint
 WINDOW_DECREASE = 0.7  # usual for a gentle decrease; three of them make a third
 BEHIND_S = 0.25  # seconds; a replica that is behind by more is asked four times a second
@@ -33,6 +37,11 @@
 MOST_LOST_IN_A_ROW = 3
 
 
+def _is_handed_over(exchange: Exchange) -> bool:
+    """Tell whether another VM carried out an exchange."""
+    return isinstance(exchange, SessionExchange) and exchange.connection.home is not None
+
+
 class EndpointController:
     """Owns the endpoints section, but for the `in_use` column."""
 
@@ -50,6 +59,7 @@
             Topic.PROBE_ENDED: self.on_probe_ended,
             Topic.ENDPOINT_CHECK_DUE: self.on_check_due,
             Topic.ENTRIES_COUNTED: self.on_configuration,
+            Topic.HOMES_CHANGED: self.on_configuration,
         }
 
     def on_configuration(self, _entry: int | None) -> None:
@@ -76,7 +86,9 @@
         if exchange is None or exchange.reply is None or endpoint is None:
             return
         reply = exchange.reply
-        if reply.status is ExchangeStatus.NOT_SENT:
+        if _is_handed_over(exchange):
+            self._note_handed_over(endpoint, reply)
+        elif reply.status is ExchangeStatus.NOT_SENT:
             self._suspect(endpoint, "connection refused")
         elif reply.status is ExchangeStatus.LOST:
             self._note_lost(endpoint)
@@ -95,6 +107,17 @@
             if request.is_read():
                 endpoint.lag += (reply.age - endpoint.lag) * LAG_SMOOTHING
 
+    def _note_handed_over(self, endpoint: Endpoint, reply: Reply) -> None:
+        """Suspect an endpoint that its home cannot reach, until the next use."""
+        if getattr(reply, "home_failed", False):
+            return
+        is_away = reply.code == ErrorCode.NO_ENDPOINT.value
+        if is_away or reply.status is ExchangeStatus.NOT_SENT:
+            endpoint.checks_by_use = True
+            self._suspect(endpoint, "its home does not reach it")
+        elif reply.status is not ExchangeStatus.LOST:
+            endpoint.failures = 0
+
     def _adapt_window(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
         """Run fewer statements at once on an endpoint that answers late, and more on others.
 
@@ -105,21 +128,19 @@
         if exchange is None or route is None or reply.code == LAGGING_CODE:
             return
         now = self.board.clock.now()
+        window = endpoint.relay_window if _is_handed_over(exchange) else endpoint.window
         is_late = now - exchange.sent_at > LATE_SHARE * route.objective
-        if is_late or reply.status is ExchangeStatus.LOST or reply.code == BUSY_CODE:
-            if exchange.sent_at >= endpoint.window_cut_at:
-                endpoint.window = max(1.0, endpoint.window * WINDOW_DECREASE)
-                endpoint.window_cut_at = now
+        if is_late or reply.status is ExchangeStatus.LOST or reply.code in FULL_CODES:
+            window.lower(WINDOW_DECREASE, exchange.sent_at, now)
         elif reply.status is ExchangeStatus.OK:
-            grown = endpoint.window + 1.0 / endpoint.window
-            endpoint.window = min(float(endpoint.capacity), grown)
+            window.raise_once()
 
     def _note_refusal(self, endpoint: Endpoint, reply: Reply) -> None:
         """Learn from a refusal that the endpoint is behind, or has no room."""
         now = self.board.clock.now()
         if reply.code == LAGGING_CODE:
             endpoint.behind_until = now + BEHIND_S
-        elif reply.code == BUSY_CODE:
+        elif reply.code in FULL_CODES:
             endpoint.full_until = now + FULL_S
 
     def on_probe_ended(self, probe: ProbeOrder) -> None:
@@ -146,7 +167,10 @@
 
     def on_check_due(self, endpoint: Endpoint) -> None:
         """Probe a suspected endpoint again."""
-        if endpoint.suspected:
+        if endpoint.suspected and endpoint.checks_by_use:
+            endpoint.suspected = False
+            self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
+        elif endpoint.suspected:
             self._probe(endpoint)
 
     def _take_over(self, registration: Registration, capacity: int) -> None:
@@ -169,25 +193,44 @@
             endpoint.suspected = False
             endpoint.failures = 0
         endpoint.leaving = registration.leaving
+        endpoint.slots = registration.slots
         endpoint.capacity = capacity
+        endpoint.window.set_limit(self._window_limit(registration, capacity))
         endpoint.address = registration.address
 
     def _capacity(self, registration: Registration, serving: int) -> int:
         """Return this VM's equal part of the endpoint's connections, less those kept back."""
         declaration = self.board.configuration.declaration
         if declaration is not None:
-            return self._declared_capacity(registration.group, declaration)
+            return self._declared_capacity(registration, declaration)
         part = registration.connections // max(1, serving)
         return max(MINIMUM_CONNECTIONS, part - WATCH_CONNECTIONS)
 
-    def _declared_capacity(self, name: str, declaration: Declaration) -> int:
-        entries = max(1, self.board.members.entries)
-        for group in declaration.groups:
-            if group.name == name:
-                part = (group.max_connections - RESERVED_CONNECTIONS) // entries
-                return max(MINIMUM_CONNECTIONS, part)
+    def _declared_capacity(self, registration: Registration, declaration: Declaration) -> int:
+        """Return this VM's part: a large one of the endpoints that it is a home of."""
+        group = next((item for item in declaration.groups if item.name == registration.group), None)
+        if group is None:
+            return MINIMUM_CONNECTIONS
+        most = group.max_connections - RESERVED_CONNECTIONS
+        homes = self.board.homes.of_endpoint(
+            registration.name, registration.zone, registration.slots
+        )
+        if not homes:
+            return max(MINIMUM_CONNECTIONS, most // max(1, self.board.members.entries))
+        if any(vm.name == self.board.settings.member for vm in homes):
+            return max(MINIMUM_CONNECTIONS, int(HOMES_SHARE * most) // len(homes))
         return MINIMUM_CONNECTIONS
 
+    def _window_limit(self, registration: Registration, capacity: int) -> float:
+        """Return how many statements to run at once, so that all homes together fill the queue."""
+        homes = self.board.homes.of_endpoint(
+            registration.name, registration.zone, registration.slots
+        )
+        if not homes:
+            return float(capacity)
+        part = IN_FLIGHT_PER_SLOT * registration.slots / len(homes)
+        return max(1.0, min(float(capacity), part))
+
     def _forget_gone(self) -> None:
         """Drop the endpoints that the configuration no longer knows."""
         known = self.board.configuration.endpoints
@@ -198,10 +241,10 @@
 
     def _suspect(self, endpoint: Endpoint, reason: str) -> None:
         now = self.board.clock.now()
+        if endpoint.failures == 0:
+            endpoint.suspected_since = now
         endpoint.failures += 1
         pause = self.board.settings.suspicion * 2 ** min(endpoint.failures - 1, 4)
-        if not endpoint.suspected:
-            endpoint.suspected_since = now
         endpoint.suspected = True
         due = now + min(LONGEST_SUSPICION_S, pause)
         self.board.changes.post_at(due, Topic.ENDPOINT_CHECK_DUE, endpoint)
@@ -221,6 +264,7 @@
         if endpoint.probing:
             return
         endpoint.probing = True
+        endpoint.checks_by_use = False
         limit = self.board.settings.probe_limit
         order = ProbeOrder(endpoint.name, endpoint.address, limit, PROBE_PURPOSE)
         self.board.changes.post(Topic.INTENT_POSTED, order)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -12,6 +12,7 @@
 from ..blackboard.connections import BackendConnection, ConnectionState
 from ..blackboard.declarations import Consistency
 from ..blackboard.endpoints import Endpoint
+from ..blackboard.homes import ServingVM
 from ..blackboard.outbox import ConnectionClose, PoolFlush
 from ..blackboard.queues import WaitingQueue
 from ..blackboard.requests import StatementKind
@@ -99,8 +100,8 @@
             self._keep_transaction(transaction, connection, reply)
         elif isinstance(reply, SessionReply) and reply.keeps_transaction:
             self._close(connection)
-        elif connection.state is not ConnectionState.CLOSED:
-            connection.state = ConnectionState.IDLE
+        else:
+            self._free(connection)
         self._drain(request.group)
 
     def on_transaction_ended(self, transaction: SessionTransaction) -> None:
@@ -129,6 +130,8 @@
                     self._close(connection)
         for group in {*self.board.queues.reads, *self.board.queues.writes}:
             self._drain(group)
+        for queue in self.board.queues.pinned.values():
+            self._drain_queue(queue)
 
     def on_intent(self, intent: object) -> None:
         """Close an endpoint's idle connections once they count as silent."""
@@ -153,21 +156,56 @@
         """Choose endpoint and connection; return false if none has room."""
         candidates = self._candidates(request)
         best: Endpoint | None = None
+        best_home: ServingVM | None = None
         best_cost = float("inf")
         for endpoint in candidates:
-            cost = self._costs.of(request, endpoint)
+            home = self._home(request, endpoint)
+            cost = self._costs.of(request, endpoint, home)
             if cost < best_cost:
-                best, best_cost = endpoint, cost
+                best, best_home, best_cost = endpoint, home, cost
         line = self._queue(request).by_workspace.get(request.workspace)
         waiting = len(line) if line else 0
         if best is None or self._costs.of_waiting(request, candidates, waiting) < best_cost:
             return False
+        if best_home is not None:
+            self._order(request, self._hand_over(request, best, best_home), [])
+            return True
         connection, evicted = self._take(request, best)
         self._order(request, connection, evicted)
         return True
 
+    def _home(self, request: SessionRequest, endpoint: Endpoint) -> ServingVM | None:
+        """Return the VM that holds the workspace's connections, none if that is this one.
+
+        Also none if no home answers: then this VM opens a connection of its own.
+        """
+        if request.order is not None:
+            return None
+        now = self.board.clock.now()
+        homes = self.board.homes.of_workspace(
+            endpoint.name, endpoint.zone, endpoint.slots, request.workspace
+        )
+        for vm in homes:
+            if vm.name == self.board.settings.member:
+                return None
+            if not self.board.homes.is_suspected(vm.name, now):
+                return vm
+        return None
+
+    def _hand_over(
+        self, request: SessionRequest, endpoint: Endpoint, home: ServingVM
+    ) -> BackendConnection:
+        """Return what stands for the home's connection here, for one exchange or transaction."""
+        connection = self._new_connection(request, endpoint)
+        connection.home = home
+        self.board.connections.of(endpoint.name).append(connection)
+        return connection
+
     def _candidates(self, request: SessionRequest) -> list[Endpoint]:
         """Return the usable endpoints that may serve a request; the position demanded is noted."""
+        if request.order is not None:
+            pinned = self.board.endpoints.by_name.get(request.order.endpoint)
+            return [pinned] if pinned is not None and pinned.is_usable() else []
         request.min_position = self._min_position(request)
         primary = self._primary(request.group)
         if request.min_position is None:
@@ -202,17 +240,23 @@
     ) -> tuple[BackendConnection, list[BackendConnection]]:
         """Return a connection of the request's workspace, and those closed to make room."""
         connections = self.board.connections.of(endpoint.name)
+        held = [item for item in connections if item.home is None]
         idle = [item for item in connections if item.state is ConnectionState.IDLE]
         own = [item for item in idle if item.workspace == request.workspace]
         if own:
             return min(own, key=lambda item: _differences(item, request)), []
         evicted: list[BackendConnection] = []
-        if len(connections) >= endpoint.capacity:
+        if len(held) >= endpoint.capacity:
             oldest = min(idle, key=lambda item: item.last_used)
             self._drop(oldest)
             evicted.append(oldest)
+        connection = self._new_connection(request, endpoint)
+        connections.append(connection)
+        return connection, evicted
+
+    def _new_connection(self, request: SessionRequest, endpoint: Endpoint) -> BackendConnection:
         self._count += 1
-        connection = BackendConnection(
+        return BackendConnection(
             self._count,
             endpoint.name,
             endpoint.address,
@@ -220,8 +264,6 @@
             request.workspace,
             self.board.clock.now(),
         )
-        connections.append(connection)
-        return connection, evicted
 
     def _order(
         self,
@@ -266,7 +308,7 @@
             connection.state = ConnectionState.HELD
             transaction.connection = connection
         else:
-            connection.state = ConnectionState.IDLE
+            self._free(connection)
             transaction.connection = None
 
     def _note_running(self, request: SessionRequest, change: int) -> None:
@@ -277,6 +319,13 @@
         else:
             running.pop(request.workspace, None)
 
+    def _free(self, connection: BackendConnection) -> None:
+        """Keep a connection for the next request; a home's goes back to the home."""
+        if connection.home is not None:
+            self._drop(connection)
+        elif connection.state is not ConnectionState.CLOSED:
+            connection.state = ConnectionState.IDLE
+
     def _drop(self, connection: BackendConnection) -> None:
         """Forget a connection that its adapter closes or has closed."""
         connection.state = ConnectionState.CLOSED
@@ -293,6 +342,10 @@
             request.timer = self.board.changes.post_at(
                 request.wait_until, Topic.REQUEST_EXPIRED, request
             )
+        if request.order is not None and not self._candidates(request):
+            request.refuse(ErrorCode.NO_ENDPOINT, f"{request.order.endpoint} gives no answer.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
+            return
         if self._cannot_be_served(request):
             request.refuse(ErrorCode.NO_ENDPOINT, f"{request.group} has no primary at present.")
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
@@ -304,7 +357,7 @@
 
     def _drain(self, group: str) -> None:
         """Place waiting requests; those for the primary hold up no others."""
-        for queue in (self._writes(group), self._reads(group)):
+        for queue in (self._writes(group), self._reads(group), *self._pinned(group)):
             self._drain_queue(queue)
 
     def _drain_queue(self, queue: WaitingQueue) -> None:
@@ -345,14 +398,22 @@
 
     def _cannot_be_served(self, request: SessionRequest) -> bool:
         """Tell whether only a primary may serve, and it has been away for longer than a change."""
-        if request.min_position is not None:
+        if request.min_position is not None or request.order is not None:
             return False
         primary = self._primary(request.group)
         if primary is None or not primary.suspected:
             return False
         return self.board.clock.now() - primary.suspected_since > LONGEST_CHANGE_S
 
+    def _pinned(self, group: str) -> list[WaitingQueue]:
+        pinned = self.board.queues.pinned
+        endpoints = self.board.endpoints.by_group.get(group, ())
+        return [pinned[item.name] for item in endpoints if item.name in pinned]
+
     def _queue(self, request: SessionRequest) -> WaitingQueue:
+        if request.order is not None:
+            name = request.order.endpoint
+            return self.board.queues.pinned.setdefault(name, WaitingQueue(QUEUE_LIMIT))
         if request.min_position is None:
             return self._writes(request.group)
         return self._reads(request.group)
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -14,12 +14,14 @@
 from .controllers.election import ElectionController
 from .controllers.endpoints import EndpointController
 from .controllers.failover import FailoverController
+from .controllers.homes import HomeController
 from .controllers.keys import KeyController
 from .controllers.limits import LimitController
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
+from .controllers.relays import RelayController
 from .controllers.repair import RepairController
 from .controllers.replication import ReplicationController
 from .controllers.retries import RetryBudget
@@ -102,11 +104,13 @@
             KeyController(board),
             LimitController(board, randomness),
             AllocatorController(board),
+            HomeController(board),
             EndpointController(board),
             ObservationController(board),
             PlacementController(board),
             CompletionController(board, RetryBudget()),
             SessionController(board),
+            RelayController(board),
             PromotionController(board),
             RepairController(board),
         ]
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -55,6 +55,7 @@
         self.controls = [free_address() for _ in ZONES]
         self.entries = {f"entry-{number}": free_address() for number in range(1, entries + 1)}
         self.ready = {name: free_address() for name in self.entries}
+        self.peers = {name: free_address() for name in self.entries}
         self.calls = free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         names = ["e1", "e2", "e3"]
@@ -104,6 +105,8 @@
         settings = self._settings(name, zone, False)
         settings["listenAddrs.front"] = self.entries[name]
         settings["listenAddrs.ready"] = self.ready[name]
+        port = self.peers[name].rpartition(":")[2]
+        settings["portRange"] = f"{port},{port}"
         self._start(name, settings)
 
     def restart_endpoint(self, name: str) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -29,6 +29,7 @@
 from .connections import LostError, NotSentError
 from .peers import Addresses, PeerClient
 from .reports import SIGHTING_AGE_S, EntryCount, MemberReport
+from .serving import ServingVMs
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +60,7 @@
         "_leader",
         "_registering",
         "_entries",
+        "serving",
     )
 
     def __init__(
@@ -77,6 +79,7 @@
         self._leader: str | None = None
         self._registering: set[str] = set()
         self._entries = EntryCount()
+        self.serving = ServingVMs(board)
         board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_changed)
 
     def start(self) -> None:
@@ -101,13 +104,18 @@
             if report.has_disk or self.board.settings.registers_entries:
                 self._take_report(report)
             else:
-                self._entries.note(report.name, self.board.clock.now() - report.age)
+                heard_at = self.board.clock.now() - report.age
+                self._entries.note(report.name, heard_at)
+                self.serving.note(report, heard_at)
+        teller = message["reports"][0]["name"]
+        told = message.get("serving")
+        is_taken = told is not None and self.serving.take(teller, told)
         after = message["revision"]
         if self.board.configuration.revision <= after and self.board.is_fresh():
             self._changed.wait(min(message["wait_s"], POLL_WAIT_S))
         only_serves = message.get("only_serves", False)
         update = self.configuration.catch_up(
-            after, message["reports"][0]["name"], message.get("has_log", False), only_serves
+            after, teller, message.get("has_log", False), only_serves
         )
         age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
@@ -124,6 +132,8 @@
             "joined": self.board.configuration.joined_voters,
             "stamp": [timeline.wall_ms, timeline.counter],
             "entry_vms": self._count_entries(),
+            "serving_taken": is_taken,
+            "homes": self.serving.answer(message.get("homes", "")),
             "observations": self._observations(),
         }
 
@@ -207,6 +217,7 @@
         update = ConfigurationUpdate(entries, answer["snapshot"], answer["revision"], confirmed_at)
         self.board.post(Topic.CONFIGURATION_RECEIVED, update)
         self._take_entries(answer["entry_vms"])
+        self.serving.receive(answer["homes"])
         for group, position, position_age in answer["observations"]:
             taken_at = sent_at + answer["waited_s"] - position_age
             received = ReceivedObservation(group, Position.from_pair(position), taken_at)
@@ -224,12 +235,19 @@
             "only_serves": not (settings.has_disk or settings.registers_entries),
             "has_log": self.board.election.role is not Role.OBSERVER,
             "reports": [report.to_record() for report in self._reports_to_send()],
+            "homes": self.board.homes.version,
         }
+        told = self.serving.to_tell(name) if settings.has_disk else None
+        if told is not None:
+            message["serving"] = told
         limit = POLL_LIMIT_S if self.board.configuration.revision else FIRST_POLL_LIMIT_S
         try:
-            return self.client.ask(address, POLL_PATH, message, limit + wait)
+            answer = self.client.ask(address, POLL_PATH, message, limit + wait)
         except (NotSentError, LostError):
             return None
+        if told is not None:
+            self.serving.note_told(name, told["version"] if answer["serving_taken"] else "")
+        return answer
 
     def _observations(self) -> list[list[Any]]:
         """Return the newest position seen at each group's primary, with its age in seconds."""
@@ -272,6 +290,7 @@
             0.0,
             self.board.election.barred,
             self._entries.count(now),
+            bool(settings.address) and not settings.has_disk and not self.board.leaving,
         )
         reports = [own]
         for report in self._reports.values():
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -97,11 +97,18 @@
         self.received_bytes = 0
         self._idle: dict[str, list[Connection]] = {}
 
-    def ask(self, address: str, path: str, message: object, limit: float) -> Any:
-        """Send a message and return the answer, within the limit in seconds."""
+    def ask(
+        self,
+        address: str,
+        path: str,
+        message: object,
+        limit: float,
+        connect_limit: float | None = None,
+    ) -> Any:
+        """Send a message and return the answer, within the limits in seconds."""
         body = encode_body(message)
         headers = f"{SIGNATURE_HEADER}: {self.signer.sign(path, body)}\r\n"
-        connection = self._take(address, limit)
+        connection = self._take(address, limit if connect_limit is None else connect_limit)
         head = head_for(path, address, headers)
         answer = connection.exchange(head, body, limit)
         self.sent_bytes += len(head) + len(body)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
@@ -97,9 +97,13 @@
         """Return this VM's name in the fleet: control VMs are known by their address."""
         return self.control or self.name
 
+    def peer_address(self) -> str:
+        """Return the address at which the other VMs reach one that serves callers."""
+        return f"{self.address}:{self.first_port}" if self.first_port else ""
+
     def to_core(self) -> CoreSettings:
         """Return the settings of the decisions."""
-        core = CoreSettings(self.member(), self.zone, self.control)
+        core = CoreSettings(self.member(), self.zone, self.control or self.peer_address())
         core.has_disk = bool(self.data_dir)
         core.zones = self.zones
         core.initial_voters = list(self.seeds) if self.is_first_start else []
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -5,6 +5,9 @@
 import gevent
 from gentianspread_core.blackboard.timeline import EventKind
 
+from ..clocks import wall_ms
+from ..front import Front
+from ..relays import RelayingRunner, RelayServer
 from ..sessions import SessionRunner
 from ..webserver import WebServer
 from .bootfile import BootFile
@@ -22,7 +25,13 @@
 
     def __init__(self, boot: BootFile) -> None:
         super().__init__(boot)
-        self.runner = SessionRunner(self.board, self.driver, self.metrics)
+        exchanges = RelayingRunner(self.board, self.driver, self.client, wall_ms())
+        self.runner = SessionRunner(self.board, exchanges, self.metrics)
+        self.front = Front(self.board, None, None, self.signer, "", None)
+        self.relays = RelayServer(self.board, self.driver)
+        self.relays.add_to(self.front)
+        address = boot.peer_address()
+        self._peer_server = WebServer(address, self.front) if address else None
         self.callers = CallerServer(boot.callers, self.runner)
         self._ready_server = WebServer(boot.ready, ReadyApi(self.is_ready))
 
@@ -30,6 +39,8 @@
         """Begin to poll, to answer checks and to accept callers."""
         super().start()
         self._ready_server.start()
+        if self._peer_server is not None:
+            self._peer_server.start()
         self.callers.start()
 
     def is_ready(self) -> bool:
@@ -42,6 +53,7 @@
         """Fail the checks first, then let what runs finish."""
         if not self.callers.closing:
             self.callers.closing = True
+            self.board.leaving = True
             gevent.spawn(self._drain)
 
     def _drain(self) -> None:
@@ -50,7 +62,11 @@
         gevent.sleep(BALANCER_NOTICE_S)
         self.board.stopping = True
         give_up_at = began_at + self.boot.stop_limit * STOP_SHARE
-        while self.callers.close_resting() and self.board.clock.now() < give_up_at:
+        while self._is_busy() and self.board.clock.now() < give_up_at:
             gevent.sleep(STOP_CHECK_S)
         self.callers.stop_accepting()
         self.stopped.set()
+
+    def _is_busy(self) -> bool:
+        """Close the callers' connections that rest; tell whether anything else is under way."""
+        return bool(self.callers.close_resting()) or self.relays.is_busy()
--- a/packages/gentianspread-server/src/gentianspread_server/reports.py
+++ b/packages/gentianspread-server/src/gentianspread_server/reports.py
@@ -12,7 +12,7 @@
     """What a VM tells of itself or of another, with the age of the news in seconds.
 
     `lost_votes` marks a voter whose disk came back empty; `entries` counts the VMs without a disk
-    that poll this one.
+    that poll this one; `serves` marks a VM that takes statements of callers.
     """
 
     __slots__ = (
@@ -24,6 +24,7 @@
         "age",
         "lost_votes",
         "entries",
+        "serves",
     )
 
     def __init__(
@@ -36,6 +37,7 @@
         age: float,
         lost_votes: bool = False,
         entries: int = 0,
+        serves: bool = False,
     ) -> None:
         self.name = name
         self.address = address
@@ -45,6 +47,7 @@
         self.age = age
         self.lost_votes = lost_votes
         self.entries = entries
+        self.serves = serves
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> MemberReport:
