Send VMs that serve callers what changed of a declaration, and keep their list over a restart

VMs pooled rates only by the age of their configuration. Change: differences from the declaration before, in the order of the log; no list from a VM that has none; a VM stands in for the allocators as long as each left its own last ask unanswered. Tests: features/platform_parts.feature.

--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -2,9 +2,19 @@
 
 from __future__ import annotations
 
+import random
+
 from behave import given, then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.configuration import Configuration, load_snapshot
+from gentianspread_core.blackboard.log import LogEntry
+from gentianspread_core.controllers.configuration import ConfigurationUpdate
+from gentianspread_core.engine import Engine
+from gentianspread_core.settings import CoreSettings
 from gentianspread_server.peers import Addresses
+from gentianspread_server.reports import MemberReport
+from gentianspread_server.serving import ServingVMs
 
 
 @given("the address book of a VM that knows only its seeds")
@@ -46,3 +56,167 @@
 @then('the voter "{name:Quoted}" is reached at "{address:Quoted}"')
 def step_reached(context, name, address):
     assert context.addresses.of(name) == address
+
+
+class Poller:
+    """A board that holds a list of serving VMs, as polls change it."""
+
+    def __init__(self, context):
+        settings = CoreSettings("poller", "z1", "poller")
+        clock = context.sworld.clock
+        self.engine = Engine.for_sessions(settings, clock, random.Random(1), clock.wall_ms)
+        self.serving = ServingVMs(self.engine.board)
+
+    def poll(self, answerer):
+        answer = answerer.answer(self.engine.board.homes.version)
+        self.serving.receive(answer)
+        return answer
+
+    def names(self):
+        homes = self.engine.board.homes.by_zone.values()
+        return {vm.name for listed in homes for vm in listed}
+
+
+def _report(name, serves=True):
+    return MemberReport(name, f"{name}:1", "z1", False, 1, 0.0, serves=serves)
+
+
+def _note(context, names):
+    for name in names:
+        context.answerer.note(_report(name), context.sworld.clock.now())
+
+
+@given('a control VM that leads and knows that "{first:w}" and "{second:w}" serve callers')
+def step_leader_knows(context, first, second):
+    world = context.sworld
+    context.answerer = ServingVMs(world.board)
+    context.poller = Poller(context)
+    for _ in range(4):
+        context.answerer.answer("")
+        world.run(1.0)
+    _note(context, (first, second))
+
+
+@when("a VM that knows no list polls it")
+def step_poll(context):
+    context.poller = Poller(context)
+    context.poller.poll(context.answerer)
+
+
+@when("the VM polls a control VM that has just started")
+def step_poll_started(context):
+    context.poller.poll(Poller(context).serving)
+
+
+@then("a second poll gets no list")
+def step_no_second(context):
+    assert context.poller.poll(context.answerer)["vms"] is None
+
+
+@when('"{name:w}" tells that it stops')
+def step_stops(context, name):
+    context.answerer.note(_report(name, serves=False), context.sworld.clock.now())
+
+
+@when('a control VM tells that "{name:w}" serves callers')
+def step_told(context, name):
+    teller = ServingVMs(context.sworld.board)
+    teller.note(_report(name), context.sworld.clock.now())
+    assert context.answerer.take("c2", teller.to_tell("leader"))
+
+
+@when('{seconds:g} s pass in which only "{name:w}" polls')
+def step_only(context, seconds, name):
+    for _ in range(round(seconds)):
+        context.sworld.run(1.0)
+        _note(context, (name,))
+
+
+@then('that VM knows "{first:w}" and "{second:w}"')
+def step_knows(context, first, second):
+    assert {first, second} <= context.poller.names(), context.poller.names()
+
+
+@then('that VM knows "{first:w}" and not "{second:w}"')
+def step_knows_not(context, first, second):
+    names = context.poller.names()
+    assert first in names and second not in names, names
+
+
+def _catch_up(context):
+    configuration = context.sworld.engine.configuration
+    held = context.poller.engine.board.configuration.revision
+    context.update = configuration.catch_up(held, "poller", only_serves=True)
+    records = [LogEntry.from_record(item.to_record()) for item in context.update.entries]
+    update = ConfigurationUpdate(
+        records, context.update.snapshot, context.update.revision, context.sworld.clock.now()
+    )
+    context.poller.engine.board.post(Topic.CONFIGURATION_RECEIVED, update)
+
+
+@given("a VM that only serves callers and is up to date")
+def step_up_to_date(context):
+    context.poller = Poller(context)
+    _catch_up(context)
+
+
+@when("versions 2 to 6 change a rate, a key, a limit and the workspaces")
+def step_versions(context):
+    world = context.sworld
+    many = {f"w{number}": [f"k{number}"] for number in range(40)}
+    world.declare(2, keys=many)
+    _catch_up(context)
+    world.declare(3, keys=many, limit=0.8)
+    world.declare(4, keys={**many, "w1": ["other"]}, limit=0.8)
+    world.declare(5, keys={**many, "w1": ["other"], "new": ["kn"]}, limit=0.8)
+    world.declare(6, keys={name: many[name] for name in list(many)[1:]}, limit=0.8)
+
+
+@when("the same version is declared once more")
+def step_again(context):
+    context.sworld.declare(6)
+
+
+@then("the VM catches up with less than {share:g} of what the declarations hold")
+def step_small(context, share):
+    _catch_up(context)
+    sent = sum(len(repr(item.to_record())) for item in context.update.entries)
+    history = context.sworld.engine.configuration.history
+    whole = sum(
+        len(repr(item.to_record()))
+        for item in history
+        if item.command.kind is CommandKind.DECLARE and item.command.fields["version"] > 2
+    )
+    assert context.update.snapshot is None and sent < share * whole, (sent, whole)
+
+
+@then("it has the same routes, workspaces and keys")
+def step_same_state(context):
+    held = context.poller.engine.board.configuration
+    wanted = context.sworld.board.configuration
+    assert held.revision == wanted.revision
+    assert held.declaration.version == wanted.declaration.version == 6
+    assert held.keys.keys() == wanted.keys.keys()
+    assert held.workspaces.keys() == wanted.workspaces.keys()
+    routes = {route.name: route.to_record() for route in wanted.declaration.routes}
+    assert {route.name: route.to_record() for route in held.declaration.routes} == routes
+
+
+@when("it is sent a change of another declaration")
+def step_unfit(context):
+    board = context.poller.engine.board
+    fields = {"base": 77, "version": 78}
+    command = Command(CommandKind.CHANGE_DECLARATION, fields)
+    revision = board.configuration.revision + 1
+    entry = LogEntry(revision, 1, command)
+    now = context.sworld.clock.now()
+    update = ConfigurationUpdate([entry], None, revision, now)
+    board.post(Topic.CONFIGURATION_RECEIVED, update)
+
+
+@then("it is not fresh and asks for the whole state")
+def step_anew(context):
+    board = context.poller.engine.board
+    assert board.configuration.revision == 0 and not board.is_fresh()
+    _catch_up(context)
+    assert context.update.snapshot is not None and board.is_fresh()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -26,6 +26,7 @@
     CHANGE_VOTERS = "change_voters"
     VOTER_JOINED = "voter_joined"
     DECLARE = "declare"
+    CHANGE_DECLARATION = "change_declaration"
     ENDPOINT_GONE = "endpoint_gone"
     DEPARTURES_COVERED = "departures_covered"
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/declarations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/declarations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -141,6 +142,33 @@
             "document": self.document,
         }
 
+    def change_from(self, base: Declaration) -> dict[str, Any]:
+        """Return the plain form of what differs from another declaration, without the document."""
+        return {
+            "base": base.version,
+            "version": self.version,
+            "routes": _difference(base.routes, self.routes, Route.to_record),
+            "groups": _difference(base.groups, self.groups, _row),
+            "workspaces": _difference(base.workspaces, self.workspaces, _row),
+            "transaction_idle": self.transaction_idle,
+        }
+
+    def has_unique_names(self) -> bool:
+        """Tell whether names identify routes, groups and workspaces, as changes need it."""
+        tables = (self.routes, self.groups, self.workspaces)
+        return all(len({item.name for item in table}) == len(table) for table in tables)
+
+    def changed(self, change: dict[str, Any]) -> Declaration:
+        """Return the declaration that a change leads to."""
+        return Declaration(
+            change["version"],
+            _merge(self.routes, change["routes"], Route.from_record),
+            _merge(self.groups, change["groups"], lambda row: DeclaredGroup(*row)),
+            _merge(self.workspaces, change["workspaces"], lambda row: DeclaredWorkspace(*row)),
+            change["transaction_idle"],
+            "",
+        )
+
     def route_of(self, database: str) -> Route | None:
         """Return the route that callers open under a database name, or none."""
         for route in self.routes:
@@ -151,3 +179,22 @@
 
 def _row(item: Any) -> list[Any]:
     return [getattr(item, slot) for slot in item.__slots__]
+
+
+def _difference(
+    before: list[Any], after: list[Any], to_record: Callable[[Any], list[Any]]
+) -> list[list[Any]]:
+    """Return the names that are gone, and the rows that are new or other; rows begin with names."""
+    held = {item.name: to_record(item) for item in before}
+    wanted = {item.name: to_record(item) for item in after}
+    gone = [name for name in held if name not in wanted]
+    return [gone, [row for name, row in wanted.items() if held.get(name) != row]]
+
+
+def _merge(
+    before: list[Any], difference: list[list[Any]], from_record: Callable[[list[Any]], Any]
+) -> list[Any]:
+    gone, rows = difference
+    replaced = {*gone, *(row[0] for row in rows)}
+    kept = [item for item in before if item.name not in replaced]
+    return [*kept, *(from_record(row) for row in rows)]
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -26,13 +26,6 @@
         """Return the plain form."""
         return {"index": self.index, "term": self.term, "command": self.command.to_record()}
 
-    def to_entry_record(self) -> dict[str, Any]:
-        """Return the plain form for a VM without a disk, which needs no document."""
-        record = self.to_record()
-        if "document" in self.command.fields:
-            record["command"]["fields"] = {**self.command.fields, "document": ""}
-        return record
-
 
 class Snapshot:
     """The configuration as it stood after an entry."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -15,7 +15,6 @@
 from ..settings import RateTolerance
 
 MINIMUM_CAPACITY = 1.0
-POOL_AFTER_S = 0.5  # seconds; VMs hear of the control VMs three times a second
 POOL_SHARE = 0.9  # of the zone's part of the rate; the rest covers what a window overlaps
 SILENCE_S = 0.7  # seconds without a poll; VMs poll at least twice in it
 
@@ -112,12 +111,11 @@
             self.board.changes.post(Topic.TOKENS_ARRIVED, ask)
 
     def _answer_pooled(self, ask: TokenAsk) -> None:
-        """Grant in place of the zone's allocator, if the control VMs answer this VM neither."""
+        """Grant in place of the zone's allocator, if no allocator answers this VM either."""
         board = self.board
         workspace = board.configuration.workspaces.get(ask.workspace)
         now = board.clock.now()
-        age = now - board.configuration.confirmed_at
-        if workspace is not None and age > POOL_AFTER_S and board.is_fresh():
+        if workspace is not None and self._reaches_no_allocator() and board.is_fresh():
             bucket = self._pool(workspace, now)
             ask.granted = bucket.take(ask.wanted, now)
             ask.next_token = bucket.next_token()
@@ -125,6 +123,11 @@
         if ask.local:
             board.changes.post(Topic.TOKENS_ARRIVED, ask)
 
+    def _reaches_no_allocator(self) -> bool:
+        """Tell whether every allocator left this VM's own last ask unanswered."""
+        zones = self.board.configuration.allocators
+        return all(zone in self.board.shares.suspected for zone in zones)
+
     def _pool(self, workspace: Workspace, now: float) -> Bucket:
         """Return the zone's part of a rate while no allocator answers; it begins nearly empty."""
         settings = self.board.settings
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -6,8 +6,9 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
-from ..blackboard.commands import ChangeOutcome
+from ..blackboard.commands import ChangeOutcome, Command, CommandKind
 from ..blackboard.configuration import load_snapshot, to_entry_snapshot, to_snapshot
+from ..blackboard.declarations import Declaration
 from ..blackboard.log import LogEntry, Snapshot
 from ..blackboard.timeline import EventKind
 from ..state_machine import apply_command
@@ -50,14 +51,16 @@
 class ConfigurationController:
     """Owns the configuration section and the history that other VMs catch up from.
 
-    It also tells the time line when this VM loses and regains its freshness.
+    `serving_history` is the same for VMs that only serve callers: declarations as differences from
+    those before. It also tells the time line when this VM loses and regains its freshness.
     """
 
-    __slots__ = ("board", "history", "_is_told_fresh", "_applied_kinds")
+    __slots__ = ("board", "history", "serving_history", "_is_told_fresh", "_applied_kinds")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self.history: deque[LogEntry] = deque(maxlen=HISTORY_ENTRIES)
+        self.serving_history: deque[LogEntry] = deque(maxlen=HISTORY_ENTRIES)
         self._is_told_fresh = False
         self._applied_kinds: list[str] = []
 
@@ -127,8 +130,9 @@
         is_replicated = has_log and self._receives_log(member)
         if after < configuration.revision and not is_replicated:
             first = self.history[0].index if self.history else configuration.revision + 1
+            history = self.serving_history if only_serves else self.history
             if after > 0 and first <= after + 1:
-                entries = [entry for entry in self.history if entry.index > after]
+                entries = [entry for entry in history if entry.index > after]
             elif only_serves:
                 snapshot = to_entry_snapshot(configuration)
             else:
@@ -156,15 +160,41 @@
             return
         load_snapshot(self.board.configuration, state)
         self.history.clear()
+        self.serving_history.clear()
 
     def _apply(self, entry: LogEntry) -> None:
         if entry.index != self.board.configuration.revision + 1:
             return
+        before = self.board.configuration.declaration
         outcome = apply_command(self.board.configuration, entry.index, entry.command)
+        if entry.command.kind is CommandKind.CHANGE_DECLARATION and not outcome.accepted:
+            self._begin_anew()
+            return
         self.history.append(entry)
+        self.serving_history.append(self._for_serving(entry, before))
         self._applied_kinds.append(entry.command.kind.value)
         self.board.changes.post(Topic.COMMAND_APPLIED, AppliedCommand(entry, outcome))
 
+    def _for_serving(self, entry: LogEntry, before: Declaration | None) -> LogEntry:
+        """Return an entry as VMs that only serve callers need it."""
+        if entry.command.kind is not CommandKind.DECLARE:
+            return entry
+        declaration = self.board.configuration.declaration
+        if declaration is before or declaration is None:
+            command = Command(CommandKind.NOTHING, {})
+        elif before is None or not (before.has_unique_names() and declaration.has_unique_names()):
+            command = Command(CommandKind.DECLARE, {**entry.command.fields, "document": ""})
+        else:
+            fields = declaration.change_from(before)
+            command = Command(CommandKind.CHANGE_DECLARATION, fields)
+        return LogEntry(entry.index, entry.term, command)
+
+    def _begin_anew(self) -> None:
+        """Forget what cannot be right; until the whole state arrives, nothing counts as fresh."""
+        self.board.configuration.revision = 0
+        self.board.configuration.confirmed_at = float("-inf")
+        self._tell(EventKind.FRESHNESS_LOST, "a change does not fit the declaration held")
+
     def _announce(self, before: int) -> None:
         revision = self.board.configuration.revision
         if revision == before:
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -168,6 +168,19 @@
     if held is not None and declaration.version <= held.version:
         return
     take_declaration(configuration, declaration)
+    _take_groups(configuration, declaration)
+
+
+def _change_declaration(configuration: Configuration, command: Command) -> None:
+    """Change the declaration in force; only VMs that serve callers are sent changes."""
+    held = configuration.declaration
+    if held is None or held.version != command.fields["base"]:
+        raise ChangeRejected(ErrorCode.CONFLICT, "The change is of another declaration.")
+    take_declaration(configuration, held.changed(command.fields))
+    _take_groups(configuration, configuration.declaration)
+
+
+def _take_groups(configuration: Configuration, declaration: Declaration) -> None:
     for item in declaration.groups:
         group = configuration.groups.setdefault(item.name, Group(item.name, 0, 0, None, 0))
         group.counts_own_terms = True
@@ -258,6 +271,7 @@
     CommandKind.CHANGE_VOTERS: _change_voters,
     CommandKind.VOTER_JOINED: _voter_joined,
     CommandKind.DECLARE: _declare,
+    CommandKind.CHANGE_DECLARATION: _change_declaration,
     CommandKind.ENDPOINT_GONE: _endpoint_gone,
     CommandKind.DEPARTURES_COVERED: _departures_covered,
 }
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -121,10 +121,7 @@
         timeline = self.board.timeline
         return {
             "revision": update.revision,
-            "entries": [
-                entry.to_entry_record() if only_serves else entry.to_record()
-                for entry in update.entries
-            ],
+            "entries": [entry.to_record() for entry in update.entries],
             "snapshot": update.snapshot,
             "age_s": age if math.isfinite(age) else None,
             "waited_s": self.board.clock.now() - started,
--- a/packages/gentianspread-server/src/gentianspread_server/serving.py
+++ b/packages/gentianspread-server/src/gentianspread_server/serving.py
@@ -17,7 +17,7 @@
 from .reports import SIGHTING_AGE_S, MemberReport
 
 SILENT_CONTROL_S = 10.0  # seconds; a cut zone's list is kept until the zone usually is back
-FIRST_LIST_S = 1.0  # seconds; all control VMs have polled a new leader by then
+FIRST_LIST_S = 2.0  # seconds; all VMs have polled control VMs that restarted, and these the leader
 VERSION_BYTES = 8  # bytes of the hash that names a list
 
 
@@ -91,7 +91,7 @@
         """Return the fleet's list for a VM that holds a version."""
         self._merge()
         homes = self.board.homes
-        if held == homes.version:
+        if held == homes.version or not homes.version:
             return {"version": held, "vms": None}
         vms = [vm.to_record() for listed in homes.by_zone.values() for vm in listed]
         return {"version": homes.version, "vms": vms}
