Compare a replica's lag with each read's accepted age

Cause: one read that accepts 1.5 s and met a replica 1.7 s behind kept reads that accept 2.5 s away from it for a quarter of a second, and each of those that did get through made the next 1.5 s read try again. Change: each answer of a replica tells how far it is behind (the primary was first seen beyond its position at a known time); a read goes there if the position it demands is older than that.

--- a/features/load.feature
+++ b/features/load.feature
@@ -55,6 +55,16 @@
     Then all reads of "bounded" were served within 0.5 s
     And the replicas refused at most 30 reads
 
+  Scenario: Replicas that are behind go on serving whoever accepts data of that age
+    Pattern: shared fate of unlike requests, answered by comparing a replica's lag with each read's age.
+    Given 12 sessions of "own" and 12 of "bounded"
+    And the primary is in another zone
+    When the replicas apply 2 s late and the primary commits every 0.05 s
+    And every session sends a read every 0.2 s for 5 s
+    Then all reads of "own" were served within 0.5 s
+    And the replicas ran at least 0.9 of the reads of "own" after 3 s
+    And the replicas refused at most 20 reads
+
   Scenario: Connections are kept for their workspaces under load
     Pattern: connection churn, answered by the price of an opening for all who wait for its slot.
     Given 10 sessions of "bounded" for each of 4 workspaces
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -98,6 +98,35 @@
         context.sworld.run(seconds / 5)
 
 
+@given("the primary is in another zone")
+def step_primary_elsewhere(context):
+    context.sworld.promote("b2")
+    context.sworld.run(2.0)
+
+
+@when("the replicas apply {lag:g} s late and the primary commits every {pause:g} s")
+def step_late(context, lag, pause):
+    world = context.sworld
+    for backend in world.backends.values():
+        backend.lag = 0.0 if backend.is_primary else lag
+
+    def commit():
+        world.primary()._append([f"c{len(world.primary().log)}"])
+        world.later(commit, pause)
+
+    commit()
+
+
+@then('the replicas ran at least {share:g} of the reads of "{database:w}" after {after:g} s')
+def step_by_replicas(context, share, database, after):
+    since = context.began + after
+    calls = [call for name, call in context.load_calls if name == database]
+    numbers = {call.statement.number for call in calls if call.arrived_at >= since}
+    backends = context.sworld.backends.values()
+    ran = [item.number for item in backends if not item.is_primary for item in item.ran]
+    assert numbers and len(numbers.intersection(ran)) >= share * len(numbers), len(numbers)
+
+
 @then("the replicas refused at most {count:d} reads")
 def step_replicas_refused(context, count):
     refused = sum(item.lagging for item in context.sworld.backends.values())
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -38,7 +38,8 @@
 
     `window` bounds the statements that this VM runs on it, `relay_window` those that it hands over
     to the endpoint's homes. `behind_until` and `full_until` are times until which it counts as
-    lacking newer positions, and as having no room for more work.
+    lacking newer positions, and as having no room for more work. `apply_lag` is by how many seconds
+    its log was behind the primary's when it last answered.
     `suspected` holds from a failure until a probe succeeds, or until its next use where
     `checks_by_use`, as statements are handed over to a VM that probes it. `suspected_since` and the
     durations `lag` and `latency` are in seconds. `slots` is how many statements it runs at once.
@@ -55,6 +56,7 @@
         "latency",
         "window",
         "relay_window",
+        "apply_lag",
         "behind_until",
         "full_until",
         "in_use",
@@ -79,6 +81,7 @@
         self.latency = 0.0
         self.window = Window(float(capacity))
         self.relay_window = Window(RELAY_WINDOW)
+        self.apply_lag = 0.0
         self.behind_until = 0.0
         self.full_until = 0.0
         self.in_use = 0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
@@ -6,7 +6,8 @@
 
 from ..positions import Position
 
-MOST_OBSERVATIONS = 64
+MOST_OBSERVATIONS = 128  # entries a group; with the spacing they reach back five seconds
+SPACING_S = 0.04  # seconds between two kept observations; the age of a read may be off by it
 
 
 class Observation:
@@ -43,8 +44,25 @@
                 return observation
         return None
 
+    def passed_at(self, group: str, position: Position) -> float | None:
+        """Return when the primary was first seen beyond a position, or none if it was not."""
+        for observation in self.by_group.get(group, ()):
+            if not position.reaches(observation.position):
+                return observation.taken_at
+        return None
+
+    def reached_at(self, group: str, position: Position) -> float | None:
+        """Return when the primary was first seen to have a position, or none if it was not."""
+        for observation in self.by_group.get(group, ()):
+            if observation.position.reaches(position):
+                return observation.taken_at
+        return None
+
     def add(self, group: str, observation: Observation) -> None:
-        """Keep an observation unless a newer one is held."""
+        """Keep an observation unless a newer one is held; the newest replaces a close one."""
         held = self.by_group.setdefault(group, deque(maxlen=MOST_OBSERVATIONS))
-        if not held or observation.taken_at > held[-1].taken_at:
-            held.append(observation)
+        if held and observation.taken_at <= held[-1].taken_at:
+            return
+        if len(held) > 1 and held[-1].taken_at - held[-2].taken_at < SPACING_S:
+            held.pop()
+        held.append(observation)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
@@ -7,6 +7,7 @@
 from ..blackboard.endpoints import Endpoint
 from ..blackboard.homes import ServingVM
 from ..blackboard.sessions import SessionRequest
+from ..positions import Position
 
 OPENING_COST_S = 0.04  # seconds; 12 to 27 ms of a slot that others wait for, and the wait
 OTHER_ZONE_COST_S = 0.06  # seconds; an opening and an eviction in the own zone cost callers less
@@ -14,6 +15,7 @@
 TRIED_COST_S = 0.5  # seconds; an endpoint that did not run the request is the last choice
 FULL_COST_S = 0.1  # seconds; what an endpoint's queue holds up
 BEHIND_COST_S = 0.3  # seconds; a replica that was behind a moment ago most likely still is
+LAG_MARGIN_S = 0.1  # seconds; positions of primaries arrive some hundred milliseconds apart
 PRIMARY_READ_COST_S = 0.01  # seconds; keeps primaries free for what only they can serve
 RELAY_COST_S = 0.003  # seconds; a hop inside the zone, with its processor time at both ends
 SHORTEST_WORK_S = 0.005  # seconds; until an endpoint's latency is known
@@ -50,9 +52,17 @@
             if endpoint.name == self._primary(request.group):
                 cost += PRIMARY_READ_COST_S
             elif not endpoint.position.reaches(wanted):
-                cost += BEHIND_COST_S if now < endpoint.behind_until else SHORTEST_WORK_S
+                cost += BEHIND_COST_S if self._is_behind(endpoint, wanted) else SHORTEST_WORK_S
         return cost
 
+    def _is_behind(self, endpoint: Endpoint, wanted: Position) -> bool:
+        """Tell whether a replica that was behind a moment ago most likely lacks a position."""
+        now = self.board.clock.now()
+        if now >= endpoint.behind_until:
+            return False
+        reached_at = self.board.observations.reached_at(endpoint.group, wanted)
+        return reached_at is None or now - reached_at < endpoint.apply_lag + LAG_MARGIN_S
+
     def _zone_cost(self, endpoint: Endpoint) -> float:
         return 0.0 if endpoint.zone == self.board.settings.zone else OTHER_ZONE_COST_S
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from ..blackboard import Board, Topic
@@ -76,8 +77,9 @@
         wanted = getattr(request, "min_position", None)
         if endpoint is None or wanted is None or not endpoint.behind_until:
             return
-        if not endpoint.position.reaches(wanted):
-            endpoint.behind_until = self.board.clock.now() + BEHIND_S
+        now = self.board.clock.now()
+        if now >= endpoint.behind_until and not endpoint.position.reaches(wanted):
+            endpoint.behind_until = now + BEHIND_S
 
     def on_exchange_ended(self, request: Request) -> None:
         """Learn from an exchange: position, lag, failures."""
@@ -95,13 +97,12 @@
         else:
             endpoint.failures = 0
             endpoint.lost_in_a_row = 0
+        self._note_lag(endpoint, exchange, reply)
         self._note_refusal(endpoint, reply)
         self._adapt_window(endpoint, request, reply)
         if reply.status in (ExchangeStatus.OK, ExchangeStatus.LOST):
             elapsed = self.board.clock.now() - exchange.sent_at
             endpoint.latency += (elapsed - endpoint.latency) * LATENCY_SMOOTHING
-        if reply.status is ExchangeStatus.OK and getattr(request, "min_position", None):
-            endpoint.behind_until = 0.0
         if reply.status is ExchangeStatus.OK and reply.position is not None:
             endpoint.position = later(endpoint.position, reply.position)
             if request.is_read():
@@ -135,11 +136,25 @@
         elif reply.status is ExchangeStatus.OK:
             window.raise_once()
 
+    def _note_lag(self, endpoint: Endpoint, exchange: Exchange, reply: Reply) -> None:
+        """Learn how far a replica's log is behind from the position that it told."""
+        known = self.board.configuration.groups.get(endpoint.group)
+        if reply.position is None or known is None or known.primary == endpoint.name:
+            return
+        passed_at = self.board.observations.passed_at(endpoint.group, reply.position)
+        if passed_at is None:
+            endpoint.apply_lag = endpoint.behind_until = 0.0
+        else:
+            endpoint.apply_lag = max(0.0, exchange.sent_at - passed_at)
+            endpoint.behind_until = self.board.clock.now() + BEHIND_S
+
     def _note_refusal(self, endpoint: Endpoint, reply: Reply) -> None:
         """Learn from a refusal that the endpoint is behind, or has no room."""
         now = self.board.clock.now()
         if reply.code == LAGGING_CODE:
             endpoint.behind_until = now + BEHIND_S
+            if reply.position is None:
+                endpoint.apply_lag = math.inf
         elif reply.code in FULL_CODES:
             endpoint.full_until = now + FULL_S
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/backend.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, Step, StepKind
 from gentianspread_core.positions import Position
@@ -49,6 +51,8 @@
         self.is_replaced = False
         self.held = False
         self.is_deaf = False
+        self.lag = 0.0
+        self.later: Callable[[Callable[[], None], float], None] | None = None
         self.is_silent = False
         self.followers: list[FakeBackend] = []
         self.term = 1
@@ -98,6 +102,7 @@
                     is_failed = error == "FAILED"
                     reply.status = ExchangeStatus.FAILED if is_failed else ExchangeStatus.REFUSED
                     reply.code = error
+                    reply.position = self.position()
                     reply.is_reusable = True
                     reply.keeps_transaction = False
                     return reply
@@ -172,4 +177,14 @@
         for follower in self.followers:
             if follower.alive and not (follower.held or follower.is_deaf):
                 follower.log = list(self.log)
-                follower.applied = self.applied
+                follower.apply(self.applied)
+
+    def apply(self, count: int) -> None:
+        """Apply the first commits of the log, after this endpoint's lag in seconds."""
+        if self.lag and self.later is not None:
+            self.later(lambda: self._apply_now(count), self.lag)
+        else:
+            self._apply_now(count)
+
+    def _apply_now(self, count: int) -> None:
+        self.applied = max(self.applied, count)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/sessionworld.py
@@ -151,6 +151,7 @@
     def add_backend(self, backend: FakeBackend, leaving: bool = False) -> None:
         """Add an endpoint and have the log know it."""
         self.backends[backend.name] = backend
+        backend.later = self.later
         self.announce(backend, leaving, sequence=1)
 
     def announce(self, backend: FakeBackend, leaving: bool, sequence: int) -> None:
