Close connections that another VM is the home of

Change: such a connection is closed after its use, and idle ones when the list arrives. Test: features/homes.feature.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -39,6 +39,15 @@
     And nothing more is heard of "h1" for 6 s
     Then no transaction is left at any home
 
+  Scenario: Connections from before the homes were known give way to those of the homes
+    Pattern: leaked shares, answered by closing what another VM is the home of.
+    Given no VM knows which VMs serve callers
+    And 24 workspaces with a session of "bounded" and of "latest" at every VM
+    When every session reads once in 0.5 s, 2 times
+    And all VMs are known as serving callers
+    And every session reads once in 0.5 s, 2 times
+    Then only homes hold idle connections
+
   Scenario: An overloaded endpoint is not asked by more statements than fill its queue
     Pattern: metastable overload, answered by a bound of statements under way for all homes together.
     Given the endpoints have 1 slot and 0.02 s of work a statement
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -167,3 +167,27 @@
         assert world.handed_over == 1, world.handed_over
     else:
         assert answer.refusal is None
+
+
+@given("no VM knows which VMs serve callers")
+def step_no_list(context):
+    context.hworld.list_homes(*context.hworld.vms)
+
+
+@when("all VMs are known as serving callers")
+def step_list(context):
+    context.hworld.list_homes()
+
+
+@then("only homes hold idle connections")
+def step_only_homes(context):
+    held = 0
+    for name, engine in context.hworld.vms.items():
+        board = engine.board
+        for endpoint in board.endpoints.by_name.values():
+            homes = board.homes.of_endpoint(endpoint.name, endpoint.zone, endpoint.slots)
+            connections = board.connections.of(endpoint.name)
+            is_home = name in {vm.name for vm in homes}
+            held += len(connections)
+            assert is_home or not connections, (name, endpoint.name)
+    assert held
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -61,6 +61,7 @@
             Topic.ENDPOINT_CHANGED: self.on_endpoint_changed,
             Topic.CONFIGURATION_CHANGED: self.on_configuration,
             Topic.INTENT_POSTED: self.on_intent,
+            Topic.HOMES_CHANGED: self.on_homes,
         }
 
     def on_permitted(self, request: SessionRequest) -> None:
@@ -134,6 +135,13 @@
         for queue in self.board.queues.pinned.values():
             self._drain_queue(queue)
 
+    def on_homes(self, _entry: None) -> None:
+        """Close idle connections to endpoints that this VM is no home of."""
+        for connections in list(self.board.connections.by_endpoint.values()):
+            for connection in list(connections):
+                if connection.state is ConnectionState.IDLE and not self._keeps(connection):
+                    self._close(connection)
+
     def on_intent(self, intent: object) -> None:
         """Close an endpoint's idle connections once they count as silent."""
         if not isinstance(intent, PoolFlush):
@@ -321,11 +329,24 @@
             running.pop(request.workspace, None)
 
     def _free(self, connection: BackendConnection) -> None:
-        """Keep a connection for the next request; a home's goes back to the home."""
+        """Keep a connection for the next request; a home's goes back to the home.
+
+        One that another VM is the home of is closed: its place is the home's.
+        """
         if connection.home is not None:
             self._drop(connection)
         elif connection.state is not ConnectionState.CLOSED:
             connection.state = ConnectionState.IDLE
+            if not self._keeps(connection):
+                self._close(connection)
+
+    def _keeps(self, connection: BackendConnection) -> bool:
+        """Tell whether this VM is a home of the connection's endpoint, or homes are not known."""
+        endpoint = self.board.endpoints.by_name.get(connection.endpoint)
+        if endpoint is None:
+            return False
+        homes = self.board.homes.of_endpoint(endpoint.name, endpoint.zone, endpoint.slots)
+        return not homes or any(vm.name == self.board.settings.member for vm in homes)
 
     def _drop(self, connection: BackendConnection) -> None:
         """Forget a connection that its adapter closes or has closed."""
