Poll the leader sooner, and give up an idle connection where an endpoint takes no more

Homes were refused with CONNLIMIT by endpoints that still counted connections from before, and opened again instead of using what they had. Change: a new leader is asked first by voters and second by others; after a CONNLIMIT an idle connection of another workspace is given up for half a second.

--- a/features/load.feature
+++ b/features/load.feature
@@ -71,6 +71,13 @@
     When every session sends a read every 0.2 s for 4 s
     Then at most 0.1 connections were opened for each read
 
+  Scenario: An endpoint without a place for another connection gets no further openings for it
+    Pattern: retry storm, answered by giving up an idle connection for the one that is needed.
+    Given 1 sessions of "bounded" for each of 12 workspaces
+    And the endpoints take 3 connections
+    When every session sends a read every 0.2 s for 4 s
+    Then all reads of "bounded" were served within 0.5 s
+
   Scenario: A replica that goes silent costs its readers half of their objective at most
     Pattern: gray failure, answered by a limit for each attempt below the objective.
     Given 6 sessions of "bounded" and 0 of "latest"
--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -49,3 +49,10 @@
     Given a VM that only serves callers and is up to date
     When it is sent a change of another declaration
     Then it is not fresh and asks for the whole state
+
+  Scenario: The leader is asked first by voters, and second by others
+    Given control VMs "c1", "c2" of zone "z1" and "c3", "c4" of zone "z2", of which "c1", "c3" vote
+    When "c3" leads
+    Then "c1" polls "c3" first
+    And a VM of zone "z1" that serves callers polls "c1" first and "c3" second
+    And a VM of zone "z2" that serves callers polls "c3" first and "c4" second
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -127,6 +127,12 @@
     assert numbers and len(numbers.intersection(ran)) >= share * len(numbers), len(numbers)
 
 
+@given("the endpoints take {count:d} connections")
+def step_connections(context, count):
+    for backend in context.sworld.backends.values():
+        backend.max_connections = count
+
+
 @then("the replicas refused at most {count:d} reads")
 def step_replicas_refused(context, count):
     refused = sum(item.lagging for item in context.sworld.backends.values())
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -7,11 +7,12 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.configuration import Configuration, load_snapshot
+from gentianspread_core.blackboard.configuration import Configuration, Member, load_snapshot
 from gentianspread_core.blackboard.log import LogEntry
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
+from gentianspread_server.distribution import Distribution
 from gentianspread_server.peers import Addresses
 from gentianspread_server.reports import MemberReport
 from gentianspread_server.serving import ServingVMs
@@ -220,3 +221,45 @@
     assert board.configuration.revision == 0 and not board.is_fresh()
     _catch_up(context)
     assert context.update.snapshot is not None and board.is_fresh()
+
+
+@given(
+    'control VMs "{a:w}", "{b:w}" of zone "{first:w}" and "{c:w}", "{d:w}" of zone "{second:w}", '
+    'of which "{e:w}", "{f:w}" vote'
+)
+def step_control_vms(context, a, b, first, c, d, second, e, f):
+    context.members = {
+        name: Member(name, name, zone, True)
+        for name, zone in ((a, first), (b, first), (c, second), (d, second))
+    }
+    context.voters = [e, f]
+
+
+@when('"{name:w}" leads')
+def step_leads(context, name):
+    context.leading = name
+
+
+def _order_of(context, name, zone):
+    poller = Poller(context)
+    board = poller.engine.board
+    board.settings.member, board.settings.zone = name, zone
+    board.settings.registers_entries = False
+    board.configuration.members = context.members
+    board.configuration.voters = context.voters
+    addresses = Addresses(board, {}, names_are_addresses=True)
+    distribution = Distribution(board, poller.engine.configuration, addresses, None)
+    distribution._leader = context.leading
+    return distribution.upstreams()
+
+
+@then('"{name:w}" polls "{first:w}" first')
+def step_polls_first(context, name, first):
+    order = _order_of(context, name, context.members[name].zone)
+    assert order[0] == first, order
+
+
+@then('a VM of zone "{zone:w}" that serves callers polls "{first:w}" first and "{second:w}" second')
+def step_polls_in_order(context, zone, first, second):
+    order = _order_of(context, "entry", zone)
+    assert order[:2] == [first, second], order
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -39,7 +39,8 @@
     `window` bounds the statements that this VM runs on it, `relay_window` those that it hands over
     to the endpoint's homes. `behind_until` and `full_until` are times until which it counts as
     lacking newer positions, and as having no room for more work. `apply_lag` is by how many seconds
-    its log was behind the primary's when it last answered.
+    its log was behind the primary's when it last answered. Until `crowded_until` it has no place
+    for another connection, whoever holds them.
     `suspected` holds from a failure until a probe succeeds, or until its next use where
     `checks_by_use`, as statements are handed over to a VM that probes it. `suspected_since` and the
     durations `lag` and `latency` are in seconds. `slots` is how many statements it runs at once.
@@ -59,6 +60,7 @@
         "apply_lag",
         "behind_until",
         "full_until",
+        "crowded_until",
         "in_use",
         "capacity",
         "suspected",
@@ -84,6 +86,7 @@
         self.apply_lag = 0.0
         self.behind_until = 0.0
         self.full_until = 0.0
+        self.crowded_until = 0.0
         self.in_use = 0
         self.capacity = capacity
         self.suspected = False
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
@@ -87,7 +87,8 @@
                 if connection.workspace == request.workspace:
                     return 0.0
                 idle_others += 1
-        if len(own) < endpoint.capacity:
+        is_crowded = self.board.clock.now() < endpoint.crowded_until
+        if len(own) < endpoint.capacity and not is_crowded:
             return OPENING_COST_S
         return OPENING_COST_S + EVICTION_COST_S if idle_others else float("inf")
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -26,6 +26,8 @@
 RESERVED_CONNECTIONS = 4  # of each endpoint; for probes by the leader, its successor, and checks
 PROBE_PURPOSE = "endpoint"
 LAGGING_CODE = "LAGGING"
+CROWDED_CODE = "CONNLIMIT"
+CROWDED_S = 0.5  # seconds; endpoints forget the connections of a VM without power after three
 FULL_CODES = frozenset({"BUSY", ErrorCode.OVERLOADED.value})
 IN_FLIGHT_PER_SLOT = 6  # statements; five wait for each that runs, most end in the objective
 HOMES_SHARE = 0.8  # of an endpoint's connections; the rest is for VMs that reach none of its homes
@@ -155,6 +157,8 @@
             endpoint.behind_until = now + BEHIND_S
             if reply.position is None:
                 endpoint.apply_lag = math.inf
+        elif reply.code == CROWDED_CODE:
+            endpoint.crowded_until = now + CROWDED_S
         elif reply.code in FULL_CODES:
             endpoint.full_until = now + FULL_S
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -255,7 +255,8 @@
         if own:
             return min(own, key=lambda item: _differences(item, request)), []
         evicted: list[BackendConnection] = []
-        if len(held) >= endpoint.capacity:
+        is_crowded = self.board.clock.now() < endpoint.crowded_until
+        if len(held) >= endpoint.capacity or is_crowded:
             oldest = min(idle, key=lambda item: item.last_used)
             self._drop(oldest)
             evicted.append(oldest)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -158,36 +158,41 @@
     def _run(self) -> None:
         turn = 0
         turned_at = self.board.clock.now()
+        leader: str | None = None
         while True:
             if self.board.election.role is Role.LEADER:
                 gevent.sleep(POLL_WAIT_S)
                 continue
-            if turn and self.board.clock.now() - turned_at > RETURN_AFTER_S:
-                turn = 0
-            candidates = self._upstreams()
+            is_over = turn and self.board.clock.now() - turned_at > RETURN_AFTER_S
+            if is_over or leader != self.leader():
+                turn, leader = 0, self.leader()
+            candidates = self.upstreams()
             name = candidates[turn % len(candidates)] if candidates else ""
             if not name or not self._poll(name):
                 turn += 1
                 turned_at = self.board.clock.now()
                 gevent.sleep(min(POLL_PAUSE_S * turn, LONGEST_POLL_PAUSE_S))
 
-    def _upstreams(self) -> list[str]:
-        """Return whom to poll, the best first: the leader for voters, the own zone for others."""
+    def upstreams(self) -> list[str]:
+        """Return whom to poll, the best first.
+
+        That is the leader for voters, and for others a VM of the own zone; the leader comes next,
+        as it is the first to be fresh after control VMs restarted.
+        """
         settings = self.board.settings
         configuration = self.board.configuration
-        names: list[str] = []
         leader = self.leader()
         voters = configuration.voters or self.board.log.voters or list(self.addresses.seeds)
-        if settings.member in voters and leader is not None:
-            names.append(leader)
-        names += [name for name in voters if self._zone_of(name) == settings.zone]
+        near = [name for name in voters if self._zone_of(name) == settings.zone]
         if not settings.registers_entries:
-            near = [item for item in configuration.members.values() if item.zone == settings.zone]
-            names += [item.name for item in near if item.has_disk]
+            members = configuration.members.values()
+            near += [item.name for item in members if item.zone == settings.zone and item.has_disk]
         allocator = configuration.allocators.get(settings.zone)
         if allocator is not None:
-            names.append(allocator.member)
-        names += [leader] if leader else []
+            near.append(allocator.member)
+        near = [name for name in near if name != settings.member]
+        is_first = 0 if settings.member in voters else 1
+        names = [*near[:is_first], *([leader] if leader else []), *near[is_first:]]
         names += voters
         names += list(self.addresses.seeds)
         names += [item.name for item in configuration.members.values() if item.has_disk]
