Remove a voter too many, start on a full disk, and keep the output of failed checks

Cause of the voter too many: the repair removed a voter only while it was lost; one that answered again after its replacement got a vote stayed for good. Start on a full disk: opening the log truncated and wrote; it now only reads and syncs, and waits while the disk fails. The simulated VM wrote a failed batch never again; it does now, as the product does.

--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import errno
 import os
+from unittest import mock
 
 from behave import then, when
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.log import LogEntry, Snapshot
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
 from gentianspread_core.errors import StorageError
+from gentianspread_server import control, storage
+from gentianspread_server.control import ControlLoop
 from gentianspread_server.storage import LOG_FILE, ControlStorage
 
 
@@ -30,6 +34,10 @@
     return storage
 
 
+def refuse_write(*_args):
+    raise OSError(errno.ENOSPC, "No space left on device")
+
+
 def log_path(context):
     return os.path.join(context.folder, LOG_FILE)
 
@@ -136,6 +144,53 @@
     assert context.stored.entries[-1].index == last + 1
 
 
+@when("the disk refuses the next {count:d} syncs")
+def step_refuse_syncs(context, count):
+    context.storage.close()
+    context.failures = [OSError(errno.ENOSPC, "No space left on device")] * count
+
+
+@then(
+    "the control log is recovered with entries {first:d} to {last:d} "
+    "after {count:d} failed attempts"
+)
+def step_recovered(context, first, last, count):
+    loop = ControlLoop(None, ControlStorage(context.folder), None, None)
+    sync = os.fsync
+    attempts = []
+
+    def sync_or_fail(file):
+        attempts.append(file)
+        if len(attempts) <= count:
+            raise context.failures[len(attempts) - 1]
+        sync(file)
+
+    with (
+        mock.patch.object(storage.os, "fsync", sync_or_fail),
+        mock.patch.object(control, "WRITE_RETRY_INTERVAL_S", 0.01),
+    ):
+        stored = loop.recover()
+    assert [item.index for item in stored.entries] == list(range(first, last + 1))
+    assert len(attempts) > count
+
+
+@then(
+    "reopening while nothing can be written reads entries {first:d} to {last:d} "
+    "and the vote in term {term:d}"
+)
+def step_read_when_full(context, first, last, term):
+    with (
+        mock.patch.object(storage.os, "write", refuse_write),
+        mock.patch.object(storage.os, "ftruncate", refuse_write),
+    ):
+        step_entries_read(context, first, last, term)
+
+
+@then("further entries can be written and read once there is room")
+def step_append_with_room(context):
+    step_append(context)
+
+
 @then('reopening fails with "{code:w}" and a remedy')
 def step_open_fails(context, code):
     error = failure_of(lambda: open_storage(context))
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -50,3 +50,14 @@
     When entries 1 to 5 and a vote in term 3 are written
     And the disk is full
     Then writing fails with "storage_failed" and a remedy
+
+  Scenario: A VM that starts while its disk is full reads its log, and removes a torn write once there is room
+    When entries 1 to 5 and a vote in term 3 are written
+    And the last 10 bytes of the log are cut off
+    Then reopening while nothing can be written reads entries 1 to 4 and the vote in term 3
+    And further entries can be written and read once there is room
+
+  Scenario: A VM whose disk refuses to sync at the start waits for it instead of ending
+    When entries 1 to 5 and a vote in term 3 are written
+    And the disk refuses the next 2 syncs
+    Then the control log is recovered with entries 1 to 5 after 2 failed attempts
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -134,8 +134,8 @@
             self._change_voters(list(log.voters), [])
         elif log.learners:
             self._promote_learner(log.learners[0])
-        elif lost is not None and len(log.voters) > target_count:
-            self._remove_voter(lost)
+        elif len(log.voters) > target_count > 0:
+            self._remove_voter(lost or self._surplus_voter())
         elif lost is not None or len(log.voters) < target_count:
             self._add_learner(lost)
         else:
@@ -156,6 +156,19 @@
                 return name
         return None
 
+    def _surplus_voter(self) -> str:
+        """Return the voter to remove when all voters answer but there are too many.
+
+        A lost voter may answer again after its replacement got a vote. It is the other voter that
+        has the fewest entries and, among those, has not answered for the longest time.
+        """
+        log = self.board.log
+        others = [name for name in log.voters if name != self.board.settings.member]
+        return min(
+            others,
+            key=lambda name: (log.peers[name].match_index, log.peers[name].last_response_at, name),
+        )
+
     def _record_joined_voter(self) -> None:
         """Record a voter that has answered, so that it cannot vote again if it loses its disk."""
         joined = self.board.configuration.joined_voters
--- a/packages/gentianspread-lab/src/gentianspread_lab/checks.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/checks.py
@@ -11,9 +11,12 @@
 import re
 import subprocess
 import sys
-import tempfile
+import time
+from typing import Any
 
 KNOWN_RED_FILE = "KNOWN-RED.txt"
+OUTPUT_FOLDER = "out"
+MAX_ERROR_LINES = 20
 README = "README.md"
 LINK = re.compile(r"\]\(([^)]+)\)")
 SCENARIO_PREFIX = "scenario: "
@@ -81,27 +84,58 @@
 
 
 def run_features(tally: Tally) -> None:
-    """Run the features and count their scenarios."""
-    with tempfile.TemporaryDirectory() as folder:
-        report = os.path.join(folder, "report.json")
-        command = [sys.executable, "-m", "behave", "--no-color", "-f", "json", "-o", report]
-        command += ["-f", "progress", "features"]
-        done = subprocess.run(command, check=False)
-        scenarios = _read_scenarios(report)
-    for name, is_passed in scenarios:
-        tally.add(name, is_passed)
-    if done.returncode != 0 and all(is_passed for _, is_passed in scenarios):
+    """Run the features and count their scenarios; keep the whole output and the report."""
+    folder = os.path.join(OUTPUT_FOLDER, time.strftime("features-%Y%m%d-%H%M%S"))
+    os.makedirs(folder, exist_ok=True)
+    report = os.path.join(folder, "report.json")
+    command = [sys.executable, "-m", "behave", "--no-color", "-f", "json", "-o", report]
+    command += ["-f", "progress", "features"]
+    with open(os.path.join(folder, "output.txt"), "w", encoding="utf-8") as output:
+        done = subprocess.run(command, stdout=output, stderr=subprocess.STDOUT, check=False)
+    scenarios = _read_scenarios(report)
+    for scenario in scenarios:
+        tally.add(scenario.name, scenario.is_passed)
+        if not scenario.is_passed:
+            print("\n".join(scenario.error_lines[:MAX_ERROR_LINES]))
+    if done.returncode != 0 and all(scenario.is_passed for scenario in scenarios):
         tally.add("behave ended without an error", False)
-
-
-def _read_scenarios(report: str) -> list[tuple[str, bool]]:
+    print(f"The output of the features is in {folder}.")
+
+
+class ScenarioResult:
+    """The name of a scenario, whether it passed, and otherwise the lines of its error."""
+
+    __slots__ = ("name", "is_passed", "error_lines")
+
+    def __init__(self, name: str, is_passed: bool, error_lines: list[str]) -> None:
+        self.name = name
+        self.is_passed = is_passed
+        self.error_lines = error_lines
+
+    @classmethod
+    def from_report(cls, element: dict[str, Any]) -> ScenarioResult:
+        """Build from a scenario of behave's JSON report."""
+        messages = [
+            step["result"].get("error_message", [])
+            for step in element.get("steps", [])
+            if "result" in step
+        ]
+        lines = [
+            line
+            for message in messages
+            for line in (message.splitlines() if isinstance(message, str) else message)
+        ]
+        return cls(element["name"], element.get("status") == "passed", lines)
+
+
+def _read_scenarios(report: str) -> list[ScenarioResult]:
+    if not os.path.exists(report) or not os.path.getsize(report):
+        return []
     with open(report, encoding="utf-8") as file:
         features = json.load(file)
     elements = [element for feature in features for element in feature.get("elements", [])]
     return [
-        (element["name"], element.get("status") == "passed")
-        for element in elements
-        if element["type"] == "scenario"
+        ScenarioResult.from_report(element) for element in elements if element["type"] == "scenario"
     ]
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
@@ -7,6 +7,7 @@
 
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.outbox import (
+    ControlBatch,
     EndpointCommand,
     EndpointProbe,
     ReplicaWatch,
@@ -39,7 +40,7 @@
         self.name = settings.member
         self.alive = False
         self.frozen = False
-        self.disk_failed = False
+        self.unwritten_batch: ControlBatch | None = None
         self.incarnation = 0
         self.engine: Engine
 
@@ -53,7 +54,7 @@
         simulation = self.simulation
         self.alive = True
         self.frozen = False
-        self.disk_failed = False
+        self.unwritten_batch = None
         self.incarnation += 1
         self.settings.lost_votes = self._lost_votes()
         self.engine = Engine.for_requests(
@@ -81,15 +82,15 @@
     def flush_control_batch(self) -> None:
         """Sync the pending control batch, then send its messages.
 
-        Once a write fails, no message is sent until a restart.
+        A batch that fails is written again at each call, and nothing is sent until it is synced.
         """
         if not self.is_running():
             return
-        batch = self.board.outbox.take_control_batch()
+        batch = self.unwritten_batch or self.board.outbox.take_control_batch()
         if batch.needs_sync() and (self.disk is None or not self.disk.write(batch)):
-            self.disk_failed = True
-        if self.disk_failed:
+            self.unwritten_batch = batch
             return
+        self.unwritten_batch = None
         for message in batch.messages:
             self.simulation.send_message(message)
         if batch.entries:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/demo.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/demo.py
@@ -151,14 +151,16 @@
     parser.add_argument("--seconds", type=float, default=3.0, help="length of each phase")
     options = parser.parse_args()
     fleet = PlatformFleet()
+    all_hold = False
     try:
         fleet.start()
         verdicts = run_phases(fleet, options.seconds)
+        all_hold = all(verdict.holds for verdict in verdicts)
     finally:
-        fleet.stop()
+        fleet.stop(keep_logs=not all_hold)
     for verdict in verdicts:
         print(f"{'holds ' if verdict.holds else 'BROKEN'} {verdict.guarantee} ({verdict.evidence})")
-    return 0 if all(verdict.holds for verdict in verdicts) else 1
+    return 0 if all_hold else 1
 
 
 if __name__ == "__main__":
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -4,7 +4,6 @@
 
 import logging
 import os
-import random
 import shutil
 import signal
 import subprocess
@@ -15,12 +14,12 @@
 import gevent
 import orjson
 from gentianspread_server.connections import Connection, RequestNotSentError, ResponseLostError
-from gevent import socket
 from gevent.pywsgi import WSGIServer
 
 from .database import DatabaseGroup
 from .endpoint import SimulatedEndpoint
 from .links import FaultyLink
+from .ports import PortBlock
 
 log = logging.getLogger(__name__)
 
@@ -30,28 +29,17 @@
 CALL_TIMEOUT_S = 2.0
 START_TIMEOUT_S = 30.0  # a start takes half a second on an idle machine
 MAX_CONNECTIONS = 40
-MIN_PORT, MAX_PORT = 20_000, 32_000  # below the ephemeral ports
+KEPT_LOGS_FOLDER = os.path.join("out", "fleets")
 STOP_TIMEOUT_S = 12.0  # the grace period in the settings is 6 s
 
 
-def free_address(host: str = "127.0.0.1") -> str:
-    """Return an address whose port is free now and is no ephemeral port."""
-    while True:
-        port = random.randrange(MIN_PORT, MAX_PORT)
-        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as test_socket:
-            try:
-                test_socket.bind((host, port))
-            except OSError as error:
-                log.debug("port %d is in use: %s", port, error)
-                continue
-        return f"{host}:{port}"
-
-
 class PlatformFleet:
     """Control and entry VMs as processes, and in this process three endpoints and the cloud API."""
 
     def __init__(self, entry_count: int = 3) -> None:
         self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
+        self._ports = PortBlock.reserve()
+        free_address = self._ports.next_address
         self.control_addresses = [free_address() for _ in ZONES]
         self.entry_addresses = {
             f"entry-{number}": free_address() for number in range(1, entry_count + 1)
@@ -174,8 +162,11 @@
         finally:
             connection.close()
 
-    def stop(self) -> None:
-        """Kill every process of this fleet and remove its folder."""
+    def stop(self, keep_logs: bool = False) -> None:
+        """Kill every process of this fleet and remove its folder.
+
+        With `keep_logs`, copy the logs of the processes to a folder under `KEPT_LOGS_FOLDER` first.
+        """
         self._stopped = True
         for process in self.processes.values():
             process.kill()
@@ -186,8 +177,19 @@
         for link in self.links.values():
             link.stop()
         self._server.close()
+        self._ports.release()
+        if keep_logs:
+            self._keep_logs()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    def _keep_logs(self) -> None:
+        folder = os.path.join(KEPT_LOGS_FOLDER, os.path.basename(self.folder))
+        os.makedirs(folder, exist_ok=True)
+        for name in os.listdir(self.folder):
+            if name.endswith((".log", ".conf")):
+                shutil.copy(os.path.join(self.folder, name), folder)
+        print(f"The logs of the processes are in {folder}.")
+
     def last_log_line(self, name: str) -> str:
         """Return the last line of a process's log."""
         with open(os.path.join(self.folder, f"{name}.log"), "rb") as file:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/soak.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/soak.py
@@ -20,7 +20,7 @@
 import gevent  # noqa: E402
 
 from .callers import Caller, CallerResults  # noqa: E402
-from .demo import CALLER_COUNT, check_guarantees  # noqa: E402
+from .demo import CALLER_COUNT, Verdict, check_guarantees  # noqa: E402
 from .fleet import PlatformFleet  # noqa: E402
 from .links import LinkState  # noqa: E402
 
@@ -155,6 +155,7 @@
     """Run one seed, print the violated guarantees, and return whether all hold."""
     fleet = PlatformFleet()
     caller_results = CallerResults()
+    violated: list[Verdict] | None = None
     try:
         fleet.start()
         callers = [
@@ -179,9 +180,9 @@
             fleet, caller_results, max(injector.exit_codes), 0, succeeded_before_last_phase
         )
         verdicts = [item for item in verdicts if item.guarantee != "a lost primary is replaced"]
+        violated = [item for item in verdicts if not item.holds]
     finally:
-        fleet.stop()
-    violated = [item for item in verdicts if not item.holds]
+        fleet.stop(keep_logs=violated != [])
     print(
         f"seed {seed}: {caller_results.succeeded} served, {len(injector.injected)} faults, "
         f"{len(violated)} broken"
--- a/packages/gentianspread-server/src/gentianspread_server/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/control.py
@@ -53,10 +53,22 @@
         self.is_write_failing = False
 
     def recover(self) -> StoredState | None:
-        """Return the state that the disk held, or none if it was empty."""
+        """Return the state that the disk held, or none if it was empty.
+
+        Waits while the disk fails. Raises a `StorageError` if the files are damaged.
+        """
         if self.storage is None:
             return None
-        stored = self.storage.open()
+        stored: StoredState | None = None
+        while stored is None:
+            try:
+                stored = self.storage.open()
+            except StorageError as error:
+                if not isinstance(error.__cause__, OSError):
+                    raise
+                self._report_failure(error)
+                gevent.sleep(WRITE_RETRY_INTERVAL_S)
+        self._report_success()
         is_empty = not (stored.hard_state.term or stored.snapshot.index or stored.entries)
         return None if is_empty else stored
 
@@ -99,16 +111,23 @@
             try:
                 gevent.get_hub().threadpool.apply(self.storage.write, (batch,))
             except StorageError as error:
-                if not self.is_write_failing:
-                    log.error("%s Retrying. %s", error.message, error.remedy)
-                self.is_write_failing = True
+                self._report_failure(error)
                 gevent.sleep(WRITE_RETRY_INTERVAL_S)
             else:
-                if self.is_write_failing:
-                    log.info("writing to the disk succeeds again")
-                self.is_write_failing = False
+                self._report_success()
                 return
 
+    def _report_failure(self, error: StorageError) -> None:
+        """Log the first of several failures in a row."""
+        if not self.is_write_failing:
+            log.error("%s Retrying. %s", error.message, error.remedy)
+        self.is_write_failing = True
+
+    def _report_success(self) -> None:
+        if self.is_write_failing:
+            log.info("writing to the disk succeeds again")
+        self.is_write_failing = False
+
     def _sender_for(self, name: str) -> PeerSender:
         sender = self._senders.get(name)
         if sender is None:
--- a/packages/gentianspread-server/src/gentianspread_server/storage.py
+++ b/packages/gentianspread-server/src/gentianspread_server/storage.py
@@ -67,16 +67,22 @@
         self._has_partial_frame = False
 
     def open(self) -> StoredState:
-        """Read the files, truncate a torn write from the log, and open the log for appending."""
-        self._snapshot = self._read_snapshot()
-        length = self._read_log()
-        path = self._path(LOG_FILE)
-        self._file = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
-        os.ftruncate(self._file, length)
-        os.lseek(self._file, length, os.SEEK_SET)
-        os.fsync(self._file)
-        self._sync_folder()
-        self._log_length = length
+        """Read the files, and open the log for appending; raises `StorageError` if either fails.
+
+        What was read is synced, as a killed process may not have done that. A torn write stays in
+        the file until the next write truncates it, so that a VM can start while its disk is full.
+        """
+        try:
+            self._entries = []
+            self._snapshot = self._read_snapshot()
+            self._log_length, self._has_partial_frame = self._read_log()
+            self._file = os.open(self._path(LOG_FILE), os.O_RDWR | os.O_CREAT, 0o600)
+            os.lseek(self._file, self._log_length, os.SEEK_SET)
+            os.fsync(self._file)
+            self._sync_folder()
+        except OSError as error:
+            self.close()
+            raise self._failure("Opening", error) from error
         return StoredState(self._hard_state, self._snapshot, list(self._entries))
 
     def write(self, batch: ControlBatch) -> None:
@@ -91,9 +97,7 @@
             else:
                 self._append(batch)
         except OSError as error:
-            raise StorageError(
-                ErrorCode.STORAGE_FAILED, f"Writing to {self.folder}: {error}"
-            ) from error
+            raise self._failure("Writing to", error) from error
 
     def close(self) -> None:
         """Close the log."""
@@ -101,6 +105,9 @@
             os.close(self._file)
             self._file = None
 
+    def _failure(self, action: str, error: OSError) -> StorageError:
+        return StorageError(ErrorCode.STORAGE_FAILED, f"{action} {self.folder}: {error}")
+
     def _path(self, name: str) -> str:
         return os.path.join(self.folder, name)
 
@@ -189,19 +196,20 @@
             raise StorageError(ErrorCode.STORAGE_FAILED, f"{SNAPSHOT_FILE} is damaged.")
         return Snapshot(records[0]["index"], records[0]["term"], records[0]["state"])
 
-    def _read_log(self) -> int:
+    def _read_log(self) -> tuple[int, bool]:
+        """Read the log; return the length of its valid frames, and whether a torn one follows."""
         content = self._read_file(LOG_FILE)
         records, length = _decode_frames(content, LOG_FILE)
         if length < len(content):
             log.warning(
-                "dropping a torn write of %d bytes at the end of the log", len(content) - length
+                "ignoring a torn write of %d bytes at the end of the log", len(content) - length
             )
         for record in records:
             if "hard" in record:
                 self._hard_state = HardState(record["hard"]["term"], record["hard"]["voted_for"])
             else:
                 self._add_entry(LogEntry.from_record(record["entry"]))
-        return length
+        return length, length < len(content)
 
     def _read_file(self, name: str) -> bytes:
         try:
