Send messages between VMs in a short form

Field names, the HTTP headers and a signature in hex were more than half of each. Change: JSON compressed with a dictionary that all VMs know, the signature of 16 bytes inside; offered on a connection's first request and used once the answer has it, so that older builds get JSON. Counters of bytes by purpose and the peer's zone in the metrics. Ruled out: msgpack, which keeps the names; zlib without a dictionary, which saves nothing below 1 KB.

--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -4,11 +4,12 @@
 
 from behave import then
 from gentianspread_server.session_metrics import SessionMetrics
+from gentianspread_server.traffic import TrafficCounters
 
 
 def _exposition(context):
     simulation = context.session_simulation
-    metrics = SessionMetrics(simulation.engine)
+    metrics = SessionMetrics(simulation.engine, TrafficCounters())
     for calls in context.calls_by_session.values():
         for call in calls:
             metrics.count(call, simulation.clock.now())
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -20,6 +20,7 @@
 )
 
 WAIT_TIMEOUT_FRACTION = 0.6  # of the timeout; the rest is for the endpoint's reply
+TIMEOUT_DIGITS = 4  # a tenth of a millisecond
 
 
 class RelayedStatement:
@@ -132,8 +133,8 @@
             "arguments": self.arguments,
             "prepared": [prepared.writes, prepared.shape] if prepared else None,
             "min_position": position.to_pair() if position else None,
-            "limit_s": self.timeout_s,
-            "patience_s": self.wait_timeout_s,
+            "limit_s": round(self.timeout_s, TIMEOUT_DIGITS),
+            "patience_s": round(self.wait_timeout_s, TIMEOUT_DIGITS),
             "transaction": (
                 [self.begins_transaction, self.is_read_only] if self.in_transaction else None
             ),
--- a/packages/gentianspread-server/src/gentianspread_server/connections.py
+++ b/packages/gentianspread-server/src/gentianspread_server/connections.py
@@ -166,11 +166,13 @@
             timeout.close()
 
 
-def build_request_head(path: str, address: str, headers: str = "") -> bytes:
-    """Return the head of a JSON POST up to the value of its Content-Length header."""
+def build_request_head(
+    path: str, address: str, headers: str = "", content_type: str = "application/json"
+) -> bytes:
+    """Return the head of a POST up to the value of its Content-Length header."""
+    type_header = f"Content-Type: {content_type}\r\n" if content_type else ""
     return (
-        f"POST {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n"
-        f"{headers}Content-Length: "
+        f"POST {path} HTTP/1.1\r\nHost: {address}\r\n{type_header}{headers}Content-Length: "
     ).encode()
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -4,6 +4,7 @@
 
 import hmac
 import logging
+import zlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -11,7 +12,8 @@
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
-from .peers import SIGNATURE_VARIABLE, FleetSigner, decompress_body
+from . import terse
+from .peers import SIGNATURE_VARIABLE, FleetSigner, compress_long_body, decompress_body
 from .waiting import Waiter
 from .wsgi import (
     DEFAULT_ERROR_STATUS,
@@ -148,7 +150,8 @@
             return self._respond(
                 start_response, _http_status_of_error(error), encode_refusal(error)
             )
-        return self._respond(start_response, OK_STATUS, body, _content_type_of(path))
+        content_type = None if terse.is_terse(body) else _content_type_of(path)
+        return self._respond(start_response, OK_STATUS, body, content_type)
 
     def _serve_caller_request(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         try:
@@ -178,29 +181,44 @@
             else b""
         )
         if route.required_credential == "peer":
-            self._check_signature(path, body, environ)
-            return route.handler(decompress_body(body))
+            return self._serve_peer(route, path, body, environ)
         if route.required_credential == "operator":
             self._check_operator_key(environ)
         return route.handler(body)
 
+    def _serve_peer(self, route: Route, path: str, body: bytes, environ: Environ) -> bytes:
+        """Serve another VM; the response has the short form if the request has or offers it."""
+        try:
+            if terse.is_terse(body):
+                json_body = self.signer.decode_terse(path, body)
+            elif self.signer.is_valid(path, body, environ.get(SIGNATURE_VARIABLE, "")):
+                json_body = decompress_body(body)
+            else:
+                json_body = None
+        except zlib.error as error:
+            raise Refusal(ErrorCode.BAD_REQUEST, f"The message is damaged: {error}.") from error
+        if json_body is None:
+            raise Refusal(ErrorCode.KEY_REFUSED, "The message was not signed by this fleet.")
+        response = route.handler(json_body)
+        if terse.is_terse(body) or environ.get(terse.OFFER_VARIABLE) == terse.FORMAT:
+            return terse.MARKER + terse.compress(response)
+        return compress_long_body(response)
+
     def _respond(
         self,
         start_response: StartResponse,
         status: str,
         body: bytes,
-        header: tuple[str, str] = JSON_CONTENT_TYPE,
+        content_type: tuple[str, str] | None = JSON_CONTENT_TYPE,
     ) -> list[bytes]:
-        headers = [header, ("Content-Length", str(len(body)))]
+        headers = [("Content-Length", str(len(body)))]
+        if content_type is not None:
+            headers.append(content_type)
         if self.is_draining:
             headers.append(CLOSE_HEADER)
         start_response(status, headers)
         return [body]
 
-    def _check_signature(self, path: str, body: bytes, environ: Environ) -> None:
-        if not self.signer.is_valid(path, body, environ.get(SIGNATURE_VARIABLE, "")):
-            raise Refusal(ErrorCode.KEY_REFUSED, "The message was not signed by this fleet.")
-
     def _check_operator_key(self, environ: Environ) -> None:
         authorization = environ.get("HTTP_AUTHORIZATION", "")
         if not hmac.compare_digest(authorization.encode(), f"Bearer {self.operator_key}".encode()):
--- a/packages/gentianspread-server/src/gentianspread_server/metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/metrics.py
@@ -122,8 +122,9 @@
             "Bytes of the exchanges that this VM began with other VMs.",
             labels=["direction"],
         )
-        family.add_metric(["sent"], self.client.sent_bytes)
-        family.add_metric(["received"], self.client.received_bytes)
+        totals = self.client.traffic.totals()
+        family.add_metric(["sent"], totals.sent)
+        family.add_metric(["received"], totals.received)
         return family
 
     def _gauges(self) -> Iterator[Metric]:
--- a/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -9,7 +9,7 @@
 from .distribution import POLL_PATH, Distribution
 from .front import HttpFrontend
 from .intents import TOKENS_PATH
-from .peers import MESSAGES_PATH, encode_body
+from .peers import MESSAGES_PATH
 from .proposals import PROPOSE_PATH, Proposer
 from .wsgi import decode_json_object, encode_json
 
@@ -48,7 +48,7 @@
 
     def answer_poll(self, body: bytes) -> bytes:
         """Answer a poll for the configuration."""
-        return encode_body(self.distribution.answer_poll(decode_json_object(body)))
+        return encode_json(self.distribution.answer_poll(decode_json_object(body)))
 
     def answer_tokens(self, body: bytes) -> bytes:
         """Answer a request for tokens of a workspace's rate limit."""
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -1,4 +1,7 @@
-"""Messages to other VMs: signed JSON over pooled connections, with one send queue per VM."""
+"""Messages to other VMs: signed JSON over pooled connections, with one send queue per VM.
+
+`terse` has the short form in which they travel between VMs that both know it.
+"""
 
 from __future__ import annotations
 
@@ -16,7 +19,9 @@
 from gentianspread_core.blackboard.messages import Message
 from gevent.event import Event
 
+from . import terse
 from .connections import Connection, RequestNotSentError, ResponseLostError, build_request_head
+from .traffic import TrafficCounters
 
 log = logging.getLogger(__name__)
 
@@ -31,18 +36,21 @@
 MAX_QUEUED_MESSAGES = 64
 RETRY_DELAY_S = 0.1
 IDLE_CONNECTION_TIMEOUT_S = 5.0
+TERSE_SIGNATURE_BYTES = 16
+RESPONSE_HEAD_BYTES = 38  # of a response in the short form, for the traffic counters
 
 
-def encode_body(message: object) -> bytes:
-    """Return the JSON of a message between VMs, compressed if it is long."""
-    body = orjson.dumps(message)
+def compress_long_body(body: bytes) -> bytes:
+    """Return a JSON body, compressed if it is long."""
     if len(body) < MIN_COMPRESSED_BYTES:
         return body
     return zlib.compress(body, COMPRESSION_LEVEL)
 
 
 def decompress_body(body: bytes) -> bytes:
-    """Return the JSON of a body; raises `zlib.error` if it is neither JSON nor compressed JSON."""
+    """Return the JSON of a body in any form; raises `zlib.error` if it is damaged."""
+    if terse.is_terse(body):
+        return terse.decompress(body[len(terse.MARKER) :])
     return zlib.decompress(body) if body[:1] == ZLIB_FIRST_BYTE else body
 
 
@@ -62,6 +70,26 @@
         """Return whether a signature was made with the fleet's secret."""
         return hmac.compare_digest(self.sign(path, body).encode(), signature.encode())
 
+    def encode_terse(self, path: str, json_body: bytes) -> bytes:
+        """Return a signed message to a path in the short form."""
+        payload = terse.compress(json_body)
+        return terse.MARKER + self._terse_signature(path, payload) + payload
+
+    def decode_terse(self, path: str, body: bytes) -> bytes | None:
+        """Return the JSON of a signed short message, or none if its signature is not valid.
+
+        Raises `zlib.error` if the message is damaged.
+        """
+        start = len(terse.MARKER) + TERSE_SIGNATURE_BYTES
+        signature, payload = body[len(terse.MARKER) : start], body[start:]
+        if not hmac.compare_digest(self._terse_signature(path, payload), signature):
+            return None
+        return terse.decompress(payload)
+
+    def _terse_signature(self, path: str, payload: bytes) -> bytes:
+        digest = hmac.digest(self._key, terse.MARKER + path.encode() + b"\n" + payload, "sha256")
+        return digest[:TERSE_SIGNATURE_BYTES]
+
 
 class PeerAddresses:
     """Resolves VM names to addresses: members of the configuration first, then the seeds.
@@ -87,16 +115,25 @@
         return self.seeds.get(name, name if self.names_are_addresses else None)
 
 
+class PeerConnection(Connection):
+    """A connection to another VM; `is_terse` is set once that VM has answered in the short form."""
+
+    __slots__ = ("is_terse",)
+
+    def __init__(self, address: str) -> None:
+        super().__init__(address)
+        self.is_terse = False
+
+
 class PeerClient:
     """Sends requests to other VMs over pooled connections."""
 
-    __slots__ = ("signer", "sent_bytes", "received_bytes", "_idle_connections")
+    __slots__ = ("signer", "traffic", "_idle_connections")
 
     def __init__(self, signer: FleetSigner) -> None:
         self.signer = signer
-        self.sent_bytes = 0
-        self.received_bytes = 0
-        self._idle_connections: dict[str, list[Connection]] = {}
+        self.traffic = TrafficCounters()
+        self._idle_connections: dict[str, list[PeerConnection]] = {}
 
     def request(
         self,
@@ -107,13 +144,14 @@
     ) -> Any:
         """Send a message and return the decoded response; the timeout includes connecting."""
         deadline = time.monotonic() + timeout_s
-        body = encode_body(message)
-        headers = f"{SIGNATURE_HEADER}: {self.signer.sign(path, body)}\r\n"
+        json_body = orjson.dumps(message)
         connection = self._acquire(address, min(timeout_s, CONNECT_TIMEOUT_S))
-        head = build_request_head(path, address, headers)
+        head, body = self._encode(connection, path, json_body)
         response = connection.exchange(head, body, max(0.0, deadline - time.monotonic()))
-        self.sent_bytes += len(head) + len(body)
-        self.received_bytes += len(response)
+        self.traffic.count(
+            path, address, len(head) + len(body), len(response) + RESPONSE_HEAD_BYTES
+        )
+        connection.is_terse = terse.is_terse(response)
         connection.last_used = time.monotonic()
         self._idle_connections.setdefault(address, []).append(connection)
         try:
@@ -121,7 +159,21 @@
         except (orjson.JSONDecodeError, zlib.error) as error:
             raise ResponseLostError("the answer is not JSON") from error
 
-    def _acquire(self, address: str, timeout_s: float) -> Connection:
+    def _encode(
+        self, connection: PeerConnection, path: str, json_body: bytes
+    ) -> tuple[bytes, bytes]:
+        """Return a request's head, up to the value of its Content-Length header, and its body."""
+        if connection.is_terse:
+            head = build_request_head(path, connection.address, content_type="")
+            return head, self.signer.encode_terse(path, json_body)
+        body = compress_long_body(json_body)
+        headers = (
+            f"{SIGNATURE_HEADER}: {self.signer.sign(path, body)}\r\n"
+            f"{terse.OFFER_HEADER}: {terse.FORMAT}\r\n"
+        )
+        return build_request_head(path, connection.address, headers), body
+
+    def _acquire(self, address: str, timeout_s: float) -> PeerConnection:
         connections = self._idle_connections.get(address, [])
         while connections:
             connection = connections.pop()
@@ -129,7 +181,7 @@
             if is_recent and connection.is_open():
                 return connection
             connection.close()
-        connection = Connection(address)
+        connection = PeerConnection(address)
         connection.open(timeout_s)
         return connection
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -54,7 +54,7 @@
         )
         self.intents = IntentRunner(self.board, self.driver, addresses, client)
         self.distribution = Distribution(self.board, self.engine.configuration, addresses, client)
-        self.metrics = SessionMetrics(self.engine)
+        self.metrics = SessionMetrics(self.engine, client.traffic)
         self._metrics_server = _build_metrics_server(settings, self.metrics)
         self.stopped = Event()
         self._timer_changed = Event()
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -12,6 +12,8 @@
 from gentianspread_core.blackboard.sessions import StatementCall
 from gentianspread_core.engine import Engine
 
+from .traffic import TrafficCounters
+
 MIN_LATENCY_US = 1  # the smallest value that the histogram can record
 MAX_LATENCY_US = 60_000_000  # longer than any deadline
 SIGNIFICANT_DIGITS = 2
@@ -23,10 +25,11 @@
 class SessionMetrics:
     """Counts answered statements by code and keeps their latest latencies, in microseconds."""
 
-    __slots__ = ("engine", "counts", "latencies")
+    __slots__ = ("engine", "traffic", "counts", "latencies")
 
-    def __init__(self, engine: Engine) -> None:
+    def __init__(self, engine: Engine, traffic: TrafficCounters) -> None:
         self.engine = engine
+        self.traffic = traffic
         self.counts: dict[str, int] = {}
         self.latencies: deque[int] = deque(maxlen=MAX_LATENCY_SAMPLES)
 
@@ -58,6 +61,16 @@
         )
         for rule, count in self.engine.invariants.violations.items():
             violations.labels(rule).inc(count)
+        peer_bytes = Counter(
+            "gentianspread_peer_bytes",
+            "Bytes of the exchanges that this VM began with other VMs.",
+            ["path", "zone", "direction"],
+            registry=registry,
+        )
+        sums = self.traffic.by_purpose_and_zone(self._zones_by_address())
+        for (path, zone), counters in sums.items():
+            peer_bytes.labels(path, zone, "sent").inc(counters.sent)
+            peer_bytes.labels(path, zone, "received").inc(counters.received)
         latency = Gauge(
             "gentianspread_latency_seconds",
             "Time to the answer of the newest statements.",
@@ -70,6 +83,14 @@
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
 
+    def _zones_by_address(self) -> dict[str, str]:
+        """Return the availability zones of the other VMs by address, as far as they are known."""
+        board = self.engine.board
+        zones = {item.address: item.zone for item in board.configuration.members.values()}
+        for zone, vms in board.homes.by_zone.items():
+            zones.update((vm.address, zone) for vm in vms)
+        return zones
+
     def _quantiles(self) -> list[tuple[float, float]]:
         from hdrh.histogram import HdrHistogram
 
