--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -10,8 +10,14 @@
     cp deploy/requirements.txt "$deps/.requirements"
 fi
 for package in core server; do
-    source="packages/gentianspread-$package/src/gentianspread_$package"
-    rm -rf "$deps/gentianspread_$package"
+    name="gentianspread_$package"
+    source="packages/gentianspread-$package/src/$name"
+    sum=$(find "$source" -name '*.py' | LC_ALL=C sort | xargs cksum | cksum)
+    if [ -d "$deps/$name" ] && [ "$sum" = "$(cat "$deps/.$name" 2>/dev/null)" ]; then
+        continue # processes that run from it keep their files
+    fi
+    rm -rf "$deps/$name"
     cp -r "$source" "$deps/"
-    python3 -m compileall -q --invalidation-mode unchecked-hash "$deps/gentianspread_$package"
+    python3 -m compileall -q --invalidation-mode unchecked-hash "$deps/$name"
+    echo "$sum" >"$deps/.$name"
 done
