Serve callers that return right after a restart of the whole fleet

Then all rate buckets were empty, and a standby's allocator took itself for a new one and granted nothing for 3.8 s. Every route waits equally long for a token (0.06 s): before, requests with a long objective took nearly all of them. A step of disks.feature asserted four voters 0.1 s later, which the repair may have changed by then: it now looks every 0.01 s.

--- a/features/control.feature
+++ b/features/control.feature
@@ -23,6 +23,11 @@
     When all network partitions heal
     Then every VM has the same revision after 3 s
 
+  Scenario: After a restart of all VMs, a leader is elected soon after a majority of voters has started
+    Guards against callers being refused for longer than a restart takes.
+    When all VMs are killed and start again, the voters 0.2 s apart, 20 times
+    Then each time a leader was elected within 0.2 s of the start of the second voter
+
   Scenario: A lost voter is replaced by a standby, and redundancy is reported as restored only after that
     When a voter other than the leader is killed
     And 10 s pass
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -48,6 +48,7 @@
 def home_simulation(context):
     """Six VMs that serve callers, in the zones of one group's three endpoints."""
     context.home_simulation = HomeSimulation()
+    context.advance_clock = context.home_simulation.run
     context.sessions = {}
     context.calls_by_session = {}
     context.statement_calls = []
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -37,6 +37,28 @@
     And every VM sends 30 reads of "small" at once, 1 times, 0 s apart
     Then in no window were more requests of "small" permitted than its rate and burst allow
 
+  Scenario: Callers that return after a restart of all VMs are served at once
+    Guards against a second wave of refusals: all callers return together while the buckets are empty.
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 20 and burst 20 exists
+    And 4 s pass
+    And all VMs are killed and start again
+    And 1 s pass
+    And o1 sends 40 and o2 sends 40 reads of "small" per second for 0.1 s
+    Then the share of the last reads that ran is at least 1
+
+  Scenario: The rate limit holds while all VMs are killed and start again several times
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.5 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.5 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    Then in no window of 5 s were rate and burst of "small" exceeded by more than this tolerance
+
   Scenario: Tokens that arrive too late for their requests are not saved for a later burst
     When a workspace "small" with rate 400 and burst 100 exists
     And 3 s pass
--- a/features/load.feature
+++ b/features/load.feature
@@ -53,6 +53,14 @@
     Then at most 70 token requests were made
     And at most 35 reads ran
 
+  Scenario: A workspace above its rate is served alike on routes with short and long objectives
+    Guards against starvation: requests that may wait longer for a token would take all of them.
+    Given version 2 gives every workspace a rate of 20 and a burst of 20
+    And the objective of "own" is 0.2 s and that of "bounded" 0.8 s
+    And 10 sessions on "own" and 10 on "bounded"
+    When 40 reads per second arrive on random sessions for 10 s
+    Then the share of reads served on "own" is at least 0.7 times that on "bounded"
+
   Scenario: Lagging replicas refuse few reads, and all reads are served in time
     Guards against a retry storm: a VM avoids a replica that refused a read because of its lag, and
     checks it with one read per 0.25 s.
--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -56,3 +56,14 @@
     Then "c1" polls "c3" first
     And a VM of zone "z1" that serves callers polls "c1" first and "c3" second
     And a VM of zone "z2" that serves callers polls "c3" first and "c4" second
+
+  Scenario: A control VM that has just started answers a poll as soon as it is fresh
+    Guards against VMs that back off from a control VM shortly before it can answer them.
+    Given a control VM that has just started
+    When a VM polls it and it becomes fresh 0.1 s later
+    Then the response has the configuration and its age, within 0.2 s
+
+  Scenario: A control VM that is not fresh long after its start answers a poll at once
+    Given a control VM that started 5 s ago
+    When a VM polls it and it becomes fresh 0.1 s later
+    Then the response has no age, within 0.05 s
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -49,6 +49,36 @@
     vm.start()
 
 
+@when("all VMs are killed and start again, the voters {gap:g} s apart, {count:d} times")
+def step_restart_all_in_turn(context, gap, count):
+    simulation = context.simulation
+    context.election_delays = []
+    for _ in range(count):
+        for vm in simulation.vms.values():
+            vm.kill()
+        voters = [vm for vm in simulation.vms.values() if vm.name.startswith("v")]
+        for vm in simulation.vms.values():
+            if vm not in voters:
+                vm.start()
+        voters[0].start()
+        simulation.run(gap)
+        voters[1].start()
+        majority_at = simulation.clock.now()
+        while simulation.leader() is None and simulation.clock.now() < majority_at + 5.0:
+            simulation.run(0.01)
+            if simulation.clock.now() > majority_at + gap and not voters[2].alive:
+                voters[2].start()
+        context.election_delays.append(simulation.clock.now() - majority_at)
+        simulation.run(2.0)
+
+
+@then("each time a leader was elected within {seconds:g} s of the start of the second voter")
+def step_elected_soon(context, seconds):
+    assert context.election_delays and max(context.election_delays) <= seconds, max(
+        context.election_delays
+    )
+
+
 @when("all VMs are killed and start again")
 def step_restart_all(context):
     for vm in context.simulation.vms.values():
--- a/features/steps/disks.py
+++ b/features/steps/disks.py
@@ -29,8 +29,11 @@
 def step_fourth_voter(context):
     voters = [*context.simulation.leader().board.log.voters, "s1"]
     context.simulation.propose_change(CommandKind.CHANGE_VOTERS, {"voters": voters, "learners": []})
-    context.simulation.run(0.1)
-    assert len(context.simulation.leader().board.log.voters) == 4
+    for _ in range(10):
+        context.simulation.run(0.01)
+        if len(context.simulation.leader().board.log.voters) == 4:
+            return
+    raise AssertionError("the control log has no fourth voter")
 
 
 @when(
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -20,6 +20,30 @@
     simulation.board.changes.subscribe(Topic.TOKENS_REQUESTED, context.token_requests.append)
 
 
+@given('the objective of "{first:w}" is {first_s:g} s and that of "{second:w}" {second_s:g} s')
+def step_objectives(context, first, first_s, second, second_s):
+    simulation = context.session_simulation
+    declared = simulation.board.configuration.declaration.workspaces[0]
+    simulation.declare(
+        3,
+        rate=declared.rate,
+        burst=declared.burst,
+        timeout_s=4.0,
+        objectives_s={first: first_s, second: second_s},
+    )
+
+
+@then('the share of reads served on "{first:w}" is at least {factor:g} times that on "{second:w}"')
+def step_served_alike(context, first, factor, second):
+    shares = {}
+    for database in (first, second):
+        calls = [call for name, call in context.load_calls if name == database]
+        served = [call for call in calls if call.answer.refusal is None]
+        shares[database] = len(served) / len(calls)
+    assert 0 < shares[second] < 1, shares
+    assert shares[first] >= factor * shares[second], shares
+
+
 @when("no allocator answers")
 def step_no_allocator(context):
     for controller in context.session_simulation.engine.controllers:
@@ -42,6 +66,22 @@
     simulation.run(1.5)
 
 
+@when("{rate:d} reads per second arrive on random sessions for {seconds:g} s")
+def step_random_load(context, rate, seconds):
+    simulation = context.session_simulation
+    context.load_started_at = simulation.clock.now()
+    end = context.load_started_at + seconds
+    while simulation.clock.now() < end:
+        simulation.run(simulation.randomness.expovariate(rate))
+        database, session = simulation.randomness.choice(
+            [item for item in context.load_sessions if item[1].call is None]
+        )
+        statement_id = f"n{len(context.load_calls)}"
+        call = simulation.send(session, decode_statement(statement_id, "READ x"))
+        context.load_calls.append((database, call))
+    simulation.run(1.5)
+
+
 def _record_answer_time(context, call):
     if not hasattr(context, "answered_at"):
         context.answered_at = {}
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -4,6 +4,7 @@
 
 import random
 
+import gevent
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
@@ -12,6 +13,7 @@
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
+from gentianspread_server.clocks import BootTimeClock, wall_ms
 from gentianspread_server.distribution import Distribution
 from gentianspread_server.peers import PeerAddresses
 from gentianspread_server.reports import MemberReport
@@ -272,3 +274,45 @@
 def step_polls_in_order(context, zone, first, second):
     upstreams = _upstreams_of(context, "entry", zone)
     assert upstreams[:2] == [first, second], upstreams
+
+
+@given("a control VM that has just started")
+def step_control_vm(context):
+    settings = CoreSettings("c1", "z1", "c1")
+    settings.has_disk = True
+    context.control_vm = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
+
+
+@given("a control VM that started {seconds:g} s ago")
+def step_old_control_vm(context, seconds):
+    step_control_vm(context)
+    context.control_vm.board.started_at -= seconds
+
+
+@when("a VM polls it and it becomes fresh {seconds:g} s later")
+def step_poll_starting(context, seconds):
+    engine = context.control_vm
+    addresses = PeerAddresses(engine.board, {}, names_are_addresses=True)
+    distribution = Distribution(engine.board, engine.configuration, addresses, None)
+    source = context.session_simulation.engine.configuration.build_update(0, "c1")
+    now = engine.board.clock.now()
+    update = ConfigurationUpdate(source.entries, source.snapshot, source.revision, now)
+    report = MemberReport("e1", "", "z1", False, 0, 0.0).to_record()
+    message = {"revision": 0, "wait_s": 0.3, "reports": [report]}
+    later = gevent.spawn_later(seconds, engine.board.post, Topic.CONFIGURATION_RECEIVED, update)
+    context.poll_response = distribution.answer_poll(message)
+    context.poll_took = engine.board.clock.now() - now
+    later.join()
+
+
+@then("the response has the configuration and its age, within {seconds:g} s")
+def step_fresh_response(context, seconds):
+    assert context.poll_response["snapshot"] is not None
+    assert context.poll_response["age_s"] is not None
+    assert context.poll_took <= seconds, context.poll_took
+
+
+@then("the response has no age, within {seconds:g} s")
+def step_stale_response(context, seconds):
+    assert context.poll_response["age_s"] is None
+    assert context.poll_took <= seconds, context.poll_took
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -52,6 +52,7 @@
         "members",
         "outbox",
         "timeline",
+        "started_at",
         "leaving",
         "stopping",
     )
@@ -76,6 +77,7 @@
         self.transactions = Transactions()
         self.members = Members()
         self.outbox = Outbox()
+        self.started_at = clock.now()
         self.leaving = False
         self.stopping = False
 
@@ -92,3 +94,7 @@
         """Return whether a quorum confirmed the configuration within the freshness bound."""
         age = self.clock.now() - self.configuration.confirmed_at
         return age <= self.settings.max_configuration_age_s
+
+    def startup_deadline(self) -> float:
+        """Return until when this VM expects its first fresh configuration, in seconds."""
+        return self.started_at + self.settings.startup_timeout_s
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
@@ -17,8 +17,9 @@
 class Election:
     """Term, vote and leader; times in seconds of the VM's clock.
 
-    `barred` marks a VM that lost the record of its votes and still counts as a voter: it takes no
-    part in the control log.
+    `last_leader_contact` and `last_vote_at` are minus infinity until a leader made contact, or this
+    VM gave a vote, since its start. `barred` marks a VM that lost the record of its votes and still
+    counts as a voter: it takes no part in the control log.
     """
 
     __slots__ = (
@@ -27,6 +28,7 @@
         "role",
         "leader",
         "last_leader_contact",
+        "last_vote_at",
         "pre_votes",
         "votes",
         "deadline",
@@ -39,6 +41,7 @@
         self.role = Role.OBSERVER
         self.leader: str | None = None
         self.last_leader_contact = float("-inf")
+        self.last_vote_at = float("-inf")
         self.pre_votes: set[str] = set()
         self.votes: set[str] = set()
         self.deadline = 0.0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -20,7 +20,8 @@
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
 # objective; a statement usually takes a tenth of the objective.
 GUARANTEED_TOKEN_TIMEOUT_FRACTION = 0.75  # if it is known that a token will become available
-TOKEN_TIMEOUT_FRACTION = 0.25
+TOKEN_TIMEOUT_FRACTION = 0.3
+MAX_TOKEN_TIMEOUT_S = 0.06  # the same for most routes, so that none of them takes all tokens
 
 
 class Verb(Enum):
@@ -117,7 +118,8 @@
     """The state of one caller's connection to this VM; `BackendConnection` is one to an endpoint.
 
     `database` names the route. `call` is the statement being executed; a session executes one at a
-    time. `refusal` says why the session was not opened.
+    time. `is_decided` is set once the session is open or refused; `refusal` says why it was
+    refused. `waiter` wakes the front end's greenlet when that is decided.
     """
 
     __slots__ = (
@@ -132,10 +134,14 @@
         "token",
         "call",
         "refusal",
+        "is_decided",
+        "waiter",
         "closed",
     )
 
-    def __init__(self, number: int, database: str, key_hash: str) -> None:
+    def __init__(
+        self, number: int, database: str, key_hash: str, waiter: Any | None = None
+    ) -> None:
         self.number = number
         self.database = database
         self.key_hash = key_hash
@@ -147,6 +153,8 @@
         self.token: SessionToken | None = None
         self.call: StatementCall | None = None
         self.refusal: Refusal | None = None
+        self.is_decided = False
+        self.waiter = waiter
         self.closed = False
 
 
@@ -351,8 +359,9 @@
         `is_guaranteed` is set if it is known that one will become available. The rest of the
         latency objective is left for the endpoint.
         """
-        fraction = GUARANTEED_TOKEN_TIMEOUT_FRACTION if is_guaranteed else TOKEN_TIMEOUT_FRACTION
-        return fraction * self.route.objective
+        if is_guaranteed:
+            return GUARANTEED_TOKEN_TIMEOUT_FRACTION * self.route.objective
+        return min(MAX_TOKEN_TIMEOUT_S, TOKEN_TIMEOUT_FRACTION * self.route.objective)
 
     def is_standalone_read(self) -> bool:
         """Return whether this is a read outside any transaction."""
@@ -360,9 +369,10 @@
 
 
 class Sessions:
-    """Open sessions by number."""
+    """Open sessions by number; `opening` are those that wait for a fresh configuration."""
 
-    __slots__ = ("by_number",)
+    __slots__ = ("by_number", "opening")
 
     def __init__(self) -> None:
         self.by_number: dict[int, Session] = {}
+        self.opening: dict[int, Session] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -1,8 +1,9 @@
 """Allocator controller: grants tokens from one availability zone's quota of every workspace.
 
-A bucket starts empty, and a new allocator grants nothing until its predecessor's configuration is
-certainly stale, so that two allocators of one zone never grant at the same time. An allocator that
-was named before it restarted has no predecessor other than itself.
+A bucket starts empty, or after a restart with a part of the tolerance's reserve and what the rate
+yielded since the start. A new allocator grants nothing until its predecessor's configuration is
+certainly stale, so that two allocators of one zone never grant at the same time. The first one of a
+zone, and one that was named before it restarted, has no predecessor other than itself.
 
 While no allocator answers, a serving VM of the zone grants in its place as backup allocator.
 """
@@ -22,13 +23,17 @@
 
 
 class ZoneQuota:
-    """A zone's quota of a workspace: the rate in requests per second, and the bucket's capacity."""
+    """A zone's quota of a workspace: the rate in requests per second, and the bucket's capacity.
 
-    __slots__ = ("rate", "capacity")
+    `restart_tokens` is what the bucket may hold right after its allocator restarted.
+    """
 
-    def __init__(self, rate: float, capacity: float) -> None:
+    __slots__ = ("rate", "capacity", "restart_tokens")
+
+    def __init__(self, rate: float, capacity: float, restart_tokens: float) -> None:
         self.rate = rate
         self.capacity = capacity
+        self.restart_tokens = restart_tokens
 
     @classmethod
     def from_workspace(
@@ -50,19 +55,22 @@
         usable = burst - rate * token_ttl_s
         zone_count = max(1, min(len(zones), int(usable / MIN_CAPACITY_TOKENS)))
         if zone not in sorted(zones)[:zone_count]:
-            return cls(0.0, 0.0)
-        return cls(rate / zone_count, usable / zone_count)
+            return cls(0.0, 0.0, 0.0)
+        capacity = usable / zone_count
+        reserve = rate_tolerance.reserve(workspace.rate, workspace.burst) / zone_count
+        return cls(rate / zone_count, capacity, min(capacity, reserve))
 
 
 class AllocatorController:
     """Owns the buckets."""
 
-    __slots__ = ("board", "_epoch", "_first_grant_at", "_last_polled_at")
+    __slots__ = ("board", "_epoch", "_first_grant_at", "_follows_itself", "_last_polled_at")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._epoch = 0
         self._first_grant_at = float("inf")
+        self._follows_itself = False
         self._last_polled_at = float("inf")
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -82,7 +90,9 @@
         if allocator.epoch != self._epoch:
             self._epoch = allocator.epoch
             self._first_grant_at = self.board.clock.now() + settings.token_ttl_s
-            if allocator.revision > self.board.log.recovered_index:
+            was_named_before = allocator.revision <= self.board.log.recovered_index
+            self._follows_itself = allocator.epoch == 1 or was_named_before
+            if not self._follows_itself:
                 self._first_grant_at += settings.max_configuration_age_s
         for workspace in self.board.configuration.workspaces.values():
             self._bucket(workspace, allocator.epoch)
@@ -176,5 +186,10 @@
 
     def _new_bucket(self, workspace: Workspace, epoch: int) -> TokenBucket:
         quota = self._zone_quota(workspace)
-        first_grant_at = max(self.board.clock.now(), self._first_grant_at)
+        now = self.board.clock.now()
+        if self._follows_itself and now <= self.board.startup_deadline():
+            bucket = TokenBucket(quota.rate, quota.capacity, self.board.started_at, epoch)
+            bucket.tokens = quota.restart_tokens
+            return bucket
+        first_grant_at = max(now, self._first_grant_at)
         return TokenBucket(quota.rate, quota.capacity, first_grant_at, epoch)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -107,6 +107,7 @@
             self._is_reported_fresh = True
             self._record_event(EventKind.FRESHNESS_REGAINED, "a quorum confirmed the configuration")
             self._schedule_freshness_check()
+            self.board.changes.post(Topic.FRESHNESS_REGAINED)
 
     def on_freshness_due(self, _entry: None) -> None:
         """Record the loss of freshness if no quorum confirmed the configuration in time."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -15,6 +15,7 @@
 from ..interfaces import Randomness
 
 CHECK_QUORUM_ELECTION_TIMEOUTS = 1.5  # without a majority for so long, a leader steps down
+STARTUP_TIMEOUT_FRACTION = 0.3  # pre-votes depose no leader, so a started VM may ask early
 
 
 class ElectionController:
@@ -63,10 +64,14 @@
             election.role = Role.OBSERVER
 
     def on_election_due(self, _entry: None) -> None:
-        """Request pre-votes if no leader made contact for an election timeout."""
+        """Request pre-votes if no leader made contact for an election timeout.
+
+        A vote that this VM gave counts as contact: the candidate may have won.
+        """
         election = self.board.election
-        now = self.board.clock.now()
-        timed_out = now - election.last_leader_contact >= self.board.settings.election_timeout_s
+        last_contact = max(election.last_leader_contact, election.last_vote_at)
+        elapsed = self.board.clock.now() - last_contact
+        timed_out = elapsed >= self.board.settings.election_timeout_s
         if election.role in (Role.FOLLOWER, Role.CANDIDATE) and timed_out:
             self._request_pre_votes()
         self._schedule_election_check()
@@ -108,6 +113,8 @@
 
     def _schedule_election_check(self) -> None:
         timeout = self.board.settings.election_timeout_s
+        if self.board.election.last_leader_contact == float("-inf"):
+            timeout *= STARTUP_TIMEOUT_FRACTION
         due = self.board.clock.now() + self.randomness.uniform(0.3 * timeout, timeout)
         self.board.changes.post_at(due, Topic.ELECTION_DUE)
 
@@ -179,6 +186,7 @@
         election.pre_votes = set()
         election.term += 1
         election.voted_for = self._own_name()
+        election.last_vote_at = self.board.clock.now()
         election.votes = {self._own_name()}
         self._persist()
         self._request(MessageKind.VOTE, election.term)
@@ -194,6 +202,7 @@
         )
         if granted and election.voted_for is None:
             election.voted_for = message.sender
+            election.last_vote_at = self.board.clock.now()
             self._persist()
         reply = Message(
             MessageKind.VOTE_REPLY, self._own_name(), message.sender, election.term, granted=granted
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -27,6 +27,7 @@
 MAX_PREPARED_STATEMENTS = 256  # per session; bounds its memory
 MIN_IDLE_CHECK_INTERVAL_S = 0.1
 DEFAULT_IDLE_TIMEOUT_S = 10.0  # until a declaration sets one
+OPENING_TIMEOUT_S = 0.7  # leaves callers the time to try another VM
 
 ENDING_VERBS = frozenset({Verb.COMMIT, Verb.ROLLBACK})
 KIND_BY_VERB = {
@@ -52,6 +53,8 @@
         """Return the handled topics."""
         return {
             Topic.SESSION_OPENED: self.on_opened,
+            Topic.SESSION_OPENING_DUE: self.on_opening_due,
+            Topic.FRESHNESS_REGAINED: self.on_fresh,
             Topic.SESSION_CLOSED: self.on_closed,
             Topic.STATEMENT_ARRIVED: self.on_statement,
             Topic.REQUEST_DONE: self.on_done,
@@ -59,15 +62,31 @@
         }
 
     def on_opened(self, session: Session) -> None:
-        """Accept a session, or set its refusal."""
-        session.refusal = self._opening_refusal(session)
-        if session.refusal is None:
-            self.board.sessions.by_number[session.number] = session
+        """Accept or refuse a session; while the VM starts, wait for a fresh configuration first."""
+        now = self.board.clock.now()
+        due = min(now + OPENING_TIMEOUT_S, self.board.startup_deadline())
+        if not self._has_configuration() and now < due:
+            self.board.sessions.opening[session.number] = session
+            self.board.changes.post_at(due, Topic.SESSION_OPENING_DUE, session)
+        else:
+            self._decide_opening(session)
+
+    def on_fresh(self, _entry: None) -> None:
+        """Decide on the sessions that wait for a fresh configuration."""
+        if self._has_configuration():
+            for session in list(self.board.sessions.opening.values()):
+                self._decide_opening(session)
+
+    def on_opening_due(self, session: Session) -> None:
+        """Decide on a session whose wait for a fresh configuration ends."""
+        if session.number in self.board.sessions.opening:
+            self._decide_opening(session)
 
     def on_closed(self, session: Session) -> None:
         """Remove a session and end its transaction."""
         session.closed = True
         self.board.sessions.by_number.pop(session.number, None)
+        self.board.sessions.opening.pop(session.number, None)
         self._end_transaction(session)
 
     def on_statement(self, call: StatementCall) -> None:
@@ -110,6 +129,18 @@
         else:
             self._schedule_idle_check(session)
 
+    def _has_configuration(self) -> bool:
+        return self.board.configuration.declaration is not None and self.board.is_fresh()
+
+    def _decide_opening(self, session: Session) -> None:
+        """Open or refuse a session, and wake the front end."""
+        self.board.sessions.opening.pop(session.number, None)
+        session.refusal = self._opening_refusal(session)
+        session.is_decided = True
+        if session.refusal is None:
+            self.board.sessions.by_number[session.number] = session
+        self.board.changes.post(Topic.SESSION_DECIDED, session)
+
     def _opening_refusal(self, session: Session) -> Refusal | None:
         declaration = self.board.configuration.declaration
         if declaration is None or not self.board.is_fresh():
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -45,7 +45,7 @@
 
     Allowed are `overage_fraction` of the requests that rate and burst permit in a window, plus
     `slack_requests`. Half of this compensates for what is lost by dividing a rate over availability
-    zones, the other half is for times in which no allocator answers.
+    zones, a quarter is for times in which no allocator answers, and a quarter for restarts.
     """
 
     __slots__ = ("window_s", "overage_fraction", "slack_requests")
@@ -73,8 +73,11 @@
         return burst * (1.0 + self.overage_fraction / 2) + self.slack_requests / 4
 
     def reserve(self, rate: float, burst: float) -> float:
-        """Return the requests per window that are reserved for times without an allocator."""
-        return (self.overage_fraction * (rate * self.window_s + burst) + self.slack_requests) / 2
+        """Return the requests per window that are reserved for times without an allocator.
+
+        The same number is reserved for the moment in which allocators have restarted.
+        """
+        return (self.overage_fraction * (rate * self.window_s + burst) + self.slack_requests) / 4
 
 
 class CoreSettings:
@@ -83,7 +86,8 @@
     `lost_votes` marks a voter whose disk came back empty: it may have voted before and must not
     vote again. `max_configuration_age_s` is how long this VM may serve after a quorum last
     confirmed its configuration. `token_ttl_s` is how long rate limit tokens may be spent after they
-    were asked for. `initial_backoff_s` is the first backoff of a suspected endpoint. `voter_count`
+    were asked for. `startup_timeout_s` is how long after its start this VM expects its first fresh
+    configuration. `initial_backoff_s` is the first backoff of a suspected endpoint. `voter_count`
     is the wanted number of voters, 0 for the number of initial voters. `records_initial_voters`
     writes the initial voters to the control log. `registers_diskless_members` registers VMs without
     a disk as members.
@@ -98,6 +102,7 @@
         "lost_votes",
         "zones",
         "max_configuration_age_s",
+        "startup_timeout_s",
         "heartbeat_interval_s",
         "election_timeout_s",
         "probe_interval_s",
@@ -126,6 +131,7 @@
         self.lost_votes = False
         self.zones: list[str] = [zone]
         self.max_configuration_age_s = 2.0
+        self.startup_timeout_s = 1.5
         self.heartbeat_interval_s = 0.1
         self.election_timeout_s = 0.45
         self.probe_interval_s = 0.15
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -49,7 +49,8 @@
 class HomeSimulation(SessionSimulation):
     """VMs h1 to hN in the endpoints' zones; the base class's VM leads the control log.
 
-    Requests to an unreachable home VM fail at their timeout.
+    Requests to an unreachable home VM fail at their timeout. VMs that are cut off receive no
+    configuration.
     """
 
     def __init__(
@@ -57,6 +58,7 @@
     ) -> None:
         self.vms: dict[str, Engine] = {}
         self.unreachable_vms: set[str] = set()
+        self.cut_off_vms: set[str] = set()
         self.relayed_count = 0
         super().__init__(seed, slots=slots, statement_cost_s=statement_cost_s)
         for number in range(1, vm_count + 1):
@@ -65,6 +67,11 @@
         self.update_serving_vms()
         self.run(1.0)
 
+    def add_cut_off_vm(self, name: str, zone: str) -> None:
+        """Start a VM that receives no configuration while it is in `cut_off_vms`."""
+        self.cut_off_vms.add(name)
+        self._add_vm(name, zone)
+
     def update_serving_vms(self, *excluded: str) -> None:
         """Send every VM the list of the VMs that serve callers."""
         listed = [
@@ -116,6 +123,8 @@
         now = self.clock.now()
         observation = self.board.observations.newest(GROUP)
         for name, engine in self.vms.items():
+            if name in self.cut_off_vms:
+                continue
             revision = engine.board.configuration.revision
             update = self.engine.configuration.build_update(revision, name)
             copy = ConfigurationUpdate(update.entries, update.snapshot, update.revision, now)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -140,14 +140,26 @@
         keys: dict[str, list[str]] | None = None,
         timeout_s: float = 1.0,
         max_connections: int = 46,
+        objectives_s: dict[str, float] | None = None,
     ) -> None:
         """Declare the three databases, and the workspaces with the hashes of their keys.
 
-        The routes' target latency is half of their timeout.
+        The routes' objective is half of their timeout, unless `objectives_s` has it by database.
         """
+        objectives = objectives_s or {}
         workspaces = keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]}
         routes = [
-            Route(name, name, GROUP, consistency, max_age, timeout_s, timeout_s / 2, 1, False)
+            Route(
+                name,
+                name,
+                GROUP,
+                consistency,
+                max_age,
+                timeout_s,
+                objectives.get(name, timeout_s / 2),
+                1,
+                False,
+            )
             for name, (consistency, max_age) in DATABASES.items()
         ]
         declaration = Declaration(
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -81,7 +81,8 @@
         self._registering: set[str] = set()
         self._entry_vm_counter = EntryVMCounter()
         self.serving_vms = ServingVMRegistry(board)
-        board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_configuration_changed)
+        board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_news)
+        board.changes.subscribe(Topic.FRESHNESS_REGAINED, self._on_news)
 
     def start(self) -> None:
         """Start polling."""
@@ -97,7 +98,7 @@
         return self._reported_leader
 
     def answer_poll(self, message: dict[str, Any]) -> dict[str, Any]:
-        """Answer a poll; wait for a change first if the sender is up to date and this VM fresh."""
+        """Answer a poll, after a wait for news if there is none yet."""
         started = self.board.clock.now()
         self.board.post(Topic.POLL_RECEIVED)
         for record in message["reports"]:
@@ -114,8 +115,7 @@
             sender, serving_list
         )
         sender_revision = message["revision"]
-        if self.board.configuration.revision <= sender_revision and self.board.is_fresh():
-            self._changed.wait(min(message["wait_s"], LONG_POLL_WAIT_S))
+        self._wait_for_news(sender_revision, started + min(message["wait_s"], LONG_POLL_WAIT_S))
         only_serves = message.get("only_serves", False)
         update = self.configuration.build_update(
             sender_revision, sender, message.get("has_log", False), only_serves
@@ -154,10 +154,25 @@
                 return True
             gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
 
-    def _on_configuration_changed(self, revision: int) -> None:
+    def _on_news(self, _entry: Any) -> None:
         self._changed.set()
         self._changed.clear()
 
+    def _wait_for_news(self, sender_revision: int, deadline: float) -> None:
+        """Wait for a change if the sender has all of them, or for freshness while this VM starts.
+
+        A VM that is not fresh long after its start returns at once, so that the sender polls
+        another.
+        """
+        clock = self.board.clock
+        if self.board.is_fresh():
+            if self.board.configuration.revision <= sender_revision:
+                self._changed.wait(max(0.0, deadline - clock.now()))
+            return
+        deadline = min(deadline, self.board.startup_deadline())
+        while clock.now() < deadline and not self.board.is_fresh():
+            self._changed.wait(deadline - clock.now())
+
     def _run(self) -> None:
         failed_polls = 0
         last_failure_at = self.board.clock.now()
--- a/packages/gentianspread-server/src/gentianspread_server/sessions.py
+++ b/packages/gentianspread-server/src/gentianspread_server/sessions.py
@@ -37,12 +37,18 @@
         self._session_count = 0
         board.changes.subscribe(Topic.EXCHANGE_SCHEDULED, self._on_exchange_scheduled)
         board.changes.subscribe(Topic.STATEMENT_ANSWERED, self._on_statement_answered)
+        board.changes.subscribe(Topic.SESSION_DECIDED, self._on_session_decided)
 
     def open(self, database: str, key_hash: str) -> Session:
-        """Return a new session; its `refusal` is set if it must not be used."""
+        """Return a new session; its `refusal` is set if it must not be used.
+
+        Blocks while the session waits for a fresh configuration.
+        """
         self._session_count += 1
-        session = Session(self._session_count, database, key_hash)
+        session = Session(self._session_count, database, key_hash, Waiter())
         self.board.post(Topic.SESSION_OPENED, session)
+        while not session.is_decided:
+            session.waiter.wait()
         return session
 
     def close(self, session: Session) -> None:
@@ -70,5 +76,9 @@
     def _on_exchange_scheduled(self, request: SessionRequest) -> None:
         request.waiter.assign(request)
 
+    def _on_session_decided(self, session: Session) -> None:
+        if session.waiter is not None:
+            session.waiter.wake()
+
     def _on_statement_answered(self, call: StatementCall) -> None:
         call.waiter.wake()
