Serve VMs that a partition cuts off from the control plane at their zone's rate

Change: a VM without a confirmation for 0.8 s asks its own zone's allocator only; a backup allocator grants by the same sign; three backup allocators are asked in turn, each with a backoff of its own. Also: tokens are waited for longer while a VM starts, and VMs that know only the seeds poll them in their own order. Ruled out: an own share for each VM (a hundredth of a rate holds no token).

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -72,3 +72,20 @@
     When every session reads once per 0.5 s, for 6 rounds
     Then at least 0.7 of the reads that the slots can serve were served
     And at most 2 connections were opened to each endpoint for each of 24 workspaces
+
+  Scenario: VMs that are cut off from all control VMs and from many others share their zones' rates
+    Guards against refusals for a rate that is not used: each VM alone has a hundredth of it, and each
+    token request to a VM that is out of reach would hold up the next one.
+    Given 30 VMs that serve callers, and 40 workspaces with a rate of 24 and a burst of 24
+    When 20 of these VMs are cut off from the control VM and from the others
+    And 1 s pass
+    And the VMs that are cut off receive 200 reads per second in all for 2 s
+    Then the share of these reads that were served within 0.5 s is at least 0.9
+
+  Scenario: No workspace gets more than its rate and the tolerance while most VMs are cut off
+    The reads arrive for 2 s, 3 s of the rate are 72 reads, and the tolerance for 5 s is 34.
+    Given 30 VMs that serve callers, and 4 workspaces with a rate of 24 and a burst of 24
+    When 20 of these VMs are cut off from the control VM and from the others
+    And 1 s pass
+    And the VMs that are cut off receive 2000 reads per second in all for 2 s
+    Then at most 106 of these reads ran for each workspace
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -47,6 +47,17 @@
     And o1 sends 40 and o2 sends 40 reads of "small" per second for 0.1 s
     Then the share of the last reads that ran is at least 1
 
+  Scenario: Callers that return after a restart of all VMs wait for tokens instead of being refused
+    Guards against callers that use up their tries while the buckets fill.
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    When a workspace "small" with rate 20 and burst 20 exists
+    And 4 s pass
+    And all VMs are killed and start again
+    And 0.9 s pass
+    And o1 sends 160 and o2 sends 160 reads of "small" per second for 0.1 s
+    And 0.5 s pass
+    Then the share of the last reads that ran is at least 1
+
   Scenario: The rate limit holds while all VMs are killed and start again several times
     Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
     When a workspace "small" with rate 40 and burst 40 exists
--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -67,3 +67,8 @@
     Given a control VM that started 5 s ago
     When a VM polls it and it becomes fresh 0.1 s later
     Then the response has no age, within 0.05 s
+
+  Scenario: VMs that know only the same seeds divide their first polls over them
+    Guards against a hot spot: after a restart of all VMs, one control VM would send every snapshot.
+    Given 90 VMs that know only the same 3 seeds
+    Then each seed is polled first by at least 15 of them
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -5,8 +5,12 @@
 from collections import Counter
 
 from behave import given, then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.sessions import SessionState
 from gentianspread_core.errors import ErrorCode, ExecutionResult
+from gentianspread_core.settings import RateTolerance
+from gentianspread_lab.fakes.home_simulation import HomeSimulation
 from gentianspread_server.platform.wire import decode_statement
 
 SETTLING_S = 1.0
@@ -228,3 +232,89 @@
     ]
     assert context.home_simulation.relayed_count and not ran
     assert call.answer.refusal.result is ExecutionResult.NOT_RUN, call.answer.refusal.code
+
+
+@given(
+    "{count:d} VMs that serve callers, and {workspaces:d} workspaces with a rate of {rate:g} "
+    "and a burst of {burst:g}"
+)
+def step_many_vms(context, count, workspaces, rate, burst):
+    context.home_simulation = HomeSimulation(vm_count=count)
+    context.advance_clock = context.home_simulation.run
+    simulation = context.home_simulation
+    simulation.declare(
+        2,
+        rate=rate,
+        burst=burst,
+        keys={f"w{number}": [f"k{number}"] for number in range(workspaces)},
+    )
+    for zone in ("z2", "z3", "z4", "z5", "z6"):
+        fields = {"zone": zone, "member": "vm"}
+        simulation.propose(Command(CommandKind.NAME_ALLOCATOR, fields))
+    rate_tolerance = RateTolerance(window_s=5.0, overage_fraction=0.1, slack_requests=20.0)
+    for board in simulation.boards:
+        board.settings.rate_tolerance = rate_tolerance
+    simulation.run(2.0)
+    context.answered_at = {}
+    for engine in simulation.vms.values():
+        engine.board.changes.subscribe(
+            Topic.STATEMENT_ANSWERED,
+            lambda call: context.answered_at.setdefault(
+                call.statement.statement_id, simulation.clock.now()
+            ),
+        )
+    context.workspace_count = workspaces
+
+
+@when("{count:d} of these VMs are cut off from the control VM and from the others")
+def step_cut_off(context, count):
+    simulation = context.home_simulation
+    names = sorted(simulation.vms, key=lambda name: int(name[1:]))
+    context.cut_off = names[:count]
+    context.sessions_at = {
+        (name, number): simulation.open_session_at(name, "bounded", f"k{number}")
+        for name in context.cut_off
+        for number in range(context.workspace_count)
+    }
+    simulation.cut_off_vms.update(context.cut_off)
+
+
+@when("the VMs that are cut off receive {rate:d} reads per second in all for {seconds:g} s")
+def step_random_reads(context, rate, seconds):
+    simulation = context.home_simulation
+    context.statement_calls = []
+    end = simulation.clock.now() + seconds
+    while simulation.clock.now() < end:
+        simulation.run(simulation.randomness.expovariate(rate))
+        idle = [key for key, session in context.sessions_at.items() if session.call is None]
+        if idle:
+            name, number = simulation.randomness.choice(idle)
+            _send(context, name, context.sessions_at[name, number], "READ x")
+    simulation.run(1.0)
+
+
+@then("the share of these reads that were served within {seconds:g} s is at least {share:g}")
+def step_share_served(context, seconds, share):
+    served = [
+        call
+        for call in context.statement_calls
+        if call.answer is not None
+        and call.answer.refusal is None
+        and context.answered_at[call.statement.statement_id] - call.arrived_at <= seconds
+    ]
+    causes = Counter(
+        call.answer.refusal.code for call in context.statement_calls if call.answer.refusal
+    )
+    assert len(served) >= share * len(context.statement_calls), (
+        len(served),
+        len(context.statement_calls),
+        causes,
+    )
+
+
+@then("at most {count:d} of these reads ran for each workspace")
+def step_at_most_for_each(context, count):
+    ran = Counter(
+        call.session.key_hash for call in context.statement_calls if call.answer.refusal is None
+    )
+    assert ran and max(ran.values()) <= count, ran
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 
 import gevent
 from behave import given, then, when
@@ -316,3 +317,24 @@
 def step_stale_response(context, seconds):
     assert context.poll_response["age_s"] is None
     assert context.poll_took <= seconds, context.poll_took
+
+
+@given("{count:d} VMs that know only the same {seed_count:d} seeds")
+def step_vms_with_seeds(context, count, seed_count):
+    seeds = [f"10.{number}.0.1:8700" for number in range(seed_count)]
+    randomness = random.Random(1)
+    context.first_polled = []
+    for number in range(count):
+        settings = CoreSettings(f"e{number}", "z1", "")
+        settings.registers_diskless_members = False
+        engine = Engine.for_sessions(settings, BootTimeClock(), randomness, wall_ms)
+        addresses = PeerAddresses.from_seeds(engine.board, seeds, randomness)
+        distribution = Distribution(engine.board, engine.configuration, addresses, None)
+        context.first_polled.append(distribution.upstreams()[0])
+    assert set(context.first_polled) <= set(seeds)
+
+
+@then("each seed is polled first by at least {count:d} of them")
+def step_polls_divided(context, count):
+    polls = Counter(context.first_polled)
+    assert len(polls) == 3 and min(polls.values()) >= count, polls
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -24,6 +24,8 @@
 from .timeline import Timeline
 from .transactions import Transactions
 
+CONTROL_CONTACT_TIMEOUT_S = 0.8  # confirmations are 0.3 s apart, or 0.6 s after a lost poll
+
 
 class Board:
     """All sections; the settings and the clock are read-only for every controller.
@@ -95,6 +97,11 @@
         age = self.clock.now() - self.configuration.confirmed_at
         return age <= self.settings.max_configuration_age_s
 
+    def has_control_contact(self) -> bool:
+        """Return whether a recent poll brought a confirmation of the configuration."""
+        age = self.clock.now() - self.configuration.confirmed_at
+        return age <= CONTROL_CONTACT_TIMEOUT_S
+
     def startup_deadline(self) -> float:
         """Return until when this VM expects its first fresh configuration, in seconds."""
         return self.started_at + self.settings.startup_timeout_s
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/homes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/homes.py
@@ -10,7 +10,7 @@
 import hashlib
 
 HOMES_PER_SLOT = 2  # with one statement from each, every slot is always busy
-MAX_BACKUP_ALLOCATORS = 2  # VMs; the second is used if the first does not respond
+MAX_BACKUP_ALLOCATORS = 3  # VMs; the next is used if one does not respond
 HASH_BYTES = 8  # makes equal weights unlikely
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/rate_limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/rate_limits.py
@@ -8,6 +8,7 @@
 import math
 from collections import deque
 
+from .homes import ServingVM
 from .requests import Request
 
 METER_WINDOW_S = 10.0  # a burst is usually worth one second of the rate, a tenth of this
@@ -74,10 +75,11 @@
     """Tokens that this VM may spend for one workspace until they expire, and waiting requests.
 
     While `is_requesting`, the VM asks the allocators of `remaining_zones` for tokens in turn.
-    `answered` is set once an allocator responds; if none does, the VM asks a backup allocator
-    (`backup_requested`), and if that does not respond either, it takes its own share of the rate
-    from `local_bucket`. `empty_until` gives by zone the time, in seconds, until which its allocator
-    has no tokens. `meter` measures what allocators permitted.
+    `answered` is set once an allocator responds; if none does, the VM asks backup allocators in
+    turn (`remaining_backups`, none before the first of a round), and if none of them responds
+    either, it takes its own share of the rate from `local_bucket`. `empty_until` gives by zone the
+    time, in seconds, until which its allocator has no tokens. `meter` measures what allocators
+    permitted.
     """
 
     __slots__ = (
@@ -85,7 +87,7 @@
         "local_bucket",
         "empty_until",
         "meter",
-        "backup_requested",
+        "remaining_backups",
         "count",
         "expires_at",
         "waiting",
@@ -100,7 +102,7 @@
         self.local_bucket: TokenBucket | None = None
         self.empty_until: dict[str, float] = {}
         self.meter = RateMeter()
-        self.backup_requested = False
+        self.remaining_backups: list[ServingVM] | None = None
         self.count = 0
         self.expires_at = 0.0
         self.waiting: deque[Request] = deque()
@@ -169,9 +171,9 @@
 class RateLimits:
     """Buckets by workspace (on an allocator) and held tokens by workspace (on every VM).
 
-    `backup_buckets` are those of a backup allocator. `suspected` gives by zone the backoff of an
-    allocator that did not respond. `first_granted_at` is when an allocator first permitted this VM
-    anything, in seconds.
+    `backup_buckets` are those of a backup allocator. `suspected` gives the backoff of an allocator
+    that did not respond by its zone, and that of a backup allocator by its VM's name.
+    `first_granted_at` is when an allocator first permitted this VM anything, in seconds.
     """
 
     __slots__ = ("buckets", "backup_buckets", "held", "suspected", "first_granted_at")
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -138,9 +138,10 @@
             board.changes.post(Topic.TOKENS_RECEIVED, token_request)
 
     def _reaches_no_allocator(self) -> bool:
-        """Return whether every allocator left this VM's own last token request unanswered."""
+        """Return whether no control VM is heard, or all allocators are suspected."""
         zones = self.board.configuration.allocators
-        return all(zone in self.board.rate_limits.suspected for zone in zones)
+        is_suspecting_all = all(zone in self.board.rate_limits.suspected for zone in zones)
+        return is_suspecting_all or not self.board.has_control_contact()
 
     def _backup_bucket(self, workspace: Workspace, now: float) -> TokenBucket:
         """Return the bucket for the zone's share of a rate while no allocator answers.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -3,8 +3,9 @@
 An allocator takes tokens out of its bucket before this VM may spend them. They expire `token_ttl_s`
 seconds after the token request was sent, so that none is counted twice.
 
-While no allocator answers, tokens come from the backup allocator, a serving VM of the own zone,
-and if that does not answer either, from this VM's fallback bucket.
+While no allocator answers, tokens come from a backup allocator, a serving VM of the own zone, and
+if none of these answers either, from this VM's fallback bucket. A VM that hears from no control VM
+asks the allocator of its own zone only: requests would wait for the timeouts of all zones.
 """
 
 from __future__ import annotations
@@ -99,21 +100,20 @@
         return held
 
     def _record_response(self, held: HeldTokens, token_request: TokenRequest, now: float) -> None:
-        """Record whether the zone's allocator responded, and when it will have tokens."""
-        if token_request.is_for_backup():
-            held.answered = token_request.answered
-            held.empty_until[BACKUP] = now + token_request.next_token_delay
-            return
+        """Record whether the allocator responded, and when it will have tokens."""
+        is_backup = token_request.is_for_backup()
+        key = token_request.member if is_backup else token_request.zone
         if not token_request.answered:
-            backoff = self.board.rate_limits.suspected.setdefault(
-                token_request.zone, AllocatorBackoff()
-            )
+            backoff = self.board.rate_limits.suspected.setdefault(key, AllocatorBackoff())
             delay = INITIAL_BACKOFF_S * 2**backoff.failures
             backoff.failures += 1
             backoff.until = now + min(MAX_BACKOFF_S, delay)
             return
-        self.board.rate_limits.suspected.pop(token_request.zone, None)
+        self.board.rate_limits.suspected.pop(key, None)
         held.answered = True
+        if is_backup:
+            held.empty_until[BACKUP] = now + token_request.next_token_delay
+            return
         if token_request.granted >= token_request.wanted:
             held.remaining_zones.append(token_request.zone)
         else:
@@ -155,7 +155,7 @@
     def _start_round(self, held: HeldTokens, workspace: str) -> None:
         held.is_requesting = True
         held.answered = False
-        held.backup_requested = False
+        held.remaining_backups = None
         held.remaining_zones = self._zone_stack()
         if not self._request_from_next_zone(held, workspace):
             held.is_requesting = False
@@ -173,7 +173,7 @@
         while held.remaining_zones:
             zone = held.remaining_zones.pop()
             allocator = self.board.configuration.allocators.get(zone)
-            if allocator is None or self._is_suspected(zone, now):
+            if allocator is None or self._is_out_of_reach(zone) or self._is_suspected(zone, now):
                 continue
             if now < held.empty_until.get(zone, 0.0):
                 held.answered = True
@@ -185,19 +185,28 @@
         return not held.answered and self._request_from_backup(held, workspace, now)
 
     def _request_from_backup(self, held: HeldTokens, workspace: str, now: float) -> bool:
-        """Request tokens from the backup allocator of the own zone, once per round."""
-        if held.backup_requested:
-            return False
-        held.backup_requested = True
+        """Request tokens from the next backup allocator of the own zone, each once per round."""
         zone = self.board.settings.zone
-        vms = self.board.homes.backup_allocators(workspace, zone)
-        vm = next((vm for vm in vms if not self.board.homes.is_suspected(vm.name, now)), None)
-        if vm is None:
+        if held.remaining_backups is None:
+            vms = self.board.homes.backup_allocators(workspace, zone)
+            held.remaining_backups = [
+                vm
+                for vm in vms
+                if not (
+                    self.board.homes.is_suspected(vm.name, now) or self._is_suspected(vm.name, now)
+                )
+            ]
+        if not held.remaining_backups:
             return False
+        vm = held.remaining_backups.pop(0)
         wanted = max(1, len(held.waiting))
         self._send(TokenRequest(workspace, zone, vm.name, wanted, now, vm.address))
         return True
 
+    def _is_out_of_reach(self, zone: str) -> bool:
+        """Return whether this VM hears from no control VM, and the zone is not its own."""
+        return zone != self.board.settings.zone and not self.board.has_control_contact()
+
     def _is_suspected(self, zone: str, now: float) -> bool:
         """Return whether to skip a zone; after the backoff, let one token request check it."""
         backoff = self.board.rate_limits.suspected.get(zone)
@@ -213,7 +222,7 @@
         zones = self.board.configuration.allocators
         if not zones or request.transaction is not None:
             return True
-        wait_deadline = request.arrived_at + request.token_timeout()
+        wait_deadline = request.arrived_at + request.token_timeout(self._is_starting(now))
         return any(held.empty_until.get(zone, 0.0) <= wait_deadline for zone in zones)
 
     def _send(self, token_request: TokenRequest) -> None:
@@ -261,13 +270,14 @@
         if not held.answered and held.local_bucket is not None:
             return held.local_bucket.next_token_delay(count)
         zones = [*self.board.configuration.allocators, BACKUP]
-        if not held.backup_requested:
+        if held.remaining_backups is None:
             zones.remove(BACKUP)
         return min((held.empty_until.get(zone, 0.0) - now for zone in zones), default=0.0)
 
     def _may_wait(self, held: HeldTokens, request: Request, now: float) -> bool:
         """Return whether a token may come in time; statements of a transaction keep waiting."""
-        is_guaranteed = not held.answered and held.local_bucket is not None
+        uses_fallback = not held.answered and held.local_bucket is not None
+        is_guaranteed = uses_fallback or self._is_starting(now)
         wait = max(MIN_RETRY_INTERVAL_S, self._next_token_wait(held, len(held.waiting) + 1, now))
         if now + wait >= request.deadline:
             return False
@@ -275,6 +285,10 @@
             return True
         return now + wait < request.arrived_at + request.token_timeout(is_guaranteed)
 
+    def _is_starting(self, now: float) -> bool:
+        """Return whether this VM has just started: the buckets are then filling for all callers."""
+        return now < self.board.startup_deadline()
+
     def _take_fallback(self, held: HeldTokens, name: str, now: float) -> bool:
         """Take a token of this VM's share of the rate, which it may use while no allocator answers.
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -26,6 +26,8 @@
 from .session_simulation import GROUP, LATENCY_S, NoOpWaiter, SessionSimulation
 
 POLL_INTERVAL_S = 0.1
+TOKENS_TIMEOUT_S = 0.12
+HOME_CONNECT_TIMEOUT_S = 0.1
 
 
 class ReplyWaiter:
@@ -50,7 +52,7 @@
     """VMs h1 to hN in the endpoints' zones; the base class's VM leads the control log.
 
     Requests to an unreachable home VM fail at their timeout. VMs that are cut off receive no
-    configuration.
+    configuration, and no answer from the VMs that are not.
     """
 
     def __init__(
@@ -141,6 +143,9 @@
             self.execute_intent(board, intent)
 
     def _request_tokens(self, board: Board, request: TokenRequest) -> None:
+        if (board.settings.member in self.cut_off_vms) != (request.member in self.cut_off_vms):
+            self.call_later(lambda: board.post(Topic.TOKENS_RECEIVED, request), TOKENS_TIMEOUT_S)
+            return
         allocator = self.vms[request.member].board if request.member in self.vms else self.board
         received = TokenRequest(
             request.workspace,
@@ -177,6 +182,14 @@
             received,
             lambda received_reply: self._on_relay_reply(board, request, reply, received_reply),
         )
+        if (board.settings.member in self.cut_off_vms) != (
+            connection.home.name in self.cut_off_vms
+        ):
+            reply.home_failed = True
+            self.call_later(
+                lambda: board.post(Topic.EXCHANGE_ENDED, request), HOME_CONNECT_TIMEOUT_S
+            )
+            return
         home = self.vms[connection.home.name].board
         self.call_later(lambda: home.post(Topic.RELAY_RECEIVED, received), LATENCY_S)
 
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -11,6 +11,7 @@
 import time
 import zlib
 from collections import deque
+from random import Random
 from typing import Any
 
 import gevent
@@ -107,6 +108,15 @@
         self.seeds = seeds
         self.names_are_addresses = names_are_addresses
 
+    @classmethod
+    def from_seeds(cls, board: Board, seeds: list[str], randomness: Random) -> PeerAddresses:
+        """Build from seeds that are named by their address; each VM gets its own random order.
+
+        After a restart of all VMs, the first polls are so divided over the seeds.
+        """
+        shuffled = randomness.sample(seeds, len(seeds))
+        return cls(board, {seed: seed for seed in shuffled}, names_are_addresses=True)
+
     def resolve(self, name: str) -> str | None:
         """Return the address of a VM, or none if it is unknown."""
         member = self.board.configuration.members.get(name)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -44,8 +44,8 @@
         self.board.timeline.sink = log_event
         signer = FleetSigner(os.environ.get(FLEET_SECRET_VARIABLE, ""))
         client = PeerClient(signer)
-        seeds = {seed: seed for seed in settings.seeds}
-        addresses = PeerAddresses(self.board, seeds, names_are_addresses=True)
+        self.randomness = random.Random()
+        addresses = PeerAddresses.from_seeds(self.board, settings.seeds, self.randomness)
         self.client = client
         self.signer = signer
         self.addresses = addresses
@@ -89,7 +89,8 @@
                 "reloading the settings failed, the old ones stay in effect: %s", error.message
             )
             return
-        self.addresses.seeds = {seed: seed for seed in settings.seeds}
+        renewed = PeerAddresses.from_seeds(self.board, settings.seeds, self.randomness)
+        self.addresses.seeds = renewed.seeds
         log.info("settings reloaded", extra={"details": {"seeds": settings.seeds}})
 
     def _watch_settings(self) -> None:
