Keep a workspace's rate on both sides of a partition

Cause: a VM asked backup allocators, and used its own share, as soon as its token requests had timed out, while the allocators went on granting the whole rate to the other side. With 20 of 30 VMs cut off and all asking for far more than the rate, 206 requests of a workspace ran in 5 s where 178 may (1.1 times five seconds of the rate and the burst, and 20). Change: backup allocators and own shares are used only without a confirmation for 0.8 s, or where an allocator responded that it may not grant; an allocator's buckets fill at the share of its VMs that it still hears until the others can no longer be fresh; backup allocators grant 0.8 of a zone's rate.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -89,3 +89,10 @@
     And 1 s pass
     And the VMs that are cut off receive 2000 reads per second in all for 2 s
     Then at most 106 of these reads ran for each workspace
+
+  Scenario: No workspace gets more than its rate and the tolerance on both sides of a partition
+    All VMs ask for far more than the rate, from the control VM's allocator and from backup allocators.
+    In 5 s, 178 requests of a workspace may run: 1.1 times (5 s of the rate and the burst), and 20.
+    Given 30 VMs that serve callers, and 4 workspaces with a rate of 24 and a burst of 24
+    When all VMs receive 1500 reads per second in all for 6 s, and 20 are cut off after 3 s
+    Then in no 5 s did more than 178 reads of a workspace run
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -266,23 +266,54 @@
     context.workspace_count = workspaces
 
 
-@when("{count:d} of these VMs are cut off from the control VM and from the others")
-def step_cut_off(context, count):
-    simulation = context.home_simulation
-    names = sorted(simulation.vms, key=lambda name: int(name[1:]))
-    context.cut_off = names[:count]
+def _open_sessions(context, names):
     context.sessions_at = {
-        (name, number): simulation.open_session_at(name, "bounded", f"k{number}")
-        for name in context.cut_off
+        (name, number): context.home_simulation.open_session_at(name, "bounded", f"k{number}")
+        for name in names
         for number in range(context.workspace_count)
     }
-    simulation.cut_off_vms.update(context.cut_off)
+
+
+def _first_vms(context, count):
+    return sorted(context.home_simulation.vms, key=lambda name: int(name[1:]))[:count]
+
+
+@when("{count:d} of these VMs are cut off from the control VM and from the others")
+def step_cut_off(context, count):
+    cut_off = _first_vms(context, count)
+    _open_sessions(context, cut_off)
+    context.home_simulation.cut_off_vms.update(cut_off)
+
+
+@when(
+    "all VMs receive {rate:d} reads per second in all for {seconds:g} s, "
+    "and {count:d} are cut off after {delay:g} s"
+)
+def step_cut_off_under_load(context, rate, seconds, count, delay):
+    _open_sessions(context, context.home_simulation.vms)
+    step_random_reads(context, rate, delay, settling=0.0)
+    calls = context.statement_calls
+    context.home_simulation.cut_off_vms.update(_first_vms(context, count))
+    step_random_reads(context, rate, seconds - delay, calls)
+
+
+@then("in no {window:g} s did more than {count:d} reads of a workspace run")
+def step_window(context, window, count):
+    ran_at = {}
+    for call in context.statement_calls:
+        if call.answer is not None and call.answer.refusal is None:
+            ran_at.setdefault(call.session.key_hash, []).append(call.arrived_at)
+    assert ran_at
+    for times in ran_at.values():
+        times.sort()
+        most = max(sum(1 for at in times if start <= at <= start + window) for start in times)
+        assert most <= count, most
 
 
 @when("the VMs that are cut off receive {rate:d} reads per second in all for {seconds:g} s")
-def step_random_reads(context, rate, seconds):
+def step_random_reads(context, rate, seconds, calls=None, settling=1.0):
     simulation = context.home_simulation
-    context.statement_calls = []
+    context.statement_calls = [] if calls is None else calls
     end = simulation.clock.now() + seconds
     while simulation.clock.now() < end:
         simulation.run(simulation.randomness.expovariate(rate))
@@ -290,7 +321,7 @@
         if idle:
             name, number = simulation.randomness.choice(idle)
             _send(context, name, context.sessions_at[name, number], "READ x")
-    simulation.run(1.0)
+    simulation.run(settling)
 
 
 @then("the share of these reads that were served within {seconds:g} s is at least {share:g}")
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/rate_limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/rate_limits.py
@@ -1,6 +1,7 @@
 """Section of rate limits: the allocator's token buckets, and the tokens that this VM holds.
 
-Owned by the allocator controller (`buckets`, `backup_buckets`) and the limit controller.
+Owned by the allocator controller (`buckets`, `backup_buckets`, `polling_vms`) and the limit
+controller.
 """
 
 from __future__ import annotations
@@ -75,8 +76,8 @@
     """Tokens that this VM may spend for one workspace until they expire, and waiting requests.
 
     While `is_requesting`, the VM asks the allocators of `remaining_zones` for tokens in turn.
-    `answered` is set once an allocator responds; if none does, the VM asks backup allocators in
-    turn (`remaining_backups`, none before the first of a round), and if none of them responds
+    `answered` is set once an allocator may grant; if none does, the VM asks backup allocators in
+    turn (`remaining_backups`, none before the first of a round), and if none of them grants
     either, it takes its own share of the rate from `local_bucket`. `empty_until` gives by zone the
     time, in seconds, until which its allocator has no tokens. `meter` measures what allocators
     permitted.
@@ -115,7 +116,8 @@
 class TokenRequest:
     """A VM's request to a zone's allocator for tokens of a workspace, and the response.
 
-    `local` is set if this VM is the allocator. `next_token_delay` is the seconds until the
+    `local` is set if this VM is the allocator, `reached` if the allocator responded, and `answered`
+    if it may grant. `next_token_delay` is the seconds until the
     allocator has another token. While no allocator responds, the request goes to a backup
     allocator: a VM of the own zone that serves callers, at `address`.
     """
@@ -129,6 +131,7 @@
         "local",
         "granted",
         "answered",
+        "reached",
         "next_token_delay",
         "address",
     )
@@ -150,6 +153,7 @@
         self.local = False
         self.granted = 0
         self.answered = False
+        self.reached = False
         self.next_token_delay = 0.0
         self.address = address
 
@@ -159,13 +163,43 @@
 
 
 class AllocatorBackoff:
-    """Backoff of an allocator that did not respond: no requests before `until`, in seconds."""
+    """Backoff of an allocator that granted nothing: no requests before `until`, in seconds.
 
-    __slots__ = ("failures", "until")
+    `reached` is set if it responded that it may not grant.
+    """
+
+    __slots__ = ("failures", "until", "reached")
 
     def __init__(self) -> None:
         self.failures = 0
         self.until = 0.0
+        self.reached = False
+
+
+class PollingVMs:
+    """The VMs that polled an allocator lately: the time of each one's last poll, in seconds.
+
+    `heard_fraction` is the share of them whose last poll is recent; `counted_at` is when it was
+    last determined.
+    """
+
+    __slots__ = ("polled_at", "heard_fraction", "counted_at")
+
+    def __init__(self) -> None:
+        self.polled_at: dict[str, float] = {}
+        self.heard_fraction = 1.0
+        self.counted_at = 0.0
+
+    def count(self, now: float, contact_timeout: float, memory: float) -> None:
+        """Determine `heard_fraction`; forget VMs whose last poll is older than `memory` seconds."""
+        self.polled_at = {
+            name: polled_at
+            for name, polled_at in self.polled_at.items()
+            if now - polled_at <= memory
+        }
+        heard = sum(1 for at in self.polled_at.values() if now - at <= contact_timeout)
+        self.heard_fraction = heard / len(self.polled_at) if self.polled_at else 1.0
+        self.counted_at = now
 
 
 class RateLimits:
@@ -176,11 +210,19 @@
     `first_granted_at` is when an allocator first permitted this VM anything, in seconds.
     """
 
-    __slots__ = ("buckets", "backup_buckets", "held", "suspected", "first_granted_at")
+    __slots__ = (
+        "buckets",
+        "backup_buckets",
+        "polling_vms",
+        "held",
+        "suspected",
+        "first_granted_at",
+    )
 
     def __init__(self) -> None:
         self.buckets: dict[str, TokenBucket] = {}
         self.backup_buckets: dict[str, TokenBucket] = {}
+        self.polling_vms = PollingVMs()
         self.held: dict[str, HeldTokens] = {}
         self.suspected: dict[str, AllocatorBackoff] = {}
         self.first_granted_at: float | None = None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -5,7 +5,9 @@
 certainly stale, so that two allocators of one zone never grant at the same time. The first one of a
 zone, and one that was named before it restarted, has no predecessor other than itself.
 
-While no allocator answers, a serving VM of the zone grants in its place as backup allocator.
+While no allocator answers, a serving VM of the zone grants in its place as backup allocator. VMs
+that stop polling may be using one, so an allocator's buckets fill only at the share of its VMs that
+it hears, until the others can no longer be fresh.
 """
 
 from __future__ import annotations
@@ -13,13 +15,15 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
+from ..blackboard.board import CONTROL_CONTACT_TIMEOUT_S
 from ..blackboard.configuration import Workspace
 from ..blackboard.rate_limits import TokenBucket, TokenRequest
 from ..settings import RateTolerance
 
 MIN_CAPACITY_TOKENS = 1.0
-BACKUP_RATE_FRACTION = 0.9  # of the zone's rate; the rest covers windows that overlap the switch
+BACKUP_RATE_FRACTION = 0.8  # of the zone's rate; the rest covers windows that overlap the switch
 MAX_POLL_GAP_S = 0.7  # VMs poll at least twice in this time
+POLLING_VM_COUNT_INTERVAL_S = 0.2
 
 
 class ZoneQuota:
@@ -97,12 +101,15 @@
         for workspace in self.board.configuration.workspaces.values():
             self._bucket(workspace, allocator.epoch)
 
-    def on_polled(self, _entry: None) -> None:
-        """Skip the refill of all buckets for a time in which no VM polled.
+    def on_polled(self, vm: str | None) -> None:
+        """Record the poll; skip the refill of all buckets for a time in which no VM polled.
 
         VMs that reach no allocator may have spent that part of the rate from their own buckets.
+        `vm` names the sender if it serves callers.
         """
         now = self.board.clock.now()
+        if vm is not None:
+            self.board.rate_limits.polling_vms.polled_at[vm] = now
         if self.board.members.entry_vm_count and now - self._last_polled_at > MAX_POLL_GAP_S:
             for bucket in self.board.rate_limits.buckets.values():
                 bucket.skip_refill(now)
@@ -110,6 +117,7 @@
 
     def on_tokens_requested(self, token_request: TokenRequest) -> None:
         """Grant what the bucket holds, or leave the request unanswered if this VM may not grant."""
+        token_request.reached = True
         if token_request.is_for_backup():
             self._answer_as_backup(token_request)
             return
@@ -125,11 +133,11 @@
             self.board.changes.post(Topic.TOKENS_RECEIVED, token_request)
 
     def _answer_as_backup(self, token_request: TokenRequest) -> None:
-        """Grant in place of the zone's allocator if this VM reaches no allocator either."""
+        """Grant in place of the zone's allocator if this VM hears from no control VM either."""
         board = self.board
         workspace = board.configuration.workspaces.get(token_request.workspace)
         now = board.clock.now()
-        if workspace is not None and self._reaches_no_allocator() and board.is_fresh():
+        if workspace is not None and not board.has_control_contact() and board.is_fresh():
             bucket = self._backup_bucket(workspace, now)
             token_request.granted = bucket.take(token_request.wanted, now)
             token_request.next_token_delay = bucket.next_token_delay()
@@ -137,12 +145,6 @@
         if token_request.local:
             board.changes.post(Topic.TOKENS_RECEIVED, token_request)
 
-    def _reaches_no_allocator(self) -> bool:
-        """Return whether no control VM is heard, or all allocators are suspected."""
-        zones = self.board.configuration.allocators
-        is_suspecting_all = all(zone in self.board.rate_limits.suspected for zone in zones)
-        return is_suspecting_all or not self.board.has_control_contact()
-
     def _backup_bucket(self, workspace: Workspace, now: float) -> TokenBucket:
         """Return the bucket for the zone's share of a rate while no allocator answers.
 
@@ -176,9 +178,17 @@
             self.board.rate_limits.buckets[workspace.name] = bucket
         else:
             quota = self._zone_quota(workspace)
-            bucket.rate, bucket.capacity = quota.rate, quota.capacity
+            bucket.rate, bucket.capacity = quota.rate * self._heard_fraction(), quota.capacity
         return bucket
 
+    def _heard_fraction(self) -> float:
+        """Return the share of the VMs that polled this VM lately and still do."""
+        polling_vms, now = self.board.rate_limits.polling_vms, self.board.clock.now()
+        if now - polling_vms.counted_at >= POLLING_VM_COUNT_INTERVAL_S:
+            memory = CONTROL_CONTACT_TIMEOUT_S + self.board.settings.max_configuration_age_s
+            polling_vms.count(now, CONTROL_CONTACT_TIMEOUT_S, memory)
+        return polling_vms.heard_fraction
+
     def _zone_quota(self, workspace: Workspace) -> ZoneQuota:
         settings = self.board.settings
         return ZoneQuota.from_workspace(
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -107,6 +107,7 @@
             backoff = self.board.rate_limits.suspected.setdefault(key, AllocatorBackoff())
             delay = INITIAL_BACKOFF_S * 2**backoff.failures
             backoff.failures += 1
+            backoff.reached = token_request.reached
             backoff.until = now + min(MAX_BACKOFF_S, delay)
             return
         self.board.rate_limits.suspected.pop(key, None)
@@ -182,7 +183,9 @@
             token_request = TokenRequest(workspace, zone, allocator.member, wanted, now)
             self._send(token_request)
             return True
-        return not held.answered and self._request_from_backup(held, workspace, now)
+        if held.answered or self.board.has_control_contact():
+            return False
+        return self._request_from_backup(held, workspace, now)
 
     def _request_from_backup(self, held: HeldTokens, workspace: str, now: float) -> bool:
         """Request tokens from the next backup allocator of the own zone, each once per round."""
@@ -292,8 +295,12 @@
     def _take_fallback(self, held: HeldTokens, name: str, now: float) -> bool:
         """Take a token of this VM's share of the rate, which it may use while no allocator answers.
 
-        Only if the number of VMs that divide the rate is known, and the configuration is fresh.
+        Only if the number of VMs that divide the rate is known, and the configuration is fresh. An
+        allocator out of reach may go on granting to others until no control VM is heard.
         """
+        suspected = self.board.rate_limits.suspected.values()
+        if self.board.has_control_contact() and not any(item.reached for item in suspected):
+            return False
         workspace = self.board.configuration.workspaces.get(name)
         vm_count = self.board.members.entry_vm_count
         if workspace is None or not vm_count or not self.board.is_fresh():
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -127,6 +127,7 @@
         for name, engine in self.vms.items():
             if name in self.cut_off_vms:
                 continue
+            self.board.post(Topic.POLL_RECEIVED, name)
             revision = engine.board.configuration.revision
             update = self.engine.configuration.build_update(revision, name)
             copy = ConfigurationUpdate(update.entries, update.snapshot, update.revision, now)
@@ -157,6 +158,7 @@
         )
         allocator.post(Topic.TOKENS_REQUESTED, received)
         request.granted, request.answered = received.granted, received.answered
+        request.reached = True
         request.next_token_delay = received.next_token_delay
         board.post(Topic.TOKENS_RECEIVED, request)
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
@@ -245,6 +245,7 @@
             )
             allocator.board.post(Topic.TOKENS_REQUESTED, received)
             request.granted, request.answered = received.granted, received.answered
+            request.reached = True
             request.next_token_delay = received.next_token_delay
         delay = LATENCY_S + self.token_response_delay_s
         vm.call_later(lambda: vm.board.post(Topic.TOKENS_RECEIVED, request), delay)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -103,7 +103,9 @@
     def answer_poll(self, message: dict[str, Any]) -> dict[str, Any]:
         """Answer a poll, after a wait for news if there is none yet."""
         started = self.board.clock.now()
-        self.board.post(Topic.POLL_RECEIVED)
+        sender_report = message["reports"][0]
+        sender_vm = None if sender_report["has_disk"] else sender_report["name"]
+        self.board.post(Topic.POLL_RECEIVED, sender_vm)
         for record in message["reports"]:
             report = MemberReport.from_record(record)
             if report.has_disk or self.board.settings.registers_diskless_members:
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -72,6 +72,7 @@
             }
             try:
                 response = self.client.request(address, TOKENS_PATH, message, TOKENS_TIMEOUT_S)
+                token_request.reached = True
                 token_request.granted = response["granted"]
                 token_request.answered = response["answered"]
                 token_request.next_token_delay = response["next_token_s"]
