--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -245,6 +245,18 @@
         "on_configuration",
         _grant_immediately,
     ),
+    Mutant(
+        "allocators fill at their whole rate in a partition",
+        AllocatorController,
+        "_heard_fraction",
+        constant(1.0),
+    ),
+    Mutant(
+        "backup allocators grant beside reachable allocators",
+        Board,
+        "has_control_contact",
+        constant(False),
+    ),
     Mutant("no pre-vote check", ElectionController, "_has_leader", constant(False)),
     Mutant("votes are not persisted", ElectionController, "_persist", constant(None)),
     Mutant(
