Ask backup allocators only when they have tokens again, and move news out of the distribution

Cause: with control VMs out of reach, the next token counted as due at once, since an allocator out of reach has no time at which it has tokens again: each waiting workspace asked every 0.05 s.

--- a/features/homes.feature
+++ b/features/homes.feature
@@ -82,6 +82,14 @@
     And the VMs that are cut off receive 200 reads per second in all for 2 s
     Then the share of these reads that were served within 0.5 s is at least 0.9
 
+  Scenario: VMs that are cut off ask few times for the tokens of a workspace above its rate
+    Guards against polling: an allocator out of reach has no time at which it has tokens again.
+    Given 30 VMs that serve callers, and 4 workspaces with a rate of 24 and a burst of 24
+    When 20 of these VMs are cut off from the control VM and from the others
+    And 1 s pass
+    And the VMs that are cut off receive 200 reads per second in all for 2 s
+    Then at most 3 token requests were made for each of these reads
+
   Scenario: No workspace gets more than its rate and the tolerance while most VMs are cut off
     The reads arrive for 2 s, 3 s of the rate are 72 reads, and the tolerance for 5 s is 34.
     Given 30 VMs that serve callers, and 4 workspaces with a rate of 24 and a burst of 24
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.rate_limits import TokenRequest
 from gentianspread_core.blackboard.sessions import SessionState
 from gentianspread_core.errors import ErrorCode, ExecutionResult
 from gentianspread_core.settings import RateTolerance
@@ -264,6 +265,9 @@
             ),
         )
     context.workspace_count = workspaces
+    context.token_requests = []
+    for board in simulation.boards:
+        board.changes.subscribe(Topic.INTENT_POSTED, context.token_requests.append)
 
 
 def _open_sessions(context, names):
@@ -349,3 +353,10 @@
         call.session.key_hash for call in context.statement_calls if call.answer.refusal is None
     )
     assert ran and max(ran.values()) <= count, ran
+
+
+@then("at most {count:d} token requests were made for each of these reads")
+def step_few_token_requests(context, count):
+    requests = [item for item in context.token_requests if isinstance(item, TokenRequest)]
+    reads = len(context.statement_calls)
+    assert reads and len(requests) <= count * reads, (len(requests), reads)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/limits.py
@@ -206,6 +206,11 @@
         self._send(TokenRequest(workspace, zone, vm.name, wanted, now, vm.address))
         return True
 
+    def _may_ask(self, zone: str, now: float) -> bool:
+        """Return whether a zone's allocator is neither out of reach nor in its backoff."""
+        backoff = self.board.rate_limits.suspected.get(zone)
+        return not self._is_out_of_reach(zone) and (backoff is None or now >= backoff.until)
+
     def _is_out_of_reach(self, zone: str) -> bool:
         """Return whether this VM hears from no control VM, and the zone is not its own."""
         return zone != self.board.settings.zone and not self.board.has_control_contact()
@@ -272,9 +277,9 @@
         """Return the seconds until an allocator, or this VM's fallback bucket, may have tokens."""
         if not held.answered and held.local_bucket is not None:
             return held.local_bucket.next_token_delay(count)
-        zones = [*self.board.configuration.allocators, BACKUP]
-        if held.remaining_backups is None:
-            zones.remove(BACKUP)
+        zones = [zone for zone in self.board.configuration.allocators if self._may_ask(zone, now)]
+        if held.remaining_backups is not None:
+            zones.append(BACKUP)
         return min((held.empty_until.get(zone, 0.0) - now for zone in zones), default=0.0)
 
     def _may_wait(self, held: HeldTokens, request: Request, now: float) -> bool:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -144,8 +144,7 @@
     ) -> None:
         """Declare the three databases, and the workspaces with the hashes of their keys.
 
-        The routes' objective is half of their timeout, unless `objectives_s` has it by database.
-        """
+        A route's objective is half of its timeout if `objectives_s` does not have its database."""
         objectives = objectives_s or {}
         workspaces = keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]}
         routes = [
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -23,9 +23,9 @@
 )
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_core.positions import Position
-from gevent.event import Event
 
 from .connections import RequestNotSentError, ResponseLostError
+from .news import News
 from .peers import PeerAddresses, PeerClient
 from .reports import MAX_REPORT_AGE_S, EntryVMCounter, MemberReport
 from .serving import ServingVMRegistry
@@ -56,8 +56,7 @@
         "configuration",
         "addresses",
         "client",
-        "_changed",
-        "_leader_found",
+        "_news",
         "_reports",
         "_reported_leader",
         "_registering",
@@ -76,16 +75,12 @@
         self.configuration = configuration
         self.addresses = addresses
         self.client = client
-        self._changed = Event()
-        self._leader_found = Event()
+        self._news = News(board)
         self._reports: dict[str, MemberReport] = {}
         self._reported_leader: str | None = None
         self._registering: set[str] = set()
         self._entry_vm_counter = EntryVMCounter()
         self.serving_vms = ServingVMRegistry(board)
-        board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_news)
-        board.changes.subscribe(Topic.FRESHNESS_REGAINED, self._on_news)
-        board.changes.subscribe(Topic.LEADER_FOUND, self._on_leader_found)
 
     def start(self) -> None:
         """Start polling."""
@@ -121,7 +116,7 @@
         )
         sender_revision = message["revision"]
         deadline = started + min(message["wait_s"], LONG_POLL_WAIT_S)
-        self._wait_for_news(sender_revision, message["reports"][0]["has_disk"], deadline)
+        self._news.wait_for(sender_revision, sender_report["has_disk"], deadline)
         only_serves = message.get("only_serves", False)
         update = self.configuration.build_update(
             sender_revision, sender, message.get("has_log", False), only_serves
@@ -160,30 +155,6 @@
                 return True
             gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
 
-    def _on_news(self, _entry: Any) -> None:
-        self._changed.set()
-        self._changed.clear()
-
-    def _on_leader_found(self, _leader: str) -> None:
-        self._leader_found.set()
-
-    def _wait_for_news(self, sender_revision: int, is_control_vm: bool, deadline: float) -> None:
-        """Wait for a change if the sender has all of them, or for freshness while this VM starts.
-
-        A VM that is not fresh long after its start returns at once, so that the sender polls
-        another. So it does if the sender is a control VM: two of them would wait for each other.
-        """
-        clock = self.board.clock
-        if self.board.is_fresh():
-            if self.board.configuration.revision <= sender_revision:
-                self._changed.wait(max(0.0, deadline - clock.now()))
-            return
-        if is_control_vm:
-            return
-        deadline = min(deadline, self.board.startup_deadline())
-        while clock.now() < deadline and not self.board.is_fresh():
-            self._changed.wait(deadline - clock.now())
-
     def _run(self) -> None:
         failed_polls = 0
         last_failure_at = self.board.clock.now()
@@ -203,8 +174,8 @@
             if not name or not self._poll(name):
                 failed_polls += 1
                 last_failure_at = self.board.clock.now()
-                self._leader_found.wait(min(POLL_BACKOFF_STEP_S * failed_polls, MAX_POLL_BACKOFF_S))
-                self._leader_found.clear()
+                backoff = min(POLL_BACKOFF_STEP_S * failed_polls, MAX_POLL_BACKOFF_S)
+                self._news.wait_for_leader(backoff)
 
     def upstreams(self) -> list[str]:
         """Return the VMs to poll, in order of preference.
