Put the slopes of the users' bench on the capacity page

Does not fit at 2,047 VMs: a control VM's processor (573 % of a core), and an acknowledgement of a configuration, which takes 0.16 s at 30 VMs and 1.2 s at 100: open.

--- a/packages/gentianspread-lab/src/gentianspread_lab/capacity.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/capacity.py
@@ -22,9 +22,11 @@
     message_slopes,
     state_slopes,
 )
+from .sweep import Sweep, render_section, replace_section  # noqa: E402
 
 flags.DEFINE_string("page", "docs/CAPACITY.md", "Page to write.")
 
+SWEEP_OUTPUT = "docs/bench/sweep.txt"
 IDLE_FLEETS = ((7, 3), (13, 3), (13, 12), (45, 3))  # VMs and groups of each fleet
 
 
@@ -174,8 +176,10 @@
     """Measure and write the page."""
     measured = measure()
     rows = capacity_rows(Sizes(), measured.median)
+    with open(SWEEP_OUTPUT, encoding="utf-8") as file:
+        section = render_section(Sweep.from_text(file.read()))
     with open(flags.FLAGS.page, "w", encoding="utf-8") as file:
-        file.write(render_page(measured, rows))
+        file.write(replace_section(render_page(measured, rows), section))
     print(f"wrote {flags.FLAGS.page}")
 
 
