--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,14 @@
 
 SOAK_SEEDS ?= 5
 
-.PHONY: test demo platform-demo platform-soak bench capacity soak mutants format
+# The users' bench and their folder of deployments are outside the repository.
+FLEETBENCH ?=
+DEPLOYMENTS ?=
+REGRESSION_SITES := further/kopprot-riga further-grown/kopprot-riga-grown \
+	large/brackwater-pumpdesk-large grown/brackwater-pumpdesk-grown grown/msp-pool-grown
+JOBS ?= 3
+
+.PHONY: test demo platform-demo platform-soak bench capacity soak mutants format regression
 
 $(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/gentianspread-$(package)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -40,6 +47,14 @@
 soak: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.soak --seed=$(SEED) --steps=$(STEPS)
 
+regression:
+	@test -x "$(FLEETBENCH)" -a -d "$(DEPLOYMENTS)" || \
+		{ echo "Set FLEETBENCH to the bench and DEPLOYMENTS to the folder of site files."; exit 1; }
+	for site in $(REGRESSION_SITES); do \
+		$(FLEETBENCH) score "$(DEPLOYMENTS)/$$site.toml" --quick --jobs $(JOBS) \
+			--why "regression run" || exit 1; \
+	done
+
 mutants: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.mutants
 
