--- a/review/standin.py
+++ b/review/standin.py
@@ -29,6 +29,7 @@
 STATEMENT_S = 0.004
 PROMOTE_S = 0.3
 NETWORK_S = 0.001
+CLIENT_WORDS = ("SET", "PREPARE", "READ", "WRITE", "EXECUTE", "COMMIT")
 PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 
 
@@ -72,6 +73,8 @@
         self.paused = 0
         self.is_deaf = False  # receives nothing from the primary
         self.lag_s = 0.02  # applies commits so late
+        self.grey = 0.0  # fails this part of what clients ask, with `grey_code`
+        self.grey_code = "FAILED"
         self.is_draining = False
         self.is_up = False
         self.born = 0
@@ -196,7 +199,14 @@
             writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
             return
         await asyncio.sleep(HANDSHAKE_S)
-        session = {"who": words[2], "state": "I", "read": False, "writes": [], "prepared": {}}
+        session = {
+            "who": words[2],
+            "state": "I",
+            "read": False,
+            "writes": [],
+            "prepared": {},
+            "values": {},
+        }
         writer.write(f"READY I {self.position()}\r\n".encode())
         while True:
             line = (await reader.readuntil(b"\r\n")).decode()[:-2]
@@ -223,11 +233,22 @@
                 self.record.line(f"  {self.name} refuses {statement_id} LAGGING for {position}")
                 return [], "", "LAGGING"
         word, _, rest = text.partition(" ")
-        if word in ("SET", "RESET", "DEALLOC"):
+        if word in CLIENT_WORDS and random.random() < self.grey:
+            self.record.line(f"  {self.name} fails {statement_id} {text} with {self.grey_code}")
+            return [], "", self.grey_code
+        if word == "SET":
+            name, _, value = rest.partition(" ")
+            session["values"][name] = value
+            return [], "-", ""
+        if word == "RESET":
+            session["values"].clear()
+            session["prepared"].clear()
             return [], "-", ""
+        if word == "DEALLOC":
+            return ([], "-", "") if session["prepared"].pop(rest, None) else ([], "", "NOSTMT")
         if word == "PREPARE":
-            name, kind, _ = rest.split(" ", 2)
-            session["prepared"][name] = kind
+            name, _, shape = rest.partition(" ")
+            session["prepared"][name] = shape
             return [], "-", ""
         if word in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
             return self.command(word, rest)
@@ -260,7 +281,7 @@
             kind = session["prepared"].get(text.split(" ")[1])
             if kind is None:
                 return [], "", "NOSTMT"
-            is_write = kind == "WRITE"
+            is_write = kind.startswith("WRITE")
         if session["state"] == "E":  # a commit of a failed transaction rolls back
             session.update(state="I", writes=[])
             return [], "", "ABORTED"
@@ -281,7 +302,7 @@
         self.service.runs.append(Run(self.record.now(), self, statement_id, text, number, session))
         self.record.line(
             f"  {self.name} runs {statement_id} {text} for {session['who']},"
-            f" log {self.term}.{number}"
+            f" log {self.term}.{number} {session['values'] or ''}"
         )
         if is_write and session["state"] == "T":
             session["writes"].append(statement_id)
@@ -296,6 +317,9 @@
     def __init__(self, at, backend, statement_id, text, number, session) -> None:
         self.at, self.backend, self.statement_id = at, backend, statement_id
         self.text, self.number, self.who = text, number, session["who"]
+        self.values = dict(session["values"])
+        words = text.split(" ")
+        self.shape = session["prepared"].get(words[1]) if words[0] == "EXECUTE" else None
 
 
 class Service:
