--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,8 @@
     await fleet.start(
         document(1, [route("r-cards", "cards", "primary", "db1")], ["db1"], {"one": [KEY]})
     )
-    await asyncio.sleep(3.0)
+    await fleet.wait_served(["cards"], KEY)
+    await asyncio.sleep(1.0)
     acked = {}  # write id -> time of the acknowledgement
     stopping = asyncio.Event()
 
--- a/review/standin.py
+++ b/review/standin.py
@@ -424,7 +424,7 @@
         self.services: dict[str, Service] = {}
         self.stopped: set[str] = set()
         self.servers: list = []
-        self.version = 0
+        self.clients: list[Client] = []
 
     @staticmethod
     def _free_network() -> str:
@@ -564,6 +564,25 @@
                     raise CannotRun(f"{name} is not ready")
                 await asyncio.sleep(0.1)
 
+    async def wait_served(self, databases: list[str], key: str) -> None:
+        """Return once every front has served ten reads of each database in a row."""
+        deadline = time.monotonic() + 15
+        for front in self.fronts:
+            for database in databases:
+                count = 0
+                while count < 10:
+                    if time.monotonic() > deadline:
+                        raise CannotRun(f"{front} doesn't serve {database}")
+                    client = Client(self, front, "setup")
+                    try:
+                        error = await client.open(database, key)
+                        error = error or (await client.query("READ a1")).error
+                    except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                        error = "NONE"
+                    client.close()
+                    count = 0 if error else count + 1
+                    await asyncio.sleep(0.02)
+
     async def replace(self, document: dict, tries: int = 10) -> bool:
         """Send a configuration to one control after the other until it is acknowledged."""
         for number in range(tries):
@@ -628,6 +647,8 @@
 
     def end(self) -> None:
         """End every process that was started, and remove the folder."""
+        for client in self.clients:
+            client.close()
         for service in self.services.values():
             for task in service.tasks:
                 task.cancel()
@@ -677,6 +698,8 @@
     def __init__(self, fleet: Fleet, front: str, label: str) -> None:
         self.fleet, self.front, self.label = fleet, front, label
         self.record = fleet.record
+        self.writer = None
+        fleet.clients.append(self)
 
     async def open(self, database: str, key: str, timeout_s: float = 2.0) -> str:
         """Open the session; return an error code or an empty text."""
@@ -719,7 +742,8 @@
         return answer
 
     def close(self) -> None:
-        self.writer.close()
+        if self.writer is not None:
+            self.writer.close()
 
 
 def route(name, host, kind, service, age_ms=None, timeout_ms=800) -> dict:
