--- a/review/standin.py
+++ b/review/standin.py
@@ -41,7 +41,8 @@
     """The record of what was sent, answered and run; times are seconds since its creation."""
 
     def __init__(self, folder: str) -> None:
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        path = os.path.join(folder, "record.txt")
+        self.file = open(path, "w", encoding="utf-8", errors="backslashreplace")
         self.started = time.monotonic()
 
     def now(self) -> float:
@@ -193,7 +194,7 @@
             writer.close()
 
     async def serve_session(self, reader, writer) -> None:
-        line = (await reader.readuntil(b"\r\n")).decode()[:-2]
+        line = decode_line(await reader.readuntil(b"\r\n"))
         words = line.split(" ")
         if words[0] != "OPEN" or words[1] != self.service.name or words[3:] not in ([], [self.name]):
             writer.write(f"ERROR WRONGNODE {self.name}\r\n".encode())
@@ -209,7 +210,7 @@
         }
         writer.write(f"READY I {self.position()}\r\n".encode())
         while True:
-            line = (await reader.readuntil(b"\r\n")).decode()[:-2]
+            line = decode_line(await reader.readuntil(b"\r\n"))
             if line == "CLOSE":
                 return
             _, statement_id, text = line.split(" ", 2)
@@ -220,7 +221,8 @@
                 answer = f"ERROR {error} {self.name}\r\n"
             else:
                 answer = "".join(f"ROW {row}\r\n" for row in rows) + f"COMPLETE {signature}\r\n"
-            writer.write(f"{answer}READY {session['state']} {self.position()}\r\n".encode())
+            answer += f"READY {session['state']} {self.position()}\r\n"
+            writer.write(answer.encode("utf-8", "surrogateescape"))
             await writer.drain()
 
     async def execute(self, session: dict, statement_id: str, text: str) -> tuple:
@@ -682,6 +684,11 @@
         return 0
 
 
+def decode_line(line: bytes) -> str:
+    """Return a line of the wire without its end; bytes that aren't UTF-8 are kept."""
+    return line[:-2].decode("utf-8", "surrogateescape")
+
+
 class Answer:
     """A complete answer: rows, signature or error code, state, and when it came."""
 
