--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,93 +1,116 @@
-"""A replica starts again under its id, with nothing of before, while the primary is down."""
+"""A control machine that lost its disk votes again, after it heard an old list of voters."""
 
 import asyncio
+import json
 import os
+import shutil
+import signal
 import sys
+import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.dirname(FOLDER))
 
-from standin import ZONES, CannotRun, Client, Fleet, Service, document, main, route  # noqa: E402
+from standin import CONTROL_PORT, CannotRun, Fleet, document, http, main, route  # noqa: E402
 
-KEY = "key-of-tenant-one"
-PRIMARY_DOWN_S = 7.0
-DEAF_S = 6.0
+FREEZE_LIMIT_S = 7.9
+ROUTES = [route("r-cards", "cards", "primary", "db1")]
+
+
+async def read_version(address):
+    """Return the version that a control answers to a read, or none."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(2.0):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(
+                f"GET /Config.Get HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n".encode()
+            )
+            data = await reader.read(-1)
+            writer.close()
+        head, _, body = data.partition(b"\r\n\r\n")
+        return json.loads(body)["version"] if b" 200 " in head.split(b"\r\n")[0] else None
+    except (OSError, TimeoutError, ValueError, KeyError):
+        return None
 
 
 async def case(folder, trouble, fleets):
-    fleet = Fleet(folder, {f"front-{n}": ZONES[n - 1] for n in (1, 2, 3)})
+    fleet = Fleet(folder, {}, control_count=4)
     fleets.append(fleet)
     record = fleet.record
-    service = fleet.services["db1"] = Service(fleet, "db1")
-    primary = service.add("i-aaa", ZONES[1])
-    replica = service.add("i-bbb", ZONES[2])
-    other = service.add("i-ccc", ZONES[0])
-    await fleet.start(
-        document(1, [route("r-cards", "cards", "primary", "db1")], ["db1"], {"one": [KEY]})
+    addresses = {name: f"{ip}:{CONTROL_PORT}" for name, ip in fleet.control_ips.items()}
+    tenants = {"one": ["key-of-tenant-one"]}
+    await fleet.start(document(1, ROUTES, ["db1"], tenants))
+    await asyncio.sleep(4.0)
+    leader = fleet.leader()
+    followers = [name for name in ("control-1", "control-2", "control-3") if name != leader]
+    behind, third = followers
+    newcomer = "control-4"
+    record.line(f"the leader is {leader}; {behind} will freeze, {third} and {newcomer} go on")
+    frozen_at = time.monotonic()
+    if trouble:
+        fleet.signal(behind, signal.SIGSTOP)
+        fleet.stopped.add(behind)
+        while True:
+            await asyncio.sleep(0.1)
+            changes = [event["details"]["voters"] for event in fleet.events(leader, "voters_changed")]
+            if changes and len(changes[-1]) == 3 and addresses[behind] not in changes[-1]:
+                break
+            if time.monotonic() - frozen_at > 6.0:
+                raise CannotRun(f"the frozen voter was not replaced: {changes}")
+        record.line("the frozen machine's vote has gone to control-4")
+        await asyncio.sleep(0.5)
+        fleet.kill(third)
+        fleet.stopped.add(third)
+    version = 2
+    status = await http(
+        addresses[newcomer], "POST", "/Config.Replace", document(2, ROUTES, ["db1"], tenants), 1.5
     )
-    await fleet.wait_served(["cards"], KEY)
-    await asyncio.sleep(1.0)
-    acked = {}  # write id -> time of the acknowledgement
-    stopping = asyncio.Event()
-
-    async def write_steadily(front):
-        """Write 20 times a second; reconnect after an error."""
-        client = Client(fleet, front, f"writer-{front}")
-        is_open = False
-        while not stopping.is_set():
-            try:
-                if not is_open:
-                    is_open = not await client.open("cards", KEY)
-                answer = await client.query("WRITE a1 data")
-                if not answer.error:
-                    acked[client.statement_id] = answer.at
-                elif answer.state != "I":
-                    is_open = False
-            except (OSError, TimeoutError, asyncio.IncompleteReadError):
-                is_open = False
-            await asyncio.sleep(0.05)
-
-    writers = [asyncio.ensure_future(write_steadily(f"front-{n}")) for n in (1, 2)]
-    await asyncio.sleep(1.0)
+    record.line(f"operator: version 2 to {newcomer}: {status}")
+    if status != 200:
+        raise CannotRun("version 2 was not acknowledged")
+    acked_at = record.now()
     if trouble:
-        other.is_deaf = True
-        record.line("i-ccc receives nothing from now on")
-        await asyncio.sleep(1.0)
-        replica.crash()
-        primary.crash()
-        crashed_at = record.now()
-        replica.restart_empty()
+        fleet.kill(newcomer)
+        shutil.rmtree(os.path.join(fleet.folder, newcomer))
+        record.line(f"{newcomer} has lost its disk")
+        fleet.kill(leader)
+        fleet.signal(behind, signal.SIGCONT)
+        frozen_s = time.monotonic() - frozen_at
+        record.line(f"{behind} was frozen for {frozen_s:.1f} s")
+        if frozen_s > FREEZE_LIMIT_S:
+            raise CannotRun("the freeze took too long")
         await asyncio.sleep(0.5)
-        await replica.start()
-        await asyncio.sleep(DEAF_S - 2.0)
-        other.is_deaf = False
-        record.line("i-ccc receives again")
-        await asyncio.sleep(max(0.0, crashed_at + PRIMARY_DOWN_S - record.now()))
-        await primary.start()
-        record.line("the former primary is back with its log")
-    await asyncio.sleep(4.0)
-    stopping.set()
-    await asyncio.gather(*writers)
-    return judge(service, acked, record)
-
-
-def judge(service, acked, record):
-    """LOST: an acknowledged commit isn't in the log of the backend that is promoted."""
-    lines, is_broken = [], False
-    for at, name, token, held in service.promoted:
-        lost = [item for item, acked_at in acked.items() if acked_at < at and item not in held]
-        if lost:
-            is_broken = True
-            lines.append(
-                f"LOST: {name}, promoted at {at:.3f} with token {token}, lacks {len(lost)}"
-                f" acknowledged commits, among them {lost[0]}"
-            )
-    if len(acked) < 20:
-        raise CannotRun(f"only {len(acked)} commits were acknowledged")
-    lines.append(f"{len(acked)} commits acknowledged, {len(service.promoted)} promotions")
+        fleet.start_process(newcomer)
+        await asyncio.sleep(1.5)
+        fleet.start_process(third)
+        await asyncio.sleep(2.5)
+        fleet.start_process(leader)
+        fleet.stopped.clear()
+    lines, oldest = [], version
+    until = record.now() + 16.0
+    while record.now() < until:
+        for name, address in addresses.items():
+            sent_at = record.now()
+            read = await read_version(address)
+            record.line(f"operator: reads version {read} at {name}")
+            if read is not None and read < version and sent_at > acked_at + 3.0:
+                if oldest == version:
+                    lines.append(
+                        f"CONFIG: {name} answers version {read} to a read sent"
+                        f" {sent_at - acked_at:.1f} s after version {version} was acknowledged"
+                    )
+                oldest = read
+        await asyncio.sleep(0.3)
+    last = [await read_version(address) for address in addresses.values()]
+    lines.append(f"read back at the end: {last}")
+    if any(read is not None and read < version for read in last):
+        lines.insert(0, f"CONFIG: version {version} was acknowledged and isn't read back at the end")
     for line in lines:
         record.line(line)
-    return is_broken, lines
+    if all(read is None for read in last):
+        raise CannotRun("no control answers a read at the end")
+    return len(lines) > 1, lines
 
 
 main(case, FOLDER)
--- a/review/standin.py
+++ b/review/standin.py
@@ -412,15 +412,16 @@
 class Fleet:
     """The machines: three control processes, front processes, the platform and the operator."""
 
-    def __init__(self, folder: str, fronts: dict[str, str]) -> None:
+    def __init__(self, folder: str, fronts: dict[str, str], control_count: int = 3) -> None:
         self.record = Record(folder)
         self.fronts = fronts  # name -> zone
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.network = self._free_network()
-        self.ip_count = 9
-        self.control_ips = {f"control-{n}": f"{self.network}.{n}" for n in (1, 2, 3)}
-        self.front_ips = {name: f"{self.network}.{n}" for n, name in enumerate(fronts, 4)}
-        self.ip_count = 4 + len(fronts)
+        self.control_ips = {
+            f"control-{n}": f"{self.network}.{n}" for n in range(1, control_count + 1)
+        }
+        self.front_ips = {name: f"{self.network}.{n}" for n, name in enumerate(fronts, 5)}
+        self.ip_count = 5 + len(fronts)
         self.cloud = f"{self.network}.250:{CLOUD_PORT}"
         self.processes: dict[str, subprocess.Popen] = {}
         self.services: dict[str, Service] = {}
@@ -450,7 +451,7 @@
         return [f"{ip}:{CONTROL_PORT}" for ip in self.control_ips.values()]
 
     def zone_of(self, name: str) -> str:
-        return self.fronts.get(name) or ZONES[int(name[-1]) - 1]
+        return self.fronts.get(name) or ZONES[(int(name[-1]) - 1) % 3]
 
     def settings(self, name: str, is_first: bool) -> dict[str, str]:
         is_control = name in self.control_ips
@@ -464,7 +465,7 @@
             "zone": self.zone_of(name),
             "region": "region",
             "portRange": f"{PEER_PORT},{PEER_PORT + 15}",
-            "seedNodes": ",".join(self.controls()),
+            "seedNodes": ",".join(self.controls()[:3]),
             "bootstrap": "true" if is_first else "false",
             "inTolerance": "true" if is_control else "false",
             "limits.cpuShare": "1.29" if is_control else "0.731",
@@ -588,8 +589,9 @@
     async def replace(self, document: dict, tries: int = 10) -> bool:
         """Send a configuration to one control after the other until it is acknowledged."""
         for number in range(tries):
-            address = self.controls()[number % 3]
-            if number % 3 + 1 in self.skipped_controls():
+            index = number % len(self.control_ips)
+            address = self.controls()[index]
+            if index + 1 in self.skipped_controls():
                 continue
             status = await http(address, "POST", "/Config.Replace", document, 1.0)
             self.record.line(f"operator: version {document['version']} to {address}: {status}")
@@ -604,8 +606,9 @@
     async def call_control(self, path: str, body: dict) -> None:
         """Send a backend's call to one control after the other until it is acknowledged."""
         for number in range(9):
-            address = self.controls()[number % 3]
-            if number % 3 + 1 in self.skipped_controls():
+            index = number % len(self.control_ips)
+            address = self.controls()[index]
+            if index + 1 in self.skipped_controls():
                 continue
             if await http(address, "POST", path, body, 1.0) == 200:
                 return
@@ -634,18 +637,25 @@
     async def handle_promote(self, service, name, token, holder) -> int:
         return await service.promote(name, token, holder)
 
-    def leader(self) -> str | None:
-        """Return the control that was elected last, by the times in the programs' logs."""
-        best, best_at = None, ""
-        for name in self.control_ips:
-            with open(os.path.join(self.folder, f"{name}.log"), encoding="utf-8") as file:
-                for line in file:
-                    if "elected by a majority" in line:
-                        record = json.loads(line)
-                        at = str(record.get("time") or record.get("at") or record.get("wall_ms"))
-                        if at >= best_at:
-                            best, best_at = name, at
-        return best
+    def events(self, name: str, message: str) -> list[dict]:
+        """Return the lines of a process's log with a message; they only steer a case."""
+        found = []
+        with open(os.path.join(self.folder, f"{name}.log"), encoding="utf-8") as file:
+            for line in file:
+                if f'"message":"{message}"' in line:
+                    found.append(json.loads(line))
+        return found
+
+    def leader(self) -> str:
+        """Return the control that was elected last."""
+        elected = [
+            (event["time_ms"], name)
+            for name in self.control_ips
+            for event in self.events(name, "leader_elected")
+        ]
+        if not elected:
+            raise CannotRun("no control was elected")
+        return max(elected)[1]
 
     def end(self) -> None:
         """End every process that was started, and remove the folder."""
