--- a/review/1/case.py
+++ b/review/1/case.py
@@ -113,4 +113,4 @@
     return len(lines) > 1, lines
 
 
-main(case, FOLDER)
+main(case, FOLDER, os.environ.get("TROUBLE", "1") != "0")
--- a/review/standin.py
+++ b/review/standin.py
@@ -812,9 +812,11 @@
     }
 
 
-def main(case, folder: str) -> None:
-    """Run a case and exit with 1 if it returned broken rules, 0 if not, 2 if it couldn't run."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+def main(case, folder: str, trouble: bool) -> None:
+    """Run a case and exit with 1 if it returned broken rules, 0 if not, 2 if it couldn't run.
+
+    Without `trouble`, the case does the same without its disruption.
+    """
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # so that the processes are ended
 
     async def run() -> tuple:
