Install pbr before building hdrhistogram

`make test` on an arm64 machine with an empty pip cache ended with ResolutionImpossible after some 20 s, before any test ran.

Cause: hdrhistogram has no arm64 wheel, its source takes its version from pbr, and the set-up installs without build isolation. Without pbr the version reads 0.0.0 and contradicts the pin.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 $(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/gentianspread-$(package)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install -qq --log out/install.log --no-compile --constraint constraints.txt setuptools
+	$(BIN)/pip install -qq --log out/install.log --no-compile --constraint constraints.txt setuptools pbr
 	$(BIN)/pip install -qq --log out/install.log --no-compile --constraint constraints.txt --no-build-isolation \
 		$(foreach package,$(PACKAGES),--editable packages/gentianspread-$(package)) \
 		behave hypothesis black ruff
