Log statements that get no answer, and what a planned stop leaves unfinished

`statement_unanswered` names the statement, its session and who closed the connection, or that the process ended; `stopped` has the length of the shutdown and counts the callers, statements and relayed transactions that it leaves.

--- a/packages/gentianspread-cli/src/gentianspread_cli/causes.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/causes.py
@@ -20,6 +20,7 @@
         "configuration_applied",
     ),
     "request_unknown": ("endpoint_suspected", "failover_started", "pool_flushed", "leader_lost"),
+    "statement_unanswered": ("stopping", "stopped"),
     "primary_promoted": ("failover_started", "fence_failed", "endpoint_suspected"),
     "failover_started": ("endpoint_suspected", "leader_elected", "configuration_applied"),
     "allocator_named": ("voter_lost", "stopping", "leader_elected"),
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -14,6 +14,7 @@
 
     STARTED = "started"
     STOPPING = "stopping"
+    STOPPED = "stopped"
     LEADER_ELECTED = "leader_elected"
     LEADER_LOST = "leader_lost"
     CHANGE_ACCEPTED = "change_accepted"
@@ -25,6 +26,7 @@
     REQUEST_UNKNOWN = "request_unknown"
     REQUEST_RETRIED = "request_retried"
     REQUEST_ANSWERED = "request_answered"
+    STATEMENT_UNANSWERED = "statement_unanswered"
     ENDPOINT_SUSPECTED = "endpoint_suspected"
     HOME_SUSPECTED = "home_suspected"
     ENDPOINT_RECOVERED = "endpoint_recovered"
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 import gevent
-from gentianspread_core.blackboard.sessions import Session, SessionState
+from gentianspread_core.blackboard.sessions import (
+    Session,
+    SessionState,
+    SessionStatement,
+    StatementAnswer,
+)
+from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.errors import ErrorCode, Refusal
 from gevent import socket
 from gevent.pool import Pool
@@ -31,19 +37,24 @@
 
 
 class CallerConnection:
-    """One caller's connection; `is_busy` is set while a statement runs."""
+    """One caller's connection.
+
+    `statement` is the one that was read and is not answered yet. `is_shut_down` is set once this VM
+    has shut the connection down.
+    """
 
-    __slots__ = ("line_socket", "session", "is_busy")
+    __slots__ = ("line_socket", "session", "statement", "is_shut_down")
 
     def __init__(self, line_socket: LineSocket) -> None:
         self.line_socket = line_socket
         self.session: Session | None = None
-        self.is_busy = False
+        self.statement: SessionStatement | None = None
+        self.is_shut_down = False
 
     def can_close(self) -> bool:
         """Return whether closing the connection interrupts no statement and no transaction."""
         is_idle = self.session is None or self.session.state is SessionState.IDLE
-        return is_idle and not self.is_busy and not self.line_socket.has_unread_bytes()
+        return is_idle and self.statement is None and not self.line_socket.has_unread_bytes()
 
 
 class CallerServer:
@@ -122,12 +133,41 @@
             if message_type != "QUERY":
                 raise ProtocolError(f"unknown message type: {message_type[:20]}")
             statement_id, _, text = rest.partition(" ")
-            connection.is_busy = True
-            answer = self.runner.run(session, decode_statement(statement_id, text))
-            line_socket.send(encode_answer(answer))
-            connection.is_busy = False
+            connection.statement = decode_statement(statement_id, text)
+            answer = self.runner.run(session, connection.statement)
+            self._send_answer(connection, answer)
+            connection.statement = None
+
+    def _send_answer(self, connection: CallerConnection, answer: StatementAnswer) -> None:
+        try:
+            connection.line_socket.send(encode_answer(answer))
+        except OSError as error:
+            closed_by = "this VM" if connection.is_shut_down else "the caller"
+            self._record_unanswered(
+                connection, f"the connection was closed by {closed_by}: {error}"
+            )
+            raise
+
+    def record_running(self) -> None:
+        """Record the statements that are still running when the process ends."""
+        for connection in self.connections:
+            self._record_unanswered(connection, "the process ends")
+
+    def _record_unanswered(self, connection: CallerConnection, cause: str) -> None:
+        session, statement = connection.session, connection.statement
+        if session is None or statement is None:
+            return
+        self.runner.board.timeline.log_only(
+            EventKind.STATEMENT_UNANSWERED,
+            f"request {statement.statement_id}",
+            cause,
+            statement=statement.verb.value,
+            session=session.number,
+            state=session.state.value,
+        )
 
     def _shut_down(self, connection: CallerConnection) -> None:
+        connection.is_shut_down = True
         try:
             connection.line_socket.socket.shutdown(socket.SHUT_RDWR)
         except OSError as error:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -71,8 +71,24 @@
         while self._has_running_work() and self.board.clock.now() < deadline:
             gevent.sleep(DRAIN_CHECK_INTERVAL_S)
         self.caller_server.stop_accepting()
+        self._record_stopped(started_at)
         self.stopped.set()
 
+    def _record_stopped(self, started_at: float) -> None:
+        """Record how long the shutdown took, and which work it leaves unfinished."""
+        self.caller_server.record_running()
+        running = [item for item in self.caller_server.connections if item.statement is not None]
+        self.board.timeline.record(
+            EventKind.STOPPED,
+            self.settings.name,
+            "planned stop",
+            duration_ms=round((self.board.clock.now() - started_at) * 1000),
+            callers=len(self.caller_server.connections),
+            running_statements=len(running),
+            relayed_statements=self.relay_server.running_count,
+            relayed_transactions=len(self.board.relays.transactions),
+        )
+
     def _has_running_work(self) -> bool:
         """Close the callers' idle connections; return whether any work is still running."""
         return bool(self.caller_server.close_idle()) or self.relay_server.is_busy()
