Add a ledger and caller shapes for trials of planned stops to the lab

The shapes keep using open sessions until the VM that serves them closes these. The ledger records each statement with its ending; the endpoints record when a statement reached them, from which VM, and how it ended. The judgement compares both: statements that reached an endpoint and were cut around a planned stop, promises that did not hold, lost and repeated writes.

--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import time
+
 
 class ExecutedStatement:
     """A statement that an endpoint executed, with its session's values and the log's length."""
@@ -18,6 +20,30 @@
         self.log_length = log_length
 
 
+class ReceivedStatement:
+    """A caller's statement that an endpoint received.
+
+    `vm` is the VM that holds the connection, empty if it is unknown. `received_at` and `ended_at`
+    are in seconds of the monotonic clock; `ended_at` is 0 while the statement runs. `error` is the
+    error code that it was answered with, or empty.
+    """
+
+    __slots__ = ("statement_id", "text", "endpoint", "vm", "received_at", "ended_at", "error")
+
+    def __init__(self, statement_id: str, text: str, endpoint: str, vm: str) -> None:
+        self.statement_id = statement_id
+        self.text = text
+        self.endpoint = endpoint
+        self.vm = vm
+        self.received_at = time.monotonic()
+        self.ended_at = 0.0
+        self.error = ""
+
+    def end(self, error: str) -> None:
+        """Record the end of the statement."""
+        self.error, self.ended_at = error, time.monotonic()
+
+
 class LogCopy:
     """One endpoint's copy of the group's log.
 
@@ -37,15 +63,25 @@
     """A group whose commits are acknowledged once a replica has them.
 
     The log's entries are the ids of committed writes. `promotions` lists the promoted endpoints
-    in order.
+    in order. `received_statements` lists the callers' statements when they reach an endpoint, and
+    `executed_statements` those of them that read or wrote.
     """
 
-    __slots__ = ("copies", "term", "primary", "executed_statements", "promotions", "fencing_token")
+    __slots__ = (
+        "copies",
+        "term",
+        "primary",
+        "received_statements",
+        "executed_statements",
+        "promotions",
+        "fencing_token",
+    )
 
     def __init__(self, names: list[str]) -> None:
         self.copies = {name: LogCopy(name) for name in names}
         self.term = 1
         self.primary = names[0]
+        self.received_statements: list[ReceivedStatement] = []
         self.executed_statements: list[ExecutedStatement] = []
         self.promotions: list[str] = []
         self.fencing_token = 0
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import gevent
@@ -10,12 +11,14 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from .database import DatabaseGroup, ExecutedStatement
+from .database import DatabaseGroup, ExecutedStatement, ReceivedStatement
 
 log = logging.getLogger(__name__)
 
 STATEMENT_DURATION_S = 0.004
 CONNECT_DURATION_S = 0.005
+SLOW_ITEM_PREFIX = "wait"  # a statement on the item wait700 takes 700 ms
+VM_STATEMENT_ID = "-"
 
 
 class EndpointSession:
@@ -53,15 +56,17 @@
     """Serves one endpoint of a group from `start` until `crash`; it may be started again.
 
     Both also update whether the endpoint's copy of the log is `alive`, and so receives commits.
+    `find_vm` returns the VM whose connection comes from a port.
     """
 
-    __slots__ = ("name", "group", "database", "address", "_server", "_open_sockets")
+    __slots__ = ("name", "group", "database", "address", "find_vm", "_server", "_open_sockets")
 
     def __init__(self, name: str, group: str, database: DatabaseGroup, address: str) -> None:
         self.name = name
         self.group = group
         self.database = database
         self.address = address
+        self.find_vm: Callable[[int], str] = lambda port: ""
         self._server: StreamServer | None = None
         self._open_sockets: set[Any] = set()
 
@@ -99,13 +104,18 @@
             return
         gevent.sleep(CONNECT_DURATION_S)
         session = EndpointSession(words[2])
+        vm = self.find_vm(connection.socket.getpeername()[1])
         connection.send(self._encode_ready(session))
         while True:
             line = connection.read_line()
             if line is None or not self.database.copies[self.name].alive:
                 return
             _, statement_id, text = line.split(" ", 2)
+            received = ReceivedStatement(statement_id, text, self.name, vm)
+            if statement_id != VM_STATEMENT_ID:
+                self.database.received_statements.append(received)
             result = self._execute(session, statement_id, text)
+            received.end(result.error)
             connection.send(self._encode_result(session, result))
 
     def _encode_ready(self, session: EndpointSession) -> bytes:
@@ -185,7 +195,7 @@
     ) -> StatementResult:
         if session.state == "E":
             return StatementResult(error="MALFORMED")
-        gevent.sleep(STATEMENT_DURATION_S)
+        gevent.sleep(_duration_of(text))
         is_write = text.startswith("WRITE")
         if text.startswith("EXECUTE"):
             name = text.split(" ")[1]
@@ -214,3 +224,11 @@
         if writes and not self.database.commit(self.name, writes):
             return StatementResult(error="TIMEOUT")
         return StatementResult([], f"signed-{statement_id}")
+
+
+def _duration_of(text: str) -> float:
+    """Return the seconds that a statement takes."""
+    item = text.split(" ")[1] if " " in text else ""
+    if item.startswith(SLOW_ITEM_PREFIX):
+        return int(item.removeprefix(SLOW_ITEM_PREFIX)) / 1000
+    return STATEMENT_DURATION_S
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+from functools import partial
 from typing import Any
 
 import gevent
@@ -19,6 +20,7 @@
 from .database import DatabaseGroup
 from .endpoint import SimulatedEndpoint
 from .links import FaultyLink
+from .owners import find_process
 from .ports import PortBlock
 
 log = logging.getLogger(__name__)
@@ -48,6 +50,7 @@
         self.peer_addresses = {name: free_address() for name in self.entry_addresses}
         self.cloud_api_address = free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.names_by_pid: dict[int, str] = {}
         names = ["e1", "e2", "e3"]
         self.database = DatabaseGroup(names)
         self.endpoints = {
@@ -57,6 +60,8 @@
             name: FaultyLink(free_address(), endpoint.address)
             for name, endpoint in self.endpoints.items()
         }
+        for name, endpoint in self.endpoints.items():
+            endpoint.find_vm = partial(self._find_vm, name)
         self._heartbeat_sequence = 0
         self._server = WSGIServer(
             (
@@ -134,6 +139,7 @@
                 _route("latest", "primary", None),
                 _route("bounded", "bounded_stale", 1500),
                 _route("own", "read_own", 2500),
+                _route("slow", "primary", None, timeout_ms=2000, objective_ms=1900),
             ],
             "services": [{"name": GROUP, "maxConns": MAX_CONNECTIONS, "syncReplicas": 1}],
             "limits": {"txIdleMs": 3000},
@@ -227,13 +233,17 @@
                 stdout=output,
                 stderr=output,
             )
+        self.names_by_pid[self.processes[name].pid] = name
+
+    def is_entry_ready(self, name: str) -> bool:
+        """Return whether an entry VM answers that it accepts new callers."""
+        host, _, port = self.ready_addresses[name].rpartition(":")
+        return _is_ready(host, int(port))
 
     def _wait_until_ready(self, name: str) -> None:
-        address = self.ready_addresses[name]
-        host, _, port = address.rpartition(":")
         try:
             with gevent.Timeout(START_TIMEOUT_S):
-                while not _is_ready(host, int(port)):
+                while not self.is_entry_ready(name):
                     gevent.sleep(0.1)
         except gevent.Timeout:
             raise TimeoutError(
@@ -241,6 +251,11 @@
                 f"{self.last_log_line(name)}"
             ) from None
 
+    def _find_vm(self, endpoint: str, link_port: int) -> str:
+        """Return the VM whose connection a link forwards to an endpoint, or an empty name."""
+        port = self.links[endpoint].client_ports.get(link_port, 0)
+        return find_process(port, self.names_by_pid)
+
     def _send_heartbeats(self) -> None:
         while not self._stopped:
             self._heartbeat_sequence += 1
@@ -275,14 +290,20 @@
         return [b"{}"]
 
 
-def _route(host: str, kind: str, max_age_ms: int | None) -> dict[str, Any]:
+def _route(
+    host: str,
+    kind: str,
+    max_age_ms: int | None,
+    timeout_ms: int = 1000,
+    objective_ms: int = 400,
+) -> dict[str, Any]:
     route = {
         "name": f"r-{host}",
         "host": host,
         "pathPrefix": "/",
         "routeType": kind,
-        "timeoutMs": 1000,
-        "targetLatencyMs": 400,
+        "timeoutMs": timeout_ms,
+        "targetLatencyMs": objective_ms,
         "priority": 1,
         "service": GROUP,
     }
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/links.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/links.py
@@ -28,14 +28,26 @@
 
 
 class FaultyLink:
-    """Forwards connections to a target; connections that were silenced drop data until closed."""
+    """Forwards connections to a target; connections that were silenced drop data until closed.
 
-    __slots__ = ("address", "target", "state", "_server", "_open_sockets", "_silenced_sockets")
+    `client_ports` gives the client's port by the port from which the link connects to the target.
+    """
+
+    __slots__ = (
+        "address",
+        "target",
+        "state",
+        "client_ports",
+        "_server",
+        "_open_sockets",
+        "_silenced_sockets",
+    )
 
     def __init__(self, address: str, target: str) -> None:
         self.address = address
         self.target = target
         self.state = LinkState.HEALTHY
+        self.client_ports: dict[int, int] = {}
         self._open_sockets: set[Any] = set()
         self._silenced_sockets: set[Any] = set()
         host, _, port = address.rpartition(":")
@@ -71,6 +83,7 @@
             log.debug("the endpoint accepts no connection: %s", error)
             client_socket.close()
             return
+        self.client_ports[target_socket.getsockname()[1]] = client_socket.getpeername()[1]
         self._open_sockets |= {client_socket, target_socket}
         reverse = gevent.spawn(self._forward, target_socket, client_socket, False)
         self._forward(client_socket, target_socket, True)
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
@@ -0,0 +1,212 @@
+"""Stop trial: stops entry VMs while callers of all shapes keep using their open connections."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import argparse  # noqa: E402
+import logging  # noqa: E402
+import random  # noqa: E402
+import signal  # noqa: E402
+import sys  # noqa: E402
+
+import gevent  # noqa: E402
+
+from .fleet import PlatformFleet  # noqa: E402
+from .judgement import FindingKind, count_by_kind, judge  # noqa: E402
+from .ledger import Ledger  # noqa: E402
+from .sessions import CallerSession, SessionEndedError  # noqa: E402
+from .shapes import ALL_SHAPES, Shape  # noqa: E402
+
+log = logging.getLogger(__name__)
+
+GRACE_PERIOD_S = 6.0  # in the fleet's settings
+READINESS_CHECK_INTERVAL_S = 1.0
+MAX_MISSED_CHECKS = 2  # before a VM gets no new sessions
+RECONNECT_DELAY_S = 0.05
+WARM_UP_S = 2.5
+MAX_STOP_DELAY_S = 0.7  # between the stops of one round
+EXIT_CHECK_INTERVAL_S = 0.02
+CALLERS_PER_SHAPE = 6
+MAX_PRINTED_FINDINGS = 12
+
+
+class Rotation:
+    """The VMs that get new sessions: those that have not failed two readiness checks in a row."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.fleet = fleet
+        self.missed = {name: 0 for name in fleet.entry_addresses}
+        self._greenlets = [gevent.spawn(self._watch, name) for name in self.missed]
+
+    def pick(self, randomness: random.Random) -> str:
+        """Return a VM in rotation, or any if none is."""
+        names = [name for name, count in self.missed.items() if count < MAX_MISSED_CHECKS]
+        return randomness.choice(names or list(self.missed))
+
+    def stop(self) -> None:
+        """Stop the checks."""
+        gevent.killall(self._greenlets)
+
+    def _watch(self, name: str) -> None:
+        while True:
+            is_ready = self.fleet.is_entry_ready(name)
+            self.missed[name] = 0 if is_ready else self.missed[name] + 1
+            gevent.sleep(READINESS_CHECK_INTERVAL_S)
+
+
+class ShapedCaller:
+    """A caller that uses one session after another in the way of its shape, until `stopping`."""
+
+    def __init__(
+        self, name: str, key: str, shape: Shape, rotation: Rotation, ledger: Ledger, seed: int
+    ) -> None:
+        self.name = name
+        self.key = key
+        self.shape = shape
+        self.rotation = rotation
+        self.ledger = ledger
+        self.randomness = random.Random(f"{seed} {name}")
+        self.stopping = False
+        self._session_count = 0
+
+    def run(self) -> None:
+        """Use sessions until `stopping` is set and the last one has ended."""
+        while not self.stopping:
+            self._use_session()
+            gevent.sleep(RECONNECT_DELAY_S)
+
+    def _use_session(self) -> None:
+        self._session_count += 1
+        vm = self.rotation.pick(self.randomness)
+        session = CallerSession(
+            f"{self.name}s{self._session_count}", vm, self.shape.name, self.ledger
+        )
+        try:
+            address = self.rotation.fleet.entry_addresses[vm]
+            session.open(address, self.shape.database, self.key)
+            self.shape.use(session, self.randomness)
+        except SessionEndedError as error:
+            log.debug("session %s ended: %s", session.name, error)
+        finally:
+            session.leave()
+
+
+class StopTrial:
+    """Stops some of a fleet's entry VMs at about the same time, in several rounds."""
+
+    def __init__(self, seed: int, callers_per_shape: int = CALLERS_PER_SHAPE) -> None:
+        self.seed = seed
+        self.randomness = random.Random(seed)
+        self.fleet = PlatformFleet(entry_count=6)
+        self.ledger = Ledger()
+        self.callers_per_shape = callers_per_shape
+
+    def run(self, rounds: int, stops_per_round: int) -> None:
+        """Run callers of all shapes and the rounds; then wait for the callers' sessions to end."""
+        self.fleet.start()
+        rotation = Rotation(self.fleet)
+        callers = [
+            ShapedCaller(
+                f"c{index}",
+                f"key-{index % 2 + 1}",
+                ALL_SHAPES[index // self.callers_per_shape],
+                rotation,
+                self.ledger,
+                self.seed,
+            )
+            for index in range(self.callers_per_shape * len(ALL_SHAPES))
+        ]
+        greenlets = [gevent.spawn(caller.run) for caller in callers]
+        gevent.sleep(WARM_UP_S)
+        for _ in range(rounds):
+            names = self.randomness.sample(list(self.fleet.entry_addresses), stops_per_round)
+            gevent.joinall([gevent.spawn(self.stop_entry, name) for name in names])
+            self._restart(names)
+        for caller in callers:
+            caller.stopping = True
+        rotation.stop()
+        gevent.killall(greenlets)
+
+    def stop_entry(self, name: str) -> None:
+        """Stop one entry VM and wait until its process has ended."""
+        gevent.sleep(self.randomness.uniform(0.0, MAX_STOP_DELAY_S))
+        process = self.fleet.processes[name]
+        record = self.ledger.begin_stop(name, GRACE_PERIOD_S)
+        process.send_signal(signal.SIGTERM)
+        with gevent.Timeout(2 * GRACE_PERIOD_S):
+            while process.poll() is None:
+                gevent.sleep(EXIT_CHECK_INTERVAL_S)
+        record.end(process.returncode)
+
+    def _restart(self, names: list[str]) -> None:
+        for name in names:
+            self.fleet.start_entry(name)
+        gevent.sleep(WARM_UP_S)
+
+
+def run_trial(
+    seed: int,
+    rounds: int,
+    stops_per_round: int,
+    callers_per_shape: int,
+    prints_all: bool = False,
+) -> bool:
+    """Run one seed, print its findings, and return whether no guarantee is broken."""
+    trial = StopTrial(seed, callers_per_shape)
+    findings = []
+    try:
+        trial.run(rounds, stops_per_round)
+        findings = judge(trial.ledger, trial.fleet.database)
+    finally:
+        broken = [item for item in findings if item.is_broken()]
+        trial.fleet.stop(keep_logs=bool(broken))
+    received = trial.fleet.database.received_statements
+    relayed = sum(
+        1
+        for item in received
+        if item.statement_id in trial.ledger.statements
+        and item.vm != trial.ledger.statements[item.statement_id].vm
+    )
+    counts = count_by_kind(findings)
+    print(
+        f"seed {seed}: {len(trial.ledger.statements)} statements, {len(received)} passed to "
+        f"endpoints, {relayed} of them relayed, {len(trial.ledger.stops)} stops, "
+        f"{len(broken)} broken"
+    )
+    for kind in FindingKind:
+        if kind in counts:
+            print(f"  {counts[kind]} x {kind.value}")
+    for finding in findings if prints_all else broken[:MAX_PRINTED_FINDINGS]:
+        label = "BROKEN" if finding.is_broken() else "noted"
+        print(f"  {label} {finding.kind.value}: {finding.subject} {finding.evidence}")
+    for stop in trial.ledger.stops:
+        if stop.exit_code != 0:
+            print(f"  {stop.vm} ended with exit code {stop.exit_code}")
+    return not broken
+
+
+def main() -> int:
+    """Run one or more seeds; return 1 if a guarantee was broken."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--count", type=int, default=1, help="how many seeds")
+    parser.add_argument("--rounds", type=int, default=2, help="rounds of stops")
+    parser.add_argument("--stops", type=int, default=2, help="VMs stopped in each round")
+    parser.add_argument(
+        "--callers", type=int, default=CALLERS_PER_SHAPE, help="callers of each shape"
+    )
+    parser.add_argument("--all", action="store_true", help="print all findings")
+    options = parser.parse_args()
+    seeds = range(options.seed, options.seed + options.count)
+    results = [
+        run_trial(seed, options.rounds, options.stops, options.callers, options.all)
+        for seed in seeds
+    ]
+    return 0 if all(results) else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
