--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/ledger.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/ledger.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from enum import Enum
 
 
@@ -160,6 +161,14 @@
         self.disruptions.append(disruption)
         return disruption
 
+    def count_answers(self) -> Counter[str]:
+        """Return how many statements were answered, by error code, with "ok" for success."""
+        return Counter(
+            record.error or "ok"
+            for record in self.statements.values()
+            if record.ending is Ending.ANSWERED
+        )
+
     def stop_around(self, vm: str, moment: float) -> StopRecord | None:
         """Return the stop of a VM that a moment belongs to, until 1 s after its grace period."""
         for stop in self.stops:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
@@ -12,6 +12,8 @@
 TRANSACTION_IDLE_TIMEOUT_S = 3.0  # the fleet's limit
 SLOW_DATABASE = "slow"
 ITEM_COUNT = 50
+MIN_SLOW_STATEMENT_MS = 200
+MAX_SLOW_STATEMENT_MS = 1900  # the route of `SLOW_DATABASE` allows 2,000
 
 
 class Shape(Protocol):
@@ -105,25 +107,35 @@
 
 
 class SlowStatements:
-    """Sends statements that take the endpoint up to the route's timeout."""
+    """Sends single statements that take the endpoint up to the route's timeout."""
 
     name = "slow"
     database = SLOW_DATABASE
 
     def use(self, session: CallerSession, randomness: random.Random) -> None:
-        """Send slow statements, half of them in transactions."""
-        for _ in range(4):
-            in_transaction = randomness.random() < 0.5
-            if in_transaction:
-                session.execute("BEGIN")
-            for _ in range(randomness.randint(1, 3)):
-                if in_transaction and session.state != "T":
+        """Send slow statements with pauses."""
+        for _ in range(8):
+            session.execute(_slow_statement(randomness, MAX_SLOW_STATEMENT_MS))
+            session.pause(randomness.uniform(0.2, 1.0))
+        session.close()
+
+
+class SlowTransactions:
+    """Runs transactions that last about as long as the grace period, of slow statements."""
+
+    name = "slow transaction"
+    database = SLOW_DATABASE
+
+    def use(self, session: CallerSession, randomness: random.Random) -> None:
+        """Run transactions with hardly a pause."""
+        for _ in range(2):
+            session.execute("BEGIN")
+            for _ in range(randomness.randint(6, MAX_TRANSACTION_STATEMENTS)):
+                if session.state != "T":
                     break
-                verb = randomness.choice(["READ {}", "WRITE {} data"])
-                session.execute(verb.format(f"wait{randomness.randint(300, 1900)}"))
+                session.execute(_slow_statement(randomness, 900))
                 session.pause(randomness.uniform(0.0, 0.2))
-            if in_transaction:
-                _end_transaction(session, randomness, rollback_share=0.2)
+            _end_transaction(session, randomness, rollback_share=0.2)
         session.close()
 
 
@@ -178,6 +190,7 @@
     Transactions(),
     IdleTransactions(),
     SlowStatements(),
+    SlowTransactions(),
     PreparedStatements(),
     Leaving(),
 ]
@@ -188,6 +201,11 @@
     return randomness.choice([f"READ {item}", f"WRITE {item} data"])
 
 
+def _slow_statement(randomness: random.Random, max_ms: int) -> str:
+    item = f"wait{randomness.randint(MIN_SLOW_STATEMENT_MS, max_ms)}"
+    return randomness.choice([f"READ {item}", f"WRITE {item} data"])
+
+
 def _end_transaction(
     session: CallerSession, randomness: random.Random, rollback_share: float
 ) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
@@ -176,6 +176,7 @@
         f"endpoints, {relayed} of them relayed, {len(trial.ledger.stops)} stops, "
         f"{len(broken)} broken"
     )
+    print(f"  answers by code: {dict(trial.ledger.count_answers())}")
     for kind in FindingKind:
         if kind in counts:
             print(f"  {counts[kind]} x {kind.value}")
