--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -30,15 +30,19 @@
 HEARTBEAT_INTERVAL_S = 0.4
 CALL_TIMEOUT_S = 2.0
 START_TIMEOUT_S = 30.0  # a start takes half a second on an idle machine
-MAX_CONNECTIONS = 40
+MAX_CONNECTIONS = 100
 KEPT_LOGS_FOLDER = os.path.join("out", "fleets")
 STOP_TIMEOUT_S = 12.0  # the grace period in the settings is 6 s
 
 
 class PlatformFleet:
-    """Control and entry VMs as processes, and in this process three endpoints and the cloud API."""
+    """Control and entry VMs as processes, and in this process three endpoints and the cloud API.
 
-    def __init__(self, entry_count: int = 3) -> None:
+    `slots` is how many statements each endpoint says that it runs at once.
+    """
+
+    def __init__(self, entry_count: int = 3, slots: int = 3) -> None:
+        self.slots = slots
         self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
         self._ports = PortBlock.reserve()
         free_address = self._ports.next_address
@@ -253,8 +257,9 @@
 
     def _find_vm(self, endpoint: str, link_port: int) -> str:
         """Return the VM whose connection a link forwards to an endpoint, or an empty name."""
-        port = self.links[endpoint].client_ports.get(link_port, 0)
-        return find_process(port, self.names_by_pid)
+        link = self.links[endpoint]
+        port = int(link.address.rpartition(":")[2])
+        return find_process(link.client_ports.get(link_port, 0), port, self.names_by_pid)
 
     def _send_heartbeats(self) -> None:
         while not self._stopped:
@@ -270,7 +275,7 @@
             "address": self.links[name].address,
             "zone": ZONES[int(name[1:]) - 1],
             "version": "v1",
-            "slots": 3,
+            "slots": self.slots,
             "state": "ready",
             "coldRemainingMs": 0,
             "dbRole": "primary" if self.database.is_primary(name) else "replica",
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
@@ -13,7 +13,11 @@
 EARLY_SENT_S = 3.0  # may be cut if they were sent no later than this after the stop began
 CONTACT_S = 4.0  # after a disruption; the fleet's VMs have no setting for it
 LOSS_SLACK_S = 0.2  # a statement that reached no endpoint may be cut within this time
-TIMEOUTS_S = {"slow": 2.0, "slow transaction": 2.0}  # of the fleet's routes, by shape
+TIMEOUTS_S = {
+    "slow": 2.0,
+    "slow transaction": 2.0,
+    "lasting transaction": 2.0,
+}  # of the fleet's routes, by shape
 DEFAULT_TIMEOUT_S = 1.0
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
@@ -139,6 +139,24 @@
         session.close()
 
 
+class LastingTransaction:
+    """Runs one transaction that outlasts the grace period, with a statement running at its end."""
+
+    name = "lasting transaction"
+    database = SLOW_DATABASE
+
+    def use(self, session: CallerSession, randomness: random.Random) -> None:
+        """Run the longest transaction that callers send, without pauses."""
+        session.execute("BEGIN")
+        for _ in range(MAX_TRANSACTION_STATEMENTS):
+            if session.state != "T":
+                break
+            verb = randomness.choice(["READ {}", "WRITE {} data"])
+            session.execute(verb.format(f"wait{randomness.randint(450, 600)}"))
+        _end_transaction(session, randomness, rollback_share=0.0)
+        session.close()
+
+
 class PreparedStatements:
     """Uses session values and prepared statements, in and outside transactions."""
 
@@ -183,6 +201,7 @@
             session.leave()
 
 
+# All shapes but `LastingTransaction`, which is for callers of a VM that is about to stop.
 ALL_SHAPES: list[Shape] = [
     SingleOperations(),
     MostlyIdle(),
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
@@ -18,10 +18,12 @@
 from .judgement import FindingKind, count_by_kind, judge  # noqa: E402
 from .ledger import Ledger  # noqa: E402
 from .sessions import CallerSession, SessionEndedError  # noqa: E402
-from .shapes import ALL_SHAPES, Shape  # noqa: E402
+from .shapes import ALL_SHAPES, LastingTransaction, Shape  # noqa: E402
 
 log = logging.getLogger(__name__)
 
+ENTRY_VM_COUNT = 6  # two for each zone, so that most statements are relayed
+ENDPOINT_SLOTS = 12  # transactions of slow statements leave slots for the other callers
 GRACE_PERIOD_S = 6.0  # in the fleet's settings
 READINESS_CHECK_INTERVAL_S = 1.0
 MAX_MISSED_CHECKS = 2  # before a VM gets no new sessions
@@ -29,7 +31,8 @@
 WARM_UP_S = 2.5
 MAX_STOP_DELAY_S = 0.7  # between the stops of one round
 EXIT_CHECK_INTERVAL_S = 0.02
-CALLERS_PER_SHAPE = 6
+CALLERS_PER_SHAPE = 4
+LASTING_TRANSACTIONS_PER_STOP = 2
 MAX_PRINTED_FINDINGS = 12
 
 
@@ -75,12 +78,12 @@
     def run(self) -> None:
         """Use sessions until `stopping` is set and the last one has ended."""
         while not self.stopping:
-            self._use_session()
+            self.use_session(self.rotation.pick(self.randomness))
             gevent.sleep(RECONNECT_DELAY_S)
 
-    def _use_session(self) -> None:
+    def use_session(self, vm: str) -> None:
+        """Open a session on a VM and use it to its end."""
         self._session_count += 1
-        vm = self.rotation.pick(self.randomness)
         session = CallerSession(
             f"{self.name}s{self._session_count}", vm, self.shape.name, self.ledger
         )
@@ -100,7 +103,7 @@
     def __init__(self, seed: int, callers_per_shape: int = CALLERS_PER_SHAPE) -> None:
         self.seed = seed
         self.randomness = random.Random(seed)
-        self.fleet = PlatformFleet(entry_count=6)
+        self.fleet = PlatformFleet(ENTRY_VM_COUNT, ENDPOINT_SLOTS)
         self.ledger = Ledger()
         self.callers_per_shape = callers_per_shape
 
@@ -108,21 +111,18 @@
         """Run callers of all shapes and the rounds; then wait for the callers' sessions to end."""
         self.fleet.start()
         rotation = Rotation(self.fleet)
+        shapes = [shape for shape in ALL_SHAPES for _ in range(self.callers_per_shape)]
         callers = [
             ShapedCaller(
-                f"c{index}",
-                f"key-{index % 2 + 1}",
-                ALL_SHAPES[index // self.callers_per_shape],
-                rotation,
-                self.ledger,
-                self.seed,
+                f"c{index}", f"key-{index % 2 + 1}", shape, rotation, self.ledger, self.seed
             )
-            for index in range(self.callers_per_shape * len(ALL_SHAPES))
+            for index, shape in enumerate(shapes)
         ]
         greenlets = [gevent.spawn(caller.run) for caller in callers]
         gevent.sleep(WARM_UP_S)
         for _ in range(rounds):
             names = self.randomness.sample(list(self.fleet.entry_addresses), stops_per_round)
+            greenlets += self._start_lasting_transactions(names, rotation)
             gevent.joinall([gevent.spawn(self.stop_entry, name) for name in names])
             self._restart(names)
         for caller in callers:
@@ -141,6 +141,19 @@
                 gevent.sleep(EXIT_CHECK_INTERVAL_S)
         record.end(process.returncode)
 
+    def _start_lasting_transactions(
+        self, vms: list[str], rotation: Rotation
+    ) -> list[gevent.Greenlet]:
+        greenlets = []
+        for vm in vms:
+            for index in range(LASTING_TRANSACTIONS_PER_STOP):
+                name = f"l{len(self.ledger.stops)}{vm[-1]}{index}"
+                caller = ShapedCaller(
+                    name, "key-1", LastingTransaction(), rotation, self.ledger, self.seed
+                )
+                greenlets.append(gevent.spawn(caller.use_session, vm))
+        return greenlets
+
     def _restart(self, names: list[str]) -> None:
         for name in names:
             self.fleet.start_entry(name)
@@ -185,7 +198,8 @@
         print(f"  {label} {finding.kind.value}: {finding.subject} {finding.evidence}")
     for stop in trial.ledger.stops:
         if stop.exit_code != 0:
-            print(f"  {stop.vm} ended with exit code {stop.exit_code}")
+            ended = f"{stop.exited_at - stop.sent_at:.2f} s after SIGTERM"
+            print(f"  {stop.vm} ended {ended} with exit code {stop.exit_code}")
     return not broken
 
 
