--- a/features/environment.py
+++ b/features/environment.py
@@ -3,7 +3,13 @@
 from __future__ import annotations
 
 from behave import register_type, use_fixture
-from fixtures import fleet_simulation, home_simulation, session_simulation, temporary_folder
+from fixtures import (
+    caller_server,
+    fleet_simulation,
+    home_simulation,
+    session_simulation,
+    temporary_folder,
+)
 from parse import with_pattern
 
 
@@ -26,3 +32,5 @@
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
         use_fixture(temporary_folder, context)
+    if "caller_server" in scenario.effective_tags:
+        use_fixture(caller_server, context)
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -8,7 +8,10 @@
 from gentianspread_core.blackboard import Topic
 from gentianspread_lab.fakes import Simulation
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
+from gentianspread_lab.fakes.session_runner import HeldSessionRunner
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
+from gentianspread_lab.platform.ports import PortBlock
+from gentianspread_server.platform.callers import CallerServer
 
 SETTLING_S = 5.0
 
@@ -61,3 +64,17 @@
             ),
         )
     yield context.home_simulation
+
+
+@fixture
+def caller_server(context):
+    """A server for callers on loopback whose statements a test can hold."""
+    ports = PortBlock.reserve()
+    context.caller_address = ports.next_address()
+    context.held_runner = HeldSessionRunner()
+    context.caller_server = CallerServer(context.caller_address, context.held_runner)
+    context.caller_server.start()
+    yield context.caller_server
+    context.held_runner.release()
+    context.caller_server.stop_accepting()
+    ports.release()
--- /dev/null
+++ b/features/steps/stops.py
@@ -0,0 +1,191 @@
+"""Steps about planned stops: of a server for callers on loopback, and of VMs as processes."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import gevent
+from behave import given, then, when
+from gevent import monkey, socket
+
+READ_TIMEOUT_S = 1.0
+ARRIVAL_TIMEOUT_MS = 1000
+CLOSE_DELAY_S = 0.01
+LARGE_ROW = "x" * 1000
+LARGE_ROW_COUNT = 4000
+SMALL_BUFFER_BYTES = 4096
+TRIAL_TIMEOUT_S = 120
+
+
+def _connect(context):
+    host, _, port = context.caller_address.rpartition(":")
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    client.connect((host, int(port)))
+    context.add_cleanup(client.close)
+    context.client = client
+
+
+def _open(context):
+    _connect(context)
+    context.client.sendall(b"OPEN own key\r\n")
+    context.opening_answer = context.client.recv(SMALL_BUFFER_BYTES)
+
+
+def _send(context, statement_id):
+    try:
+        context.client.sendall(f"QUERY {statement_id} READ x\r\n".encode())
+    except OSError:
+        context.is_reset = True
+
+
+def _wait_until_unread(context):
+    """Wait until bytes are in the server's socket, without letting its greenlets run."""
+    (connection,) = context.caller_server.connections
+    poll = monkey.get_original("select", "poll")()
+    poll.register(connection.line_socket.socket.fileno())
+    assert poll.poll(ARRIVAL_TIMEOUT_MS), "the statement did not arrive"
+
+
+def _receive(context):
+    """Return everything that the caller receives until the end of the connection."""
+    received = b""
+    with gevent.Timeout(READ_TIMEOUT_S, False):
+        while True:
+            try:
+                part = context.client.recv(SMALL_BUFFER_BYTES)
+            except OSError:
+                break
+            if not part:
+                break
+            received += part
+    return received
+
+
+def _complete_answers(received):
+    return sum(1 for line in received.split(b"\r\n")[:-1] if line.startswith(b"READY"))
+
+
+@given("a caller with an open session")
+def step_session(context):
+    _open(context)
+    assert context.opening_answer.startswith(b"READY"), context.opening_answer
+
+
+@given("answers are larger than the sockets' buffers")
+def step_large_answers(context):
+    context.held_runner.row = LARGE_ROW
+    context.held_runner.rows_per_answer = LARGE_ROW_COUNT
+
+
+@given("openings wait")
+def step_openings_wait(context):
+    context.held_runner.hold_openings()
+
+
+@when("a statement arrives in the iteration of the event loop that closes idle sessions")
+def step_arrives_while_closing(context):
+    _send(context, "s1")
+    _wait_until_unread(context)
+    context.caller_server.closing = True
+    gevent.spawn_later(CLOSE_DELAY_S, context.caller_server.close_idle)
+    # The timer is due when the event loop runs next, and it runs timers before sockets.
+    monkey.get_original("time", "sleep")(2 * CLOSE_DELAY_S)
+
+
+@when("the caller sends a statement, and the next one while it runs")
+def step_two_statements(context):
+    context.held_runner.hold_statements()
+    _send(context, "s1")
+    while not context.held_runner.started:
+        gevent.sleep(0.001)
+    _send(context, "s2")
+    _wait_until_unread(context)
+
+
+@when("the server begins to stop, and the statement ends")
+def step_stop_and_end(context):
+    context.caller_server.closing = True
+    context.held_runner.release()
+
+
+@when("a caller opens a session")
+def step_opens(context):
+    _connect(context)
+    context.client.sendall(b"OPEN own key\r\n")
+    while not context.caller_server.connections:
+        gevent.sleep(0.001)
+    gevent.sleep(0.01)
+
+
+@when("the server begins to stop and closes its idle sessions")
+def step_stop_and_close(context):
+    context.caller_server.closing = True
+    context.caller_server.close_idle()
+
+
+@when("the openings end")
+def step_openings_end(context):
+    context.held_runner.release()
+
+
+@when("the server begins to stop")
+def step_stop(context):
+    context.caller_server.closing = True
+
+
+@when("a caller opens a session and sends a statement at once")
+def step_opens_and_sends(context):
+    _open(context)
+    if context.opening_answer.startswith(b"READY"):
+        _send(context, "s1")
+
+
+@when("the VM accepts no new work")
+def step_no_new_work(context):
+    context.session_simulation.board.stopping = True
+
+
+@when("a stop trial with seed {seed:d} stops {count:d} VMs once")
+def step_trial(context, seed, count):
+    arguments = ["--seed", str(seed), "--rounds", "1", "--stops", str(count)]
+    context.process = subprocess.run(
+        [sys.executable, "-m", "gentianspread_lab.platform.stops", *arguments],
+        capture_output=True,
+        text=True,
+        timeout=TRIAL_TIMEOUT_S,
+        check=False,
+    )
+
+
+@then("every statement that ran was answered completely")
+def step_answered(context):
+    received = _receive(context)
+    ran = context.held_runner.started
+    assert _complete_answers(received) == len(ran), f"ran {ran}, the caller received {received}"
+
+
+@then("the answer to the first statement is complete")
+def step_first_complete(context):
+    received = _receive(context)
+    expected = LARGE_ROW_COUNT * len(f"ROW {LARGE_ROW}\r\n")
+    assert len(received) > expected, f"{len(received)} of more than {expected} bytes arrived"
+
+
+@then("the caller's opening was answered")
+def step_opening_answered(context):
+    received = _receive(context)
+    assert received.startswith((b"READY", b"ERROR")), f"the caller received {received}"
+
+
+@then("the opening was refused or the statement was answered")
+def step_refused_or_answered(context):
+    refused = context.opening_answer.startswith(b"ERROR")
+    received = _receive(context)
+    assert refused or _complete_answers(received) == 1, f"the caller received {received}"
+
+
+@then("the trial found no broken guarantee")
+def step_trial_held(context):
+    assert context.process.returncode == 0, context.process.stdout + context.process.stderr
--- /dev/null
+++ b/features/stops.feature
@@ -0,0 +1,53 @@
+Feature: Planned stops of VMs end no statement without its answer
+
+  # Guards against a statement that ran although the connection for its answer was already shut down.
+  @caller_server
+  Scenario: A statement that lies unread in the socket when idle sessions are closed is answered or not run
+    Given a caller with an open session
+    When a statement arrives in the iteration of the event loop that closes idle sessions
+    Then every statement that ran was answered completely
+
+  # Guards against a reset that destroys an answer which the caller has not received yet.
+  @caller_server
+  Scenario: An answer that is on its way survives the close although the next statement has arrived
+    Given a caller with an open session
+    And answers are larger than the sockets' buffers
+    When the caller sends a statement, and the next one while it runs
+    And the server begins to stop, and the statement ends
+    Then the answer to the first statement is complete
+
+  # Guards against sessions that are cut off while they wait for a configuration to be opened.
+  @caller_server
+  Scenario: A session that waits to be opened is answered although idle sessions are closed
+    Given openings wait
+    When a caller opens a session
+    And the server begins to stop and closes its idle sessions
+    And the openings end
+    Then the caller's opening was answered
+
+  # Guards against sessions that are opened during a stop and closed before their first statement.
+  @caller_server
+  Scenario: A session that is opened during a stop is refused or serves its first statement
+    When the server begins to stop
+    And a caller opens a session and sends a statement at once
+    Then the opening was refused or the statement was answered
+
+  # Guards against new work at endpoints from statements that are read after a stop began.
+  @sessions
+  Scenario: A statement outside a transaction that is read late in a stop is refused as not run
+    Given a session "a" on "own"
+    When the VM accepts no new work
+    And "a" sends "WRITE x 1"
+    Then the last answer of "a" is refused as "draining"
+    And 0 statements ran
+
+  # Guards against statements and transactions that are cut off at the end of the grace period.
+  @processes
+  Scenario Outline: Callers get a complete answer to each statement around planned stops of entry VMs
+    When a stop trial with seed <seed> stops 3 VMs once
+    Then the trial found no broken guarantee
+
+    Examples:
+      | seed |
+      | 21   |
+      | 22   |
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -91,7 +91,7 @@
         gevent.spawn(self._send_heartbeats)
         self.declare(1, {"w1": ["key-1"], "w2": ["key-2"]})
         for name in self.entry_addresses:
-            self._wait_until_ready(name)
+            self.wait_until_ready(name)
 
     def start_control(self, index: int, is_first: bool = False) -> None:
         """Start a control VM; index 0 is control-1."""
@@ -244,7 +244,8 @@
         host, _, port = self.ready_addresses[name].rpartition(":")
         return _is_ready(host, int(port))
 
-    def _wait_until_ready(self, name: str) -> None:
+    def wait_until_ready(self, name: str) -> None:
+        """Wait until an entry VM accepts new callers; raise `TimeoutError` if it does not."""
         try:
             with gevent.Timeout(START_TIMEOUT_S):
                 while not self.is_entry_ready(name):
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
@@ -157,6 +157,8 @@
     def _restart(self, names: list[str]) -> None:
         for name in names:
             self.fleet.start_entry(name)
+        for name in names:
+            self.fleet.wait_until_ready(name)
         gevent.sleep(WARM_UP_S)
 
 
