Answer every statement of a transaction before a planned stop ends

Cause: a stopping entry VM let open transactions go on without an end, and at 0.85 of the grace period its process ended whatever was running. Nothing related what a VM accepted to the time that it had left. Class of fault: work is accepted after the point from which its completion is certain, and the exit does not wait for it.

The stop is now decided on the board: a section with its phases and a controller that owns it. From half of the grace period on, a statement of an open transaction is accepted only if its timeout ends before the stop does; otherwise it is refused as not run and the transaction is rolled back, here or at the home VM. Exchanges time out before the stop ends. What is still running then is answered truthfully: the transaction was rolled back, or the outcome is unknown. The stop ends as soon as no work is left, without polling. The daemon's stop uses the same controller, which replaces the flags `leaving` and `stopping`.

A home that refused a relayed statement kept its transaction, which the sender never releases, and so would not have ended before its limit; it now ends it.

--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -14,6 +14,7 @@
 from gentianspread_server.platform.callers import CallerServer
 
 SETTLING_S = 5.0
+CLOSE_TIMEOUT_S = 0.2
 
 
 @fixture
@@ -76,5 +77,5 @@
     context.caller_server.start()
     yield context.caller_server
     context.held_runner.release()
-    context.caller_server.stop_accepting()
+    context.caller_server.close_all(CLOSE_TIMEOUT_S)
     ports.release()
--- a/features/steps/cold_start.py
+++ b/features/steps/cold_start.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.shutdown import ShutdownPlan
 from gentianspread_server.platform.wire import decode_statement
 
 
@@ -35,7 +36,8 @@
 
 @when('"{vm:w}" is stopped and then receives the configuration')
 def step_stop(context, vm):
-    context.home_simulation.vms[vm].board.stopping = True
+    plan = ShutdownPlan(draining_after_s=0.0, finishing_after_s=3.0, ended_after_s=5.0)
+    context.home_simulation.vms[vm].board.post(Topic.SHUTDOWN_REQUESTED, plan)
     context.home_simulation.cut_off_vms.discard(vm)
     context.home_simulation.run(1.0)
 
--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -7,8 +7,13 @@
 
 import gevent
 from behave import given, then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.shutdown import ShutdownPlan
 from gevent import monkey, socket
 
+GRACE_PERIOD_S = 6.0
+LOAD_BALANCER_DELAY_S = 2.2
+ANSWER_WAIT_S = 0.1
 READ_TIMEOUT_S = 1.0
 ARRIVAL_TIMEOUT_MS = 1000
 CLOSE_DELAY_S = 0.01
@@ -18,6 +23,11 @@
 TRIAL_TIMEOUT_S = 120
 
 
+def _begin_stop(context):
+    plan = ShutdownPlan.from_grace_period(GRACE_PERIOD_S, LOAD_BALANCER_DELAY_S)
+    context.held_runner.board.post(Topic.SHUTDOWN_REQUESTED, plan)
+
+
 def _connect(context):
     host, _, port = context.caller_address.rpartition(":")
     client = socket.socket()
@@ -88,7 +98,7 @@
 def step_arrives_while_closing(context):
     _send(context, "s1")
     _wait_until_unread(context)
-    context.caller_server.closing = True
+    _begin_stop(context)
     gevent.spawn_later(CLOSE_DELAY_S, context.caller_server.close_idle)
     # The timer is due when the event loop runs next, and it runs timers before sockets.
     monkey.get_original("time", "sleep")(2 * CLOSE_DELAY_S)
@@ -106,7 +116,7 @@
 
 @when("the server begins to stop, and the statement ends")
 def step_stop_and_end(context):
-    context.caller_server.closing = True
+    _begin_stop(context)
     context.held_runner.release()
 
 
@@ -121,7 +131,7 @@
 
 @when("the server begins to stop and closes its idle sessions")
 def step_stop_and_close(context):
-    context.caller_server.closing = True
+    _begin_stop(context)
     context.caller_server.close_idle()
 
 
@@ -132,7 +142,7 @@
 
 @when("the server begins to stop")
 def step_stop(context):
-    context.caller_server.closing = True
+    _begin_stop(context)
 
 
 @when("a caller opens a session and sends a statement at once")
@@ -144,7 +154,9 @@
 
 @when("the VM accepts no new work")
 def step_no_new_work(context):
-    context.session_simulation.board.stopping = True
+    plan = ShutdownPlan.from_grace_period(GRACE_PERIOD_S, load_balancer_delay_s=0.0)
+    context.session_simulation.board.post(Topic.SHUTDOWN_REQUESTED, plan)
+    context.session_simulation.run(ANSWER_WAIT_S)
 
 
 @when('stop trials with the seeds "{seeds:Quoted}" each stop {count:d} VMs once')
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -21,6 +21,7 @@
 from .rate_limits import RateLimits
 from .relays import Relays
 from .sessions import Sessions
+from .shutdown import Shutdown
 from .timeline import Timeline
 from .transactions import Transactions
 
@@ -28,11 +29,7 @@
 
 
 class Board:
-    """All sections; the settings and the clock are read-only for every controller.
-
-    `leaving` is set when a planned stop begins: this VM then reports to the others that it takes no
-    more relayed statements. From `stopping` on, it accepts no new work.
-    """
+    """All sections; the settings and the clock are read-only for every controller."""
 
     __slots__ = (
         "settings",
@@ -49,14 +46,13 @@
         "queues",
         "relays",
         "sessions",
+        "shutdown",
         "rate_limits",
         "transactions",
         "members",
         "outbox",
         "timeline",
         "started_at",
-        "leaving",
-        "stopping",
     )
 
     def __init__(self, settings: CoreSettings, clock: Clock, timeline: Timeline) -> None:
@@ -75,13 +71,12 @@
         self.queues = Queues()
         self.relays = Relays()
         self.sessions = Sessions()
+        self.shutdown = Shutdown()
         self.rate_limits = RateLimits()
         self.transactions = Transactions()
         self.members = Members()
         self.outbox = Outbox()
         self.started_at = clock.now()
-        self.leaving = False
-        self.stopping = False
 
     def post(self, topic: Topic, entry: Any = None) -> None:
         """Post a change, and process it and the changes that follow from it."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -77,6 +77,9 @@
     RELAY_RELEASED = auto()
     RELAY_ANSWERED = auto()
     RELAY_CHECK_DUE = auto()
+    SHUTDOWN_REQUESTED = auto()
+    SHUTDOWN_PHASE_DUE = auto()
+    SHUTDOWN_PHASE_CHANGED = auto()
     INTENT_POSTED = auto()
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -205,9 +205,10 @@
 
 
 class Relays:
-    """Open transactions of other VMs' callers by handle."""
+    """Open transactions of other VMs' callers by handle, and how many statements are running."""
 
-    __slots__ = ("transactions",)
+    __slots__ = ("transactions", "running_count")
 
     def __init__(self) -> None:
         self.transactions: dict[str, RelayedTransaction] = {}
+        self.running_count = 0
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/dispatch.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/dispatch.py
@@ -51,7 +51,7 @@
         settings = self.board.settings
         now = self.board.clock.now()
         self._exchange_count += 1
-        remaining = request.deadline - now
+        remaining = min(request.deadline, self.board.shutdown.ends_at) - now
         wait = 0.0
         timeout_s = min(remaining, settings.exchange_timeout_s)
         if request.is_read():
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
@@ -37,8 +37,9 @@
             self.board.changes.post(Topic.REQUEST_AUTHENTICATED, request)
 
     def _admit(self, request: Request) -> bool:
-        if self.board.stopping and not request.continues_transaction():
-            request.refuse(ErrorCode.DRAINING, "This VM is stopping.")
+        refusal = self._shutdown_refusal(request)
+        if refusal is not None:
+            request.refusal = refusal
         elif self.board.clock.now() >= request.deadline:
             request.refuse(ErrorCode.DEADLINE_PASSED, "The deadline had passed on arrival.")
         elif request.open_route is not None:
@@ -49,6 +50,21 @@
             self._check_token(request)
         return request.refusal is None
 
+    def _shutdown_refusal(self, request: Request) -> Refusal | None:
+        """Return the refusal of a request that this VM cannot finish before its planned stop."""
+        shutdown = self.board.shutdown
+        if not request.continues_transaction():
+            if shutdown.accepts_new_work():
+                return None
+            return Refusal(ErrorCode.DRAINING, "This VM is stopping.")
+        if request.kind is StatementKind.ROLLBACK or shutdown.accepts_in_transaction(
+            request.deadline
+        ):
+            return None
+        return Refusal(
+            ErrorCode.TRANSACTION_UNKNOWN, "This VM is stopping; the transaction was rolled back."
+        )
+
     def _admit_open_route(self, request: Request) -> None:
         group = self.board.configuration.open_routes.get(request.open_route or "")
         if group is None or group != request.group:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement.py
@@ -315,8 +315,11 @@
         self.board.changes.post(Topic.EXCHANGE_SCHEDULED, request)
 
     def _exchange_timeout(self, request: SessionRequest, name: str, now: float) -> float:
-        """Return the timeout of an exchange; that of a read leaves time for another endpoint."""
-        remaining = request.deadline - now
+        """Return the timeout of an exchange; that of a read leaves time for another endpoint.
+
+        It ends before a planned stop does, so that the caller is answered.
+        """
+        remaining = min(request.deadline, self.board.shutdown.ends_at) - now
         endpoint = self.board.endpoints.by_name.get(name)
         if not request.is_standalone_read() or endpoint is None:
             return remaining
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -47,6 +47,7 @@
 
     def on_received(self, relayed_statement: RelayedStatement) -> None:
         """Turn a relayed statement into a request."""
+        self.board.relays.running_count += 1
         session = self._session_for(relayed_statement)
         if session is None:
             message = "The transaction is not known here; it was rolled back."
@@ -85,8 +86,12 @@
         relayed_statement = request.relayed_statement
         if relayed_statement is None:
             return
-        self._update_transaction(relayed_statement.handle, request)
         exchange = request.exchange
+        if exchange is None:
+            # The sender gives up the transaction of a refused statement and does not release it.
+            self.on_released(relayed_statement.handle)
+        else:
+            self._update_transaction(relayed_statement.handle, request)
         reply = exchange.reply if exchange is not None else None
         if not isinstance(reply, SessionReply):
             refusal = request.outcome.refusal if request.outcome else None
@@ -141,5 +146,6 @@
         return reply
 
     def _answer(self, relayed_statement: RelayedStatement, reply: SessionReply) -> None:
+        self.board.relays.running_count -= 1
         relayed_statement.reply = reply
         self.board.changes.post(Topic.RELAY_ANSWERED, relayed_statement)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -147,7 +147,7 @@
             return Refusal(
                 ErrorCode.CONFIGURATION_NOT_FRESH, "This VM has no recent configuration."
             )
-        if self.board.stopping:
+        if not self.board.shutdown.accepts_new_work():
             return Refusal(ErrorCode.DRAINING, "This VM is stopping.")
         route = declaration.route_of(session.database)
         if route is None:
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -28,6 +28,7 @@
 from .controllers.retries import RetryBudget
 from .controllers.routing import RoutingController
 from .controllers.sessions import SessionController
+from .controllers.shutdown import ShutdownController
 from .controllers.transactions import TransactionController
 from .interfaces import Clock, Controller, QueuePolicy, Randomness, ReplicaSelector
 from .invariants import InvariantController
@@ -92,6 +93,7 @@
             AcknowledgementController(board, RetryBudget()),
             FailoverController(board),
             RepairController(board),
+            ShutdownController(board),
         ]
         return cls(board, configuration, invariants, routing, controllers)
 
@@ -124,6 +126,7 @@
             HealthController(board),
             PromotionController(board),
             RepairController(board),
+            ShutdownController(board),
         ]
         return cls(board, configuration, invariants, None, controllers)
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_runner.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_runner.py
@@ -2,24 +2,42 @@
 
 from __future__ import annotations
 
+import random
+
+from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.sessions import (
     Session,
     SessionStatement,
     StatementAnswer,
 )
+from gentianspread_core.engine import Engine
+from gentianspread_core.settings import CoreSettings
 from gevent.event import Event
 
+from .clock import FakeClock
+
 
 class HeldSessionRunner:
-    """Stands in for the board behind a server for callers.
+    """Stands in for the controllers behind a server for callers.
 
-    `started` lists the ids of the statements that began to run. Each answer has `rows_per_answer`
-    rows of `row`.
+    `board` is that of a VM with nothing to serve. `started` lists the ids of the statements that
+    began to run. Each answer has `rows_per_answer` rows of `row`.
     """
 
-    __slots__ = ("started", "rows_per_answer", "row", "_openings_released", "_statements_released")
+    __slots__ = (
+        "board",
+        "started",
+        "rows_per_answer",
+        "row",
+        "_openings_released",
+        "_statements_released",
+    )
 
     def __init__(self) -> None:
+        clock = FakeClock()
+        settings = CoreSettings("vm", "z1", "vm")
+        engine = Engine.for_sessions(settings, clock, random.Random(), clock.wall_ms)
+        self.board: Board = engine.board
         self.started: list[str] = []
         self.rows_per_answer = 1
         self.row = "row"
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -308,7 +308,9 @@
             0.0,
             self.board.election.barred,
             self._entry_vm_counter.count(now),
-            bool(settings.address) and not settings.has_disk and not self.board.leaving,
+            bool(settings.address)
+            and not settings.has_disk
+            and not self.board.shutdown.is_requested(),
         )
         reports = [own]
         for report in self._reports.values():
--- a/packages/gentianspread-server/src/gentianspread_server/operations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/operations.py
@@ -97,7 +97,7 @@
                 "revision": configuration.revision,
                 "operator_revision": configuration.operator_revision,
                 "preset": configuration.preset.value,
-                "stopping": self.board.stopping,
+                "stopping": not self.board.shutdown.accepts_new_work(),
                 "voters": self.board.log.voters or list(self.distribution.addresses.seeds),
                 "workspaces": [_to_record(item) for item in configuration.workspaces.values()],
                 "keys": [self._key_to_record(item) for item in configuration.keys.values()],
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -13,8 +13,10 @@
     StatementAnswer,
 )
 from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.controllers.shutdown import answer_at_end
 from gentianspread_core.errors import ErrorCode, Refusal
 from gevent import socket
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
@@ -39,36 +41,36 @@
 class CallerConnection:
     """One caller's connection.
 
-    `statement` is the one that was read and is not answered yet. `is_shut_down` is set once this VM
-    has shut the connection down.
+    `statement` is the one that was read and is not answered yet; `is_answering` is set while its
+    answer is being sent.
     """
 
-    __slots__ = ("line_socket", "session", "statement", "is_shut_down")
+    __slots__ = ("line_socket", "session", "statement", "is_answering")
 
     def __init__(self, line_socket: LineSocket) -> None:
         self.line_socket = line_socket
         self.session: Session | None = None
         self.statement: SessionStatement | None = None
-        self.is_shut_down = False
+        self.is_answering = False
 
-    def can_close(self) -> bool:
-        """Return whether closing the connection interrupts no statement and no transaction."""
-        is_idle = self.session is None or self.session.state is SessionState.IDLE
-        return is_idle and self.statement is None and not self.line_socket.has_unread_bytes()
+    def is_idle(self) -> bool:
+        """Return whether no statement is running and no transaction is open."""
+        is_in_transaction = self.session is not None and self.session.state is not SessionState.IDLE
+        return self.statement is None and not is_in_transaction
 
 
 class CallerServer:
     """Accepts callers and serves each in its own greenlet.
 
-    `closing` is set during a graceful shutdown: a connection then ends once it is idle.
+    During a planned stop a connection ends once it is idle.
     """
 
-    __slots__ = ("runner", "connections", "closing", "_server")
+    __slots__ = ("runner", "connections", "_server", "_connection_ended")
 
     def __init__(self, address: str, runner: SessionRunner) -> None:
         self.runner = runner
         self.connections: set[CallerConnection] = set()
-        self.closing = False
+        self._connection_ended = Event()
         host, _, port = address.rpartition(":")
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=ACCEPT_BACKLOG, spawn=Pool(MAX_CALLERS)
@@ -78,16 +80,32 @@
         """Start accepting callers."""
         self._server.start()
 
-    def stop_accepting(self) -> None:
-        """Stop accepting callers."""
-        self._server.close()
+    def close_idle(self) -> None:
+        """Close every idle connection."""
+        for connection in self.connections:
+            if connection.is_idle():
+                self._shut_down(connection)
+
+    def close_all(self, timeout_s: float) -> None:
+        """Stop accepting callers, answer the statements that are still running, and close.
 
-    def close_idle(self) -> int:
-        """Close every idle connection; return how many connections have not ended yet."""
+        The timeout is for the answers that are being sent.
+        """
+        self._server.close()
+        answered_at_end: set[CallerConnection] = set()
         for connection in list(self.connections):
-            if connection.can_close():
+            if connection.statement is not None and not connection.is_answering:
+                answered_at_end.add(connection)
+                self._answer_at_end(connection)
+            if connection.is_idle():
                 self._shut_down(connection)
-        return len(self.connections)
+        with gevent.Timeout(timeout_s, False):
+            while self.connections - answered_at_end:
+                self._connection_ended.clear()
+                self._connection_ended.wait()
+        for connection in list(self.connections):
+            self._record_unanswered(connection, "the process ends")
+            connection.line_socket.close()
 
     def _serve(self, accepted: socket.socket, _address: Any) -> None:
         connection = CallerConnection(LineSocket(accepted))
@@ -99,6 +117,7 @@
             log.debug("a caller's connection ended: %s", error)
         finally:
             self.connections.discard(connection)
+            self._connection_ended.set()
             if connection.session is not None:
                 self.runner.close(connection.session)
             connection.line_socket.close()
@@ -124,9 +143,10 @@
         return True
 
     def _serve_session(self, connection: CallerConnection) -> None:
-        line_socket, session = connection.line_socket, connection.session
-        while session is not None and not (self.closing and connection.can_close()):
-            line = line_socket.read_line()
+        session = connection.session
+        shutdown = self.runner.board.shutdown
+        while session is not None and not (shutdown.is_requested() and connection.is_idle()):
+            line = connection.line_socket.read_line()
             if line is None or line == "CLOSE":
                 return
             message_type, _, rest = line.partition(" ")
@@ -135,23 +155,37 @@
             statement_id, _, text = rest.partition(" ")
             connection.statement = decode_statement(statement_id, text)
             answer = self.runner.run(session, connection.statement)
+            if connection.statement is None:
+                return  # answered by `close_all`
             self._send_answer(connection, answer)
-            connection.statement = None
+
+    def _shut_down(self, connection: CallerConnection) -> None:
+        try:
+            connection.line_socket.socket.shutdown(socket.SHUT_RDWR)
+        except OSError as error:
+            log.debug("an idle connection had already ended: %s", error)
 
     def _send_answer(self, connection: CallerConnection, answer: StatementAnswer) -> None:
+        connection.is_answering = True
         try:
             connection.line_socket.send(encode_answer(answer))
         except OSError as error:
-            closed_by = "this VM" if connection.is_shut_down else "the caller"
-            self._record_unanswered(
-                connection, f"the connection was closed by {closed_by}: {error}"
-            )
+            self._record_unanswered(connection, f"the caller's connection ended: {error}")
             raise
+        finally:
+            connection.statement = None
+            connection.is_answering = False
 
-    def record_running(self) -> None:
-        """Record the statements that are still running when the process ends."""
-        for connection in self.connections:
-            self._record_unanswered(connection, "the process ends")
+    def _answer_at_end(self, connection: CallerConnection) -> None:
+        """Answer a statement that is still running, as its endpoint will not in time."""
+        session, statement = connection.session, connection.statement
+        if session is None or statement is None:
+            return
+        log.warning("request %s was still running at the end", statement.statement_id)
+        try:
+            self._send_answer(connection, answer_at_end(session))
+        except OSError as error:
+            log.debug("a caller's connection ended: %s", error)
 
     def _record_unanswered(self, connection: CallerConnection, cause: str) -> None:
         session, statement = connection.session, connection.statement
@@ -165,10 +199,3 @@
             session=session.number,
             state=session.state.value,
         )
-
-    def _shut_down(self, connection: CallerConnection) -> None:
-        connection.is_shut_down = True
-        try:
-            connection.line_socket.socket.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            log.debug("an idle connection had already ended: %s", error)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import gevent
-from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 
 from ..clocks import wall_ms
 from ..front import HttpFrontend
@@ -18,8 +18,7 @@
 from .vm import PlatformVM
 
 LOAD_BALANCER_DELAY_S = 2.2  # two failed checks, one second apart, remove a VM
-DRAIN_CHECK_INTERVAL_S = 0.05
-DRAIN_FRACTION = 0.85  # of the grace period; running statements may finish in it
+LAST_ANSWERS_TIMEOUT_S = 0.2  # for sending them, which takes a few milliseconds
 
 
 class EntryVM(PlatformVM):
@@ -37,6 +36,7 @@
         self._peer_server = WebServer(peer_address, self.front) if peer_address else None
         self.caller_server = CallerServer(settings.caller_address, self.runner)
         self._ready_server = WebServer(settings.readiness_address, ReadyApi(self.is_ready))
+        self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_draining)
 
     def start(self) -> None:
         """Start polling the configuration, answering readiness checks and accepting callers."""
@@ -51,44 +51,18 @@
 
     def is_ready(self) -> bool:
         """Return whether new callers are accepted."""
-        if self.caller_server.closing or self.board.configuration.declaration is None:
+        if self.board.shutdown.is_requested() or self.board.configuration.declaration is None:
             return False
         return self.board.is_fresh()
 
-    def stop(self) -> None:
-        """Begin a graceful shutdown: fail the readiness check, then let running work finish."""
-        if not self.caller_server.closing:
-            self.caller_server.closing = True
-            self.board.leaving = True
-            gevent.spawn(self._drain)
+    def shutdown_plan(self) -> ShutdownPlan:
+        """Return when the phases of a planned stop begin; the check of readiness fails at once."""
+        return ShutdownPlan.from_grace_period(self.settings.grace_period_s, LOAD_BALANCER_DELAY_S)
 
-    def _drain(self) -> None:
-        self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
-        started_at = self.board.clock.now()
-        gevent.sleep(LOAD_BALANCER_DELAY_S)
-        self.board.stopping = True
-        deadline = started_at + self.settings.grace_period_s * DRAIN_FRACTION
-        while self._has_running_work() and self.board.clock.now() < deadline:
-            gevent.sleep(DRAIN_CHECK_INTERVAL_S)
-        self.caller_server.stop_accepting()
-        self._record_stopped(started_at)
-        self.stopped.set()
+    def finish(self) -> None:
+        """Send the last answers to callers."""
+        self.caller_server.close_all(LAST_ANSWERS_TIMEOUT_S)
 
-    def _record_stopped(self, started_at: float) -> None:
-        """Record how long the shutdown took, and which work it leaves unfinished."""
-        self.caller_server.record_running()
-        running = [item for item in self.caller_server.connections if item.statement is not None]
-        self.board.timeline.record(
-            EventKind.STOPPED,
-            self.settings.name,
-            "planned stop",
-            duration_ms=round((self.board.clock.now() - started_at) * 1000),
-            callers=len(self.caller_server.connections),
-            running_statements=len(running),
-            relayed_statements=self.relay_server.running_count,
-            relayed_transactions=len(self.board.relays.transactions),
-        )
-
-    def _has_running_work(self) -> bool:
-        """Close the callers' idle connections; return whether any work is still running."""
-        return bool(self.caller_server.close_idle()) or self.relay_server.is_busy()
+    def _on_draining(self, phase: ShutdownPhase) -> None:
+        if phase is ShutdownPhase.DRAINING:
+            self.caller_server.close_idle()
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -7,6 +7,8 @@
 import random
 
 import gevent
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import GentianspreadError
@@ -57,6 +59,7 @@
         self.metrics = SessionMetrics(self.engine, client.traffic)
         self._metrics_server = _build_metrics_server(settings, self.metrics)
         self.stopped = Event()
+        self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_shutdown_phase)
         self._timer_changed = Event()
         self._settings_modified_at = _modification_time(settings.path)
 
@@ -75,9 +78,23 @@
         if self._metrics_server is not None:
             self._metrics_server.start()
 
+    def shutdown_plan(self) -> ShutdownPlan:
+        """Return when the phases of a planned stop begin."""
+        return ShutdownPlan.from_grace_period(self.settings.grace_period_s, 0.0)
+
     def stop(self) -> None:
-        """Shut down: record the event and let `run` return."""
-        self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
+        """Begin a planned stop, after which `run` returns."""
+        self.board.post(Topic.SHUTDOWN_REQUESTED, self.shutdown_plan())
+
+    def finish(self) -> None:
+        """Send the last answers; called once the board's part of a planned stop has ended."""
+
+    def _on_shutdown_phase(self, phase: ShutdownPhase) -> None:
+        if phase is ShutdownPhase.ENDED:
+            gevent.spawn(self._finish)
+
+    def _finish(self) -> None:
+        self.finish()
         self.stopped.set()
 
     def reload(self) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -111,12 +111,11 @@
 class RelayServer:
     """Runs the statements that other VMs relay, and ends their transactions on request."""
 
-    __slots__ = ("board", "runner", "running_count")
+    __slots__ = ("board", "runner")
 
     def __init__(self, board: Board, runner: ExchangeRunner) -> None:
         self.board = board
         self.runner = runner
-        self.running_count = 0
         board.changes.subscribe(Topic.RELAY_ANSWERED, self._on_answered)
 
     def add_to(self, front: HttpFrontend) -> None:
@@ -129,23 +128,15 @@
         relayed = RelayedStatement.from_record(unescape(decode_json_object(body)))
         waiter = Waiter()
         relayed.waiter = waiter
-        self.running_count += 1
-        try:
-            self.board.post(Topic.RELAY_RECEIVED, relayed)
-            while relayed.reply is None:
-                request: Any = waiter.take_assigned()
-                if request is not None:
-                    self.runner.run(request)
-                else:
-                    waiter.wait()
-        finally:
-            self.running_count -= 1
+        self.board.post(Topic.RELAY_RECEIVED, relayed)
+        while relayed.reply is None:
+            request: Any = waiter.take_assigned()
+            if request is not None:
+                self.runner.run(request)
+            else:
+                waiter.wait()
         return encode_json(escape(reply_to_record(relayed.reply)))
 
-    def is_busy(self) -> bool:
-        """Return whether any relayed statement is running or any relayed transaction is open."""
-        return bool(self.running_count or self.board.relays.transactions)
-
     def release_transaction(self, body: bytes) -> bytes:
         """End the transaction of a handle."""
         self.board.post(Topic.RELAY_RELEASED, decode_json_object(body)["handle"])
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -10,6 +10,7 @@
 import gevent
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.election import Role
+from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
@@ -42,7 +43,8 @@
 
 CONNECTION_IDLE_TIMEOUT_S = 75.0
 LOAD_BALANCER_DELAY_S = 1.0  # time for the load balancer to see the failing readiness check
-DRAIN_CHECK_INTERVAL_S = 0.05
+TRANSACTION_FRACTION = 0.5  # of the limit of a planned stop; open transactions go on in it
+LAST_ANSWERS_TIMEOUT_S = 0.5  # for sending them
 
 
 class HttpConnectionHandler(WSGIHandler):
@@ -97,6 +99,7 @@
         self.board.changes.on_idle = self.control.wake
         self.board.changes.subscribe(Topic.LEADERSHIP_CHANGED, self._on_leadership_changed)
         self.board.changes.subscribe(Topic.CONFIGURATION_CHANGED, self._on_configuration_changed)
+        self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_shutdown_phase)
         host, _, port = self.settings.listen.rpartition(":")
         self._server = WSGIServer(
             (host, int(port)),
@@ -114,10 +117,15 @@
         self._stopped.wait()
 
     def stop(self) -> None:
-        """Begin a graceful shutdown: fail the readiness check, then let running requests finish."""
-        if not self.front.is_draining:
-            self.front.is_draining = True
-            gevent.spawn(self._drain)
+        """Begin a planned stop: fail the readiness check, then let running requests finish."""
+        self.front.is_draining = True
+        limit_s = self.settings.stop_limit_s
+        plan = ShutdownPlan(
+            LOAD_BALANCER_DELAY_S,
+            LOAD_BALANCER_DELAY_S + TRANSACTION_FRACTION * limit_s,
+            LOAD_BALANCER_DELAY_S + limit_s,
+        )
+        self.board.post(Topic.SHUTDOWN_REQUESTED, plan)
 
     def _join(self) -> None:
         """Recover the control log and take part in it.
@@ -133,23 +141,16 @@
             self.board.settings.lost_votes = True
         self.control.start(stored)
 
-    def _drain(self) -> None:
-        """Wait for the load balancer to react, then for requests and transactions to end."""
-        self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
-        gevent.sleep(LOAD_BALANCER_DELAY_S)
-        self.board.stopping = True
-        deadline = self.board.clock.now() + self.settings.stop_limit_s
-        while self._is_busy() and self.board.clock.now() < deadline:
-            gevent.sleep(DRAIN_CHECK_INTERVAL_S)
+    def _on_shutdown_phase(self, phase: ShutdownPhase) -> None:
+        if phase is ShutdownPhase.ENDED:
+            gevent.spawn(self._finish)
+
+    def _finish(self) -> None:
+        """Send the last answers and let `run` return."""
         if self._server is not None:
-            self._server.close()
-        while self.runner.running_count and self.board.clock.now() < deadline:
-            gevent.sleep(DRAIN_CHECK_INTERVAL_S)
+            self._server.stop(timeout=LAST_ANSWERS_TIMEOUT_S)
         self._stopped.set()
 
-    def _is_busy(self) -> bool:
-        return bool(self.runner.running_count or self.board.transactions.by_name)
-
     def _on_leadership_changed(self, _entry: None) -> None:
         if self.board.election.role is Role.LEADER:
             gevent.spawn_later(0.2, self.distribution.register_self)
