Serve what was received before a caller's connection is closed

What callers saw: a statement sent in the moment in which a stopping VM closed idle sessions got no answer; so did an opening that waited for the VM's first configuration; and an answer that was on its way was cut off if the next statement had arrived.

Cause: a connection counted as idle by the VM's own buffer, without the bytes in the kernel's, and was shut down in both directions. Linux still hands out what came before, so it was read and handled, and its answer could not be sent. Closing a socket with unread bytes resets the connection, and a reset discards what the peer has not received.

Only the receiving side is shut down now. The serving greenlet reads on until the end of what has been received, answers it, and then closes; so the kernel decides in one place whether a statement came before the close or after it.

--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -21,6 +21,7 @@
 from gevent.server import StreamServer
 
 from ..sessions import SessionRunner
+from ..sockets import stop_receiving
 from .documents import hash_key
 from .wire import (
     LineSocket,
@@ -62,7 +63,8 @@
 class CallerServer:
     """Accepts callers and serves each in its own greenlet.
 
-    During a planned stop a connection ends once it is idle.
+    During a planned stop a connection ends once it is idle, after the answers to all statements
+    that it has received.
     """
 
     __slots__ = ("runner", "connections", "_server", "_connection_ended")
@@ -84,7 +86,7 @@
         """Close every idle connection."""
         for connection in self.connections:
             if connection.is_idle():
-                self._shut_down(connection)
+                stop_receiving(connection.line_socket.socket)
 
     def close_all(self, timeout_s: float) -> None:
         """Stop accepting callers, answer the statements that are still running, and close.
@@ -94,11 +96,10 @@
         self._server.close()
         answered_at_end: set[CallerConnection] = set()
         for connection in list(self.connections):
+            stop_receiving(connection.line_socket.socket)
             if connection.statement is not None and not connection.is_answering:
                 answered_at_end.add(connection)
                 self._answer_at_end(connection)
-            if connection.is_idle():
-                self._shut_down(connection)
         with gevent.Timeout(timeout_s, False):
             while self.connections - answered_at_end:
                 self._connection_ended.clear()
@@ -145,7 +146,9 @@
     def _serve_session(self, connection: CallerConnection) -> None:
         session = connection.session
         shutdown = self.runner.board.shutdown
-        while session is not None and not (shutdown.is_requested() and connection.is_idle()):
+        while session is not None:
+            if shutdown.is_requested() and connection.is_idle():
+                stop_receiving(connection.line_socket.socket)
             line = connection.line_socket.read_line()
             if line is None or line == "CLOSE":
                 return
@@ -159,12 +162,6 @@
                 return  # answered by `close_all`
             self._send_answer(connection, answer)
 
-    def _shut_down(self, connection: CallerConnection) -> None:
-        try:
-            connection.line_socket.socket.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            log.debug("an idle connection had already ended: %s", error)
-
     def _send_answer(self, connection: CallerConnection, answer: StatementAnswer) -> None:
         connection.is_answering = True
         try:
