Serve sessions that are opened before the load balancer has noticed a stop

What callers saw: for two seconds after a SIGTERM, each new session got READY and was closed at once; its first statement crossed the close. A single write is not sent again by its caller then. Sessions that sent their next statement right after an answer met the same.

Cause: from SIGTERM on, a connection was closed whenever it was idle, also before its first statement.

A session now gets its first statement, however long the load balancer takes; after each answer a stopping VM waits a tenth of a second for the next statement before it closes.

--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -35,6 +35,7 @@
 log = logging.getLogger(__name__)
 
 OPEN_TIMEOUT_S = 10.0  # for a caller's first message
+QUIET_PERIOD_S = 0.1  # after the last answer, until a connection is closed for a planned stop
 MAX_CALLERS = 1200  # the platform's VMs allow at least 1,570 file descriptors
 ACCEPT_BACKLOG = 512
 
@@ -145,13 +146,8 @@
 
     def _serve_session(self, connection: CallerConnection) -> None:
         session = connection.session
-        shutdown = self.runner.board.shutdown
-        while session is not None:
-            if shutdown.is_requested() and connection.is_idle():
-                stop_receiving(connection.line_socket.socket)
-            line = connection.line_socket.read_line()
-            if line is None or line == "CLOSE":
-                return
+        line = connection.line_socket.read_line()
+        while session is not None and line is not None and line != "CLOSE":
             message_type, _, rest = line.partition(" ")
             if message_type != "QUERY":
                 raise ProtocolError(f"unknown message type: {message_type[:20]}")
@@ -161,6 +157,20 @@
             if connection.statement is None:
                 return  # answered by `close_all`
             self._send_answer(connection, answer)
+            if self.runner.board.shutdown.is_requested() and connection.is_idle():
+                line = self._read_last_line(connection.line_socket)
+            else:
+                line = connection.line_socket.read_line()
+
+    def _read_last_line(self, line_socket: LineSocket) -> str | None:
+        """Return the next line; close the connection if none comes for a while.
+
+        A caller that sends its next statement at once would otherwise find the connection closed.
+        """
+        with gevent.Timeout(QUIET_PERIOD_S, False):
+            return line_socket.read_line()
+        stop_receiving(line_socket.socket)
+        return line_socket.read_line()
 
     def _send_answer(self, connection: CallerConnection, answer: StatementAnswer) -> None:
         connection.is_answering = True
