Answer the HTTP requests that were read before a process ends

What operators and other VMs saw: a stopped control VM ended at once, with changes, announcements and polls in flight; a stopped daemon cut off requests that it had forwarded to another VM and operators' changes; an entry VM did not wait for the responses to relayed statements to be written.

A control VM waited for nothing, a daemon only for requests on its own board.

The HTTP front end counts the requests that it serves, except those of other VMs, and a process waits for them until its stop ends; a control VM takes part in the control log meanwhile and refuses new ones. The HTTP server then stops accepting, answers what it has received, and closes its connections.

--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -8,9 +8,11 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
+import gevent
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
+from gevent.event import Event
 
 from . import terse
 from .peers import SIGNATURE_VARIABLE, FleetSigner, compress_long_body, decompress_body
@@ -98,7 +100,8 @@
 class HttpFrontend:
     """The WSGI application of one VM.
 
-    `fallback_application` serves the paths that have no route, if it is set.
+    `fallback_application` serves the paths that have no route, if it is set; not while the VM
+    `is_draining`. `running_count` is how many requests are being served, except those of other VMs.
     """
 
     __slots__ = (
@@ -111,6 +114,8 @@
         "forwarder",
         "is_draining",
         "fallback_application",
+        "running_count",
+        "_became_idle",
     )
 
     def __init__(
@@ -131,16 +136,44 @@
         self.routes: dict[str, Route] = {}
         self.is_draining = False
         self.fallback_application: Application | None = None
+        self.running_count = 0
+        self._became_idle = Event()
 
     def add(self, path: str, handler: Callable[..., bytes], required_credential: str = "") -> None:
         """Add the route of a path; `required_credential` is `peer`, `operator` or empty."""
         max_body_bytes = MAX_PEER_BODY_BYTES if required_credential == "peer" else MAX_BODY_BYTES
         self.routes[path] = Route(handler, required_credential, max_body_bytes)
 
+    def wait_until_idle(self, timeout_s: float) -> None:
+        """Wait until no request is being served, without those of other VMs."""
+        with gevent.Timeout(timeout_s, False):
+            while self.running_count:
+                self._became_idle.clear()
+                self._became_idle.wait()
+        if self.running_count:
+            log.warning("%d requests were left without a response", self.running_count)
+
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Serve one HTTP request."""
+        route = self.routes.get(environ["PATH_INFO"])
+        if route is not None and route.required_credential == "peer":
+            return self._serve(environ, start_response)
+        self.running_count += 1
+        try:
+            return self._serve(environ, start_response)
+        finally:
+            self.running_count -= 1
+            if not self.running_count:
+                self._became_idle.set()
+
+    def _serve(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         path = environ["PATH_INFO"]
         if self.fallback_application is not None and path not in self.routes:
+            if self.is_draining:
+                refusal = Refusal(ErrorCode.DRAINING, "This VM is stopping.")
+                return self._respond(
+                    start_response, _http_status_of_error(refusal), encode_refusal(refusal)
+                )
             return self.fallback_application(environ, start_response)
         if path == "/v1/request" and self.runner is not None:
             return self._serve_caller_request(environ, start_response)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -20,6 +20,8 @@
 from .control_api import ControlApi
 from .vm import PlatformVM
 
+LAST_ANSWERS_TIMEOUT_S = 0.5  # for polls of other VMs, which may wait for news
+
 
 class ControlVM(PlatformVM):
     """A VM that replicates the control log and serves operators, endpoints and the other VMs."""
@@ -48,6 +50,12 @@
         self.control.start(stored)
         super().start()
 
+    def finish(self) -> None:
+        """Answer the requests that were received; this takes part in the control log meanwhile."""
+        self.front.is_draining = True
+        self.front.wait_until_idle(self.board.shutdown.ends_at - self.board.clock.now())
+        self._server.drain(LAST_ANSWERS_TIMEOUT_S)
+
     def _on_leadership_changed(self, _entry: None) -> None:
         if self.board.election.role is Role.LEADER:
             gevent.spawn_later(0.1, self.distribution.register_self)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -60,8 +60,10 @@
         return ShutdownPlan.from_grace_period(self.settings.grace_period_s, LOAD_BALANCER_DELAY_S)
 
     def finish(self) -> None:
-        """Send the last answers to callers."""
+        """Send the last answers to callers and to other VMs."""
         self.caller_server.close_all(LAST_ANSWERS_TIMEOUT_S)
+        if self._peer_server is not None:
+            self._peer_server.drain(LAST_ANSWERS_TIMEOUT_S)
 
     def _on_draining(self, phase: ShutdownPhase) -> None:
         if phase is ShutdownPhase.DRAINING:
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -147,6 +147,7 @@
 
     def _finish(self) -> None:
         """Send the last answers and let `run` return."""
+        self.front.wait_until_idle(self.board.shutdown.ends_at - self.board.clock.now())
         if self._server is not None:
             self._server.stop(timeout=LAST_ANSWERS_TIMEOUT_S)
         self._stopped.set()
--- a/packages/gentianspread-server/src/gentianspread_server/webserver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/webserver.py
@@ -17,8 +17,11 @@
 import gevent
 import httptools
 from gevent import socket
+from gevent.event import Event
 from gevent.server import StreamServer
 
+from .sockets import stop_receiving
+
 log = logging.getLogger(__name__)
 
 LISTEN_BACKLOG = 512
@@ -96,13 +99,34 @@
         return not self._environ
 
 
+class HttpConnection:
+    """One client's connection; `is_serving` is set from reading a request until it is answered."""
+
+    __slots__ = ("socket", "reader", "is_serving")
+
+    def __init__(self, client_socket: socket.socket) -> None:
+        self.socket = client_socket
+        self.reader = RequestReader()
+        self.is_serving = False
+
+    def is_idle(self) -> bool:
+        """Return whether no request is being received or served."""
+        return not self.is_serving and self.reader.is_between_requests()
+
+
 class WebServer:
-    """Accepts connections and serves the requests of each connection in sequence."""
+    """Accepts connections and serves the requests of each connection in sequence.
+
+    `connections` are the open ones.
+    """
 
-    __slots__ = ("application", "_server")
+    __slots__ = ("application", "connections", "_server", "_is_draining", "_connection_ended")
 
     def __init__(self, address: str, application: Any) -> None:
         self.application = application
+        self.connections: set[HttpConnection] = set()
+        self._is_draining = False
+        self._connection_ended = Event()
         host, _, port = address.rpartition(":")
         self._server = StreamServer((host, int(port)), self._serve, backlog=LISTEN_BACKLOG)
 
@@ -114,27 +138,54 @@
         """Stop accepting connections; open ones are still served."""
         self._server.close()
 
+    def drain(self, timeout_s: float) -> None:
+        """Stop accepting connections, answer the requests that were received, and close the rest.
+
+        Requests that take longer than the timeout are left unanswered, with a log line.
+        """
+        self.stop()
+        self._is_draining = True
+        for connection in list(self.connections):
+            if connection.is_idle():
+                stop_receiving(connection.socket)
+        with gevent.Timeout(timeout_s, False):
+            while self.connections:
+                self._connection_ended.clear()
+                self._connection_ended.wait()
+        serving_count = sum(1 for connection in self.connections if connection.is_serving)
+        if serving_count:
+            log.warning("%d HTTP requests were left unanswered", serving_count)
+
     def _serve(self, client_socket: socket.socket, _address: Any) -> None:
         client_socket.setsockopt(stdlib_socket.IPPROTO_TCP, stdlib_socket.TCP_NODELAY, 1)
         client_socket.setsockopt(stdlib_socket.SOL_SOCKET, stdlib_socket.SO_KEEPALIVE, 1)
+        connection = HttpConnection(client_socket)
+        self.connections.add(connection)
         try:
-            self._serve_requests(client_socket, RequestReader())
+            self._serve_requests(connection)
         except OSError as error:
             log.debug("connection ended: %s", error)
         except gevent.Timeout:
             log.debug("connection timed out while waiting for a request")
         finally:
+            self.connections.discard(connection)
+            self._connection_ended.set()
             client_socket.close()
 
-    def _serve_requests(self, client_socket: socket.socket, reader: RequestReader) -> None:
-        while self._receive(client_socket, reader):
-            environ = reader.completed_environs.popleft()
-            client_socket.sendall(self._build_response(environ))
+    def _serve_requests(self, connection: HttpConnection) -> None:
+        while self._receive(connection):
+            connection.is_serving = True
+            environ = connection.reader.completed_environs.popleft()
+            connection.socket.sendall(self._build_response(environ))
+            connection.is_serving = False
             if not environ["keeps_open"]:
                 return
+            if self._is_draining:
+                stop_receiving(connection.socket)
 
-    def _receive(self, client_socket: socket.socket, reader: RequestReader) -> bool:
+    def _receive(self, connection: HttpConnection) -> bool:
         """Read until a request is complete; return False if the connection is to be closed."""
+        client_socket, reader = connection.socket, connection.reader
         while not reader.completed_environs:
             with gevent.Timeout(IDLE_TIMEOUT_S if reader.is_between_requests() else READ_TIMEOUT_S):
                 received = client_socket.recv(RECEIVE_BUFFER_BYTES)
@@ -159,7 +210,7 @@
             head.extend(f"{name}: {value}\r\n" for name, value in headers)
 
         body = b"".join(self.application(environ, start_response))
-        if not environ["keeps_open"]:
+        if self._is_draining or not environ["keeps_open"]:
             head.append("Connection: close\r\n")
         return "".join(head).encode("latin-1") + b"\r\n" + body
 
