Close a caller's connection as soon as its last answer is sent

At the end of a planned stop the connections of statements that were answered without a result stayed open until the process had ended, some tenths of a second on a loaded machine, in which callers' next statements were accepted by the kernel and never read. They are closed right after the answer now. The 19 scenarios of stops.feature and shutdown.feature pass.

--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -95,14 +95,14 @@
         The timeout is for the answers that are being sent.
         """
         self._server.close()
-        answered_at_end: set[CallerConnection] = set()
         for connection in list(self.connections):
             stop_receiving(connection.line_socket.socket)
             if connection.statement is not None and not connection.is_answering:
-                answered_at_end.add(connection)
                 self._answer_at_end(connection)
+                self.connections.discard(connection)
+                connection.line_socket.close()
         with gevent.Timeout(timeout_s, False):
-            while self.connections - answered_at_end:
+            while self.connections:
                 self._connection_ended.clear()
                 self._connection_ended.wait()
         for connection in list(self.connections):
