--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -13,12 +13,15 @@
     StatementAnswer,
 )
 from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.controllers.shutdown import answer_at_end
 from gentianspread_core.errors import ErrorCode, Refusal
 from gevent import socket
+from gevent.event import Event
 from gevent.pool import Pool
 from gevent.server import StreamServer
 
 from ..sessions import SessionRunner
+from ..sockets import stop_receiving
 from .documents import hash_key
 from .wire import (
     LineSocket,
@@ -32,6 +35,7 @@
 log = logging.getLogger(__name__)
 
 OPEN_TIMEOUT_S = 10.0  # for a caller's first message
+QUIET_PERIOD_S = 0.1  # after the last answer, until a connection is closed for a planned stop
 MAX_CALLERS = 1200  # the platform's VMs allow at least 1,570 file descriptors
 ACCEPT_BACKLOG = 512
 
@@ -39,36 +43,37 @@
 class CallerConnection:
     """One caller's connection.
 
-    `statement` is the one that was read and is not answered yet. `is_shut_down` is set once this VM
-    has shut the connection down.
+    `statement` is the one that was read and is not answered yet; `is_answering` is set while its
+    answer is being sent.
     """
 
-    __slots__ = ("line_socket", "session", "statement", "is_shut_down")
+    __slots__ = ("line_socket", "session", "statement", "is_answering")
 
     def __init__(self, line_socket: LineSocket) -> None:
         self.line_socket = line_socket
         self.session: Session | None = None
         self.statement: SessionStatement | None = None
-        self.is_shut_down = False
+        self.is_answering = False
 
-    def can_close(self) -> bool:
-        """Return whether closing the connection interrupts no statement and no transaction."""
-        is_idle = self.session is None or self.session.state is SessionState.IDLE
-        return is_idle and self.statement is None and not self.line_socket.has_unread_bytes()
+    def is_idle(self) -> bool:
+        """Return whether no statement is running and no transaction is open."""
+        is_in_transaction = self.session is not None and self.session.state is not SessionState.IDLE
+        return self.statement is None and not is_in_transaction
 
 
 class CallerServer:
     """Accepts callers and serves each in its own greenlet.
 
-    `closing` is set during a graceful shutdown: a connection then ends once it is idle.
+    During a planned stop a connection ends once it is idle, after the answers to all statements
+    that it has received.
     """
 
-    __slots__ = ("runner", "connections", "closing", "_server")
+    __slots__ = ("runner", "connections", "_server", "_connection_ended")
 
     def __init__(self, address: str, runner: SessionRunner) -> None:
         self.runner = runner
         self.connections: set[CallerConnection] = set()
-        self.closing = False
+        self._connection_ended = Event()
         host, _, port = address.rpartition(":")
         self._server = StreamServer(
             (host, int(port)), self._serve, backlog=ACCEPT_BACKLOG, spawn=Pool(MAX_CALLERS)
@@ -78,16 +83,31 @@
         """Start accepting callers."""
         self._server.start()
 
-    def stop_accepting(self) -> None:
-        """Stop accepting callers."""
-        self._server.close()
+    def close_idle(self) -> None:
+        """Close every idle connection."""
+        for connection in self.connections:
+            if connection.is_idle():
+                stop_receiving(connection.line_socket.socket)
+
+    def close_all(self, timeout_s: float) -> None:
+        """Stop accepting callers, answer the statements that are still running, and close.
 
-    def close_idle(self) -> int:
-        """Close every idle connection; return how many connections have not ended yet."""
+        The timeout is for the answers that are being sent.
+        """
+        self._server.close()
+        for connection in list(self.connections):
+            stop_receiving(connection.line_socket.socket)
+            if connection.statement is not None and not connection.is_answering:
+                self._answer_at_end(connection)
+                self.connections.discard(connection)
+                connection.line_socket.close()
+        with gevent.Timeout(timeout_s, False):
+            while self.connections:
+                self._connection_ended.clear()
+                self._connection_ended.wait()
         for connection in list(self.connections):
-            if connection.can_close():
-                self._shut_down(connection)
-        return len(self.connections)
+            self._record_unanswered(connection, "the process ends")
+            connection.line_socket.close()
 
     def _serve(self, accepted: socket.socket, _address: Any) -> None:
         connection = CallerConnection(LineSocket(accepted))
@@ -99,6 +119,7 @@
             log.debug("a caller's connection ended: %s", error)
         finally:
             self.connections.discard(connection)
+            self._connection_ended.set()
             if connection.session is not None:
                 self.runner.close(connection.session)
             connection.line_socket.close()
@@ -124,34 +145,54 @@
         return True
 
     def _serve_session(self, connection: CallerConnection) -> None:
-        line_socket, session = connection.line_socket, connection.session
-        while session is not None and not (self.closing and connection.can_close()):
-            line = line_socket.read_line()
-            if line is None or line == "CLOSE":
-                return
+        session = connection.session
+        line = connection.line_socket.read_line()
+        while session is not None and line is not None and line != "CLOSE":
             message_type, _, rest = line.partition(" ")
             if message_type != "QUERY":
                 raise ProtocolError(f"unknown message type: {message_type[:20]}")
             statement_id, _, text = rest.partition(" ")
             connection.statement = decode_statement(statement_id, text)
             answer = self.runner.run(session, connection.statement)
+            if connection.statement is None:
+                return  # answered by `close_all`
             self._send_answer(connection, answer)
-            connection.statement = None
+            if self.runner.board.shutdown.is_requested() and connection.is_idle():
+                line = self._read_last_line(connection.line_socket)
+            else:
+                line = connection.line_socket.read_line()
+
+    def _read_last_line(self, line_socket: LineSocket) -> str | None:
+        """Return the next line; close the connection if none comes for a while.
+
+        A caller that sends its next statement at once would otherwise find the connection closed.
+        """
+        with gevent.Timeout(QUIET_PERIOD_S, False):
+            return line_socket.read_line()
+        stop_receiving(line_socket.socket)
+        return line_socket.read_line()
 
     def _send_answer(self, connection: CallerConnection, answer: StatementAnswer) -> None:
+        connection.is_answering = True
         try:
             connection.line_socket.send(encode_answer(answer))
         except OSError as error:
-            closed_by = "this VM" if connection.is_shut_down else "the caller"
-            self._record_unanswered(
-                connection, f"the connection was closed by {closed_by}: {error}"
-            )
+            self._record_unanswered(connection, f"the caller's connection ended: {error}")
             raise
+        finally:
+            connection.statement = None
+            connection.is_answering = False
 
-    def record_running(self) -> None:
-        """Record the statements that are still running when the process ends."""
-        for connection in self.connections:
-            self._record_unanswered(connection, "the process ends")
+    def _answer_at_end(self, connection: CallerConnection) -> None:
+        """Answer a statement that is still running, as its endpoint will not in time."""
+        session, statement = connection.session, connection.statement
+        if session is None or statement is None:
+            return
+        log.warning("request %s was still running at the end", statement.statement_id)
+        try:
+            self._send_answer(connection, answer_at_end(session))
+        except OSError as error:
+            log.debug("a caller's connection ended: %s", error)
 
     def _record_unanswered(self, connection: CallerConnection, cause: str) -> None:
         session, statement = connection.session, connection.statement
@@ -165,10 +206,3 @@
             session=session.number,
             state=session.state.value,
         )
-
-    def _shut_down(self, connection: CallerConnection) -> None:
-        connection.is_shut_down = True
-        try:
-            connection.line_socket.socket.shutdown(socket.SHUT_RDWR)
-        except OSError as error:
-            log.debug("an idle connection had already ended: %s", error)
