Check what endpoints announce once, and ignore wrong entries

Callers saw: nothing yet; an operator of a like system saw VMs end or stop following the list of endpoints after another writer had left one odd entry.

Cause: an announcement was decoded without bounds. A port of 99999, no slots, a start time far ahead, a line end in a name or a host name were registered, and an entry with another type, stored by an older build or passed on by another VM, raised out of the board (`TypeError`, `KeyError`) wherever it was applied: again at each restart, and in each VM that polls.

Change: `blackboard/registrations.py` holds the one check of types, lengths and ranges. An entry of any kind that cannot be read is rejected in the same way. Addresses must be numeric IPv4, so that no lookup takes a thread that disk writes need. The simulations now announce addresses with ports.

--- a/features/environment.py
+++ b/features/environment.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 from behave import register_type, use_fixture
 from fixtures import fleet_simulation, home_simulation, session_simulation, temporary_folder
 from parse import with_pattern
@@ -12,7 +14,12 @@
     return text
 
 
-register_type(Quoted=parse_quoted)
+@with_pattern(r"\S+")
+def parse_json(text):
+    return json.loads(text)
+
+
+register_type(Quoted=parse_quoted, Json=parse_json)
 
 
 def before_scenario(context, scenario):
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -6,6 +6,7 @@
 
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration
+from .registrations import Registration, find_fault
 
 MAX_STORED_OUTCOMES = 4096
 
@@ -33,67 +34,6 @@
         self.withdrawn = withdrawn
 
 
-class Registration:
-    """An endpoint's announcement of itself.
-
-    `incarnation` grows with each start of the endpoint and `sequence` with each announcement of one
-    incarnation; both are 0 if endpoints count neither. `claims_primary` is set if the endpoint
-    considers itself the primary. `slots` is how many statements it runs at once.
-    """
-
-    __slots__ = (
-        "name",
-        "address",
-        "zone",
-        "group",
-        "leaving",
-        "connections",
-        "slots",
-        "group_size",
-        "incarnation",
-        "sequence",
-        "claims_primary",
-    )
-
-    def __init__(
-        self,
-        name: str,
-        address: str,
-        zone: str,
-        group: str,
-        leaving: bool,
-        connections: int,
-        slots: int,
-        group_size: int,
-        incarnation: int = 0,
-        sequence: int = 0,
-        claims_primary: bool = False,
-    ) -> None:
-        self.name = name
-        self.address = address
-        self.zone = zone
-        self.group = group
-        self.leaving = leaving
-        self.connections = connections
-        self.slots = slots
-        self.group_size = group_size
-        self.incarnation = incarnation
-        self.sequence = sequence
-        self.claims_primary = claims_primary
-
-    def differs_from(self, other: Registration) -> bool:
-        """Return whether anything but the sequence number differs."""
-        return any(
-            getattr(self, slot) != getattr(other, slot)
-            for slot in self.__slots__
-            if slot != "sequence"
-        )
-
-    def is_newer_than(self, other: Registration) -> bool:
-        """Return whether this announcement was sent after another of the same endpoint."""
-        return (self.incarnation, self.sequence) > (other.incarnation, other.sequence)
-
-
 class Group:
     """A database group: the newest term granted, and the newest term that got a primary.
 
@@ -280,8 +220,9 @@
     }
 
 
-def load_snapshot(configuration: Configuration, snapshot: dict[str, Any]) -> None:
-    """Replace the whole state with a snapshot."""
+def load_snapshot(configuration: Configuration, snapshot: dict[str, Any]) -> list[str]:
+    """Replace the whole state with a snapshot; return why endpoints in it were left out."""
+    faults: list[str] = []
     configuration.revision = snapshot["revision"]
     configuration.operator_revision = snapshot["operator_revision"]
     configuration.preset = Preset(snapshot["preset"])
@@ -295,8 +236,27 @@
         name: ChangeOutcome.from_record(item) for name, item in snapshot["outcomes"].items()
     }
     for table, kind in SNAPSHOT_TABLES.items():
-        rows = [kind(*values) for values in snapshot[table]]
+        usable = snapshot[table]
+        if kind is Registration:
+            usable, faults = _split_registrations(usable)
+        rows = [kind(*values) for values in usable]
         key = "zone" if kind is Allocator else "key_hash" if kind is Key else "name"
         setattr(configuration, table, {getattr(row, key): row for row in rows})
     if configuration.declaration is not None and not configuration.workspaces:
         apply_declaration(configuration, configuration.declaration)
+    return faults
+
+
+def _split_registrations(rows: list[Any]) -> tuple[list[list[Any]], list[str]]:
+    """Return the rows that describe an endpoint, and what is wrong with the others."""
+    usable: list[list[Any]] = []
+    faults: list[str] = []
+    for row in rows:
+        is_row = isinstance(row, list) and len(row) == len(Registration.__slots__)
+        fields = dict(zip(Registration.__slots__, row, strict=True)) if is_row else None
+        fault = find_fault(fields)
+        if fault:
+            faults.append(fault)
+        else:
+            usable.append(row)
+    return usable, faults
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -19,6 +19,7 @@
     CHANGE_ACCEPTED = "change_accepted"
     CHANGE_REJECTED = "change_rejected"
     CONFIGURATION_APPLIED = "configuration_applied"
+    ENTRY_IGNORED = "entry_ignored"
     FRESHNESS_LOST = "freshness_lost"
     FRESHNESS_REGAINED = "freshness_regained"
     REQUEST_REFUSED = "request_refused"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -11,6 +11,7 @@
 from ..blackboard.declarations import Declaration
 from ..blackboard.log import LogEntry, Snapshot
 from ..blackboard.timeline import EventKind
+from ..errors import ErrorCode
 from ..state_machine import apply_command
 
 MAX_HISTORY_ENTRIES = 512
@@ -177,7 +178,9 @@
     def _load(self, state: dict[str, Any], index: int) -> None:
         if index <= self.board.configuration.revision:
             return
-        load_snapshot(self.board.configuration, state)
+        for fault in load_snapshot(self.board.configuration, state):
+            cause = f"An endpoint of the snapshot is invalid: {fault}."
+            self.board.timeline.record(EventKind.ENTRY_IGNORED, f"revision {index}", cause)
         self.history.clear()
         self.serving_history.clear()
 
@@ -186,6 +189,9 @@
             return
         before = self.board.configuration.declaration
         outcome = apply_command(self.board.configuration, entry.index, entry.command)
+        if outcome.code == ErrorCode.UNREADABLE_ENTRY.value:
+            subject = f"revision {entry.index}"
+            self.board.timeline.record(EventKind.ENTRY_IGNORED, subject, outcome.message)
         if entry.command.kind is CommandKind.CHANGE_DECLARATION and not outcome.accepted:
             self._reset()
             return
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -10,10 +10,10 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
-from ..blackboard.configuration import Registration
 from ..blackboard.declarations import Declaration
 from ..blackboard.endpoints import Endpoint
 from ..blackboard.outbox import EndpointProbe, PoolFlush
+from ..blackboard.registrations import Registration
 from ..blackboard.requests import Exchange, ExchangeStatus, Reply, Request
 from ..blackboard.sessions import SessionExchange
 from ..blackboard.timeline import EventKind
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -11,11 +11,12 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
-from ..blackboard.configuration import Group, Registration
+from ..blackboard.configuration import Group
 from ..blackboard.election import Role
 from ..blackboard.groups import Failover, Health
 from ..blackboard.messages import Proposal
 from ..blackboard.outbox import EndpointCommand, EndpointCommandKind, EndpointProbe
+from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
 
 PROBE_PURPOSE = "failover"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 from ..blackboard import Board
-from ..blackboard.configuration import Group, Registration
+from ..blackboard.configuration import Group
 from ..blackboard.groups import Promotion
 from ..blackboard.outbox import UnreachableReason
+from ..blackboard.registrations import Registration
 from ..positions import Position
 
 PROBE_FAILURE_THRESHOLD = 2  # one probe may fail only because its connection had silently broken
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -11,11 +11,12 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
-from ..blackboard.configuration import Group, Registration
+from ..blackboard.configuration import Group
 from ..blackboard.election import Role
 from ..blackboard.groups import Health
 from ..blackboard.messages import Proposal
 from ..blackboard.outbox import EndpointProbe
+from ..blackboard.registrations import Registration
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
 
 PROBE_PURPOSE = "promotion"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -14,11 +14,12 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
-from ..blackboard.configuration import Group, Registration
+from ..blackboard.configuration import Group
 from ..blackboard.election import Role
 from ..blackboard.groups import Promotion
 from ..blackboard.messages import Proposal
 from ..blackboard.outbox import EndpointCommand, EndpointCommandKind
+from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
 from ..positions import Position
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
--- a/packages/gentianspread-core/src/gentianspread_core/errors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/errors.py
@@ -41,6 +41,7 @@
     REPLICA_LAGGING = "replica_lagging"
     CONNECTION_LIMIT = "connection_limit"
     INVALID_DECLARATION = "invalid_declaration"
+    UNREADABLE_ENTRY = "unreadable_entry"
 
 
 REMEDIES = {
@@ -68,6 +69,7 @@
     ErrorCode.REPLICA_LAGGING: "Send the request again; the replicas are catching up.",
     ErrorCode.CONNECTION_LIMIT: "Send the request again after a short pause.",
     ErrorCode.INVALID_DECLARATION: "Correct the declaration as the message says.",
+    ErrorCode.UNREADABLE_ENTRY: "Correct the sender of the entry; it was ignored.",
     ErrorCode.STORAGE_FAILED: "Check the disk of the data folder and restart the VM.",
 }
 
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -17,11 +17,11 @@
     Group,
     Key,
     Member,
-    Registration,
     Workspace,
     apply_declaration,
 )
 from .blackboard.declarations import Declaration
+from .blackboard.registrations import Registration, find_fault
 from .errors import ChangeRejected, ErrorCode
 
 
@@ -38,9 +38,11 @@
         _check_revision(configuration, command)
         _HANDLERS[command.kind](configuration, command)
     except ChangeRejected as rejection:
-        outcome = ChangeOutcome(
-            False, configuration.operator_revision, rejection.code.value, rejection.message
-        )
+        outcome = _reject(configuration, rejection)
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        # All VMs meet the same entry; one that stopped here would stop at every restart.
+        message = f"The entry cannot be read: {error!r}."
+        outcome = _reject(configuration, ChangeRejected(ErrorCode.UNREADABLE_ENTRY, message))
     else:
         if command.kind in OPERATOR_KINDS:
             configuration.operator_revision += 1
@@ -49,6 +51,12 @@
     return outcome
 
 
+def _reject(configuration: Configuration, rejection: ChangeRejected) -> ChangeOutcome:
+    return ChangeOutcome(
+        False, configuration.operator_revision, rejection.code.value, rejection.message
+    )
+
+
 def _check_revision(configuration: Configuration, command: Command) -> None:
     expected = command.expected_revision
     if expected is None or expected == configuration.operator_revision:
@@ -123,6 +131,9 @@
 
 
 def _register_endpoint(configuration: Configuration, command: Command) -> None:
+    fault = find_fault(command.fields)
+    if fault:
+        raise ChangeRejected(ErrorCode.UNREADABLE_ENTRY, f"The registration is invalid: {fault}.")
     registration = Registration(**command.fields)
     current = configuration.endpoints.get(registration.name)
     if current is not None and current.incarnation and not registration.is_newer_than(current):
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -11,6 +11,8 @@
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, Step, StepKind
 from gentianspread_core.positions import Position
 
+ENDPOINT_PORT = 5432  # of the addresses that endpoints announce
+
 
 class FakeEndpointSession:
     """An endpoint's state of one connection, as opposed to a caller's session at a VM.
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -39,7 +39,7 @@
 
 from .clock import FakeClock
 from .disk import FakeDisk
-from .session_endpoint import FakeSessionEndpoint
+from .session_endpoint import ENDPOINT_PORT, FakeSessionEndpoint
 
 GROUP = "g"
 LATENCY_S = 0.001
@@ -182,7 +182,7 @@
         """Register an endpoint's announcement in the control log."""
         fields = {
             "name": endpoint.name,
-            "address": endpoint.name,
+            "address": f"{endpoint.name}:{ENDPOINT_PORT}",
             "zone": endpoint.zone,
             "group": GROUP,
             "leaving": leaving,
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -9,9 +9,16 @@
 import gevent
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.configuration import Registration
+from gentianspread_core.blackboard.registrations import (
+    MAX_COUNT,
+    MAX_GROUP_SIZE,
+    MAX_NAME_CHARS,
+    Registration,
+    find_fault,
+)
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
+from .connections import is_ipv4_address
 from .proposals import Proposer
 
 log = logging.getLogger(__name__)
@@ -35,14 +42,14 @@
     ],
     "additionalProperties": False,
     "properties": {
-        "name": {"type": "string", "minLength": 1, "maxLength": 200},
+        "name": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:\\[\\]]+:[0-9]+$"},
-        "zone": {"type": "string", "minLength": 1, "maxLength": 200},
-        "group": {"type": "string", "minLength": 1, "maxLength": 200},
+        "zone": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
+        "group": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
         "leaving": {"type": "boolean"},
-        "connections": {"type": "integer", "minimum": 1},
-        "slots": {"type": "integer", "minimum": 1},
-        "group_size": {"type": "integer", "minimum": 1, "maximum": 99},
+        "connections": {"type": "integer", "minimum": 1, "maximum": MAX_COUNT},
+        "slots": {"type": "integer", "minimum": 1, "maximum": MAX_COUNT},
+        "group_size": {"type": "integer", "minimum": 1, "maximum": MAX_GROUP_SIZE},
     },
 }
 _check_schema = fastjsonschema.compile(ANNOUNCEMENT_SCHEMA)
@@ -65,6 +72,10 @@
             _check_schema(message)
         except fastjsonschema.JsonSchemaException as error:
             raise Refusal(ErrorCode.BAD_REQUEST, f"{error.message}.") from None
+        fault = find_fault(message)
+        if fault or not is_ipv4_address(message["address"]):
+            fault = fault or "address is not an IPv4 address with a port"
+            raise Refusal(ErrorCode.BAD_REQUEST, f"The announcement is invalid: {fault}.")
         if not self._is_registered(message) and message["name"] not in self._pending:
             self._pending.add(message["name"])
             gevent.spawn(self._propose_announcement, message)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -13,9 +13,15 @@
     DeclaredWorkspace,
     Route,
 )
+from gentianspread_core.blackboard.registrations import find_fault, is_integer
 from gentianspread_core.errors import DeclarationError, ErrorCode
 
+from ..clocks import wall_ms
+from ..connections import is_ipv4_address
+
 MS_PER_S = 1000
+MAX_CLOCK_DIFFERENCE_MS = 86_400_000  # of two machines' times of day
+SEPARATOR = " "  # of the fields of a message to an endpoint
 CONSISTENCY_BY_ROUTE_TYPE = {
     "primary": Consistency.LATEST,
     "bounded_stale": Consistency.BOUNDED,
@@ -108,7 +114,7 @@
 
 
 def _require_integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
+    if not is_integer(value):
         raise ValueError(f"{value!r} is not a whole number")
     return value
 
@@ -132,24 +138,25 @@
         message = orjson.loads(body)
         if message["state"] not in ENDPOINT_STATES or message["dbRole"] not in ENDPOINT_ROLES:
             return None
-        host, _, port = _require_string(message["address"]).rpartition(":")
-        if not host or not int(port):
-            return None
-        return {
-            "name": _require_string(name),
+        fields = {
+            "name": name,
             "address": message["address"],
-            "zone": _require_string(message["zone"]),
-            "group": _require_string(message["service"]),
+            "zone": message["zone"],
+            "group": message["service"],
             "leaving": message["state"] == "draining",
             "connections": 1,
-            "slots": _require_integer(message["slots"]),
+            "slots": message["slots"],
             "group_size": 0,
-            "incarnation": _require_integer(message.get("born", 0)),
-            "sequence": _require_integer(message["sequence"]),
+            "incarnation": message.get("born", 0),
+            "sequence": message["sequence"],
             "claims_primary": message["dbRole"] == "primary",
         }
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
         return None
+    if find_fault(fields) or not is_ipv4_address(fields["address"]):
+        return None
+    has_separator = any(SEPARATOR in fields[field] for field in ("name", "zone", "group"))
+    return None if has_separator or not _is_start_time(fields["incarnation"]) else fields
 
 
 def decode_deregistration(body: bytes) -> int | None:
@@ -157,6 +164,15 @@
     if not body:
         return 0
     try:
-        return _require_integer(orjson.loads(body).get("born", 0))
+        incarnation = orjson.loads(body).get("born", 0)
     except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError):
         return None
+    return incarnation if _is_start_time(incarnation) else None
+
+
+def _is_start_time(value: Any) -> bool:
+    """Return whether a value is a time in milliseconds since the Unix epoch, and not far ahead.
+
+    A start time that is never reached would hide all later starts of the endpoint.
+    """
+    return is_integer(value) and 0 <= value <= wall_ms() + MAX_CLOCK_DIFFERENCE_MS
