Fail a connection to an odd address like one to an endpoint that is down

Callers saw: a statement sent to an endpoint with port 99999 got no answer.

Cause: connecting to a port beyond 65,535 raises `OverflowError`, which neither driver catches. The greenlet of a statement ended before its answer, that of a command before its end was posted, so a promotion waited for it without end. A host name was looked up in a thread of the pool that syncs the disk.

Change: `connect` raises the `ValueError` that its callers handle for whatever is not a numeric IPv4 address with a port. Refusing such announcements doesn't cover addresses that an older build stored or that settings name.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -85,6 +85,20 @@
       | true                       |
       | [1]                        |
 
+  Scenario Outline: Connecting to an odd address fails like connecting to an endpoint that is down
+    Guards against greenlets of statements, probes and commands that end without a reply.
+    When a statement, a probe and a command are sent to an endpoint at <address>
+    Then the statement was not sent, the probe failed and the command was not accepted
+    And the end of each was posted
+
+    Examples:
+      | address         |
+      | 127.0.0.1:99999 |
+      | 127.0.0.1:-1    |
+      | 127.0.0.1:abc   |
+      | 127.0.0.1       |
+      | no-such-host:1  |
+
   @sessions
   Scenario Outline: An odd entry in the control log is ignored, and the entries after it are applied
     Guards against VMs that stop following the configuration at an entry that an older build stored.
--- a/packages/gentianspread-server/src/gentianspread_server/connections.py
+++ b/packages/gentianspread-server/src/gentianspread_server/connections.py
@@ -48,10 +48,12 @@
 
 
 def connect(address: str, timeout_s: float) -> socket.socket:
-    """Return a socket connected to HOST:PORT.
+    """Return a socket connected to HOST:PORT; raises `OSError`, or `ValueError` for an odd address.
 
     Hosts are numeric IPv4 addresses, so neither name resolution nor its thread is needed.
     """
+    if not is_ipv4_address(address):
+        raise ValueError(f"{address!r} is not an IPv4 address with a port")
     host, _, port = address.rpartition(":")
     connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
