Bound the numbers in an endpoint's reply

Callers saw: nothing yet. One endpoint that reports a position beyond 64 bits would have made every control VM that knows it fail each poll.

Cause: positions were decoded by `int`, which takes any length, signs, underscores and digits of other scripts. The observations in answers to polls, relayed replies and the control log are encoded by orjson, which raises on integers beyond 64 bits.

Change: positions and the status row take 1 to 18 ASCII digits; anything else violates the protocol and fails that one exchange.

Evidence: 9 of 9 positions were accepted before; all are refused now.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -132,3 +132,20 @@
     Guards against an endpoint in use that a wrong entry removes.
     When an older build has put an endpoint into the log with slots as -1 at the address of "b1"
     Then "b1" is still registered
+
+  Scenario Outline: A log position that an encoder cannot take is not accepted from an endpoint
+    Guards against control VMs that answer no poll because of one endpoint's position.
+    When an endpoint reports the position "<position>"
+    Then the reply violates the protocol
+
+    Examples:
+      | position                         |
+      | 99999999999999999999999999999.1  |
+      | 1.99999999999999999999999999999  |
+      | 1.18446744073709551616           |
+      | -1.5                             |
+      | 1.-5                             |
+      | 1_0.5                            |
+      | +1.5                             |
+      | 1. 5                             |
+      | ١.5                              |
--- a/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
@@ -26,6 +26,8 @@
 KEEPALIVE_IDLE_S = 5  # without traffic before the first keepalive probe
 KEEPALIVE_INTERVAL_S = 2
 MAX_UNANSWERED_KEEPALIVES = 2
+MAX_INTEGER_DIGITS = 18  # fits in 64 bits
+MIN_STATUS_FIELDS = 4
 LINE_END = b"\r\n"
 ABSENT = "-"  # for a field without a value; as an id it marks the statements of the VM itself
 
@@ -303,10 +305,14 @@
     if text == ABSENT:
         return None
     term, _, index = text.partition(".")
-    try:
-        return Position(int(term), int(index))
-    except ValueError:
-        raise ProtocolError("an answer has an unreadable position") from None
+    return Position(_decode_integer(term), _decode_integer(index))
+
+
+def _decode_integer(text: str) -> int:
+    """Decode decimal digits to an integer that the encoders of all messages take."""
+    if not (text.isascii() and text.isdigit() and len(text) <= MAX_INTEGER_DIGITS):
+        raise ProtocolError("an answer has an unreadable number")
+    return int(text)
 
 
 class EndpointStatus:
@@ -324,10 +330,10 @@
 def decode_status(row: str) -> EndpointStatus:
     """Decode the row: role, term, received position, paused term, lag, busy, connections."""
     fields = row.split(" ")
-    try:
-        received = decode_position(fields[2])
-        if received is None:
-            raise ProtocolError("an endpoint reported no position")
-        return EndpointStatus(fields[0] == "primary", int(fields[1]), received, int(fields[3]))
-    except (ValueError, IndexError):
-        raise ProtocolError("an endpoint reported a status that cannot be decoded") from None
+    if len(fields) < MIN_STATUS_FIELDS:
+        raise ProtocolError("an endpoint reported a status that cannot be decoded")
+    received = decode_position(fields[2])
+    if received is None:
+        raise ProtocolError("an endpoint reported no position")
+    term, paused_term = _decode_integer(fields[1]), _decode_integer(fields[3])
+    return EndpointStatus(fields[0] == "primary", term, received, paused_term)
