Accept only finite numbers in a configuration document, and print no nested value

Cause: `float` takes "inf", "NaN" and true; the log's encoder writes infinity as null, which comes back as no number. The messages of errors printed the wrong value, and printing lists nested some hundred levels deep raises `RecursionError`, which the front end doesn't handle.

Change: numbers must be JSON numbers, which are finite, and messages show the first 100 characters of a text or number, and of anything else the type.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -88,6 +88,46 @@
       | no version       |
       | a list           |
 
+  Scenario Outline: A configuration document with an odd value is invalid
+    Guards against a number in the control log that other VMs read back as no number.
+    When a configuration document with <value> as <field> of its <item> is decoded
+    Then it is refused
+    And the refusal is shorter than 300 characters
+
+    Examples:
+      | item     | field          | value                      |
+      | tenant   | ratePerS       | "inf"                      |
+      | tenant   | ratePerS       | "NaN"                      |
+      | tenant   | ratePerS       | true                       |
+      | tenant   | ratePerS       | 1e400                      |
+      | tenant   | burstSize      | "Infinity"                 |
+      | tenant   | burstSize      | {}                         |
+      | tenant   | apiKeys        | [7]                        |
+      | route    | timeoutMs      | true                       |
+      | route    | timeoutMs      | "800"                      |
+      | route    | targetLatencyMs | false                     |
+      | route    | maxStalenessMs | [1]                        |
+      | route    | priority       | 99999999999999999999999999 |
+      | route    | host           | "\ud800"                   |
+      | route    | routeType      | ["primary"]                |
+      | service  | maxConns       | 1e300                      |
+      | service  | syncReplicas   | "1"                        |
+      | document | version        | 99999999999999999999999999 |
+      | document | version        | 1.0                        |
+      | document | limits         | {"txIdleMs": true}         |
+      | document | limits         | null                       |
+      | document | version        | 800 nested lists           |
+      | document | routes         | 800 nested lists           |
+      | route    | name           | 800 nested lists           |
+      | route    | service        | 800 nested lists           |
+      | route    | routeType      | 800 nested lists           |
+      | route    | host           | 800 nested lists           |
+      | route    | timeoutMs      | 800 nested lists           |
+      | tenant   | name           | 800 nested lists           |
+      | tenant   | ratePerS       | 800 nested lists           |
+      | route    | service        | a text of 100000 letters   |
+      | tenant   | ratePerS       | a text of 100000 letters   |
+
   Scenario: A valid configuration document is decoded into routes, groups and workspaces
     When a configuration document with "nothing wrong" is decoded
     Then it holds version 7, 2 routes, 1 group and 2 workspaces
--- a/features/steps/platform_wire.py
+++ b/features/steps/platform_wire.py
@@ -167,6 +167,35 @@
 }
 
 
+RAW_VALUES = {
+    "800 nested lists": "[" * 800 + "]" * 800,
+    "a text of 100000 letters": json.dumps("a" * 100_000),
+}
+
+
+@when("a configuration document with {value} as {field:w} of its {item:w} is decoded")
+def step_odd_document(context, value, field, item):
+    document = copy.deepcopy(DOCUMENT)
+    owners = {
+        "document": document,
+        "tenant": document["tenants"][0],
+        "route": document["routes"][0],
+        "service": document["services"][0],
+    }
+    owners[item][field] = "THE VALUE"
+    text = json.dumps(document).replace('"THE VALUE"', RAW_VALUES.get(value, value))
+    context.error = None
+    try:
+        decode_declaration(text.encode())
+    except DeclarationError as error:
+        context.error = error
+
+
+@then("the refusal is shorter than {count:d} characters")
+def step_short_refusal(context, count):
+    assert len(context.error.message) < count, context.error.message[:count]
+
+
 @when('a configuration document with "{fault:Quoted}" is decoded')
 def step_document(context, fault):
     document = copy.deepcopy(DOCUMENT)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -21,6 +21,7 @@
 
 MS_PER_S = 1000
 MAX_CLOCK_DIFFERENCE_MS = 86_400_000  # of two machines' times of day
+MAX_SHOWN_CHARS = 100  # of a value in an error message
 SEPARATOR = " "  # of the fields of a message to an endpoint
 CONSISTENCY_BY_ROUTE_TYPE = {
     "primary": Consistency.LATEST,
@@ -43,7 +44,7 @@
         message = orjson.loads(body)
         return _build_declaration(message, body.decode())
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
-        raise _declaration_error(f"The configuration cannot be read: {error!r}.") from error
+        raise _declaration_error(f"The configuration cannot be read: {_shorten(error)}.") from error
 
 
 def _build_declaration(message: dict[str, Any], document: str) -> Declaration:
@@ -53,7 +54,8 @@
     workspaces = [_decode_workspace(item) for item in message.get("tenants", [])]
     _check_routes(message["routes"], {item.name for item in groups})
     _check_keys_are_unique(workspaces)
-    idle_ms = message.get("limits", {}).get("txIdleMs", DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS)
+    limits = message.get("limits", {})
+    idle_ms = _require_number(limits.get("txIdleMs", DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS))
     return Declaration(version, routes, groups, workspaces, idle_ms / MS_PER_S, document)
 
 
@@ -67,19 +69,19 @@
 def _decode_route(item: dict[str, Any]) -> Route:
     consistency = CONSISTENCY_BY_ROUTE_TYPE.get(item.get("routeType", "primary"))
     if consistency is None:
-        raise _declaration_error(f"The route {item['name']} has an unknown kind.")
-    timeout_ms = item["timeoutMs"]
+        raise _declaration_error(f"The route {_shorten(item['name'])} has an unknown kind.")
+    timeout_ms = _require_number(item["timeoutMs"])
     if not timeout_ms > 0:
-        raise _declaration_error(f"The route {item['name']} has no time limit.")
+        raise _declaration_error(f"The route {_shorten(item['name'])} has no time limit.")
     max_age_ms = item.get("maxStalenessMs")
     return Route(
         _require_string(item["name"]),
         _require_string(item["host"]),
         _require_string(item["service"]),
         consistency,
-        None if max_age_ms is None else max_age_ms / MS_PER_S,
+        None if max_age_ms is None else _require_number(max_age_ms) / MS_PER_S,
         timeout_ms / MS_PER_S,
-        item.get("targetLatencyMs", timeout_ms) / MS_PER_S,
+        _require_number(item.get("targetLatencyMs", timeout_ms)) / MS_PER_S,
         _require_integer(item.get("priority", 0)),
         bool(item.get("authExempt", False)),
     )
@@ -87,9 +89,8 @@
 
 def _decode_workspace(item: dict[str, Any]) -> DeclaredWorkspace:
     hashes = [hash_key(_require_string(key)) for key in item["apiKeys"]]
-    return DeclaredWorkspace(
-        _require_string(item["name"]), float(item["ratePerS"]), float(item["burstSize"]), hashes
-    )
+    rate, burst = _require_number(item["ratePerS"]), _require_number(item["burstSize"])
+    return DeclaredWorkspace(_require_string(item["name"]), rate, burst, hashes)
 
 
 def _check_routes(routes: list[dict[str, Any]], groups: set[str]) -> None:
@@ -97,11 +98,12 @@
     for item in routes:
         if item["service"] not in groups:
             raise _declaration_error(
-                f"The route {item['name']} names an unknown group {item['service']}."
+                f"The route {_shorten(item['name'])} names an unknown group "
+                f"{_shorten(item['service'])}."
             )
         host_and_path = (item["host"], item.get("pathPrefix", "/"))
         if host_and_path in seen:
-            raise _declaration_error(f"Two routes are declared for {item['host']}.")
+            raise _declaration_error(f"Two routes are declared for {_shorten(item['host'])}.")
         seen.add(host_and_path)
 
 
@@ -110,21 +112,35 @@
     for workspace in workspaces:
         for key_hash in workspace.key_hashes:
             if owners.setdefault(key_hash, workspace.name) != workspace.name:
-                raise _declaration_error(f"{workspace.name} and another workspace share a key.")
+                name = _shorten(workspace.name)
+                raise _declaration_error(f"{name} and another workspace share a key.")
 
 
 def _require_integer(value: Any) -> int:
     if not is_integer(value):
-        raise ValueError(f"{value!r} is not a whole number")
+        raise ValueError(f"{_shorten(value)} is not a whole number")
     return value
 
 
+def _require_number(value: Any) -> float:
+    """Return a number of a JSON document, which is always finite."""
+    if not (is_integer(value) or isinstance(value, float)):
+        raise ValueError(f"{_shorten(value)} is not a number")
+    return float(value)
+
+
 def _require_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a name")
+        raise ValueError(f"{_shorten(value)} is not a name")
     return value
 
 
+def _shorten(value: Any) -> str:
+    """Return the start of a value's text; lists and objects may be nested too deeply to print."""
+    is_printable = isinstance(value, str | int | float | Exception)
+    return str(value)[:MAX_SHOWN_CHARS] if is_printable else f"a {type(value).__name__}"
+
+
 def _declaration_error(message: str) -> DeclarationError:
     return DeclarationError(ErrorCode.INVALID_DECLARATION, message)
 
