--- a/features/logs.feature
+++ b/features/logs.feature
@@ -16,3 +16,24 @@
     Given a log whose reader reads everything
     When an event about "request 7" caused by "rate_limited" is logged
     Then the line that arrives has the subject "request 7" and the cause "rate_limited"
+
+  Scenario Outline: A line that holds what JSON cannot carry is written all the same
+    Guards against an id of a caller that ends whichever loop logs it.
+    Given a log whose reader reads everything
+    When an event about <value> is logged
+    Then a line of valid UTF-8 arrives that shows <text>
+
+    Examples:
+      | value                       | text               |
+      | bytes that are not UTF-8    | \xff\xfeid          |
+      | a lone surrogate            | \ud800             |
+      | an integer beyond 64 bits   | 36893488147419103232 |
+      | an object without a text    | Unprintable        |
+      | lists nested 1000 deep      | list               |
+      | a key that is not UTF-8     | \xff               |
+
+  Scenario: A record whose message cannot be formatted is counted and does not raise
+    Guards against a log line that ends the code that logs it.
+    Given a log whose reader reads everything
+    When a record with too few arguments is logged
+    Then a line arrives that names its logger, and the failure is counted
--- a/features/steps/logs.py
+++ b/features/steps/logs.py
@@ -107,3 +107,54 @@
 def step_line(context, subject, cause):
     (line,) = _read(context)
     assert line["subject"] == subject and line["cause"] == cause, line
+
+
+class Unprintable:
+    def __str__(self):
+        raise ValueError("no text")
+
+
+def _nested_list(levels):
+    value = []
+    for _ in range(levels):
+        value = [value]
+    return value
+
+
+ODD_VALUES = {
+    "bytes that are not UTF-8": b"\xff\xfeid".decode("utf-8", "surrogateescape"),
+    "a lone surrogate": "\ud800",
+    "an integer beyond 64 bits": 2**65,
+    "an object without a text": Unprintable(),
+    "lists nested 1000 deep": _nested_list(1000),
+    "a key that is not UTF-8": {"\udcff": 1},
+}
+
+
+@when("an event about {value} is logged")
+def step_odd_line(context, value):
+    odd = ODD_VALUES[value]
+    record = _record(f"request {odd}" if isinstance(odd, str) else "request")
+    record.subject = odd if isinstance(odd, str) else "request"
+    record.details = {"value": odd}
+    context.handler.emit(record)
+
+
+@then("a line of valid UTF-8 arrives that shows {text}")
+def step_odd_line_arrives(context, text):
+    (line,) = _read(context)
+    assert text in json.dumps(line["details"], ensure_ascii=False).replace("\\\\", "\\"), line
+    assert line["logger"] == "test" and line["message"].startswith("request")
+
+
+@when("a record with too few arguments is logged")
+def step_bad_record(context):
+    record = logging.LogRecord("test", logging.INFO, "", 0, "%s of %s", (1,), None)
+    context.handler.emit(record)
+
+
+@then("a line arrives that names its logger, and the failure is counted")
+def step_bad_record_arrives(context):
+    (line,) = _read(context)
+    assert line["logger"] == "test", line
+    assert context.handler.failed == 1
