Go on after an error in one item of a loop

Cause: an exception of any handler left the board through whichever greenlet ran it. The loops of the timers, of polling, of messages to each VM, of the control log and of the settings file had no guard, so the first one ended them for the life of the process; changes that were pending stayed until another greenlet ran the board, and a timer that its handler hadn't set again was gone.

Change: `ChangeQueue` delivers to the other handlers and goes on; simulations and features still raise, the programs record the error. A timer whose handler failed before it set the next one is delivered again after a second: without end if it is a periodic one, ten times if it is of one item. `run_for_ever` guards each loop. A response to a poll that can't be read counts as none, and the next VM is polled. A control batch that fails to be written for another reason than the disk is tried again, as no later one may go before it. Errors are counted by place (`gentianspread_errors`) and logged as `error_handled`, one a second for each place, with the last frames of the stack.

--- /dev/null
+++ b/features/loops.feature
@@ -0,0 +1,67 @@
+Feature: Nothing from outside ends a loop
+  An error in one item is logged and counted, and the loop goes on with the next one.
+
+  Scenario: A handler that fails loses neither the pending changes nor the other handlers
+    Guards against an error in one request's handler that leaves other requests without an answer.
+    Given a queue of changes whose first handler fails
+    When 3 changes are posted and run
+    Then every other handler got all 3 changes, and 3 errors were reported
+
+  Scenario: Without a report, the error of a handler is raised
+    Guards against simulations that hide errors.
+    Given a queue of changes whose first handler fails and whose errors nobody takes
+    When 1 change is posted, running it raises
+
+  Scenario: A timer whose handler failed before it set the next one is delivered again
+    Guards against elections, heartbeats and checks that end for good after one error.
+    Given a periodic handler that fails before it sets its next timer, 2 times
+    When 10 s pass in steps of 0.1 s
+    Then the handler ran at least 30 times and 2 errors were reported
+
+  Scenario: A timer whose handler failed after it set the next one is not delivered twice
+    Guards against timers that multiply with each error.
+    Given a periodic handler that always fails after it set its next timer
+    When 10 s pass in steps of 0.1 s
+    Then the handler ran at most 101 times
+
+  Scenario: A timer of one item whose handler always fails is given up
+    Guards against timers that are delivered again for ever.
+    Given a timer of one item whose handler always fails
+    When 60 s pass in steps of 0.1 s
+    Then the handler ran at most 11 times
+
+  Scenario: The loop of the timers goes on after an error
+    Guards against a front that never serves again after one error.
+    Given a running loop of timers whose next timer fails
+    Then a timer that is set after the error is delivered
+
+  Scenario Outline: Polling goes on after a response that cannot be read
+    Guards against a VM that stops following the configuration after one odd response.
+    Given a VM that polls a control VM
+    When the control VM answers 3 polls with <response>, and then as it should
+    Then the VM has the configuration of the control VM
+    And the errors were counted under "<place>"
+
+    Examples:
+      | response                          | place                             |
+      | an empty object                   | polling                           |
+      | a list                            | polling                           |
+      | a number                          | polling                           |
+      | an entry without a command        | polling                           |
+      | an age that is a text             | polling                           |
+      | observations without a position   | polling                           |
+      | a list of serving VMs of numbers  | polling                           |
+
+  @sessions
+  Scenario: Sending messages goes on after one that cannot be encoded
+    Guards against a VM that sends no control messages after one error.
+    Given a sender of messages to another VM
+    When a message with an integer beyond 64 bits is sent, and then another
+    Then the other one arrives
+
+  Scenario: The control loop goes on after an error of the storage that is no failed write
+    Guards against a control VM that stays up but takes no part in the log.
+    Given a control loop whose storage raises 2 errors of its own
+    When a batch is to be written
+    Then the batch is written once, and its messages are sent after that
+    And the errors were counted under "control log"
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -8,6 +8,9 @@
 from enum import Enum, auto
 from typing import Any
 
+MAX_TIMER_RETRIES = 10  # of a timer for one item; timers without an entry are retried for ever
+TIMER_RETRY_DELAY_S = 1.0
+
 
 class Topic(Enum):
     """Kinds of changes, to which controllers subscribe."""
@@ -80,14 +83,25 @@
     INTENT_POSTED = auto()
 
 
+Handler = Callable[[Any], None]
+
+
 class Change:
-    """One change of a section's entry."""
+    """One change of a section's entry.
 
-    __slots__ = ("topic", "entry")
+    `handler` is the only one to deliver it to, or none for all that subscribed. `retries` is how
+    often it may be delivered again to a handler that failed.
+    """
+
+    __slots__ = ("topic", "entry", "handler", "retries")
 
-    def __init__(self, topic: Topic, entry: Any) -> None:
+    def __init__(
+        self, topic: Topic, entry: Any, handler: Handler | None = None, retries: int = 0
+    ) -> None:
         self.topic = topic
         self.entry = entry
+        self.handler = handler
+        self.retries = retries
 
 
 class Timer:
@@ -111,6 +125,10 @@
     `run_pending` runs until no change is pending. Handlers never block, so a run also processes the
     changes that they post, and a nested call returns at once. `on_timer` is called when a new timer
     is the earliest, `on_idle` after each run.
+
+    `on_error` is called with an error that a handler raised; unless it raises, as the default does,
+    the run goes on. A timer's change is then delivered again after a delay, as a periodic handler
+    may have failed before it set its next timer.
     """
 
     __slots__ = (
@@ -121,18 +139,20 @@
         "_timer_count",
         "on_timer",
         "on_idle",
+        "on_error",
     )
 
     def __init__(self) -> None:
         self._pending: deque[Change] = deque()
-        self._handlers: dict[Topic, list[Callable[[Any], None]]] = {topic: [] for topic in Topic}
+        self._handlers: dict[Topic, list[Handler]] = {topic: [] for topic in Topic}
         self._timers: list[Timer] = []
         self._is_running = False
         self._timer_count = 0
         self.on_timer: Callable[[], None] = _ignore
         self.on_idle: Callable[[], None] = _ignore
+        self.on_error: Callable[[Change, Exception], None] = _raise
 
-    def subscribe(self, topic: Topic, handler: Callable[[Any], None]) -> None:
+    def subscribe(self, topic: Topic, handler: Handler) -> None:
         """Call a handler for each change of the topic, after those already subscribed."""
         self._handlers[topic].append(handler)
 
@@ -142,8 +162,11 @@
 
     def post_at(self, due: float, topic: Topic, entry: Any = None) -> Timer:
         """Add a change that is delivered once the clock reaches the time."""
+        return self._add_timer(due, Change(topic, entry, retries=MAX_TIMER_RETRIES))
+
+    def _add_timer(self, due: float, change: Change) -> Timer:
         self._timer_count += 1
-        timer = Timer(due, self._timer_count, Change(topic, entry))
+        timer = Timer(due, self._timer_count, change)
         heapq.heappush(self._timers, timer)
         if self._timers[0] is timer:
             self.on_timer()
@@ -164,12 +187,34 @@
             self._take_due_timers(now)
             while self._pending:
                 change = self._pending.popleft()
-                for handler in self._handlers[change.topic]:
-                    handler(change.entry)
+                handlers = [change.handler] if change.handler else self._handlers[change.topic]
+                for handler in handlers:
+                    self._deliver(change, handler, now)
         finally:
             self._is_running = False
         self.on_idle()
 
+    def _deliver(self, change: Change, handler: Handler, now: float) -> None:
+        timer_count = self._timer_count
+        try:
+            handler(change.entry)
+        except Exception as error:
+            self.on_error(change, error)
+            if change.retries and not self._has_timer_since(timer_count, change):
+                is_periodic = change.entry is None
+                retries = change.retries if is_periodic else change.retries - 1
+                again = Change(change.topic, change.entry, handler, retries)
+                self._add_timer(now + TIMER_RETRY_DELAY_S, again)
+
+    def _has_timer_since(self, timer_count: int, change: Change) -> bool:
+        """Return whether a handler has set the next timer of its topic and entry itself."""
+        return any(
+            timer.sequence > timer_count
+            and timer.change.topic is change.topic
+            and timer.change.entry is change.entry
+            for timer in self._timers
+        )
+
     def _take_due_timers(self, now: float) -> None:
         while self._timers and self._timers[0].due <= now:
             timer = heapq.heappop(self._timers)
@@ -177,5 +222,10 @@
                 self._pending.append(timer.change)
 
 
+def _raise(_change: Change, error: Exception) -> None:
+    """Raise a handler's error; the default callback."""
+    raise error
+
+
 def _ignore() -> None:
     """Do nothing; the default callback."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import traceback
 from collections import deque
 from enum import Enum
 from typing import Any
 
 MAX_EVENTS = 20_000
+ERROR_LOG_INTERVAL_MS = 1000
+MAX_ERROR_CHARS = 300
+MAX_STACK_FRAMES = 4
 
 
 class EventKind(Enum):
@@ -39,6 +43,7 @@
     REDUNDANCY_RESTORED = "redundancy_whole"
     TRANSACTION_DROPPED = "transaction_dropped"
     INVARIANT_VIOLATED = "invariant_broken"
+    ERROR_HANDLED = "error_handled"
 
 
 class Event:
@@ -75,9 +80,21 @@
     """The latest events of this VM, and its hybrid logical clock.
 
     Source of the timestamps: Kulkarni and others, "Logical Physical Clocks", 2014.
+
+    `errors` counts, by place, the errors after which the work went on with the next item.
     """
 
-    __slots__ = ("member", "events", "wall_ms", "counter", "_wall_clock", "counts", "sink")
+    __slots__ = (
+        "member",
+        "events",
+        "wall_ms",
+        "counter",
+        "_wall_clock",
+        "counts",
+        "errors",
+        "_error_logged_ms",
+        "sink",
+    )
 
     def __init__(self, member: str, wall_clock: Any) -> None:
         self.member = member
@@ -86,6 +103,8 @@
         self.counter = 0
         self._wall_clock = wall_clock
         self.counts: dict[EventKind, int] = {}
+        self.errors: dict[str, int] = {}
+        self._error_logged_ms: dict[str, int] = {}
         self.sink: Any = None
 
     def record(self, kind: EventKind, subject: str, cause: str = "", **details: Any) -> None:
@@ -104,6 +123,19 @@
         if self.sink is not None:
             self.sink(Event(self.wall_ms, self.counter, self.member, kind, subject, cause, details))
 
+    def record_error(self, place: str, error: BaseException) -> None:
+        """Count an error after which the work goes on, and record one a second for each place."""
+        self.errors[place] = self.errors.get(place, 0) + 1
+        now_ms = self._wall_clock()
+        logged_ms = self._error_logged_ms.get(place)
+        if logged_ms is not None and abs(now_ms - logged_ms) < ERROR_LOG_INTERVAL_MS:
+            return
+        self._error_logged_ms[place] = now_ms
+        cause = f"{type(error).__name__}: {error}"[:MAX_ERROR_CHARS]
+        frames = traceback.extract_tb(error.__traceback__)[-MAX_STACK_FRAMES:]
+        stack = [f"{frame.filename}:{frame.lineno} {frame.name}" for frame in frames]
+        self.record(EventKind.ERROR_HANDLED, place, cause, count=self.errors[place], stack=stack)
+
     def observe(self, wall_ms: int, counter: int) -> None:
         """Advance the clock to the timestamp of a message from another VM, if that is later."""
         if (wall_ms, counter) > (self.wall_ms, self.counter):
--- a/packages/gentianspread-server/src/gentianspread_server/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/control.py
@@ -12,11 +12,13 @@
 from gentianspread_core.errors import ErrorCode, StorageError
 from gevent.event import Event
 
+from .guards import run_for_ever
 from .peers import PeerAddresses, PeerClient, PeerSender
 from .storage import ControlStorage, StoredState
 
 log = logging.getLogger(__name__)
 
+LOOP_NAME = "control log"
 WRITE_RETRY_INTERVAL_S = 0.3
 
 
@@ -74,7 +76,7 @@
 
     def start(self, stored: StoredState | None) -> None:
         """Start taking part in the control log with the recovered state."""
-        gevent.spawn(self._run)
+        gevent.spawn(run_for_ever, self.board, LOOP_NAME, self._run_next_batch)
         hard_state = stored.hard_state if stored else HardState(0, None)
         snapshot = stored.snapshot if stored else Snapshot(0, 0, {})
         entries = stored.entries if stored else []
@@ -86,13 +88,12 @@
         if not self.board.outbox.control.is_empty():
             self._has_output.set()
 
-    def _run(self) -> None:
-        while True:
-            self._has_output.wait()
-            self._has_output.clear()
-            batch = self.board.outbox.take_control_batch()
-            if not batch.is_empty():
-                self._process(batch)
+    def _run_next_batch(self) -> None:
+        self._has_output.wait()
+        self._has_output.clear()
+        batch = self.board.outbox.take_control_batch()
+        if not batch.is_empty():
+            self._process(batch)
 
     def _process(self, batch: ControlBatch) -> None:
         if batch.needs_sync():
@@ -104,7 +105,10 @@
             self.board.post(Topic.RECORDS_SYNCED, SyncedRecords(last.index, last.term))
 
     def _write_with_retries(self, batch: ControlBatch) -> None:
-        """Write a batch, and retry until it is synced to the disk."""
+        """Write a batch, and retry until it is synced to the disk.
+
+        No later batch may be written before it: the log on the disk would have a gap.
+        """
         if self.storage is None:
             raise StorageError(ErrorCode.STORAGE_FAILED, "This VM has no data folder.")
         while True:
@@ -113,6 +117,9 @@
             except StorageError as error:
                 self._report_failure(error)
                 gevent.sleep(WRITE_RETRY_INTERVAL_S)
+            except Exception as error:
+                self.board.timeline.record_error(LOOP_NAME, error)
+                gevent.sleep(WRITE_RETRY_INTERVAL_S)
             else:
                 self._report_success()
                 return
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -25,6 +25,7 @@
 from gentianspread_core.positions import Position
 
 from .connections import RequestNotSentError, ResponseLostError
+from .guards import run_for_ever
 from .news import News
 from .peers import PeerAddresses, PeerClient
 from .reports import MAX_REPORT_AGE_S, EntryVMCounter, MemberReport
@@ -33,6 +34,7 @@
 log = logging.getLogger(__name__)
 
 POLL_PATH = "/peer/poll"
+LOOP_NAME = "polling"
 LONG_POLL_WAIT_S = 0.3
 POLL_TIMEOUT_S = 0.4  # in addition to the wait
 POLL_BACKOFF_STEP_S = 0.05
@@ -61,6 +63,9 @@
         "_reported_leader",
         "_registering",
         "_entry_vm_counter",
+        "_failed_polls",
+        "_last_failure_at",
+        "_polled_leader",
         "serving_vms",
     )
 
@@ -80,6 +85,9 @@
         self._reported_leader: str | None = None
         self._registering: set[str] = set()
         self._entry_vm_counter = EntryVMCounter()
+        self._failed_polls = 0
+        self._last_failure_at = float("-inf")
+        self._polled_leader: str | None = None
         self.serving_vms = ServingVMRegistry(board)
 
     def start(self) -> None:
@@ -156,26 +164,34 @@
             gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
 
     def _run(self) -> None:
-        failed_polls = 0
-        last_failure_at = self.board.clock.now()
-        leader: str | None = None
-        while True:
-            if self.board.election.role is Role.LEADER:
-                gevent.sleep(LONG_POLL_WAIT_S)
-                continue
-            is_retry_due = (
-                failed_polls
-                and self.board.clock.now() - last_failure_at > PREFERRED_UPSTREAM_RETRY_S
-            )
-            if is_retry_due or leader != self.leader():
-                failed_polls, leader = 0, self.leader()
-            upstreams = self.upstreams()
-            name = upstreams[failed_polls % len(upstreams)] if upstreams else ""
-            if not name or not self._poll(name):
-                failed_polls += 1
-                last_failure_at = self.board.clock.now()
-                backoff = min(POLL_BACKOFF_STEP_S * failed_polls, MAX_POLL_BACKOFF_S)
-                self._news.wait_for_leader(backoff)
+        run_for_ever(self.board, LOOP_NAME, self._poll_next)
+
+    def _poll_next(self) -> None:
+        """Poll the next upstream, or wait while this VM is the leader."""
+        if self.board.election.role is Role.LEADER:
+            gevent.sleep(LONG_POLL_WAIT_S)
+            return
+        now = self.board.clock.now()
+        is_retry_due = self._failed_polls and now - self._last_failure_at > (
+            PREFERRED_UPSTREAM_RETRY_S
+        )
+        if is_retry_due or self._polled_leader != self.leader():
+            self._failed_polls, self._polled_leader = 0, self.leader()
+        upstreams = self.upstreams()
+        name = upstreams[self._failed_polls % len(upstreams)] if upstreams else ""
+        if not name or not self._poll_safely(name):
+            self._failed_polls += 1
+            self._last_failure_at = self.board.clock.now()
+            backoff = min(POLL_BACKOFF_STEP_S * self._failed_polls, MAX_POLL_BACKOFF_S)
+            self._news.wait_for_leader(backoff)
+
+    def _poll_safely(self, name: str) -> bool:
+        """Poll a VM; a response that cannot be read counts as none, so that another is polled."""
+        try:
+            return self._poll(name)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            self.board.timeline.record_error(LOOP_NAME, error)
+            return False
 
     def upstreams(self) -> list[str]:
         """Return the VMs to poll, in order of preference.
--- a/packages/gentianspread-server/src/gentianspread_server/metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/metrics.py
@@ -76,6 +76,7 @@
         yield self._read_counts()
         yield self._latency_summary()
         yield self._event_counts()
+        yield self._error_counts()
         yield self._peer_bytes()
         yield from self._gauges()
 
@@ -116,6 +117,14 @@
             family.add_metric([kind.value], count)
         return family
 
+    def _error_counts(self) -> Metric:
+        family = CounterMetricFamily(
+            "gentianspread_errors", "Errors after which the work went on.", labels=["place"]
+        )
+        for place, count in self.engine.board.timeline.errors.items():
+            family.add_metric([place], count)
+        return family
+
     def _peer_bytes(self) -> Metric:
         family = CounterMetricFamily(
             "gentianspread_peer_bytes",
--- a/packages/gentianspread-server/src/gentianspread_server/peers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peers.py
@@ -22,6 +22,7 @@
 
 from . import terse
 from .connections import Connection, RequestNotSentError, ResponseLostError, build_request_head
+from .guards import run_for_ever
 from .traffic import TrafficCounters
 
 log = logging.getLogger(__name__)
@@ -152,9 +153,9 @@
         message: object,
         timeout_s: float,
     ) -> Any:
-        """Send a message and return the decoded response; the timeout includes connecting."""
+        """Send a message and return the response, an object; the timeout includes connecting."""
         deadline = time.monotonic() + timeout_s
-        json_body = orjson.dumps(message)
+        json_body = _encode_message(message)
         connection = self._acquire(address, min(timeout_s, CONNECT_TIMEOUT_S))
         head, body = self._encode(connection, path, json_body)
         response = connection.exchange(head, body, max(0.0, deadline - time.monotonic()))
@@ -165,9 +166,12 @@
         connection.last_used = time.monotonic()
         self._idle_connections.setdefault(address, []).append(connection)
         try:
-            return orjson.loads(decompress_body(response))
+            decoded = orjson.loads(decompress_body(response))
         except (orjson.JSONDecodeError, zlib.error) as error:
             raise ResponseLostError("the answer is not JSON") from error
+        if not isinstance(decoded, dict):
+            raise ResponseLostError("the answer is not an object")
+        return decoded
 
     def _encode(
         self, connection: PeerConnection, path: str, json_body: bytes
@@ -196,6 +200,13 @@
         return connection
 
 
+def _encode_message(message: object) -> bytes:
+    try:
+        return orjson.dumps(message)
+    except TypeError as error:
+        raise RequestNotSentError(f"the message cannot be encoded: {error}") from error
+
+
 class PeerSender:
     """Sends queued control messages to one VM in order, and drops those that it fails to send."""
 
@@ -210,7 +221,7 @@
         self.board = board
         self._queue: deque[Message] = deque(maxlen=MAX_QUEUED_MESSAGES)
         self._queued = Event()
-        self._greenlet = gevent.spawn(self._run)
+        self._greenlet = gevent.spawn(run_for_ever, board, "messages", self._send_next)
 
     def send(self, message: Message) -> None:
         """Queue a message; a full queue drops its oldest one."""
@@ -221,14 +232,13 @@
         """Stop sending."""
         self._greenlet.kill(block=False)
 
-    def _run(self) -> None:
-        while True:
-            self._queued.wait()
-            self._queued.clear()
-            messages = list(self._queue)
-            self._queue.clear()
-            if messages:
-                self._send_all(messages)
+    def _send_next(self) -> None:
+        self._queued.wait()
+        self._queued.clear()
+        messages = list(self._queue)
+        self._queue.clear()
+        if messages:
+            self._send_all(messages)
 
     def _send_all(self, messages: list[Message]) -> None:
         address = self.addresses.resolve(self.name)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -14,6 +14,7 @@
 
 from ..clocks import BootTimeClock, wall_ms
 from ..distribution import Distribution
+from ..guards import record_handler_errors, run_for_ever
 from ..intents import IntentRunner
 from ..logs import log_event
 from ..peers import FleetSigner, PeerAddresses, PeerClient
@@ -42,6 +43,7 @@
         )
         self.board = self.engine.board
         self.board.timeline.sink = log_event
+        record_handler_errors(self.board)
         signer = FleetSigner(os.environ.get(FLEET_SECRET_VARIABLE, ""))
         client = PeerClient(signer)
         self.randomness = random.Random()
@@ -65,7 +67,7 @@
         self.board.changes.on_timer = self._timer_changed.set
         self.start()
         gevent.spawn(run_timer_loop, self.board, self._timer_changed)
-        gevent.spawn(self._watch_settings)
+        gevent.spawn(run_for_ever, self.board, "settings", self._check_settings)
         self.board.timeline.record(EventKind.STARTED, self.settings.name, "start of the process")
         self.stopped.wait()
 
@@ -93,13 +95,12 @@
         self.addresses.seeds = renewed.seeds
         log.info("settings reloaded", extra={"details": {"seeds": settings.seeds}})
 
-    def _watch_settings(self) -> None:
-        while True:
-            gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
-            modified = _modification_time(self.settings.path)
-            if modified != self._settings_modified_at:
-                self._settings_modified_at = modified
-                self.reload()
+    def _check_settings(self) -> None:
+        gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
+        modified = _modification_time(self.settings.path)
+        if modified != self._settings_modified_at:
+            self._settings_modified_at = modified
+            self.reload()
 
 
 def _build_metrics_server(settings: PlatformSettings, metrics: SessionMetrics) -> WebServer | None:
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -56,6 +56,14 @@
         )
         for kind, count in self.engine.board.timeline.counts.items():
             events.labels(kind.value).inc(count)
+        errors = Counter(
+            "gentianspread_errors",
+            "Errors after which the work went on.",
+            ["place"],
+            registry=registry,
+        )
+        for place, count in self.engine.board.timeline.errors.items():
+            errors.labels(place).inc(count)
         violations = Counter(
             "gentianspread_invariant_breaks", "Broken rules.", ["rule"], registry=registry
         )
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -25,6 +25,7 @@
 from .driver import EndpointDriver
 from .forwarding import FORWARD_PATH, Forwarder
 from .front import HttpFrontend, RequestRunner
+from .guards import record_handler_errors
 from .intents import IntentRunner
 from .logs import log_event
 from .metrics import Metrics
@@ -63,6 +64,7 @@
         self.engine = Engine.for_requests(settings.to_core(), clock, random.Random(), wall_ms)
         self.board = self.engine.board
         self.board.timeline.sink = log_event
+        record_handler_errors(self.board)
         signer = FleetSigner(settings.fleet_secret)
         client = PeerClient(signer)
         addresses = PeerAddresses(self.board, settings.seeds)
