--- a/features/loops.feature
+++ b/features/loops.feature
@@ -48,11 +48,31 @@
       | a list                            | polling                           |
       | a number                          | polling                           |
       | an entry without a command        | polling                           |
+      | a snapshot without endpoints      | handler of configuration_received |
       | an age that is a text             | polling                           |
       | observations without a position   | polling                           |
       | a list of serving VMs of numbers  | polling                           |
 
   @sessions
+  Scenario Outline: An entry that no build of ours wrote takes its place in the log and changes nothing
+    Guards against VMs that stop at an entry that they cannot read, at each restart again.
+    When the log's record of a command is <record>, and a valid one follows
+    Then both entries are applied, the first one is recorded as ignored
+    And the first one is passed on as it was
+
+    Examples:
+      | record                                                                       |
+      | {"kind":"later","fields":{},"change_id":"","expected_revision":null}         |
+      | {"kind":["nothing"],"fields":{},"change_id":"","expected_revision":null}     |
+      | {"kind":"nothing"}                                                           |
+      | {"kind":"nothing","fields":{},"change_id":[1],"expected_revision":null}      |
+      | {"kind":"declare","fields":[],"change_id":"","expected_revision":null}       |
+      | {"kind":"set_primary"}                                                       |
+      | {"kind":"unreadable","fields":{},"change_id":"","expected_revision":null}    |
+      | {"kind":"name_primary","fields":{"group":[1]},"change_id":"","expected_revision":null} |
+      | null                                                                         |
+      | 7                                                                            |
+
   Scenario: Sending messages goes on after one that cannot be encoded
     Guards against a VM that sends no control messages after one error.
     Given a sender of messages to another VM
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -7,7 +7,7 @@
 
 
 class CommandKind(Enum):
-    """What a command changes."""
+    """What a command changes; `UNREADABLE` stands for a record that no build of ours wrote."""
 
     NO_OP = "nothing"
     CREATE_WORKSPACE = "create_workspace"
@@ -29,6 +29,7 @@
     CHANGE_DECLARATION = "change_declaration"
     ENDPOINT_GONE = "endpoint_gone"
     DEPARTURES_COVERED = "departures_covered"
+    UNREADABLE = "unreadable"
 
 
 OPERATOR_KINDS = frozenset(
@@ -74,16 +75,24 @@
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> Command:
-        """Build from the JSON form that the log stores."""
-        return cls(
-            CommandKind(record["kind"]),
-            record["fields"],
-            record["change_id"],
-            record["expected_revision"],
-        )
+        """Build from the JSON form that the log stores.
+
+        A record that cannot be read is kept as it is, so that it takes its place in the log.
+        """
+        try:
+            kind = CommandKind(record["kind"])
+            fields, change_id = record["fields"], record["change_id"]
+            expected_revision = record["expected_revision"]
+        except (KeyError, TypeError, ValueError):
+            return cls(CommandKind.UNREADABLE, {"record": record})
+        if kind is CommandKind.UNREADABLE or not isinstance(change_id, str):
+            return cls(CommandKind.UNREADABLE, {"record": record})
+        return cls(kind, fields, change_id, expected_revision)
 
     def to_record(self) -> dict[str, Any]:
         """Return the JSON form that the log stores."""
+        if self.kind is CommandKind.UNREADABLE:
+            return self.fields["record"]
         return {
             "kind": self.kind.value,
             "fields": self.fields,
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -221,27 +221,35 @@
 
 
 def load_snapshot(configuration: Configuration, snapshot: dict[str, Any]) -> list[str]:
-    """Replace the whole state with a snapshot; return why endpoints in it were left out."""
-    faults: list[str] = []
-    configuration.revision = snapshot["revision"]
-    configuration.operator_revision = snapshot["operator_revision"]
-    configuration.preset = Preset(snapshot["preset"])
-    configuration.open_routes = dict(snapshot["open_routes"])
-    configuration.voters = list(snapshot["voters"])
-    configuration.learners = list(snapshot["learners"])
-    configuration.joined_voters = list(snapshot["joined_voters"])
-    declared = snapshot.get("declaration")
-    configuration.declaration = Declaration.from_record(declared) if declared else None
-    configuration.outcomes = {
-        name: ChangeOutcome.from_record(item) for name, item in snapshot["outcomes"].items()
-    }
+    """Replace the whole state with a snapshot; return why endpoints in it were left out.
+
+    A snapshot that cannot be read raises an error and leaves the configuration as it was.
+    """
+    endpoint_rows, faults = _split_registrations(snapshot["endpoints"])
+    tables = {}
     for table, kind in SNAPSHOT_TABLES.items():
-        usable = snapshot[table]
-        if kind is Registration:
-            usable, faults = _split_registrations(usable)
+        usable = endpoint_rows if kind is Registration else snapshot[table]
         rows = [kind(*values) for values in usable]
         key = "zone" if kind is Allocator else "key_hash" if kind is Key else "name"
-        setattr(configuration, table, {getattr(row, key): row for row in rows})
+        tables[table] = {getattr(row, key): row for row in rows}
+    outcomes = {
+        name: ChangeOutcome.from_record(item) for name, item in snapshot["outcomes"].items()
+    }
+    declared = snapshot.get("declaration")
+    fields = {
+        "revision": snapshot["revision"],
+        "operator_revision": snapshot["operator_revision"],
+        "preset": Preset(snapshot["preset"]),
+        "open_routes": dict(snapshot["open_routes"]),
+        "voters": list(snapshot["voters"]),
+        "learners": list(snapshot["learners"]),
+        "joined_voters": list(snapshot["joined_voters"]),
+        "declaration": Declaration.from_record(declared) if declared else None,
+        "outcomes": outcomes,
+        **tables,
+    }
+    for name, value in fields.items():
+        setattr(configuration, name, value)
     if configuration.declaration is not None and not configuration.workspaces:
         apply_declaration(configuration, configuration.declaration)
     return faults
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -72,6 +72,10 @@
     """Leave the configuration unchanged; a new leader appends this at the start of its term."""
 
 
+def _reject_unreadable(configuration: Configuration, command: Command) -> None:
+    raise ChangeRejected(ErrorCode.UNREADABLE_ENTRY, "The entry is of no known kind.")
+
+
 def _create_workspace(configuration: Configuration, command: Command) -> None:
     name = command.fields["name"]
     if name in configuration.workspaces:
@@ -289,6 +293,7 @@
 
 _HANDLERS: dict[CommandKind, Callable[[Configuration, Command], None]] = {
     CommandKind.NO_OP: _no_op,
+    CommandKind.UNREADABLE: _reject_unreadable,
     CommandKind.CREATE_WORKSPACE: _create_workspace,
     CommandKind.GIVE_KEY: _add_key,
     CommandKind.WITHDRAW_KEY: _revoke_key,
--- a/packages/gentianspread-server/src/gentianspread_server/proposals.py
+++ b/packages/gentianspread-server/src/gentianspread_server/proposals.py
@@ -6,7 +6,7 @@
 
 import gevent
 from gentianspread_core.blackboard import Board, Topic
-from gentianspread_core.blackboard.commands import ChangeOutcome, Command
+from gentianspread_core.blackboard.commands import ChangeOutcome, Command, CommandKind
 from gentianspread_core.blackboard.election import Role
 from gentianspread_core.blackboard.messages import Proposal
 from gentianspread_core.errors import ErrorCode, ExecutionResult, Refusal
@@ -68,7 +68,10 @@
 
     def answer(self, message: dict[str, Any]) -> dict[str, Any]:
         """Answer another VM's proposal."""
-        outcome = self.propose_locally(Command.from_record(message))
+        command = Command.from_record(message)
+        if command.kind is CommandKind.UNREADABLE:
+            raise Refusal(ErrorCode.BAD_REQUEST, "The command cannot be read.")
+        outcome = self.propose_locally(command)
         return {"outcome": outcome.to_record() if outcome else None}
 
     def _wait_for(self, result: AsyncResult) -> bool:
