Post the end of an exchange whatever the answer holds

Callers saw: nothing yet. A caller whose statement was relayed would have got no answer to it after an odd response of the home VM, and requests would have waited for tokens to their deadline.

Cause: the end of a relayed exchange, of a token request and of a command was posted only if its response could be read or failed in an expected way.

Change: what can't be read counts as a lost answer, which promises nothing; an unexpected error in the worker of an intent is recorded. Positions from VMs and endpoints must be two whole numbers.

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -85,3 +85,23 @@
     When a batch is to be written
     Then the batch is written once, and its messages are sent after that
     And the errors were counted under "control log"
+
+  Scenario Outline: A request to another VM that fails in an unexpected way ends as lost
+    Guards against a caller without an answer after an odd response of a home VM.
+    Given a statement that is relayed to a home VM
+    When the home VM answers with <response>
+    Then the end of the exchange is posted with a reply that is lost
+
+    Examples:
+      | response                         |
+      | an empty object                  |
+      | a list                           |
+      | a status that does not exist     |
+      | a text that Latin-1 cannot carry |
+      | flags of another count           |
+
+  Scenario: A token request that fails in an unexpected way is answered as not reached
+    Guards against requests that wait for tokens without end.
+    Given a VM that asks another one for tokens
+    When that VM answers with an empty object
+    Then the end of the token request is posted without tokens
--- a/packages/gentianspread-core/src/gentianspread_core/positions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/positions.py
@@ -14,7 +14,9 @@
 
     @classmethod
     def from_pair(cls, pair: list[int]) -> Position:
-        """Build from the wire format, [term, index]."""
+        """Build from the wire format, [term, index]; raises `ValueError` for anything else."""
+        if not isinstance(pair, list) or [type(item) for item in pair] != [int, int]:
+            raise ValueError("a position must be a list of two whole numbers")
         return cls(pair[0], pair[1])
 
     def to_pair(self) -> list[int]:
--- a/packages/gentianspread-server/src/gentianspread_server/driver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/driver.py
@@ -41,6 +41,7 @@
 COMMAND_PATH = "/order"
 IDLE_CHECK_TIMEOUT_S = 0.3
 WATCH_TIMEOUT_MARGIN_S = 0.3
+UNREADABLE = (KeyError, TypeError, ValueError)  # from decoding a response
 STATUS_BY_WIRE_NAME = {
     "ok": ExchangeStatus.OK,
     "refused": ExchangeStatus.REFUSED,
@@ -92,7 +93,7 @@
             probe.is_primary = status["is_primary"]
             probe.follows = status["follows"]
             probe.alive = True
-        except (RequestNotSentError, ResponseLostError, KeyError, TypeError):
+        except (RequestNotSentError, ResponseLostError, *UNREADABLE):
             probe.alive = False
         self.board.post(Topic.PROBE_ENDED, probe)
 
@@ -110,7 +111,7 @@
                 watch.reached = (
                     Position.from_pair(response["reached"]) if response["reached"] else None
                 )
-            except (RequestNotSentError, ResponseLostError, KeyError, TypeError):
+            except (RequestNotSentError, ResponseLostError, *UNREADABLE):
                 watch.reached = None
         self.board.post(Topic.REPLICA_WATCH_ENDED, watch)
 
@@ -125,7 +126,7 @@
             response: Any = post_json(command.address, COMMAND_PATH, message, command.timeout_s)
             command.accepted = response["accepted"]
             command.position = Position.from_pair(response["position"])
-        except (RequestNotSentError, ResponseLostError, KeyError, TypeError):
+        except (RequestNotSentError, ResponseLostError, *UNREADABLE):
             command.accepted = False
         self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
 
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -59,7 +59,13 @@
         elif isinstance(intent, ConnectionClose):
             self.driver.close(intent)
         else:
-            self._workers.spawn(self._handlers[type(intent)], intent)
+            self._workers.spawn(self._carry_out, intent)
+
+    def _carry_out(self, intent: object) -> None:
+        try:
+            self._handlers[type(intent)](intent)
+        except Exception as error:
+            self.board.timeline.record_error(type(intent).__name__, error)
 
     def _request_tokens(self, token_request: TokenRequest) -> None:
         address = token_request.address or self.addresses.resolve(token_request.member)
@@ -72,11 +78,15 @@
             }
             try:
                 response = self.client.request(address, TOKENS_PATH, message, TOKENS_TIMEOUT_S)
+                token_request.granted = int(response["granted"])
+                token_request.answered = bool(response["answered"])
+                token_request.next_token_delay = float(response["next_token_s"])
                 token_request.reached = True
-                token_request.granted = response["granted"]
-                token_request.answered = response["answered"]
-                token_request.next_token_delay = response["next_token_s"]
             except (RequestNotSentError, ResponseLostError) as error:
                 log.warning("token request to %s failed: %s", token_request.member, error)
                 token_request.answered = False
+            except (KeyError, TypeError, ValueError) as error:
+                self.board.timeline.record_error("token request", error)
+                token_request.reached = token_request.answered = False
+                token_request.granted = 0
         self.board.post(Topic.TOKENS_RECEIVED, token_request)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -94,6 +94,9 @@
             reply.message = "no answer in time"
         except (OSError, ProtocolError) as error:
             reply.message = str(error)
+        except Exception as error:
+            self.board.timeline.record_error("statement", error)
+            reply.message = "the exchange failed"
         finally:
             if not reply.is_reusable:
                 self.close(ConnectionClose(exchange.connection.number))
@@ -122,13 +125,15 @@
 
     def send_command(self, command: EndpointCommand) -> None:
         """Carry out a command of the promotion controller and post whether it was accepted."""
-        if command.kind is EndpointCommandKind.PROMOTE:
-            command.accepted = self.platform_client.promote(
-                command.group, command.endpoint, command.fencing_token, command.timeout_s
-            )
-        else:
-            self._send_over_new_connection(command)
-        self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
+        try:
+            if command.kind is EndpointCommandKind.PROMOTE:
+                command.accepted = self.platform_client.promote(
+                    command.group, command.endpoint, command.fencing_token, command.timeout_s
+                )
+            else:
+                self._send_over_new_connection(command)
+        finally:
+            self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
 
     def watch(self, watch: ReplicaWatch) -> None:
         """Post that no position was reached: these endpoints confirm commits themselves."""
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -26,6 +26,7 @@
 RELEASE_PATH = "/peer/release"
 PEER_CREDENTIAL = "peer"
 RELAY_TIMEOUT_MARGIN_S = 0.15  # the round trip between two busy VMs
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)  # from decoding a reply
 RELEASE_TIMEOUT_S = 0.5  # a home that misses the release ends the transaction once it is idle
 
 
@@ -65,8 +66,11 @@
                 str(error),
                 True,
             )
-        except ResponseLostError as error:
+        except (ResponseLostError, *UNREADABLE) as error:
+            reply.status, reply.code, reply.keeps_transaction = ExchangeStatus.LOST, "", False
             reply.was_sent, reply.message, reply.home_failed = True, str(error), True
+            if isinstance(error, UNREADABLE):
+                self.board.timeline.record_error("relayed reply", error)
         if reply.keeps_transaction:
             self._in_transaction[connection.number] = connection
         else:
