Answer a statement that the controllers lost

Callers saw: nothing yet. A caller whose statement met an error in a handler would have waited for ever.

Cause: the greenlet of a statement waits until a controller answers, and relies on the timer that a controller sets for it.

Change: one second after the route's limit, the statement is answered as one whose outcome is unknown, and its session ends on the board. An opening that no controller decides on is refused after 5 s.

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -105,3 +105,9 @@
     Given a VM that asks another one for tokens
     When that VM answers with an empty object
     Then the end of the token request is posted without tokens
+
+  Scenario: A statement whose handlers failed is answered at its time limit
+    Guards against a caller without an answer after an error in a handler.
+    Given a VM that serves a session whose statements no handler answers
+    When a statement is sent with a limit of 0.2 s
+    Then its outcome is unknown after at most 2 s
--- a/packages/gentianspread-server/src/gentianspread_server/sessions.py
+++ b/packages/gentianspread-server/src/gentianspread_server/sessions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, Protocol
 
 from gentianspread_core.blackboard import Board, Topic
@@ -12,10 +13,16 @@
     StatementAnswer,
     StatementCall,
 )
+from gentianspread_core.errors import ErrorCode, ExecutionResult, Refusal
 
 from .session_metrics import SessionMetrics
 from .waiting import Waiter
 
+log = logging.getLogger(__name__)
+
+MAX_OPENING_S = 5.0  # controllers decide within a VM's time to start
+LOST_ANSWER_MARGIN_S = 1.0
+
 
 class ExchangeRunner(Protocol):
     """Sends a request to its endpoint and posts the reply."""
@@ -47,8 +54,12 @@
         self._session_count += 1
         session = Session(self._session_count, database, key_hash, Waiter())
         self.board.post(Topic.SESSION_OPENED, session)
-        while not session.is_decided:
-            session.waiter.wait()
+        deadline = self.board.clock.now() + MAX_OPENING_S
+        while not session.is_decided and self.board.clock.now() < deadline:
+            session.waiter.wait(MAX_OPENING_S)
+        if not session.is_decided:
+            log.error("no controller decided on a session in %g s", MAX_OPENING_S)
+            session.refusal = Refusal(ErrorCode.OVERLOADED, "The session could not be opened.")
         return session
 
     def close(self, session: Session) -> None:
@@ -56,23 +67,45 @@
         self.board.post(Topic.SESSION_CLOSED, session)
 
     def run(self, session: Session, statement: SessionStatement) -> StatementAnswer:
-        """Serve one statement and return its answer."""
+        """Serve one statement and return its answer.
+
+        The controllers answer within the route's limit. A statement that they lost gets an unknown
+        outcome some time after that, so that its caller does not wait for ever.
+        """
         waiter = Waiter()
         call = StatementCall(session, statement, self.board.clock.now(), waiter)
+        give_up_at = call.arrived_at + self._statement_limit(session) + LOST_ANSWER_MARGIN_S
         self.running_count += 1
         try:
             self.board.post(Topic.STATEMENT_ARRIVED, call)
             while call.answer is None:
                 request: Any = waiter.take_assigned()
+                remaining_s = give_up_at - self.board.clock.now()
                 if request is not None:
                     self.driver.run(request)
+                elif remaining_s > 0:
+                    waiter.wait(remaining_s)
                 else:
-                    waiter.wait()
+                    self._give_up(call)
         finally:
             self.running_count -= 1
         self.metrics.count(call, self.board.clock.now())
         return call.answer
 
+    def _statement_limit(self, session: Session) -> float:
+        declaration = self.board.configuration.declaration
+        route = declaration.route_of(session.database) if declaration else None
+        return route.statement_limit if route else 0.0
+
+    def _give_up(self, call: StatementCall) -> None:
+        """Answer a statement that the controllers lost, and end its session on the board."""
+        log.error("no controller answered %s in time", call.statement.statement_id)
+        message = "No answer came in time, after an error of this VM."
+        refusal = Refusal(ErrorCode.DEADLINE_PASSED, message, ExecutionResult.UNKNOWN)
+        call.answer = StatementAnswer([], "", refusal, call.session.state)
+        call.session.call = None
+        self.board.post(Topic.SESSION_CLOSED, call.session)
+
     def _on_exchange_scheduled(self, request: SessionRequest) -> None:
         request.waiter.assign(request)
 
--- a/packages/gentianspread-server/src/gentianspread_server/waiting.py
+++ b/packages/gentianspread-server/src/gentianspread_server/waiting.py
@@ -31,8 +31,8 @@
         if self._event is not None:
             self._event.set()
 
-    def wait(self) -> None:
-        """Block the greenlet until it is woken."""
+    def wait(self, timeout_s: float | None = None) -> None:
+        """Block the greenlet until it is woken, at most for the timeout."""
         self._event = Event()
-        self._event.wait()
+        self._event.wait(timeout_s)
         self._event = None
