Answer a request whose handler failed

Callers saw: connections that ended without a response, after a body that an HTTP route didn't expect.

Cause: the web server caught errors of the socket alone.

Change: any other error is logged and answered with status 500, and the connection stays open, so that an endpoint or operator goes on to another VM.

Evidence: the new scenario failed before and passes now.

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -111,3 +111,9 @@
     Given a VM that serves a session whose statements no handler answers
     When a statement is sent with a limit of 0.2 s
     Then its outcome is unknown after at most 2 s
+
+  Scenario: A route of the web server that fails is answered with an error
+    Guards against connections that end without a response.
+    Given a web server whose application fails
+    When a request is sent to it
+    Then the response has status 500, and the next request on the connection is answered
--- a/packages/gentianspread-server/src/gentianspread_server/webserver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/webserver.py
@@ -28,6 +28,7 @@
 READ_TIMEOUT_S = 10.0  # for each read from the socket while a request is incomplete
 IDLE_TIMEOUT_S = 60.0  # for a connection between requests; other VMs stop using theirs sooner
 BAD_REQUEST_RESPONSE = b"HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+INTERNAL_ERROR_HEAD = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n"
 CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # WSGI names the variables of all other headers with the prefix HTTP_.
 ENVIRON_PREFIX_BY_HEADER = {"CONTENT_LENGTH": "", "CONTENT_TYPE": ""}
@@ -158,7 +159,13 @@
             head.append(f"HTTP/1.1 {status}\r\n")
             head.extend(f"{name}: {value}\r\n" for name, value in headers)
 
-        body = b"".join(self.application(environ, start_response))
+        try:
+            body = b"".join(self.application(environ, start_response))
+        except Exception:
+            # Whatever a request holds, its sender gets a response and goes on to another VM.
+            log.exception("serving a request failed")
+            head = [INTERNAL_ERROR_HEAD]
+            body = b""
         if not environ["keeps_open"]:
             head.append("Connection: close\r\n")
         return "".join(head).encode("latin-1") + b"\r\n" + body
