Refuse a statement whose id isn't UTF-8

Cause: such an id was taken as text with surrogates. It is used by the logs, and by every message between VMs that names a statement; their encoders raise.

Change: a message's fields are text, so the statement is answered with MALFORMED and nothing of it runs. The text of a statement may still hold other bytes: it goes to the endpoint unchanged, and relays escape it.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -146,3 +146,17 @@
       | {"service":"s","address":"1.2.3.4:5","zone":"z","state":"sleeping","slots":1,"dbRole":"replica","sequence":1} |
       | {"service":"s","address":"1.2.3.4","zone":"z","state":"ready","slots":1,"dbRole":"replica","sequence":1}      |
       | {"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":"3","dbRole":"replica","sequence":1}  |
+
+  Scenario Outline: A statement whose id is not UTF-8 is refused, one whose data is not is forwarded
+    Guards against an id that later ends what logs or relays it.
+    When the bytes "<line>" of a statement are decoded
+    Then its verb is "<verb>" and its bytes are unchanged
+
+    Examples:
+      | line                     | verb      |
+      | \xff\xfe1 READ a         | malformed |
+      | \xed\xa0\x80 READ a      | malformed |
+      | a\xc3 COMMIT             | malformed |
+      | \xc3\xa9 READ a          | read      |
+      | id-1 WRITE a \xff\xfe    | write     |
+      | id-1 READ a              | read      |
--- a/features/steps/platform_wire.py
+++ b/features/steps/platform_wire.py
@@ -234,3 +234,17 @@
 @then("it describes no endpoint")
 def step_no_endpoint(context):
     assert context.announcement is None
+
+
+@when('the bytes "{line}" of a statement are decoded')
+def step_statement_bytes(context, line):
+    context.line = line.encode().decode("unicode_escape").encode("latin-1")
+    statement_id, _, text = wire._decode_line(context.line).partition(" ")
+    context.statement = wire.decode_statement(statement_id, text)
+
+
+@then('its verb is "{verb}" and its bytes are unchanged')
+def step_verb(context, verb):
+    assert context.statement.verb.value == verb, context.statement.verb
+    step = Step(StepKind.STATEMENT, context.statement.statement_id, context.statement.text)
+    assert wire.encode_step(step) == b"QUERY " + context.line + b"\r\n"
--- a/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
@@ -139,7 +139,19 @@
 
 
 def _is_caller_id(statement_id: str) -> bool:
-    return bool(statement_id) and statement_id != ABSENT
+    """Return whether an id is one of a caller: text, as logs and other VMs receive it too."""
+    if not statement_id or statement_id == ABSENT:
+        return False
+    return statement_id.isascii() or is_utf8(statement_id)
+
+
+def is_utf8(text: str) -> bool:
+    """Return whether a decoded text came from bytes that were UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
 
 
 def _decode_read(statement_id: str, text: str, rest: str) -> SessionStatement | None:
