Refuse a configuration document whose lists are texts or objects

Callers saw: nothing yet. A document with `"tenants":""` was acknowledged and took every key away; one with `"apiKeys":"abc"` declared the keys a, b and c.

Cause: the decoder iterated over whatever stood in place of a list.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -116,6 +116,9 @@
       | document | version        | 1.0                        |
       | document | limits         | {"txIdleMs": true}         |
       | document | limits         | null                       |
+      | document | tenants        | ""                         |
+      | document | tenants        | {}                         |
+      | tenant   | apiKeys        | "key-one"                  |
       | document | version        | 800 nested lists           |
       | document | routes         | 800 nested lists           |
       | route    | name           | 800 nested lists           |
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -49,9 +49,9 @@
 
 def _build_declaration(message: dict[str, Any], document: str) -> Declaration:
     version = _require_integer(message["version"])
-    groups = [_decode_group(item) for item in message["services"]]
-    routes = [_decode_route(item) for item in message["routes"]]
-    workspaces = [_decode_workspace(item) for item in message.get("tenants", [])]
+    groups = [_decode_group(item) for item in _require_list(message["services"])]
+    routes = [_decode_route(item) for item in _require_list(message["routes"])]
+    workspaces = [_decode_workspace(item) for item in _require_list(message.get("tenants", []))]
     _check_routes(message["routes"], {item.name for item in groups})
     _check_keys_are_unique(workspaces)
     limits = message.get("limits", {})
@@ -88,7 +88,7 @@
 
 
 def _decode_workspace(item: dict[str, Any]) -> DeclaredWorkspace:
-    hashes = [hash_key(_require_string(key)) for key in item["apiKeys"]]
+    hashes = [hash_key(_require_string(key)) for key in _require_list(item["apiKeys"])]
     rate, burst = _require_number(item["ratePerS"]), _require_number(item["burstSize"])
     return DeclaredWorkspace(_require_string(item["name"]), rate, burst, hashes)
 
@@ -129,6 +129,12 @@
     return float(value)
 
 
+def _require_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError(f"{_shorten(value)} is not a list")
+    return value
+
+
 def _require_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(f"{_shorten(value)} is not a name")
