Show on running processes that odd input ends none of them

Three control VMs, three entry VMs and a group of endpoints get odd heartbeats, deregistrations and documents, ids and texts that aren't UTF-8, and odd bytes and requests on every port, for 3 s each. Then every process must run without a traceback in its log, callers must be served at every entry VM, and a new version of the configuration must take effect.

The simulated endpoint now returns data that isn't UTF-8 as it got it; it ended the connection.

--- a/features/environment.py
+++ b/features/environment.py
@@ -5,7 +5,13 @@
 import json
 
 from behave import register_type, use_fixture
-from fixtures import fleet_simulation, home_simulation, session_simulation, temporary_folder
+from fixtures import (
+    fleet_simulation,
+    home_simulation,
+    platform_fleet,
+    session_simulation,
+    temporary_folder,
+)
 from parse import with_pattern
 
 
@@ -33,3 +39,5 @@
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
         use_fixture(temporary_folder, context)
+    if "fleet" in scenario.effective_tags:
+        use_fixture(platform_fleet, context)
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -9,6 +9,7 @@
 from gentianspread_lab.fakes import Simulation
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
+from gentianspread_lab.platform.fleet import PlatformFleet
 
 SETTLING_S = 5.0
 
@@ -25,6 +26,17 @@
     yield context.simulation
 
 
+@fixture
+def platform_fleet(context):
+    """Three control VMs and three entry VMs as processes, and one group of three endpoints."""
+    context.fleet = PlatformFleet()
+    try:
+        context.fleet.start()
+        yield context.fleet
+    finally:
+        context.fleet.stop(keep_logs=True)
+
+
 @fixture
 def temporary_folder(context):
     """A folder that is removed after the scenario."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -118,7 +118,9 @@
                 session.state = "E"
             return f"ERROR {result.error} at {self.name}\r\n".encode() + self._encode_ready(session)
         rows = "".join(f"ROW {row}\r\n" for row in result.rows)
-        return f"{rows}COMPLETE {result.signature}\r\n".encode() + self._encode_ready(session)
+        return f"{rows}COMPLETE {result.signature}\r\n".encode(
+            "utf-8", "surrogateescape"
+        ) + self._encode_ready(session)
 
     def _execute(self, session: EndpointSession, statement_id: str, text: str) -> StatementResult:
         if text.startswith("WAITPOS "):
