Take no control message whose numbers can't be counted on

Callers saw: nothing yet. A signed message with a term near 2^64 would have been adopted as the term, which the next election can't write to any disk; one with a term of another type raised in the handlers of the election.

Cause: the numbers of a message were taken as they came, and one odd message lost those behind it.

Change: terms and indexes must be whole numbers from 0 to 2^53-1; a message that can't be read is counted and logged, and the others are taken.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
@@ -7,6 +7,9 @@
 
 from .commands import ChangeOutcome, Command
 from .log import LogEntry
+from .registrations import MAX_INTEGER, is_integer
+
+INTEGER_FIELDS = ("term", "index", "log_term", "commit")
 
 
 class MessageKind(Enum):
@@ -75,7 +78,10 @@
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> Message:
-        """Build from the JSON form."""
+        """Build from the JSON form; raises an error if a number is none that can be counted on."""
+        for field in INTEGER_FIELDS:
+            if not is_integer(record[field]) or not 0 <= record[field] <= MAX_INTEGER:
+                raise ValueError(f"{field} is not a number from 0 to {MAX_INTEGER}")
         return cls(
             MessageKind(record["kind"]),
             record["sender"],
--- a/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -39,11 +39,16 @@
         self.proposer = proposer
 
     def receive_messages(self, body: bytes) -> bytes:
-        """Post the control messages that another VM sent."""
+        """Post the control messages that another VM sent, except those that cannot be read."""
         message = decode_json_object(body)
         self.board.timeline.observe(*message["stamp"])
         for record in message["messages"]:
-            self.board.post(Topic.MESSAGE_RECEIVED, Message.from_record(record))
+            try:
+                received = Message.from_record(record)
+            except (KeyError, TypeError, ValueError, AttributeError) as error:
+                self.board.timeline.record_error("control message", error)
+                continue
+            self.board.post(Topic.MESSAGE_RECEIVED, received)
         return b"{}"
 
     def answer_poll(self, body: bytes) -> bytes:
