Fuzz the decoders of everything that arrives from outside

Hypothesis makes odd and damaged messages of callers, endpoints, operators, other VMs, the platform and the settings file, and gives them to the real decoders.

--- a/features/steps/wire_fuzz.py
+++ b/features/steps/wire_fuzz.py
@@ -9,10 +9,16 @@
 from gentianspread_core.blackboard.messages import Message, MessageKind
 from gentianspread_core.blackboard.timeline import Timeline
 from gentianspread_core.settings import CoreSettings
+from gentianspread_lab.platform.wirefuzz import run_target
 from gentianspread_server.clocks import BootTimeClock, wall_ms
 from gentianspread_server.peerroutes import PeerRoutes
 
 
+@when("{count:d} odd messages in place of {target} are decoded with seed {seed:d}")
+def step_fuzz(context, count, target, seed):
+    run_target(target, seed, count)
+
+
 @when("another VM sends control messages with the terms {first} and {last}")
 def step_odd_terms(context, first, last):
     context.board = Board(CoreSettings("c2", "z1", "c2"), BootTimeClock(), Timeline("c2", wall_ms))
