Take a response of another VM that can't be read as none

Callers saw: nothing yet. A control VM whose disk came back empty would never have taken part in the log after one odd response, an endpoint or operator would have got no response to what it announced, and a home VM would have kept a relayed statement for ever, and so never stopped as planned.

Cause: fields of responses were read where nothing caught a missing one, and the server of relayed statements waited without an end.

Change: a poll's response must have its fields, a proposal's response that can't be read leaves the outcome unknown, and a relayed statement that no controller answers is refused one second after its limit.

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -100,6 +100,36 @@
       | a text that Latin-1 cannot carry |
       | flags of another count           |
 
+  Scenario: A relayed statement that no handler answers is refused after its limit
+    Guards against a home VM that keeps relayed statements for ever and never stops as planned.
+    Given a home VM whose handlers fail
+    When a statement with a limit of 0.2 s is relayed to it
+    Then it is refused after at most 2 s, and the home VM is not busy
+
+  Scenario Outline: A VM with an empty disk asks again after a response that cannot be read
+    Guards against a VM that never takes part in the log after one odd response.
+    Given a VM that polls a control VM
+    When it asks whether it may vote, and <response> comes before the true response
+    Then it may vote
+
+    Examples:
+      | response        |
+      | an empty object |
+      | a list          |
+      | a number        |
+
+  Scenario Outline: A proposal that gets a response that cannot be read has an unknown outcome
+    Guards against endpoints and operators without a response.
+    Given a VM that knows another one as the control leader
+    When it proposes a change and the leader answers with <response>
+    Then the outcome of the change is unknown
+
+    Examples:
+      | response        |
+      | an empty object |
+      | a list          |
+      | a number        |
+
   Scenario: A token request that fails in an unexpected way is answered as not reached
     Guards against requests that wait for tokens without end.
     Given a VM that asks another one for tokens
--- a/features/steps/loops.py
+++ b/features/steps/loops.py
@@ -31,8 +31,9 @@
 )
 from gentianspread_core.blackboard.timeline import EventKind, Timeline
 from gentianspread_core.engine import Engine
-from gentianspread_core.errors import ExecutionResult
+from gentianspread_core.errors import ExecutionResult, Refusal
 from gentianspread_core.settings import CoreSettings
+from gentianspread_lab.platform.wiresamples import RELAYED_STATEMENT
 from gentianspread_server.clocks import BootTimeClock, wall_ms
 from gentianspread_server.connections import Connection, build_request_head
 from gentianspread_server.control import ControlLoop
@@ -40,7 +41,8 @@
 from gentianspread_server.guards import record_handler_errors
 from gentianspread_server.intents import IntentRunner
 from gentianspread_server.peers import PeerAddresses, PeerSender
-from gentianspread_server.relays import RelayingRunner
+from gentianspread_server.proposals import Proposer
+from gentianspread_server.relays import RelayingRunner, RelayServer, escape
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.sessions import SessionRunner
 from gentianspread_server.timers import run_timer_loop
@@ -526,3 +528,79 @@
 @then("the response has status {status:d}, and the next request on the connection is answered")
 def step_status(context, status):
     assert [response.status for response in context.responses] == [status, status]
+
+
+@given("a home VM whose handlers fail")
+def step_deaf_home(context):
+    settings = CoreSettings("e2", "z1", "")
+    engine = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
+    engine.board.changes._handlers[Topic.RELAY_RECEIVED] = [_fail]
+    record_handler_errors(engine.board)
+    context.relay_server = RelayServer(engine.board, None)
+
+
+@when("a statement with a limit of {seconds:g} s is relayed to it")
+def step_relay_to_deaf(context, seconds):
+    record = {**RELAYED_STATEMENT, "limit_s": seconds}
+    started_at = time.monotonic()
+    running = gevent.spawn(_refusal_of, context.relay_server, orjson.dumps(escape(record)))
+    running.join(GUARD_S)
+    context.refusal = running.value
+    context.took_s = time.monotonic() - started_at
+
+
+def _refusal_of(server, body):
+    try:
+        server.run_statement(body)
+    except Refusal as refusal:
+        return refusal
+    return None
+
+
+@then("it is refused after at most {seconds:g} s, and the home VM is not busy")
+def step_relay_refused(context, seconds):
+    assert context.refusal is not None and context.took_s <= seconds, context.took_s
+    assert not context.relay_server.is_busy()
+
+
+SHORT_RESPONSES = {"an empty object": {}, "a list": [1], "a number": 7}
+
+
+@when("it asks whether it may vote, and {response} comes before the true response")
+def step_may_vote(context, response):
+    context.control_vm.odd_responses = [SHORT_RESPONSES[response]]
+    running = gevent.spawn(context.distribution.may_vote_with_empty_disk)
+    running.join(GUARD_S)
+    context.may_vote = running.value
+
+
+@then("it may vote")
+def step_votes(context):
+    assert context.may_vote is True
+
+
+@given("a VM that knows another one as the control leader")
+def step_proposer(context):
+    settings = CoreSettings("c2", "z1", "c2")
+    engine = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
+    context.engine = engine
+    context.addresses = PeerAddresses(engine.board, {"c1": "c1"})
+
+
+@when("it proposes a change and the leader answers with {response}")
+def step_propose(context, response):
+    client = FixedClient(SHORT_RESPONSES[response])
+    distribution = Distribution(
+        context.engine.board, context.engine.configuration, context.addresses, client
+    )
+    distribution._reported_leader = "c1"
+    proposer = Proposer(context.engine.board, distribution, context.addresses, client)
+    try:
+        proposer.propose(Command(CommandKind.NO_OP, {}), 0.2)
+    except Refusal as refusal:
+        context.refusal = refusal
+
+
+@then("the outcome of the change is unknown")
+def step_unknown_outcome(context):
+    assert context.refusal.result is ExecutionResult.UNKNOWN
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -28,7 +28,7 @@
 from .guards import run_for_ever
 from .news import News
 from .peers import PeerAddresses, PeerClient
-from .reports import MAX_REPORT_AGE_S, EntryVMCounter, MemberReport
+from .reports import MAX_REPORT_AGE_S, POLL_RESPONSE_FIELDS, EntryVMCounter, MemberReport
 from .serving import ServingVMRegistry
 
 log = logging.getLogger(__name__)
@@ -275,6 +275,10 @@
             response = self.client.request(address, POLL_PATH, message, timeout_s + wait_s)
         except (RequestNotSentError, ResponseLostError):
             return None
+        if not isinstance(response, dict) or not response.keys() >= POLL_RESPONSE_FIELDS:
+            error = ValueError(f"the response of {name} lacks fields")
+            self.board.timeline.record_error(LOOP_NAME, error)
+            return None
         if serving_list is not None:
             self.serving_vms.mark_sent(
                 name, serving_list["version"] if response["serving_taken"] else ""
--- a/packages/gentianspread-server/src/gentianspread_server/proposals.py
+++ b/packages/gentianspread-server/src/gentianspread_server/proposals.py
@@ -89,7 +89,10 @@
             response = self.client.request(
                 address, PROPOSE_PATH, command.to_record(), ATTEMPT_TIMEOUT_S + 0.5
             )
+            record = response["outcome"]
+            return ChangeOutcome.from_record(record) if record else None
         except (RequestNotSentError, ResponseLostError):
             return None
-        record = response["outcome"]
-        return ChangeOutcome.from_record(record) if record else None
+        except (KeyError, TypeError) as error:
+            self.board.timeline.record_error("proposal", error)
+            return None
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -12,6 +12,7 @@
 from gentianspread_core.blackboard.relays import RelayedStatement, load_reply, reply_to_record
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.errors import ErrorCode, Refusal
 
 from .connections import RequestNotSentError, ResponseLostError
 from .front import HttpFrontend
@@ -27,6 +28,7 @@
 PEER_CREDENTIAL = "peer"
 RELAY_TIMEOUT_MARGIN_S = 0.15  # the round trip between two busy VMs
 UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)  # from decoding a reply
+LOST_REPLY_MARGIN_S = 1.0  # after the statement's own limit, when the sender has given up
 RELEASE_TIMEOUT_S = 0.5  # a home that misses the release ends the transaction once it is idle
 
 
@@ -133,15 +135,19 @@
         relayed = RelayedStatement.from_record(unescape(decode_json_object(body)))
         waiter = Waiter()
         relayed.waiter = waiter
+        give_up_at = self.board.clock.now() + relayed.timeout_s + LOST_REPLY_MARGIN_S
         self.running_count += 1
         try:
             self.board.post(Topic.RELAY_RECEIVED, relayed)
             while relayed.reply is None:
                 request: Any = waiter.take_assigned()
+                remaining_s = give_up_at - self.board.clock.now()
                 if request is not None:
                     self.runner.run(request)
+                elif remaining_s > 0:
+                    waiter.wait(remaining_s)
                 else:
-                    waiter.wait()
+                    raise Refusal(ErrorCode.OUTCOME_UNKNOWN, "No controller answered in time.")
         finally:
             self.running_count -= 1
         return encode_json(escape(reply_to_record(relayed.reply)))
--- a/packages/gentianspread-server/src/gentianspread_server/reports.py
+++ b/packages/gentianspread-server/src/gentianspread_server/reports.py
@@ -5,6 +5,22 @@
 from typing import Any
 
 MAX_REPORT_AGE_S = 2.0
+POLL_RESPONSE_FIELDS = frozenset(
+    {
+        "revision",
+        "entries",
+        "snapshot",
+        "age_s",
+        "waited_s",
+        "leader",
+        "joined",
+        "stamp",
+        "entry_vms",
+        "serving_taken",
+        "homes",
+        "observations",
+    }
+)
 COUNT_DECREASE_DELAY_S = 5.0  # a killed VM is back and a new leader has counted all VMs by then
 
 
