--- a/features/environment.py
+++ b/features/environment.py
@@ -6,6 +6,7 @@
 
 from behave import register_type, use_fixture
 from fixtures import (
+    caller_server,
     fleet_simulation,
     home_simulation,
     platform_fleet,
@@ -41,3 +42,5 @@
         use_fixture(temporary_folder, context)
     if "fleet" in scenario.effective_tags:
         use_fixture(platform_fleet, context)
+    if "caller_server" in scenario.effective_tags:
+        use_fixture(caller_server, context)
