Ignore endpoints of a group that isn't declared

A heartbeat of a service that no configuration names removed the endpoint in use that has its address, when its start was later.

Cause: any service was registered, and a registration removes older ones at its address.

Change: once a configuration is declared, an endpoint of another group isn't proposed, and the state machine rejects it before it looks at addresses.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -133,6 +133,19 @@
     When an older build has put an endpoint into the log with slots as -1 at the address of "b1"
     Then "b1" is still registered
 
+  @sessions
+  Scenario: An endpoint of a group that is not declared removes no endpoint at its address
+    Guards against an endpoint in use that a heartbeat of an unnamed service removes.
+    When an older build has put an endpoint into the log with group as "nobody" at the address of "b1"
+    Then "b1" is still registered
+    And the endpoint "odd" is not registered
+
+  @sessions
+  Scenario: The announcement of an endpoint of a group that is not declared is not proposed
+    Guards against a control log that grows with each heartbeat of an unnamed service.
+    When an endpoint of the group "nobody" announces itself
+    Then its announcement is not acknowledged, and nothing is proposed
+
   Scenario Outline: A log position that an encoder cannot take is not accepted from an endpoint
     Guards against control VMs that answer no poll because of one endpoint's position.
     When an endpoint reports the position "<position>"
--- a/features/steps/odd_entries.py
+++ b/features/steps/odd_entries.py
@@ -30,6 +30,7 @@
 from gentianspread_core.blackboard.timeline import Timeline
 from gentianspread_core.settings import CoreSettings
 from gentianspread_lab.fakes import FakeClock
+from gentianspread_server.announcements import Announcements
 from gentianspread_server.platform import wire
 from gentianspread_server.platform.documents import decode_announcement, decode_deregistration
 from gentianspread_server.platform.endpoints import LineProtocolDriver
@@ -222,6 +223,33 @@
     assert name in context.session_simulation.board.configuration.endpoints
 
 
+@then('the endpoint "{name:w}" is not registered')
+def step_not_there(context, name):
+    assert name not in context.session_simulation.board.configuration.endpoints
+
+
+class RecordingProposer:
+    """Records the commands that are proposed."""
+
+    def __init__(self):
+        self.commands = []
+
+    def propose(self, command, timeout_s):
+        self.commands.append(command)
+
+
+@when('an endpoint of the group "{group:w}" announces itself')
+def step_announces_itself(context, group):
+    context.proposer = RecordingProposer()
+    announcements = Announcements(context.session_simulation.board, context.proposer)
+    context.acknowledged = announcements.register({**LOGGED_ENDPOINT, "group": group})
+
+
+@then("its announcement is not acknowledged, and nothing is proposed")
+def step_not_proposed(context):
+    assert not context.acknowledged and not context.proposer.commands
+
+
 class ClosedSocket:
     """A socket whose peer has sent some bytes and closed."""
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -154,6 +154,11 @@
         self.confirmed_at = float("-inf")
         self.declaration: Declaration | None = None
 
+    def may_have_group(self, name: str) -> bool:
+        """Return whether endpoints of a group are accepted: a declaration must name the group."""
+        declaration = self.declaration
+        return declaration is None or any(item.name == name for item in declaration.groups)
+
     def store_outcome(self, change_id: str, outcome: ChangeOutcome) -> None:
         """Store the outcome of a change for resends; drop the oldest beyond the limit."""
         if not change_id:
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -139,6 +139,8 @@
     if fault:
         raise ChangeRejected(ErrorCode.UNREADABLE_ENTRY, f"The registration is invalid: {fault}.")
     registration = Registration(**command.fields)
+    if not configuration.may_have_group(registration.group):
+        raise ChangeRejected(ErrorCode.INVALID_CHANGE, "The group is not declared.")
     current = configuration.endpoints.get(registration.name)
     if current is not None and current.incarnation and not registration.is_newer_than(current):
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer announcement is known.")
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -84,7 +84,11 @@
         """Propose an endpoint's registration; return whether it is certainly in the log.
 
         A registration that changes nothing, or is older than the one in the log, counts as in it.
+        One of a group that is not declared is not proposed.
         """
+        if not self.board.configuration.may_have_group(fields["group"]):
+            log.warning("announcement of %s ignored: its group is not declared", fields["name"])
+            return False
         registered = self.board.configuration.endpoints.get(fields["name"])
         registration = Registration(**fields)
         if registered is not None and not registration.is_newer_than(registered):
