Give a prepared statement a name of one word whatever its shape holds

Callers saw: nothing yet; the review read it in the source. A statement that was prepared with a shape of several words would run as another one, or get NOSTMT.

Cause: its name at endpoints was the shape itself, so the first blank of the shape ended the name.

Change: a shape that isn't one short word is hashed into the name; the names of others stay as they are. Hashed names hold a mark that no other name has.

Evidence: 3 of 5 shapes weren't kept apart from the name before; all are now.

--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -163,3 +163,20 @@
       | \xc3\xa9 READ a          | read      |
       | id-1 WRITE a \xff\xfe    | write     |
       | id-1 READ a              | read      |
+
+  Scenario Outline: A prepared statement has one word as its name at endpoints
+    Guards against a shape whose blanks make it a part of the name, and so another statement.
+    When a read of the shape "<shape>" is prepared and executed with the item "i7"
+    Then the endpoint prepares and executes the same name, with the shape and "i7" unchanged
+
+    Examples:
+      | shape            |
+      | q2c              |
+      | select a from b  |
+      | READ x           |
+      | a                |
+      | \xff \xfe        |
+
+  Scenario: Prepared statements of different shapes have different names
+    Guards against a statement that runs with the shape of another.
+    Then 1000 shapes have 1000 names of at most 66 characters
--- a/features/steps/platform_wire.py
+++ b/features/steps/platform_wire.py
@@ -6,7 +6,7 @@
 import json
 
 from behave import then, when
-from gentianspread_core.blackboard.sessions import Step, StepKind
+from gentianspread_core.blackboard.sessions import PreparedStatement, Step, StepKind
 from gentianspread_core.errors import DeclarationError, ErrorCode, ExecutionResult, Refusal
 from gentianspread_core.positions import Position
 from gentianspread_server.platform import wire
@@ -248,3 +248,35 @@
     assert context.statement.verb.value == verb, context.statement.verb
     step = Step(StepKind.STATEMENT, context.statement.statement_id, context.statement.text)
     assert wire.encode_step(step) == b"QUERY " + context.line + b"\r\n"
+
+
+@when('a read of the shape "{shape}" is prepared and executed with the item "{item}"')
+def step_prepare_shape(context, shape, item):
+    context.shape = shape.encode().decode("unicode_escape")
+    context.shape = context.shape.encode("latin-1").decode("utf-8", "surrogateescape")
+    context.item = item
+    name = PreparedStatement(False, context.shape).shared_name()
+    prepare = Step(StepKind.PREPARE, name=name, value=context.shape)
+    execute = Step(StepKind.STATEMENT, "id-1", "EXECUTE s1 i7", name=name, value=item)
+    context.sent = [_statement_of(wire.encode_step(step)) for step in (prepare, execute)]
+
+
+def _statement_of(message):
+    line = wire._decode_line(message.removesuffix(b"\r\n")).removeprefix("QUERY ")
+    _, _, text = line.partition(" ")
+    return wire.decode_statement("id", text)
+
+
+@then('the endpoint prepares and executes the same name, with the shape and "{item}" unchanged')
+def step_same_name(context, item):
+    prepared, executed = context.sent
+    assert prepared.name == executed.name and prepared.value == context.shape, context.sent
+    assert executed.arguments == item
+
+
+@then("{count:d} shapes have {names:d} names of at most {length:d} characters")
+def step_different_names(context, count, names, length):
+    shapes = [f"{'x ' * (number % 7)}q{number}" for number in range(count - 2)]
+    shapes += ["-" + PreparedStatement(False, "a b").shared_name()[2:], "a b"]
+    found = {PreparedStatement(False, shape).shared_name() for shape in shapes}
+    assert len(found) == names and max(len(name) for name in found) <= length
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import Enum
 from typing import Any
 
@@ -22,6 +23,8 @@
 GUARANTEED_TOKEN_TIMEOUT_FRACTION = 0.75  # if it is known that a token will become available
 TOKEN_TIMEOUT_FRACTION = 0.3
 MAX_TOKEN_TIMEOUT_S = 0.06  # the same for most routes, so that none of them takes all tokens
+MAX_SHAPE_IN_NAME_CHARS = 64
+SHAPE_HASH_BYTES = 16
 
 
 class Verb(Enum):
@@ -86,8 +89,14 @@
         """Return the name that it has at endpoints, so that sessions can share a connection.
 
         It is derived from the content: equal statements have one name, whatever callers name them.
+        A shape that is no single short word is hashed, with a mark that no other name has.
         """
-        return f"{'w' if self.writes else 'r'}{self.shape}"
+        kind = "w" if self.writes else "r"
+        is_word = self.shape.isascii() and self.shape.isalnum()
+        if is_word and len(self.shape) <= MAX_SHAPE_IN_NAME_CHARS:
+            return f"{kind}{self.shape}"
+        content = self.shape.encode("utf-8", "surrogateescape")
+        return f"{kind}-{hashlib.blake2b(content, digest_size=SHAPE_HASH_BYTES).hexdigest()}"
 
 
 class SessionState(Enum):
