--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -205,10 +205,10 @@
 
 
 class Relays:
-    """Open transactions of other VMs' callers by handle, and how many statements are running."""
+    """Open transactions of other VMs' callers by handle, and their running statements."""
 
-    __slots__ = ("transactions", "running_count")
+    __slots__ = ("transactions", "running")
 
     def __init__(self) -> None:
         self.transactions: dict[str, RelayedTransaction] = {}
-        self.running_count = 0
+        self.running: set[RelayedStatement] = set()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -41,13 +41,14 @@
         return {
             Topic.RELAY_RECEIVED: self.on_received,
             Topic.RELAY_RELEASED: self.on_released,
+            Topic.RELAY_ENDED: self.on_ended,
             Topic.REQUEST_DONE: self.on_done,
             Topic.RELAY_CHECK_DUE: self.on_due,
         }
 
     def on_received(self, relayed_statement: RelayedStatement) -> None:
         """Turn a relayed statement into a request."""
-        self.board.relays.running_count += 1
+        self.board.relays.running.add(relayed_statement)
         session = self._session_for(relayed_statement)
         if session is None:
             message = "The transaction is not known here; it was rolled back."
@@ -81,6 +82,10 @@
                 Topic.TRANSACTION_ENDED, relayed_transaction.session.transaction
             )
 
+    def on_ended(self, relayed_statement: RelayedStatement) -> None:
+        """Forget a relayed statement that its adapter has done with."""
+        self.board.relays.running.discard(relayed_statement)
+
     def on_done(self, request: SessionRequest) -> None:
         """Return the endpoint's reply to the sender, or a refusal if there is none."""
         relayed_statement = request.relayed_statement
@@ -146,6 +151,5 @@
         return reply
 
     def _answer(self, relayed_statement: RelayedStatement, reply: SessionReply) -> None:
-        self.board.relays.running_count -= 1
         relayed_statement.reply = reply
         self.board.changes.post(Topic.RELAY_ANSWERED, relayed_statement)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/shutdown.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/shutdown.py
@@ -30,7 +30,7 @@
             Topic.REQUEST_ARRIVED: self.on_request_arrived,
             Topic.REQUEST_DONE: self.on_request_done,
             Topic.SESSION_CLOSED: self.on_work_ended,
-            Topic.RELAY_ANSWERED: self.on_work_ended,
+            Topic.RELAY_ENDED: self.on_work_ended,
             Topic.TRANSACTION_ENDED: self.on_work_ended,
         }
 
@@ -86,7 +86,7 @@
             or self.board.transactions.by_name
             or sessions.by_number
             or sessions.opening
-            or relays.running_count
+            or relays.running
             or relays.transactions
         )
 
@@ -105,7 +105,7 @@
             + len(self.board.transactions.by_name),
             requests=shutdown.running_requests,
             relayed_transactions=len(relays.transactions),
-            relayed_statements=relays.running_count,
+            relayed_statements=len(relays.running),
         )
 
 
