--- a/features/steps/stops_of_servers.py
+++ b/features/steps/stops_of_servers.py
@@ -1,7 +1,10 @@
-"""Steps about planned stops of daemons and control VMs as single processes."""
+"""Steps about planned stops and starts of daemons and control VMs as single processes."""
 
 from __future__ import annotations
 
+import subprocess
+import sys
+
 import gevent
 import orjson
 from behave import given, then, when
@@ -23,6 +26,19 @@
     "change_id": "c1",
 }
 
+SIGNAL_PROBE = """
+import signal, sys
+
+class Finder:
+    def find_spec(self, name, path=None, target=None):
+        if name == "gevent":
+            print(signal.getsignal(signal.SIGHUP) is signal.SIG_IGN)
+            sys.exit()
+
+sys.meta_path.insert(0, Finder())
+import gentianspread_server.platform.__main__
+"""
+
 
 def _wait_until_listening(address):
     with gevent.Timeout(START_TIMEOUT_S):
@@ -119,3 +135,16 @@
 @then("the request got a complete response")
 def step_response(context):
     assert context.response is not None, f"no response: {context.response_error}"
+
+
+@when("a program of the platform is loaded")
+def step_load(context):
+    command = [sys.executable, "-c", SIGNAL_PROBE]
+    context.probe_output = subprocess.run(
+        command, capture_output=True, text=True, timeout=START_TIMEOUT_S, check=False
+    ).stdout
+
+
+@then("it ignores requests to reload before it loads its libraries")
+def step_ignores(context):
+    assert context.probe_output == "True\n", context.probe_output
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -68,3 +68,8 @@
     Given a control VM in a fleet without a leader
     When a configuration is declared, and the control VM is stopped while it waits
     Then the request got a complete response
+
+  # Guards against a process that ends because its settings changed while it was starting.
+  Scenario: A request to reload the settings is ignored while a program is still loading
+    When a program of the platform is loaded
+    Then it ignores requests to reload before it loads its libraries
