--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -34,10 +34,7 @@
 
 
 def _send(context, statement_id):
-    try:
-        context.client.sendall(f"QUERY {statement_id} READ x\r\n".encode())
-    except OSError:
-        context.is_reset = True
+    context.client.sendall(f"QUERY {statement_id} READ x\r\n".encode())
 
 
 def _wait_until_unread(context):
--- a/features/steps/stops_of_servers.py
+++ b/features/steps/stops_of_servers.py
@@ -5,17 +5,20 @@
 import gevent
 import orjson
 from behave import given, then, when
+from gentianspread_lab.callers import CREATE_TABLE
 from gentianspread_lab.client import VMConnection
-from gentianspread_lab.deployments import Deployment, VMPlan
+from gentianspread_lab.deployments import Deployment
 from gentianspread_lab.fleet import Fleet
 from gentianspread_lab.platform.fleet import PlatformFleet
 from gentianspread_lab.platform.ports import PortBlock
+from gentianspread_server.codec import hash_key
 from gentianspread_server.connections import RequestNotSentError, ResponseLostError
 from gentianspread_server.webserver import WebServer
 
 START_TIMEOUT_S = 20.0
 STOP_DELAY_S = 0.3  # the request is being served by then
 RESPONSE_TIMEOUT_S = 10.0
+TOKEN_GRANT_WAIT_S = 2.5
 DECLARATION = {"version": 1, "routes": [], "services": [], "limits": {}, "tenants": []}
 CHANGE = {
     "kind": "create_workspace",
@@ -57,25 +60,47 @@
     greenlet.join(RESPONSE_TIMEOUT_S)
 
 
-@given("a daemon in a fleet without a leader")
-def step_daemon(context):
+def _prepare_daemons(context):
+    """Plan three daemons and three endpoints of one group on ports of their own."""
     ports = PortBlock.reserve()
     context.add_cleanup(ports.release)
     deployment = Deployment.single_zone()
-    deployment.endpoints = []
-    deployment.vms = [
-        VMPlan(f"vm{number}", "zone1", ports.next_address(), True, True) for number in (1, 2, 3)
-    ]
-    fleet = Fleet(deployment)
-    context.add_cleanup(fleet.stop)
-    fleet.start_vm(deployment.vms[0])
+    for plan in [*deployment.vms, *deployment.endpoints]:
+        plan.address = ports.next_address()
+    context.fleet = Fleet(deployment)
+    context.add_cleanup(context.fleet.stop)
     context.address = deployment.vms[0].address
     context.other_address = deployment.vms[1].address
-    context.operator_key = fleet.operator_key
-    context.stopped_process = fleet.processes["vm1"]
+    return deployment
+
+
+@given("a daemon in a fleet without a leader")
+def step_daemon(context):
+    deployment = _prepare_daemons(context)
+    context.fleet.start_vm(deployment.vms[0])
+    context.stopped_process = context.fleet.processes["vm1"]
     _wait_until_listening(context.address)
 
 
+@given(
+    "daemons with a stop limit of {limit:g} s, and endpoints that take {seconds:g} s for a write"
+)
+def step_daemons(context, limit, seconds):
+    deployment = _prepare_daemons(context)
+    deployment.statement_ms = 1000 * seconds
+    for endpoint in deployment.endpoints:
+        context.fleet.start_endpoint(endpoint)
+    for vm in deployment.vms:
+        context.fleet.start_vm(vm, (f"--stop_limit_s={limit:g}",))
+    context.fleet.wait_until_ready([vm.name for vm in deployment.vms])
+    context.fleet.wait_for_primaries()
+    context.fleet.operator.change("create_workspace", {"name": "w1", "rate": 100, "burst": 100})
+    fields = {"workspace": "w1", "name": "k1", "key_hash": hash_key("key")}
+    context.fleet.operator.change("give_key", fields)
+    gevent.sleep(TOKEN_GRANT_WAIT_S)
+    context.stopped_process = context.fleet.processes["vm1"]
+
+
 @given("the other VM answers after {seconds:g} s")
 def step_slow_vm(context, seconds):
     def answer(environ, start_response):
@@ -106,9 +131,30 @@
     _send_and_stop(context, "/v1/request", message, "key")
 
 
+@when("a transaction's write is sent {seconds:g} s after the daemon was told to stop")
+def step_late_write(context, seconds):
+    connection = VMConnection(context.address)
+    context.add_cleanup(connection.close)
+    begin = connection.post("/v1/request", {"kind": "begin", "group": "bench"}, "key")
+    assert begin.status == 200, begin.body
+    context.stopped_process.terminate()
+    gevent.sleep(seconds)
+    message = {
+        "kind": "write",
+        "group": "bench",
+        "statement": CREATE_TABLE,
+        "transaction": begin.body["transaction"],
+    }
+    context.response = context.response_error = None
+    try:
+        context.response = connection.post("/v1/request", message, "key")
+    except (RequestNotSentError, ResponseLostError) as error:
+        context.response_error = error
+
+
 @when("an operator's change is sent, and the daemon is stopped while it waits")
 def step_change(context):
-    _send_and_stop(context, "/operator/change", CHANGE, context.operator_key)
+    _send_and_stop(context, "/operator/change", CHANGE, context.fleet.operator_key)
 
 
 @when("a configuration is declared, and the control VM is stopped while it waits")
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -62,6 +62,13 @@
     When an operator's change is sent, and the daemon is stopped while it waits
     Then the request got a complete response
 
+  # Guards against statements that are cut off when a daemon's limit for its stop has passed.
+  @processes
+  Scenario: A transaction's statement that runs when a daemon's time to stop is over is answered
+    Given daemons with a stop limit of 1 s, and endpoints that take 4 s for a write
+    When a transaction's write is sent 1.5 s after the daemon was told to stop
+    Then the request got a complete response
+
   # Guards against control VMs that end while they wait for the control log.
   @processes
   Scenario: A declared configuration is answered although the control VM that took it is stopped
--- a/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fleet.py
@@ -47,8 +47,8 @@
         self.wait_until_ready(list(self.addresses))
         self.wait_for_primaries()
 
-    def start_vm(self, plan: VMPlan) -> None:
-        """Start one VM; its data directory survives restarts."""
+    def start_vm(self, plan: VMPlan, flags: tuple[str, ...] = ()) -> None:
+        """Start one VM, with more flags if any; its data directory survives restarts."""
         seeds = [vm for vm in self.deployment.vms if vm.is_initial_voter]
         arguments = [
             f"--name={plan.name}",
@@ -66,7 +66,9 @@
             "GENTIANSPREAD_FLEET_SECRET": self.fleet_secret,
             "GENTIANSPREAD_OPERATOR_KEY": self.operator_key,
         }
-        self.start_process(plan.name, "gentianspread_server.main", arguments, environment)
+        self.start_process(
+            plan.name, "gentianspread_server.main", [*arguments, *flags], environment
+        )
 
     def start_endpoint(self, plan: EndpointPlan) -> None:
         """Start one simulated endpoint, which registers with the VMs of its zone."""
