Ignore stored endpoints whose address isn't numeric IPv4, too

Cause: such an entry was refused at the front ends only.

The simulations announce numeric addresses.

Evidence: 2 of the 3 new entries in the log were registered before.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -19,6 +19,7 @@
       | address  | "10.0.0.1:٨٠"               |
       | address  | "10.0.0:80"                 |
       | address  | "10.0.0.256:80"             |
+      | address  | "10.0.0.01:80"              |
       | address  | "backend.internal:80"       |
       | address  | "[::1]:80"                  |
       | address  | ["10.0.0.1:80"]             |
@@ -110,6 +111,9 @@
     Examples:
       | field       | value                     |
       | address     | "10.0.0.1:99999"          |
+      | address     | "backend.internal:80"     |
+      | address     | "10.0.0.1:٨٠"             |
+      | address     | "10.0.0.01:80"            |
       | address     | 7                         |
       | name        | ["x"]                     |
       | slots       | 0                         |
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/registrations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/registrations.py
@@ -9,6 +9,8 @@
 
 MAX_NAME_CHARS = 200
 MAX_PORT = 65_535
+MAX_OCTET = 255
+IPV4_OCTETS = 4
 MAX_COUNT = 1_000_000  # of an endpoint's slots and connections
 MAX_GROUP_SIZE = 99
 MAX_INTEGER = 2**53 - 1  # exact in every JSON decoder
@@ -105,7 +107,7 @@
         return is_integer(value) and low <= value <= high
     if field in ("leaving", "claims_primary"):
         return isinstance(value, bool)
-    return is_name(value) and (field != "address" or has_valid_port(value))
+    return is_name(value) and (field != "address" or is_ipv4_address(value))
 
 
 def is_integer(value: Any) -> bool:
@@ -118,8 +120,16 @@
     return isinstance(value, str) and 0 < len(value) <= MAX_NAME_CHARS and value.isprintable()
 
 
-def has_valid_port(address: str) -> bool:
-    """Return whether an address is HOST:PORT with a port from 1 to 65,535."""
+def is_ipv4_address(address: str) -> bool:
+    """Return whether an address is HOST:PORT, with a numeric IPv4 host and a port above 0."""
     host, _, port = address.rpartition(":")
-    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
-    return bool(host) and is_number and 0 < int(port) <= MAX_PORT
+    octets = host.split(".")
+    has_host = len(octets) == IPV4_OCTETS and all(_is_decimal(item, MAX_OCTET) for item in octets)
+    return has_host and _is_decimal(port, MAX_PORT) and port != "0"
+
+
+def _is_decimal(text: str, maximum: int) -> bool:
+    """Return whether a text is a number up to a maximum, in ASCII digits without leading zeros."""
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(maximum))):
+        return False
+    return int(text) <= maximum and (text[0] != "0" or text == "0")
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -5,13 +5,19 @@
 
 from __future__ import annotations
 
+import string
 from collections.abc import Callable
 
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, Step, StepKind
 from gentianspread_core.positions import Position
 
-ENDPOINT_PORT = 5432  # of the addresses that endpoints announce
+ENDPOINT_PORT = 5432
+
+
+def endpoint_address(name: str) -> str:
+    """Return the address that an endpoint announces; its name ends with a number up to 255."""
+    return f"10.0.0.{int(name.lstrip(string.ascii_letters))}:{ENDPOINT_PORT}"
 
 
 class FakeEndpointSession:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -39,7 +39,7 @@
 
 from .clock import FakeClock
 from .disk import FakeDisk
-from .session_endpoint import ENDPOINT_PORT, FakeSessionEndpoint
+from .session_endpoint import FakeSessionEndpoint, endpoint_address
 
 GROUP = "g"
 LATENCY_S = 0.001
@@ -182,7 +182,7 @@
         """Register an endpoint's announcement in the control log."""
         fields = {
             "name": endpoint.name,
-            "address": f"{endpoint.name}:{ENDPOINT_PORT}",
+            "address": endpoint_address(endpoint.name),
             "zone": endpoint.zone,
             "group": GROUP,
             "leaving": leaving,
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
@@ -27,12 +27,12 @@
 from .clock import FakeClock
 from .disk import FakeDisk
 from .endpoint import FakeEndpoint
+from .session_endpoint import endpoint_address
 from .vm import FROZEN_RETRY_INTERVAL_S, LATENCY_S, FakeVM
 
 POLL_INTERVAL_S = 0.2
 PULL_INTERVAL_S = 0.05
 LATE_EXECUTION_DELAY_S = 2.0
-ENDPOINT_PORT = 5432
 GROUP = "g"
 WORKSPACE = "w"
 KEY_HASH = "key"
@@ -136,7 +136,7 @@
         """Register an endpoint in the control log."""
         fields = {
             "name": name,
-            "address": f"{name}:{ENDPOINT_PORT}",
+            "address": endpoint_address(name),
             "zone": f"z{name[1:]}",
             "group": GROUP,
             "leaving": leaving,
@@ -340,8 +340,9 @@
 
     def _replicate(self) -> None:
         """Have every replica pull from its primary."""
+        by_address = {endpoint_address(name): item for name, item in self.endpoints.items()}
         for endpoint in self.endpoints.values():
-            primary = self.endpoints.get(endpoint.primary_address.partition(":")[0])
+            primary = by_address.get(endpoint.primary_address)
             if primary is not None and self.can_reach(endpoint.name, primary.name):
                 endpoint.pull(primary, self.randomness.randint(1, 8))
         self.call_later(self._replicate, PULL_INTERVAL_S)
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
@@ -26,13 +26,14 @@
 from gentianspread_core.blackboard.declarations import Declaration
 from gentianspread_core.blackboard.log import LogEntry
 from gentianspread_core.blackboard.messages import Message
+from gentianspread_core.blackboard.registrations import is_ipv4_address
 from gentianspread_core.blackboard.relays import RelayedStatement, load_reply, reply_to_record
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionReply
 from gentianspread_core.errors import DeclarationError, GentianspreadError, SettingsError
 from gentianspread_core.state_machine import apply_command
 from gentianspread_server.codec import RequestCodec
-from gentianspread_server.connections import ResponseReader, is_ipv4_address
+from gentianspread_server.connections import ResponseReader
 from gentianspread_server.logs import encode_line
 from gentianspread_server.platform.bootfile import PlatformSettings
 from gentianspread_server.platform.documents import (
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -18,7 +18,6 @@
 )
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
-from .connections import is_ipv4_address
 from .proposals import Proposer
 
 log = logging.getLogger(__name__)
@@ -73,8 +72,7 @@
         except fastjsonschema.JsonSchemaException as error:
             raise Refusal(ErrorCode.BAD_REQUEST, f"{error.message}.") from None
         fault = find_fault(message)
-        if fault or not is_ipv4_address(message["address"]):
-            fault = fault or "address is not an IPv4 address with a port"
+        if fault:
             raise Refusal(ErrorCode.BAD_REQUEST, f"The announcement is invalid: {fault}.")
         if not self._is_registered(message) and message["name"] not in self._pending:
             self._pending.add(message["name"])
--- a/packages/gentianspread-server/src/gentianspread_server/connections.py
+++ b/packages/gentianspread-server/src/gentianspread_server/connections.py
@@ -12,7 +12,7 @@
 import gevent
 import httptools
 import orjson
-from gentianspread_core.blackboard.registrations import has_valid_port
+from gentianspread_core.blackboard.registrations import is_ipv4_address
 from gevent import socket
 
 OK = 200
@@ -37,16 +37,6 @@
         self.body = body
 
 
-def is_ipv4_address(address: str) -> bool:
-    """Return whether an address is HOST:PORT, with a numeric IPv4 host and a valid port."""
-    host, _, _ = address.rpartition(":")
-    try:
-        stdlib_socket.inet_pton(stdlib_socket.AF_INET, host)
-    except (OSError, ValueError):  # `ValueError` for characters that no C string holds
-        return False
-    return has_valid_port(address)
-
-
 def connect(address: str, timeout_s: float) -> socket.socket:
     """Return a socket connected to HOST:PORT; raises `OSError`, or `ValueError` for an odd address.
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -17,7 +17,6 @@
 from gentianspread_core.errors import DeclarationError, ErrorCode
 
 from ..clocks import wall_ms
-from ..connections import is_ipv4_address
 
 MS_PER_S = 1000
 MAX_CLOCK_DIFFERENCE_MS = 86_400_000  # of two machines' times of day
@@ -175,7 +174,7 @@
         }
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
         return None
-    if find_fault(fields) or not is_ipv4_address(fields["address"]):
+    if find_fault(fields):
         return None
     has_separator = any(SEPARATOR in fields[field] for field in ("name", "zone", "group"))
     return None if has_separator or not _is_start_time(fields["incarnation"]) else fields
