--- a/features/steps/loops.py
+++ b/features/steps/loops.py
@@ -560,7 +560,8 @@
 @then("it is refused after at most {seconds:g} s, and the home VM is not busy")
 def step_relay_refused(context, seconds):
     assert context.refusal is not None and context.took_s <= seconds, context.took_s
-    assert not context.relay_server.is_busy()
+    relays = context.relay_server.board.relays
+    assert not relays.running and not relays.transactions
 
 
 SHORT_RESPONSES = {"an empty object": {}, "a list": [1], "a number": 7}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -79,7 +79,11 @@
     RELAY_RECEIVED = auto()
     RELAY_RELEASED = auto()
     RELAY_ANSWERED = auto()
+    RELAY_ENDED = auto()
     RELAY_CHECK_DUE = auto()
+    SHUTDOWN_REQUESTED = auto()
+    SHUTDOWN_PHASE_DUE = auto()
+    SHUTDOWN_PHASE_CHANGED = auto()
     INTENT_POSTED = auto()
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -41,12 +41,14 @@
         return {
             Topic.RELAY_RECEIVED: self.on_received,
             Topic.RELAY_RELEASED: self.on_released,
+            Topic.RELAY_ENDED: self.on_ended,
             Topic.REQUEST_DONE: self.on_done,
             Topic.RELAY_CHECK_DUE: self.on_due,
         }
 
     def on_received(self, relayed_statement: RelayedStatement) -> None:
         """Turn a relayed statement into a request."""
+        self.board.relays.running.add(relayed_statement)
         session = self._session_for(relayed_statement)
         if session is None:
             message = "The transaction is not known here; it was rolled back."
@@ -80,13 +82,21 @@
                 Topic.TRANSACTION_ENDED, relayed_transaction.session.transaction
             )
 
+    def on_ended(self, relayed_statement: RelayedStatement) -> None:
+        """Forget a relayed statement that its adapter has done with."""
+        self.board.relays.running.discard(relayed_statement)
+
     def on_done(self, request: SessionRequest) -> None:
         """Return the endpoint's reply to the sender, or a refusal if there is none."""
         relayed_statement = request.relayed_statement
         if relayed_statement is None:
             return
-        self._update_transaction(relayed_statement.handle, request)
         exchange = request.exchange
+        if exchange is None:
+            # The sender gives up the transaction of a refused statement and does not release it.
+            self.on_released(relayed_statement.handle)
+        else:
+            self._update_transaction(relayed_statement.handle, request)
         reply = exchange.reply if exchange is not None else None
         if not isinstance(reply, SessionReply):
             refusal = request.outcome.refusal if request.outcome else None
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -117,12 +117,11 @@
 class RelayServer:
     """Runs the statements that other VMs relay, and ends their transactions on request."""
 
-    __slots__ = ("board", "runner", "running_count")
+    __slots__ = ("board", "runner")
 
     def __init__(self, board: Board, runner: ExchangeRunner) -> None:
         self.board = board
         self.runner = runner
-        self.running_count = 0
         board.changes.subscribe(Topic.RELAY_ANSWERED, self._on_answered)
 
     def add_to(self, front: HttpFrontend) -> None:
@@ -136,9 +135,8 @@
         waiter = Waiter()
         relayed.waiter = waiter
         give_up_at = self.board.clock.now() + relayed.timeout_s + LOST_REPLY_MARGIN_S
-        self.running_count += 1
+        self.board.post(Topic.RELAY_RECEIVED, relayed)
         try:
-            self.board.post(Topic.RELAY_RECEIVED, relayed)
             while relayed.reply is None:
                 request: Any = waiter.take_assigned()
                 remaining_s = give_up_at - self.board.clock.now()
@@ -149,13 +147,9 @@
                 else:
                     raise Refusal(ErrorCode.OUTCOME_UNKNOWN, "No controller answered in time.")
         finally:
-            self.running_count -= 1
+            self.board.post(Topic.RELAY_ENDED, relayed)
         return encode_json(escape(reply_to_record(relayed.reply)))
 
-    def is_busy(self) -> bool:
-        """Return whether any relayed statement is running or any relayed transaction is open."""
-        return bool(self.running_count or self.board.relays.transactions)
-
     def release_transaction(self, body: bytes) -> bytes:
         """End the transaction of a handle."""
         self.board.post(Topic.RELAY_RELEASED, decode_json_object(body)["handle"])
