Report a VM as not ready while one of its loops only fails

What callers would see: a VM that is up and ready and does nothing, when every step of a loop fails.

The scenario "A VM one of whose loops only fails is not ready until it goes on" fails without the change; with it, the five features on loops, odd entries, hostile input, decoders and planned stops pass (160 scenarios).

--- a/features/loops.feature
+++ b/features/loops.feature
@@ -35,6 +35,13 @@
     Given a running loop of timers whose next timer fails
     Then a timer that is set after the error is delivered
 
+  Scenario: A VM one of whose loops only fails is not ready until it goes on
+    Guards against a VM that stays up, is ready, and does nothing.
+    Given an entry VM with a fresh configuration and a loop whose steps fail
+    Then it is not ready after at most 5 s
+    When the steps of the loop succeed again
+    Then it is ready after at most 1 s
+
   Scenario Outline: Polling goes on after a response that cannot be read
     Guards against a VM that stops following the configuration after one odd response.
     Given a VM that polls a control VM
--- a/features/steps/loops.py
+++ b/features/steps/loops.py
@@ -38,9 +38,11 @@
 from gentianspread_server.connections import Connection, build_request_head
 from gentianspread_server.control import ControlLoop
 from gentianspread_server.distribution import Distribution
-from gentianspread_server.guards import record_handler_errors
+from gentianspread_server.guards import record_handler_errors, run_for_ever
 from gentianspread_server.intents import IntentRunner
 from gentianspread_server.peers import PeerAddresses, PeerSender
+from gentianspread_server.platform.bootfile import PlatformSettings
+from gentianspread_server.platform.entry import EntryVM
 from gentianspread_server.proposals import Proposer
 from gentianspread_server.relays import RelayingRunner, RelayServer, escape
 from gentianspread_server.session_metrics import SessionMetrics
@@ -62,8 +64,8 @@
     return Board(CoreSettings("vm", "z1", "vm"), BootTimeClock(), Timeline("vm", wall_ms))
 
 
-def _wait_while(is_waiting):
-    deadline = time.monotonic() + GUARD_S
+def _wait_while(is_waiting, timeout_s=GUARD_S):
+    deadline = time.monotonic() + timeout_s
     while is_waiting():
         assert time.monotonic() < deadline, "it did not happen in time"
         gevent.sleep(0.02)
@@ -605,3 +607,38 @@
 @then("the outcome of the change is unknown")
 def step_unknown_outcome(context):
     assert context.refusal.result is ExecutionResult.UNKNOWN
+
+
+@given("an entry VM with a fresh configuration and a loop whose steps fail")
+def step_failing_loop(context):
+    values = {"nodeName": "e1", "ip": "127.0.0.1", "zone": "z1", "seedNodes": "127.0.0.1:1"}
+    values.update({"listenAddrs.front": "127.0.0.1:0", "listenAddrs.ready": "127.0.0.1:0"})
+    context.entry_vm = EntryVM(PlatformSettings("", values))
+    board = context.entry_vm.board
+    board.configuration.declaration = Declaration(1, [], [], [], 3.0, "")
+    board.configuration.confirmed_at = board.clock.now() + 60.0
+    assert context.entry_vm.is_ready()
+    context.steps_fail = True
+
+    def run_step():
+        gevent.sleep(0.01)
+        if context.steps_fail:
+            raise RuntimeError("an odd item")
+
+    context.loop = gevent.spawn(run_for_ever, board, "a loop", run_step)
+
+
+@then("it is not ready after at most {seconds:g} s")
+def step_not_ready(context, seconds):
+    _wait_while(context.entry_vm.is_ready, seconds)
+
+
+@when("the steps of the loop succeed again")
+def step_succeed(context):
+    context.steps_fail = False
+
+
+@then("it is ready after at most {seconds:g} s")
+def step_ready_again(context, seconds):
+    _wait_while(lambda: not context.entry_vm.is_ready(), seconds)
+    context.loop.kill()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -29,7 +29,11 @@
 
 
 class Board:
-    """All sections; the settings and the clock are read-only for every controller."""
+    """All sections; the settings and the clock are read-only for every controller.
+
+    `failing_loops` names the loops of this VM whose steps have failed for some time; it is then not
+    ready for callers.
+    """
 
     __slots__ = (
         "settings",
@@ -53,6 +57,7 @@
         "outbox",
         "timeline",
         "started_at",
+        "failing_loops",
     )
 
     def __init__(self, settings: CoreSettings, clock: Clock, timeline: Timeline) -> None:
@@ -77,6 +82,7 @@
         self.members = Members()
         self.outbox = Outbox()
         self.started_at = clock.now()
+        self.failing_loops: set[str] = set()
 
     def post(self, topic: Topic, entry: Any = None) -> None:
         """Post a change, and process it and the changes that follow from it."""
--- a/packages/gentianspread-server/src/gentianspread_server/guards.py
+++ b/packages/gentianspread-server/src/gentianspread_server/guards.py
@@ -8,16 +8,26 @@
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.changes import Change
 
+MAX_FAILURES = 20  # in a row; 2 s and more
 ERROR_PAUSE_S = 0.1  # so that a step that always fails does not take the processor
 
 
 def run_for_ever(board: Board, name: str, run_step: Callable[[], None]) -> None:
-    """Run a step again and again; record its errors under the name of the loop."""
+    """Run a step again and again; record its errors under the name of the loop.
+
+    The board lists the loop as failing while its steps have done nothing but fail for some time.
+    """
+    failures = 0
     while True:
         try:
             run_step()
+            failures = 0
+            board.failing_loops.discard(name)
         except (Exception, gevent.Timeout) as error:
             board.timeline.record_error(name, error)
+            failures += 1
+            if failures >= MAX_FAILURES:
+                board.failing_loops.add(name)
             gevent.sleep(ERROR_PAUSE_S)
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -53,7 +53,7 @@
         """Return whether new callers are accepted."""
         if self.board.shutdown.is_requested() or self.board.configuration.declaration is None:
             return False
-        return self.board.is_fresh()
+        return self.board.is_fresh() and not self.board.failing_loops
 
     def shutdown_plan(self) -> ShutdownPlan:
         """Return when the phases of a planned stop begin; the check of readiness fails at once."""
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -181,6 +181,9 @@
             raise Refusal(ErrorCode.DRAINING, "This VM is stopping.")
         if not self.board.is_fresh():
             raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, "This VM has no recent configuration.")
+        if self.board.failing_loops:
+            loops = ", ".join(sorted(self.board.failing_loops))
+            raise Refusal(ErrorCode.OVERLOADED, f"Loops of this VM fail: {loops}.")
         return encode_json({"ready": True, "revision": self.board.configuration.revision})
 
     def _handle_announcement(self, body: bytes) -> bytes:
