Tell openings that were left unread from those that a VM held

They were reset, so the VM had not read them: its listening socket was closed while they lay in its backlog or their bytes unread. A process that has read a message closes with FIN.

--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
@@ -96,12 +96,15 @@
         is_excused = _is_excused(record, runs, stop)
         kind = FindingKind.EXCUSED if is_excused else FindingKind.UNANSWERED
     elif record.ended_at - record.sent_at > LOSS_SLACK_S:
-        # A kernel resets a connection that is closed with unread bytes.
-        is_unread = record.ending is Ending.RESET
-        kind = FindingKind.LEFT_UNREAD if is_unread else FindingKind.HELD
+        kind = _late_kind(record.ending)
     return Finding(kind, record.statement_id, _describe(record, runs, stop))
 
 
+def _late_kind(ending: Ending) -> FindingKind:
+    """Return the kind of a late end; a kernel resets a connection that has unread bytes."""
+    return FindingKind.LEFT_UNREAD if ending is Ending.RESET else FindingKind.HELD
+
+
 def _is_excused(record: StatementRecord, runs: list[ReceivedStatement], stop: StopRecord) -> bool:
     timeout_s = TIMEOUTS_S.get(record.shape, DEFAULT_TIMEOUT_S)
     if record.ended_at - record.sent_at >= timeout_s:
@@ -134,7 +137,9 @@
         stop = ledger.stop_around(opening.vm, opening.ended_at)
         if opening.is_unanswered() and stop is not None:
             waited_s = opening.ended_at - opening.sent_at
-            kind = FindingKind.HELD if waited_s > LOSS_SLACK_S else FindingKind.OPENING_CLOSED
+            kind = FindingKind.OPENING_CLOSED
+            if waited_s > LOSS_SLACK_S:
+                kind = _late_kind(opening.ending)
             evidence = (
                 f"{opening.shape} at {opening.vm}: sent {opening.sent_at - stop.sent_at:+.3f}, "
                 f"{opening.ending.value} after {waited_s:.3f} s"
