Send a statement only after its session's set-up has succeeded

Cause: the messages that set a connection to a session's state shared a round with BEGIN or the statement; only the reply to the last message of an earlier round was looked at, and an error in the last round was seen after the statement had run. The connection stayed in use and counted as having what it lacked.

These messages end their round now; if one fails, the statement was not sent, is tried elsewhere, and the connection is closed. A connection that answers NOSTMT is closed too, and the statement is tried again: sessions answer unknown names themselves.

Two mutants are added, one for this and one for planned stops.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -212,6 +212,9 @@
     STATEMENT = "statement"
 
 
+SETUP_KINDS = frozenset({StepKind.RESET, StepKind.SET, StepKind.PREPARE})
+
+
 class Step:
     """One message to an endpoint.
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -26,12 +26,13 @@
     "LAGGING": ErrorCode.REPLICA_LAGGING,
     "BUSY": ErrorCode.OVERLOADED,
     "CONNLIMIT": ErrorCode.CONNECTION_LIMIT,
-    "NOSTMT": ErrorCode.NO_STATEMENT,
+    # The session has prepared it, so it is the connection that lacks it.
+    "NOSTMT": ErrorCode.NO_ENDPOINT,
     "ABORTED": ErrorCode.TRANSACTION_UNKNOWN,
     "MALFORMED": ErrorCode.BAD_REQUEST,
 }
 VM_ERRORS = {code.value: code for code in ErrorCode}
-PERMANENT_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT, ErrorCode.KEY_REFUSED})
+PERMANENT_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.KEY_REFUSED})
 
 
 class CompletionController:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
@@ -13,7 +13,8 @@
     """Return the rounds of messages, and whether only the current primary can answer them.
 
     The messages of a round are pipelined. A begin ends its round, so that no statement runs outside
-    the transaction if the begin is refused.
+    the transaction if the begin is refused; so do the messages that set the session's values and
+    prepare its statement, so that it runs with all of them or not at all.
     """
     if request.kind is StatementKind.ROLLBACK:
         return [[Step(StepKind.ROLLBACK)]], False
@@ -22,7 +23,7 @@
     transaction = request.session.transaction
     if transaction is not None:
         if transaction.connection is not None:
-            return [[*setup, statement]], not transaction.is_read_only
+            return [*_own_round(setup), [statement]], not transaction.is_read_only
         needs_primary = request.min_position is None
         begin = Step(StepKind.BEGIN if needs_primary else StepKind.BEGIN_READ)
         begin.position = request.min_position
@@ -30,7 +31,11 @@
     if request.kind is StatementKind.READ and request.min_position is None:
         return [[*setup, Step(StepKind.BEGIN)], [statement, Step(StepKind.ROLLBACK)]], True
     statement.position = request.min_position
-    return [[*setup, statement]], request.kind is StatementKind.WRITE
+    return [*_own_round(setup), [statement]], request.kind is StatementKind.WRITE
+
+
+def _own_round(steps: list[Step]) -> list[list[Step]]:
+    return [steps] if steps else []
 
 
 def _session_steps(request: SessionRequest, connection: BackendConnection) -> list[Step]:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -9,7 +9,13 @@
 from collections.abc import Callable
 
 from gentianspread_core.blackboard.requests import ExchangeStatus
-from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, Step, StepKind
+from gentianspread_core.blackboard.sessions import (
+    SETUP_KINDS,
+    SessionExchange,
+    SessionReply,
+    Step,
+    StepKind,
+)
 from gentianspread_core.positions import Position
 
 ENDPOINT_PORT = 5432
@@ -59,8 +65,8 @@
     The simulation reserves one of `slots` for the cost in seconds of each statement or new
     connection, and sets `replication_paused` by a VM's command. The fault fields: with
     `is_unresponsive` the simulation sends no reply, with `ignores_replication` the log does not
-    grow, `next_statement_errors` fails the next statements, `replies_to_lose` loses the next
-    replies.
+    grow, `next_statement_errors` fails the next statements and `next_setup_errors` the next
+    messages that set values or prepare statements, `replies_to_lose` loses the next replies.
     """
 
     def __init__(
@@ -89,6 +95,7 @@
         self.connections_opened = 0
         self.lagging_refusals = 0
         self.next_statement_errors: list[str] = []
+        self.next_setup_errors: list[str] = []
         self.replies_to_lose = 0
         self.slot_free_at = [0.0] * slots
 
@@ -119,8 +126,8 @@
             self.sessions[connection] = session
             self.connections_opened += 1
         for steps in exchange.rounds:
-            for step in steps:
-                error = self._run(session, step, reply)
+            results = [(step, self._run(session, step, reply)) for step in steps]
+            for step, error in results:
                 if error:
                     session.in_transaction = False
                     session.writes.clear()
@@ -128,7 +135,7 @@
                     reply.status = ExchangeStatus.FAILED if is_failed else ExchangeStatus.REFUSED
                     reply.code = error
                     reply.position = self.position()
-                    reply.is_reusable = True
+                    reply.is_reusable = step.kind not in SETUP_KINDS and error != "NOSTMT"
                     reply.keeps_transaction = False
                     return reply
         reply.status = ExchangeStatus.OK
@@ -144,6 +151,8 @@
         return reply
 
     def _run(self, session: FakeEndpointSession, step: Step, reply: SessionReply) -> str:
+        if step.kind in SETUP_KINDS and self.next_setup_errors:
+            return self.next_setup_errors.pop(0)
         if step.kind is StepKind.RESET:
             session.values.clear()
             session.prepared.clear()
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -27,6 +27,7 @@
 from gentianspread_core.blackboard.rate_limits import TokenBucket
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.blackboard.sessions import SessionRequest
+from gentianspread_core.blackboard.shutdown import Shutdown
 from gentianspread_core.controllers import dispatch, failover, keys, placement, steps
 from gentianspread_core.controllers.acknowledgement import AcknowledgementController
 from gentianspread_core.controllers.allocator import AllocatorController
@@ -43,6 +44,7 @@
 from gentianspread_core.controllers.transactions import TransactionController
 from gentianspread_core.positions import LOG_START, SessionToken
 from gentianspread_server import driver, storage
+from gentianspread_server.platform import endpoints
 
 from .soak import soak
 
@@ -342,6 +344,8 @@
         "_take_fallback",
         _take_unlimited_fallback,
     ),
+    Mutant("stops cut transactions", Shutdown, "accepts_in_transaction", constant(True)),
+    Mutant("failed set-ups keep connections", endpoints, "SETUP_KINDS", frozenset()),
     Mutant("lost writes are retried", SessionRequest, "is_standalone_read", constant(True)),
 )
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -19,6 +19,7 @@
 )
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import (
+    SETUP_KINDS,
     SessionExchange,
     SessionReply,
     SessionRequest,
@@ -47,6 +48,7 @@
 CLEANUP_TIMEOUT_S = 0.2  # a rollback after a failed statement takes 1 ms
 NOT_PRIMARY_CODE = "READONLY"
 WRONG_ENDPOINT_CODE = "WRONGNODE"
+LOST_STATEMENT_CODE = "NOSTMT"  # the connection lacks a statement that was prepared on it
 FAILED_CODES = frozenset({"FAILED", "TIMEOUT"})
 IN_TRANSACTION_STATE = "T"
 IDLE_STATE = "I"
@@ -162,13 +164,15 @@
             reply.status = ExchangeStatus.REFUSED if error.code else ExchangeStatus.NOT_SENT
             reply.code, reply.message = error.code, str(error)
             return
-        *setup, last = exchange.rounds
-        step_reply: EndpointReply | None = None
-        for steps in setup:
-            step_reply = self._send_round(line_socket, steps)[-1]
-            if step_reply.error:
-                self._fill_error_reply(line_socket, exchange, reply, step_reply)
-                return
+        *earlier, last = exchange.rounds
+        for steps in earlier:
+            for step, step_reply in zip(steps, self._send_round(line_socket, steps), strict=True):
+                if step_reply.error and step.kind in SETUP_KINDS:
+                    self._fill_setup_error(reply, step_reply)
+                    return
+                if step_reply.error:
+                    self._fill_error_reply(line_socket, exchange, reply, step_reply)
+                    return
         reply.was_sent = True
         self._fill_reply(line_socket, exchange, reply, last, self._send_round(line_socket, last))
 
@@ -202,6 +206,13 @@
         reply.keeps_transaction = step_replies[-1].state == IN_TRANSACTION_STATE
         reply.is_reusable = step_replies[-1].state in (IDLE_STATE, IN_TRANSACTION_STATE)
 
+    def _fill_setup_error(self, reply: SessionReply, step_reply: EndpointReply) -> None:
+        """Fill the reply of a statement that was not sent; its connection's state is not known."""
+        reply.status = ExchangeStatus.REFUSED
+        reply.code, reply.message = step_reply.error, step_reply.message
+        reply.position = step_reply.position
+        log.info("a message of the set-up was refused: %s %s", reply.code, reply.message)
+
     def _fill_error_reply(
         self,
         line_socket: LineSocket,
@@ -213,6 +224,8 @@
         reply.status = ExchangeStatus.FAILED if is_failed else ExchangeStatus.REFUSED
         reply.code, reply.message = step_reply.error, step_reply.message
         reply.position = step_reply.position
+        if step_reply.error == LOST_STATEMENT_CODE:
+            return
         if step_reply.state != IDLE_STATE:
             with gevent.Timeout(CLEANUP_TIMEOUT_S):
                 step_reply = self._send_round(line_socket, [exchange.cleanup])[-1]
