Leave the first statement of a relayed transaction to a VM that does not stop

A stopping home VM took the first statement of a relayed transaction for one of a transaction that it held, and so accepted new transactions while it drained. It refused their later statements, and callers of VMs in normal service got ABORTED.

The first statement now counts as new work: the home refuses it as draining, the sender suspects the home and uses another VM.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -125,3 +125,16 @@
     And "a" sends at "h3" "WRITE y 1"
     Then the last statement of "a" was refused as "transaction_unknown"
     And no home or endpoint holds an open transaction
+
+  @homes
+  Scenario: A home that takes no new work leaves the first statement of a transaction to another VM
+    Guards against transactions that a stopping home accepts and then rolls back when it ends.
+    Given a session "a" on "latest" at "h3"
+    And a session "b" on "latest" at "h1"
+    And a session "c" on "latest" at "h4"
+    When a planned stop of every VM but "h3" begins
+    And 2.2 s pass
+    And "a" sends at "h3" "BEGIN"
+    And "a" sends at "h3" "WRITE x 1"
+    And "a" sends at "h3" "COMMIT"
+    Then every statement of "a" succeeded
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -359,8 +359,10 @@
         return transaction is not None and transaction.connection is not None
 
     def continues_transaction(self) -> bool:
-        """Return whether the session has a transaction, bound to a connection or not."""
-        return self.session.transaction is not None
+        """Return whether this VM has accepted a transaction that this belongs to."""
+        relayed = self.relayed_statement
+        is_first = relayed is not None and relayed.begins_transaction
+        return self.session.transaction is not None and not is_first
 
     def token_timeout(self, is_guaranteed: bool = False) -> float:
         """Return the seconds to wait for a token of the workspace's rate limit.
