Say of a refused commit in a daemon's stop only what is true, and roll back what is said to be

A daemon in the last part of a planned stop refused statements of transactions with "the transaction was rolled back" and the result "not run". Two of these were false: it kept the transaction open, so a later commit with a shorter deadline was accepted and ran; and a commit that had run, sent again because its answer was lost, was reported as not run, so that its caller would repeat the writes.

The transaction controller now ends the transaction of such a refusal, if the key is that of the transaction. A commit whose transaction is gone or busy may have run, and its refusal says that its outcome is unknown.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -138,3 +138,37 @@
     And "a" sends at "h3" "WRITE x 1"
     And "a" sends at "h3" "COMMIT"
     Then every statement of "a" succeeded
+
+  @simulation
+  Scenario: A transaction whose statement may outlast a daemon's planned stop is rolled back there
+    Guards against writes that are committed after their caller was told that they were rolled back.
+    Given a running fleet
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And a planned stop of o1 begins
+    And 3.5 s pass
+    And "s2" is a write of "card-2" inside "b" sent to o1
+    And 0.1 s pass
+    Then the result of "s2" is "not run: transaction_unknown"
+    When "c" is a commit inside "b" with a timeout of 1 s sent to o1
+    And 0.5 s pass
+    Then the result of "c" is "unknown: transaction_unknown"
+    And the primary stores the value "card-1" 0 time(s)
+
+  @simulation
+  Scenario: A commit that is retried late in a daemon's planned stop is not reported as not run
+    Guards against writes that a caller repeats because of a false report that they were rolled back.
+    Given a running fleet
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And a planned stop of o1 begins
+    And "c1" is a commit of "" with id "r1" inside "b" sent to o1
+    And 3.5 s pass
+    Then the result of "c1" is "run"
+    When "c2" is a commit of "" with id "r1" inside "b" sent to o1
+    And 0.5 s pass
+    Then the result of "c2" is "unknown: transaction_unknown"
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -43,6 +43,12 @@
     send(context, name, vm, "commit", request_id=request_id, transaction=transaction)
 
 
+@when('"{name:w}" is a commit inside "{begin:w}" with a timeout of {seconds:g} s sent to {vm:w}')
+def step_commit_with_timeout(context, name, begin, seconds, vm):
+    transaction = context.requests[begin].outcome.transaction
+    send(context, name, vm, "commit", transaction=transaction, timeout_s=seconds)
+
+
 @when('"{name:w}" is a read without a key on the route "{route:w}" sent to {vm:w}')
 def step_read_on_open_route(context, name, route, vm):
     send(context, name, vm, "read", key_hash=None, open_route=route)
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -32,6 +32,11 @@
             engine.board.post(Topic.SHUTDOWN_REQUESTED, PLAN)
 
 
+@when("a planned stop of {vm:w} begins")
+def step_stop_vm(context, vm):
+    context.simulation.vms[vm].board.post(Topic.SHUTDOWN_REQUESTED, PLAN)
+
+
 @then("the planned stop has not ended")
 def step_not_ended(context):
     assert context.session_simulation.board.shutdown.phase is not ShutdownPhase.ENDED
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
@@ -9,7 +9,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.requests import Request, StatementKind
-from ..errors import ErrorCode, Refusal
+from ..errors import ErrorCode, ExecutionResult, Refusal
 from ..settings import PRESET_POLICIES
 
 OPEN_WORKSPACE_PREFIX = "open:"
@@ -61,10 +61,20 @@
             request.deadline
         ):
             return None
+        if self._may_have_committed(request):
+            message = "This VM is stopping and does not look up the outcome of the commit."
+            return Refusal(ErrorCode.TRANSACTION_UNKNOWN, message, ExecutionResult.UNKNOWN)
         return Refusal(
             ErrorCode.TRANSACTION_UNKNOWN, "This VM is stopping; the transaction was rolled back."
         )
 
+    def _may_have_committed(self, request: Request) -> bool:
+        """Return whether an earlier attempt of a commit may have run, or may be running."""
+        if request.kind is not StatementKind.COMMIT or request.transaction is None:
+            return False
+        transaction = self.board.transactions.by_name.get(request.transaction)
+        return transaction is None or transaction.busy
+
     def _admit_open_route(self, request: Request) -> None:
         group = self.board.configuration.open_routes.get(request.open_route or "")
         if group is None or group != request.group:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/transactions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/transactions.py
@@ -9,6 +9,7 @@
 from ..blackboard.requests import ExchangeStatus, Request, StatementKind
 from ..blackboard.timeline import EventKind
 from ..blackboard.transactions import Transaction
+from ..errors import ErrorCode, ExecutionResult
 
 END_KINDS = frozenset({StatementKind.COMMIT, StatementKind.ROLLBACK})
 
@@ -27,6 +28,7 @@
         return {
             Topic.EXCHANGE_SCHEDULED: self.on_exchange_scheduled,
             Topic.EXCHANGE_ENDED: self.on_exchange_ended,
+            Topic.REQUEST_REFUSED: self.on_refused,
             Topic.TRANSACTION_CHECK_DUE: self.on_due,
             Topic.CONFIGURATION_CHANGED: self.on_configuration,
         }
@@ -55,6 +57,16 @@
         elif request.kind in END_KINDS:
             self._end(transaction, close=False, reason="")
 
+    def on_refused(self, request: Request) -> None:
+        """End the transaction of a statement whose refusal says that it was rolled back."""
+        refusal = request.refusal
+        transaction = self.board.transactions.by_name.get(request.transaction or "")
+        if refusal is None or transaction is None or transaction.key_hash != request.key_hash:
+            return
+        is_not_run = refusal.result is ExecutionResult.NOT_RUN
+        if refusal.code is ErrorCode.TRANSACTION_UNKNOWN and is_not_run:
+            self._end(transaction, close=True, reason=refusal.message)
+
     def on_due(self, transaction: Transaction) -> None:
         """End a transaction whose idle timeout has passed."""
         if transaction.name not in self.board.transactions.by_name:
