Send the last answers of a stop to all callers at once

The end of a planned stop answered the running statements one after the other and without a time limit. A caller whose receive window was full held up the answers to all others, and the end of the process, until it was killed.

Each last answer is now sent in a greenlet of its own, within the timeout for the last answers. The scenario failed before: after 1 s a reading caller had received nothing. The 11 scenarios of stops.feature pass.

--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import subprocess
 import sys
 
@@ -17,6 +18,7 @@
 READ_TIMEOUT_S = 1.0
 ARRIVAL_TIMEOUT_MS = 1000
 CLOSE_DELAY_S = 0.01
+CLOSE_TIMEOUT_S = 0.2
 LARGE_ROW = "x" * 1000
 LARGE_ROW_COUNT = 4000
 SMALL_BUFFER_BYTES = 4096
@@ -58,6 +60,15 @@
     assert poll.poll(ARRIVAL_TIMEOUT_MS), "the statement did not arrive"
 
 
+def _fill_send_buffer(connected):
+    """Send rows until the socket takes no more, as to a caller that does not read."""
+    connected.settimeout(0.0)
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            connected.send(f"ROW {LARGE_ROW}\r\n".encode())
+    connected.settimeout(None)
+
+
 def _receive(context):
     """Return everything that the caller receives until the end of the connection."""
     received = b""
@@ -94,6 +105,30 @@
     context.held_runner.hold_openings()
 
 
+@given("{count:d} callers with running statements, of which one does not read")
+def step_running_callers(context, count):
+    context.held_runner.hold_statements()
+    context.reading_callers = []
+    for number in range(count):
+        _open(context)
+        _send(context, f"s{number}")
+        while len(context.held_runner.started) <= number:
+            gevent.sleep(0.001)
+        context.reading_callers.append(context.client)
+    context.reading_callers.pop(0)
+    (connection,) = (
+        item for item in context.caller_server.connections if item.statement.statement_id == "s0"
+    )
+    _fill_send_buffer(connection.line_socket.socket)
+
+
+@when("the server closes all connections")
+def step_close_all(context):
+    _begin_stop(context)
+    context.closing = gevent.spawn(context.caller_server.close_all, CLOSE_TIMEOUT_S)
+    context.closing.join(READ_TIMEOUT_S)
+
+
 @when("a statement arrives in the iteration of the event loop that closes idle sessions")
 def step_arrives_while_closing(context):
     _send(context, "s1")
@@ -209,3 +244,16 @@
 @then("no trial found a broken guarantee")
 def step_trials_held(context):
     assert not context.trial_outputs, "\n".join(context.trial_outputs)
+
+
+@then("each of the other callers got one complete answer")
+def step_others_answered(context):
+    for client in context.reading_callers:
+        context.client = client
+        received = _receive(context)
+        assert _complete_answers(received) == 1, f"the caller received {received}"
+
+
+@then("the server closed within {seconds:g} s")
+def step_closed(context, seconds):
+    assert context.closing.ready(), f"it is still closing after {seconds:g} s"
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -16,6 +16,14 @@
     And the server begins to stop, and the statement ends
     Then the answer to the first statement is complete
 
+  # Guards against one caller that does not read keeping all others without their last answers.
+  @caller_server
+  Scenario: Callers get their last answers although another one does not read
+    Given 4 callers with running statements, of which one does not read
+    When the server closes all connections
+    Then each of the other callers got one complete answer
+    And the server closed within 1 s
+
   # Guards against sessions that are cut off while they wait for a configuration to be opened.
   @caller_server
   Scenario: A session that waits to be opened is answered although idle sessions are closed
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -98,9 +98,7 @@
         for connection in list(self.connections):
             stop_receiving(connection.line_socket.socket)
             if connection.statement is not None and not connection.is_answering:
-                self._answer_at_end(connection)
-                self.connections.discard(connection)
-                connection.line_socket.close()
+                gevent.spawn(self._answer_at_end, connection)
         with gevent.Timeout(timeout_s, False):
             while self.connections:
                 self._connection_ended.clear()
@@ -154,7 +152,7 @@
             statement_id, _, text = rest.partition(" ")
             connection.statement = decode_statement(statement_id, text)
             answer = self.runner.run(session, connection.statement)
-            if connection.statement is None:
+            if connection.statement is None or connection.is_answering:
                 return  # answered by `close_all`
             self._send_answer(connection, answer)
             if self.runner.board.shutdown.is_requested() and connection.is_idle():
@@ -184,15 +182,18 @@
             connection.is_answering = False
 
     def _answer_at_end(self, connection: CallerConnection) -> None:
-        """Answer a statement that is still running, as its endpoint will not in time."""
+        """Answer a statement that is still running, as its endpoint will not in time, and close."""
         session, statement = connection.session, connection.statement
-        if session is None or statement is None:
+        if session is None or statement is None or connection.is_answering:
             return
         log.warning("request %s was still running at the end", statement.statement_id)
         try:
             self._send_answer(connection, answer_at_end(session))
         except OSError as error:
             log.debug("a caller's connection ended: %s", error)
+        self.connections.discard(connection)
+        self._connection_ended.set()
+        connection.line_socket.close()
 
     def _record_unanswered(self, connection: CallerConnection, cause: str) -> None:
         session, statement = connection.session, connection.statement
