Report a transaction whose home VM cannot be reached as rolled back

A statement of a transaction that could not be sent to its home VM, as that had ended its planned stop, was answered with FAILED, which promises nothing, so callers that had written could not try again. It was never sent, nor will a commit be, and the home ends the transaction: it is answered like a lost connection now, as rolled back.

The simulation of home VMs reported such a connection as a lost reply and not as a statement that was not sent, as the relay client does.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -139,6 +139,17 @@
     And "a" sends at "h3" "COMMIT"
     Then every statement of "a" succeeded
 
+  @homes
+  Scenario: A transaction whose home VM has ended is reported as rolled back
+    Guards against an answer that promises nothing although nothing can be kept: callers that wrote
+    may not try again after it.
+    Given a session "a" on "latest" at "h3"
+    When "a" sends at "h3" "BEGIN"
+    And "a" sends at "h3" "WRITE x 1"
+    And no VM but "h3" can be connected to
+    And "a" sends at "h3" "COMMIT"
+    Then the last statement of "a" was refused as "transaction_unknown"
+
   @simulation
   Scenario: A transaction whose statement may outlast a daemon's planned stop is rolled back there
     Guards against writes that are committed after their caller was told that they were rolled back.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -108,7 +108,7 @@
 
     def _refuse_in_transaction(self, request: SessionRequest, reply: SessionReply) -> None:
         """Refuse a transaction's statement; no retry, as its connection is lost or has failed."""
-        if reply.status is ExchangeStatus.LOST:
+        if reply.status in (ExchangeStatus.LOST, ExchangeStatus.NOT_SENT):
             is_unknown = request.kind is StatementKind.COMMIT and reply.was_sent
             refusal = self._unknown_refusal(reply) if is_unknown else self._rollback_refusal(reply)
         elif reply.status is ExchangeStatus.REFUSED:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -189,7 +189,7 @@
         if (board.settings.member in self.cut_off_vms) != (
             connection.home.name in self.cut_off_vms
         ):
-            reply.home_failed = True
+            reply.status, reply.home_failed = ExchangeStatus.NOT_SENT, True
             self.call_later(
                 lambda: board.post(Topic.EXCHANGE_ENDED, request), HOME_CONNECT_TIMEOUT_S
             )
