Keep the route that was in effect when a transaction began

A change to a route applies from the next transaction, but each statement of an open one took the newest route. When the route had been moved to another group, the position of the old group's primary was recorded as one of the new group's, in the observations that other VMs receive and in the session's token: reads of the new group could then run on replicas that lack acknowledged commits, or be refused as lagging.

A transaction keeps its route now.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -140,6 +140,29 @@
     Then the last answer of "a" is refused as "key_refused"
     And the endpoints committed 0 writes
 
+  Scenario: A transaction can be committed after its route was removed
+    Guards against transactions that can neither go on nor be committed once a configuration takes
+    their route away: a change to a route applies from the next transaction.
+    Given a session "a" on "latest"
+    When "a" sends "BEGIN"
+    And "a" sends "WRITE x 1"
+    And version 2 removes the route "latest"
+    And "a" sends "COMMIT"
+    Then the last answer of "a" is a success
+    And the endpoints committed 1 writes
+
+  Scenario: The log position of a transaction is never taken for that of another group
+    Guards against stale reads of a group: a transaction that was open while its route was moved to
+    that group reported the position of its old primary as that of the new one.
+    Given a session "a" on "latest"
+    When "a" sends "BEGIN"
+    And "a" sends "WRITE x 1"
+    And version 2 moves the route "latest" to another group
+    And "a" sends "READ x"
+    And "a" sends "COMMIT"
+    Then the last answer of "a" is a success
+    And no log position of the other group is known
+
   Scenario: A transaction that is idle for too long is ended and its writes are rolled back
     Given a session "a" on "latest"
     When "a" sends "BEGIN"
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.connections import ConnectionState
+from gentianspread_lab.fakes.session_simulation import OTHER_GROUP
 from gentianspread_server.platform.wire import decode_statement
 
 ANSWER_WAIT_S = 0.3
@@ -113,6 +114,25 @@
     context.session_simulation.declare(version, keys={"w1": ["other"], "w2": ["k2"]})
 
 
+@when('version {version:d} removes the route "{database:w}"')
+def step_remove_route(context, version, database):
+    context.session_simulation.declare(version, left_out=database)
+
+
+@when('version {version:d} moves the route "{database:w}" to another group')
+def step_move_route(context, version, database):
+    context.session_simulation.declare(version, moved=database)
+
+
+@then("no log position of the other group is known")
+def step_no_position(context):
+    board = context.session_simulation.board
+    newest = board.observations.newest(OTHER_GROUP)
+    assert newest is None, f"observed {newest.position.to_pair()}"
+    tokens = [item.token for item in context.sessions.values() if item.token is not None]
+    assert all(OTHER_GROUP not in token.positions for token in tokens)
+
+
 @then('"{name:w}" is refused as "{code:w}"')
 def step_session_refused(context, name, code):
     refusal = context.sessions[name].refusal
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -16,6 +16,7 @@
 from ..errors import Refusal
 from ..positions import SessionToken
 from .connections import BackendConnection
+from .declarations import Route
 from .requests import Exchange, Reply, Request, StatementKind
 
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
@@ -110,13 +111,15 @@
 class SessionTransaction:
     """A transaction of a session, bound to a connection by its first statement for an endpoint.
 
+    `route` is the one in effect when it began; changes to it apply from the next transaction.
     `began_at` and `last_used` are in seconds of the VM's monotonic clock.
     """
 
-    __slots__ = ("is_read_only", "began_at", "last_used", "connection", "has_written")
+    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "has_written")
 
-    def __init__(self, is_read_only: bool, now: float) -> None:
+    def __init__(self, is_read_only: bool, route: Route, now: float) -> None:
         self.is_read_only = is_read_only
+        self.route = route
         self.began_at = now
         self.last_used = now
         self.connection: BackendConnection | None = None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -125,7 +125,9 @@
         session = Session(0, relayed_statement.route.database, relayed_statement.key_hash)
         if relayed_statement.begins_transaction:
             now = self.board.clock.now()
-            session.transaction = SessionTransaction(relayed_statement.is_read_only, now)
+            session.transaction = SessionTransaction(
+                relayed_statement.is_read_only, relayed_statement.route, now
+            )
             session.state = SessionState.OPEN
         return session
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -208,9 +208,10 @@
         if route is None:
             self._refuse(call, ErrorCode.NO_DATABASE, "The database is no longer served.")
             return
+        if session.transaction is not None:
+            route = session.transaction.route
         request = self._new_request(call, route, prepared)
-        if in_transaction:
-            request.permitted = True
+        request.permitted = in_transaction
         self.board.changes.post(Topic.REQUEST_ARRIVED, request)
 
     def _current_route(self, session: Session) -> Route | None:
@@ -235,7 +236,9 @@
         session.token = outcome.token
         if request.kind is StatementKind.BEGIN:
             is_read_only = request.call.statement.verb is Verb.BEGIN_READ
-            session.transaction = SessionTransaction(is_read_only, self.board.clock.now())
+            session.transaction = SessionTransaction(
+                is_read_only, request.route, self.board.clock.now()
+            )
             session.state = SessionState.OPEN
             self._schedule_idle_check(session)
         elif request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -42,6 +42,7 @@
 from .session_endpoint import ENDPOINT_PORT, FakeSessionEndpoint
 
 GROUP = "g"
+OTHER_GROUP = "other"  # has no endpoints
 LATENCY_S = 0.001
 PROMOTION_DURATION_S = 0.3
 DATABASES = {
@@ -141,17 +142,22 @@
         timeout_s: float = 1.0,
         max_connections: int = 46,
         objectives_s: dict[str, float] | None = None,
+        left_out: str = "",
+        moved: str = "",
     ) -> None:
         """Declare the three databases, and the workspaces with the hashes of their keys.
 
-        A route's objective is half of its timeout if `objectives_s` does not have its database."""
+        A route's objective is half of its timeout if `objectives_s` does not have its database.
+        `left_out` names a database that is not declared, `moved` one that is declared on the group
+        `OTHER_GROUP`.
+        """
         objectives = objectives_s or {}
         workspaces = keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]}
         routes = [
             Route(
                 name,
                 name,
-                GROUP,
+                OTHER_GROUP if name == moved else GROUP,
                 consistency,
                 max_age,
                 timeout_s,
@@ -160,11 +166,13 @@
                 False,
             )
             for name, (consistency, max_age) in DATABASES.items()
+            if name != left_out
         ]
+        groups = [GROUP, OTHER_GROUP] if moved else [GROUP]
         declaration = Declaration(
             version,
             routes,
-            [DeclaredGroup(GROUP, max_connections, True)],
+            [DeclaredGroup(group, max_connections, True) for group in groups],
             [DeclaredWorkspace(name, rate, burst, hashes) for name, hashes in workspaces.items()],
             3.0,
             f"document {version}",
