--- a/features/steps/stops_of_servers.py
+++ b/features/steps/stops_of_servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 
@@ -43,6 +44,11 @@
 """
 
 
+def _mapped_files(pid):
+    with open(f"/proc/{pid}/maps", encoding="utf-8") as file:
+        return file.read()
+
+
 def _wait_until_listening(address):
     with gevent.Timeout(START_TIMEOUT_S):
         while True:
@@ -141,6 +147,22 @@
     _wait_until_listening(context.address)
 
 
+@given("an entry VM that has begun to load its modules")
+def step_starting_vm(context):
+    fleet = PlatformFleet(entry_count=1)
+    context.add_cleanup(fleet.stop)
+    fleet.start_entry("entry-1")
+    context.starting_process = fleet.processes["entry-1"]
+    with gevent.Timeout(START_TIMEOUT_S):
+        while "gevent" not in _mapped_files(context.starting_process.pid):
+            gevent.sleep(0.001)
+
+
+@when("it is told to reload its settings")
+def step_reload(context):
+    context.starting_process.send_signal(signal.SIGHUP)
+
+
 @when("a statement of the other VM's transaction is sent, and the daemon is stopped while it runs")
 def step_forwarded(context):
     message = {"kind": "read", "group": "g", "statement": "select 1", "transaction": "vm2.t1"}
@@ -194,3 +216,10 @@
 @then("it ignores requests to reload before it loads its libraries")
 def step_ignores(context):
     assert context.probe_output == "True\n", context.probe_output
+
+
+@then("it has not ended after {seconds:g} s")
+def step_not_ended(context, seconds):
+    gevent.sleep(seconds)
+    returncode = context.starting_process.poll()
+    assert returncode is None, f"it ended with {returncode}"
