--- a/features/steps/session_setup.py
+++ b/features/steps/session_setup.py
@@ -27,6 +27,7 @@
 
 STATEMENT_ID = "id-1"
 TIMEOUT_S = 2.0
+ROUTE = Route("r", "latest", "g", Consistency.LATEST, None, 1.0, 1.0, 1, False)
 
 
 def _serve(context, accepted, _address):
@@ -68,8 +69,7 @@
     session.transaction = transaction
     statement = SessionStatement(Verb.EXECUTE, STATEMENT_ID, "EXECUTE s1 x", arguments="x")
     call = StatementCall(session, statement, 0.0, None)
-    route = Route("r", "latest", "g", Consistency.LATEST, None, 1.0, 1.0, 1, False)
-    request = SessionRequest(1, kind, call, route, TIMEOUT_S)
+    request = SessionRequest(1, kind, call, ROUTE, TIMEOUT_S)
     request.prepared = PreparedStatement(kind is StatementKind.WRITE, "q1")
     return request
 
@@ -83,7 +83,7 @@
     connection = BackendConnection(1, "b1", context.endpoint_address, "g", "w", 0.0)
     connection.values = {"other": "value"}  # of another session, so that a reset comes first
     kind = StatementKind.WRITE if "write" in request else StatementKind.READ
-    transaction = SessionTransaction(False, 0.0) if "transaction" in request else None
+    transaction = SessionTransaction(False, ROUTE, 0.0) if "transaction" in request else None
     if "later" in request:
         transaction.connection = connection
     session_request = _build_request(kind, transaction)
