--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -5,9 +5,10 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.connections import ConnectionState
-from gentianspread_lab.fakes.session_simulation import OTHER_GROUP
+from gentianspread_lab.fakes.session_simulation import DATABASES, GROUP
 from gentianspread_server.platform.wire import decode_statement
 
+OTHER_GROUP = "other"  # has no endpoints
 ANSWER_WAIT_S = 0.3
 
 
@@ -116,12 +117,14 @@
 
 @when('version {version:d} removes the route "{database:w}"')
 def step_remove_route(context, version, database):
-    context.session_simulation.declare(version, left_out=database)
+    groups = {name: GROUP for name in DATABASES if name != database}
+    context.session_simulation.declare(version, groups=groups)
 
 
 @when('version {version:d} moves the route "{database:w}" to another group')
 def step_move_route(context, version, database):
-    context.session_simulation.declare(version, moved=database)
+    groups = {**dict.fromkeys(DATABASES, GROUP), database: OTHER_GROUP}
+    context.session_simulation.declare(version, groups=groups)
 
 
 @then("no log position of the other group is known")
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -99,12 +99,6 @@
     )
 
 
-@when('no VM but "{vm:w}" can be connected to')
-def step_others_ended(context, vm):
-    simulation = context.home_simulation
-    simulation.cut_off_vms.update(name for name in simulation.vms if name != vm)
-
-
 @when('"{vm:w}" disappears and {seconds:g} s pass')
 def step_disappear(context, vm, seconds):
     simulation = context.home_simulation
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -37,6 +37,12 @@
     context.simulation.vms[vm].board.post(Topic.SHUTDOWN_REQUESTED, PLAN)
 
 
+@when('no VM but "{vm:w}" can be connected to')
+def step_others_ended(context, vm):
+    simulation = context.home_simulation
+    simulation.cut_off_vms.update(name for name in simulation.vms if name != vm)
+
+
 @then("the planned stop has not ended")
 def step_not_ended(context):
     assert context.session_simulation.board.shutdown.phase is not ShutdownPhase.ENDED
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -42,7 +42,6 @@
 from .session_endpoint import ENDPOINT_PORT, FakeSessionEndpoint
 
 GROUP = "g"
-OTHER_GROUP = "other"  # has no endpoints
 LATENCY_S = 0.001
 PROMOTION_DURATION_S = 0.3
 DATABASES = {
@@ -142,37 +141,24 @@
         timeout_s: float = 1.0,
         max_connections: int = 46,
         objectives_s: dict[str, float] | None = None,
-        left_out: str = "",
-        moved: str = "",
+        groups: dict[str, str] | None = None,
     ) -> None:
         """Declare the three databases, and the workspaces with the hashes of their keys.
 
         A route's objective is half of its timeout if `objectives_s` does not have its database.
-        `left_out` names a database that is not declared, `moved` one that is declared on the group
-        `OTHER_GROUP`.
-        """
-        objectives = objectives_s or {}
+        `groups` are by database, which are left out otherwise; the default is one for all."""
+        objectives = {**dict.fromkeys(DATABASES, timeout_s / 2), **(objectives_s or {})}
+        groups = groups or dict.fromkeys(DATABASES, GROUP)
         workspaces = keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]}
         routes = [
-            Route(
-                name,
-                name,
-                OTHER_GROUP if name == moved else GROUP,
-                consistency,
-                max_age,
-                timeout_s,
-                objectives.get(name, timeout_s / 2),
-                1,
-                False,
-            )
-            for name, (consistency, max_age) in DATABASES.items()
-            if name != left_out
+            Route(name, name, group, *DATABASES[name], timeout_s, objectives[name], 1, False)
+            for name, group in groups.items()
         ]
-        groups = [GROUP, OTHER_GROUP] if moved else [GROUP]
+        declared_groups = sorted({GROUP, *groups.values()})
         declaration = Declaration(
             version,
             routes,
-            [DeclaredGroup(group, max_connections, True) for group in groups],
+            [DeclaredGroup(group, max_connections, True) for group in declared_groups],
             [DeclaredWorkspace(name, rate, burst, hashes) for name, hashes in workspaces.items()],
             3.0,
             f"document {version}",
