Refuse the statements of a session that has ended, and disconnect its caller

After a statement that its controllers had lost, a VM answered its caller and ended the session on the board, but the caller's connection and session stayed in use. A transaction of such a session kept no connection: its writes were rolled back after each statement, and its commit ran alone on a new connection and succeeded.

Statements of an ended session are refused as not run, and the caller's connection is closed after the answer.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -163,6 +163,17 @@
     Then the last answer of "a" is a success
     And no log position of the other group is known
 
+  Scenario: A statement of a session that has ended on the board is refused
+    Guards against a commit that succeeds without the transaction's writes: the VM had answered an
+    earlier statement that its controllers lost, and ended the session.
+    Given a session "a" on "latest"
+    When "a" disconnects
+    And "a" sends "BEGIN"
+    And "a" sends "WRITE x 1"
+    And "a" sends "COMMIT"
+    Then no statement of "a" succeeded
+    And the endpoints committed 0 writes
+
   Scenario: A transaction that is idle for too long is ended and its writes are rolled back
     Given a session "a" on "latest"
     When "a" sends "BEGIN"
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -215,3 +215,9 @@
     assert (
         not context.session_simulation.engine.invariants.violations
     ), context.session_simulation.engine.invariants.violations
+
+
+@then('no statement of "{name:w}" succeeded')
+def step_none_succeeded(context, name):
+    answers = [call.answer for call in context.calls_by_session[name]]
+    assert all(answer is not None and answer.refusal is not None for answer in answers)
--- a/features/steps/stops.py
+++ b/features/steps/stops.py
@@ -175,6 +175,17 @@
     context.held_runner.release()
 
 
+@when("its session ends while a statement runs")
+def step_session_ends(context):
+    context.held_runner.hold_statements()
+    _send(context, "s1")
+    while not context.held_runner.started:
+        gevent.sleep(0.001)
+    (connection,) = context.caller_server.connections
+    context.held_runner.close(connection.session)
+    context.held_runner.release()
+
+
 @when("the server begins to stop")
 def step_stop(context):
     _begin_stop(context)
@@ -221,6 +232,11 @@
     assert _complete_answers(received) == len(ran), f"ran {ran}, the caller received {received}"
 
 
+@then("the caller was disconnected")
+def step_disconnected(context):
+    assert not context.caller_server.connections, "the connection is still open"
+
+
 @then("the answer to the first statement is complete")
 def step_first_complete(context):
     received = _receive(context)
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -40,6 +40,14 @@
     And a caller opens a session and sends a statement at once
     Then the opening was refused or the statement was answered
 
+  # Guards against callers that go on using a session which has ended on the board.
+  @caller_server
+  Scenario: A caller whose session ended while a statement ran is answered and disconnected
+    Given a caller with an open session
+    When its session ends while a statement runs
+    Then every statement that ran was answered completely
+    And the caller was disconnected
+
   # Guards against new work at endpoints from statements that are read after a stop began.
   @sessions
   Scenario: A statement outside a transaction that is read late in a stop is refused as not run
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -93,7 +93,9 @@
         """Answer a statement from the session's own state, or turn it into a request."""
         call.session.call = call
         session, statement = call.session, call.statement
-        if statement.verb is Verb.MALFORMED:
+        if session.closed:
+            self._refuse(call, ErrorCode.OVERLOADED, "The session has ended on this VM.")
+        elif statement.verb is Verb.MALFORMED:
             self._refuse(call, ErrorCode.BAD_REQUEST, "The statement cannot be read.")
         elif session.state is SessionState.FAILED:
             self._answer_in_failed_transaction(call)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -155,6 +155,8 @@
             if connection.statement is None or connection.is_answering:
                 return  # answered by `close_all`
             self._send_answer(connection, answer)
+            if session.closed:
+                return
             if self.runner.board.shutdown.is_requested() and connection.is_idle():
                 line = self._read_last_line(connection.line_socket)
             else:
