Drain in a planned stop whose grace period is short, too

With a grace period below 4.4 s the time to finish begins before the load balancer has noticed the stop. The phase in which idle callers are disconnected was then left out, so they stayed until the process ended, and it never ended early. The draining phase begins with the finishing one at the latest. The scenario failed before: the stop went from leaving to finishing. With the users' 6 s nothing changes.

--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -112,6 +112,14 @@
     When "a" sends "READ y"
     Then the last answer of "a" is refused as "transaction_unknown"
 
+  @sessions
+  Scenario: A planned stop with a short grace period goes through all its phases
+    Guards against idle callers that stay connected until the process ends.
+    Given a session "a" on "latest"
+    When a planned stop with a grace period of 4 s begins
+    And 4 s pass
+    Then the planned stop went through "leaving draining finishing ended"
+
   @homes
   Scenario: A home that stops refuses a relayed statement that may outlast it, and forgets its transaction
     Guards against a home that is kept from ending by the transaction of a statement that it refused.
--- a/features/steps/shutdown.py
+++ b/features/steps/shutdown.py
@@ -6,6 +6,7 @@
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 
+LOAD_BALANCER_DELAY_S = 2.2
 PLAN = ShutdownPlan(draining_after_s=2.0, finishing_after_s=3.0, ended_after_s=5.0)
 
 
@@ -43,6 +44,21 @@
     simulation.cut_off_vms.update(name for name in simulation.vms if name != vm)
 
 
+@when("a planned stop with a grace period of {seconds:g} s begins")
+def step_stop_with_grace_period(context, seconds):
+    board = context.session_simulation.board
+    context.phases = []
+    board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, context.phases.append)
+    plan = ShutdownPlan.from_grace_period(seconds, LOAD_BALANCER_DELAY_S)
+    board.post(Topic.SHUTDOWN_REQUESTED, plan)
+
+
+@then('the planned stop went through "{phases:Quoted}"')
+def step_phases(context, phases):
+    names = [phase.name.lower() for phase in context.phases]
+    assert names == phases.split(), names
+
+
 @then("the planned stop has not ended")
 def step_not_ended(context):
     assert context.session_simulation.board.shutdown.phase is not ShutdownPhase.ENDED
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/shutdown.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/shutdown.py
@@ -40,11 +40,13 @@
     def from_grace_period(cls, grace_period_s: float, load_balancer_delay_s: float) -> ShutdownPlan:
         """Build the plan of a process that is killed at the end of the grace period.
 
-        New work is accepted until the load balancer has noticed the stop.
+        New work is accepted until the load balancer has noticed the stop, but not in the time
+        that is for finishing.
         """
+        finishing_after_s = TRANSACTION_FRACTION * grace_period_s
         return cls(
-            load_balancer_delay_s,
-            TRANSACTION_FRACTION * grace_period_s,
+            min(load_balancer_delay_s, finishing_after_s),
+            finishing_after_s,
             ANSWER_FRACTION * grace_period_s,
         )
 
