Let the simulation deliver and poll as the programs do

Two properties of the simulated fleet made some scenarios depend on the order of its random numbers. A message could reach a restarted VM although its sender had been killed too: no connection is left that could carry it. A VM without a fresh configuration polled any VM, whereas the programs poll the leader first.

--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
@@ -251,10 +251,18 @@
         vm.call_later(lambda: vm.board.post(Topic.TOKENS_RECEIVED, request), delay)
 
     def send_message(self, message: Message) -> None:
-        """Send a control message; it is dropped if its link is blocked on arrival."""
+        """Send a control message; it is dropped if its link is blocked on arrival.
+
+        It is also dropped if sender and receiver were both killed meanwhile, as their connection
+        ended and nobody sends the message again.
+        """
+        sender, receiver = self.vms[message.sender], self.vms[message.receiver]
+        starts = (sender.incarnation, receiver.incarnation)
 
         def deliver() -> None:
-            receiver = self.vms[message.receiver]
+            is_sender_gone = not sender.alive or sender.incarnation != starts[0]
+            if is_sender_gone and receiver.incarnation != starts[1]:
+                return
             if receiver.frozen:
                 self.call_later(deliver, FROZEN_RETRY_INTERVAL_S)
             elif receiver.alive and self.can_reach(message.sender, message.receiver):
@@ -293,14 +301,14 @@
             heapq.heappop(self._events).action()
 
     def _poll(self) -> None:
-        """Have every VM but the leader poll a random VM that it can reach."""
+        """Have every VM but the leader poll the leader, or a random VM once it is fresh."""
         for vm in self.vms.values():
             if vm.is_running() and vm.board.election.role is not Role.LEADER:
-                self._poll_random_peer(vm)
+                self._poll_for(vm)
         self._register_members()
         self.call_later(self._poll, POLL_INTERVAL_S)
 
-    def _poll_random_peer(self, vm: FakeVM) -> None:
+    def _poll_for(self, vm: FakeVM) -> None:
         peers = [
             item
             for item in self.vms.values()
@@ -308,7 +316,9 @@
         ]
         if not peers:
             return
-        peer = self.randomness.choice(peers)
+        leader = self.leader()
+        prefers_leader = leader in peers and not vm.board.is_fresh()
+        peer = leader if prefers_leader else self.randomness.choice(peers)
         peer.board.post(Topic.POLL_RECEIVED)
         has_log = vm.board.election.role is not Role.OBSERVER
         update = peer.engine.configuration.build_update(
@@ -318,7 +328,6 @@
             update.entries, update.snapshot, update.revision, update.confirmed_at
         )
         vm.board.post(Topic.CONFIGURATION_RECEIVED, copy)
-        leader = self.leader()
         if leader is not None and self.can_reach(vm.name, leader.name):
             contact = MemberContact(vm.name, self.clock.now(), vm.board.configuration.revision)
             leader.board.post(Topic.MEMBER_REPORTED, contact)
