--- a/features/environment.py
+++ b/features/environment.py
@@ -24,6 +24,7 @@
 def before_scenario(context, scenario):
     context.requests = {}
     context.outcomes = {}
+    context.lost_disks = {}
     if "simulation" in scenario.effective_tags:
         use_fixture(fleet_simulation, context)
     if "homes" in scenario.effective_tags:
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -9,14 +9,7 @@
 from gentianspread_core.blackboard.election import Role
 from gentianspread_core.blackboard.messages import Message, MessageKind
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
-from gentianspread_lab.fakes import FakeDisk
-from support import create_workspace, record_permits, result_of, send
-
-
-def follower_name(context):
-    leader = context.simulation.leader()
-    names = [name for name in leader.board.log.voters if name != leader.name]
-    return next(name for name in sorted(names) if context.simulation.vms[name].alive)
+from support import create_workspace, follower_name, lose_disk, record_permits, result_of, send
 
 
 @when("a network partition isolates a voter other than the leader")
@@ -44,8 +37,7 @@
 def step_lose_disk(context):
     context.lost_vm = follower_name(context)
     vm = context.simulation.vms[context.lost_vm]
-    vm.kill()
-    vm.disk = FakeDisk()
+    lose_disk(context, vm)
     vm.start()
 
 
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -11,7 +11,12 @@
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.configuration import Configuration, Member, load_snapshot
 from gentianspread_core.blackboard.election import Role
-from gentianspread_core.blackboard.log import LogEntry
+from gentianspread_core.blackboard.log import (
+    FOUNDING_INCARNATION,
+    LogEntry,
+    RecoveredLog,
+    Snapshot,
+)
 from gentianspread_core.blackboard.messages import Message, MessageKind
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from gentianspread_core.engine import Engine
@@ -285,6 +290,8 @@
     settings = CoreSettings("c1", "z1", "c1")
     settings.has_disk = True
     context.control_vm = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
+    recovered = RecoveredLog(Snapshot(0, 0, {}), [], FOUNDING_INCARNATION)
+    context.control_vm.board.post(Topic.LOG_RECOVERED, recovered)
 
 
 @given("a control VM that started {seconds:g} s ago")
--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -8,12 +8,12 @@
 
 from behave import then, when
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.log import LogEntry, Snapshot
+from gentianspread_core.blackboard.log import FOUNDING_INCARNATION, LogEntry, Snapshot
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
 from gentianspread_core.errors import StorageError
 from gentianspread_server import control, storage
 from gentianspread_server.control import ControlLoop
-from gentianspread_server.storage import LOG_FILE, ControlStorage
+from gentianspread_server.storage import LOG_FILE, ControlStorage, _encode_frame
 
 
 def entry(index, term=3):
@@ -146,7 +146,8 @@
 
 @when("the disk refuses the next {count:d} syncs")
 def step_refuse_syncs(context, count):
-    context.storage.close()
+    if hasattr(context, "storage"):
+        context.storage.close()
     context.failures = [OSError(errno.ENOSPC, "No space left on device")] * count
 
 
@@ -209,3 +210,79 @@
     except StorageError as error:
         return error
     raise AssertionError("no StorageError was raised")
+
+
+@when("the control log of an empty folder is recovered as that of a {role}")
+def step_recover_empty(context, role):
+    failures = iter(getattr(context, "failures", []))
+    sync = os.fsync
+
+    def sync_or_fail(file):
+        for failure in failures:
+            raise failure
+        sync(file)
+
+    context.storage = ControlStorage(context.folder)
+    loop = ControlLoop(None, context.storage, None, None)
+    with (
+        mock.patch.object(storage.os, "fsync", sync_or_fail),
+        mock.patch.object(control, "WRITE_RETRY_INTERVAL_S", 0.01),
+    ):
+        assert loop.recover() is None
+        stored = loop.write_first_state(is_founder=role == "founding voter")
+    context.incarnations = [
+        *getattr(context, "incarnations", []),
+        stored.hard_state.incarnation,
+    ]
+
+
+@when("entries {first:d} to {last:d} and a vote in term {term:d} are written with its incarnation")
+def step_write_with_incarnation(context, first, last, term):
+    hard_state = HardState(term, "v1", context.incarnations[-1])
+    entries = [entry(index) for index in range(first, last + 1)]
+    context.storage.write(batch_of(entries, hard_state))
+
+
+@when("all files of the folder are lost")
+def step_lose_files(context):
+    context.storage.close()
+    for name in os.listdir(context.folder):
+        os.remove(os.path.join(context.folder, name))
+
+
+@when("the log is lost but not the snapshot")
+def step_lose_log(context):
+    context.storage.close()
+    os.remove(log_path(context))
+
+
+@when("an older build has written a vote in term {term:d} and the entry {index:d}")
+def step_older_build(context, term, index):
+    records = [{"hard": {"term": term, "voted_for": "v1"}}, {"entry": entry(index).to_record()}]
+    with open(log_path(context), "wb") as file:
+        file.write(_encode_frame(records))
+
+
+def recovered_incarnation(context):
+    stored = ControlLoop(None, ControlStorage(context.folder), None, None).recover()
+    return stored.hard_state.incarnation if stored else None
+
+
+@then("the control log is recovered with the same incarnation")
+def step_same_incarnation(context):
+    assert recovered_incarnation(context) == context.incarnations[-1]
+
+
+@then("its incarnation is another one than before")
+def step_other_incarnation(context):
+    assert len(set(context.incarnations)) == len(context.incarnations) > 1
+
+
+@then("the control log is recovered with the founding incarnation")
+def step_founding_incarnation(context):
+    assert recovered_incarnation(context) == FOUNDING_INCARNATION
+
+
+@then("the control log has no incarnation")
+def step_no_incarnation(context):
+    assert recovered_incarnation(context) is None
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -61,3 +61,27 @@
     When entries 1 to 5 and a vote in term 3 are written
     And the disk refuses the next 2 syncs
     Then the control log is recovered with entries 1 to 5 after 2 failed attempts
+
+  Scenario: An empty folder gets an incarnation that restarts and snapshots keep, and that is lost with it
+    When the control log of an empty folder is recovered as that of a new member
+    And entries 1 to 5 and a vote in term 3 are written with its incarnation
+    And a snapshot up to entry 3 is written
+    Then the control log is recovered with the same incarnation
+    When all files of the folder are lost
+    And the control log of an empty folder is recovered as that of a new member
+    Then its incarnation is another one than before
+
+  Scenario: A VM with an empty folder whose disk refuses to sync waits for it
+    When the disk refuses the next 2 syncs
+    And the control log of an empty folder is recovered as that of a new member
+    Then the control log is recovered with the same incarnation
+
+  Scenario: A folder of an older build, which records no incarnation, is that of a founding voter
+    When an older build has written a vote in term 3 and the entry 1
+    Then the control log is recovered with the founding incarnation
+
+  Scenario: A folder that has lost its log, and with it the vote, counts as lost although it has a snapshot
+    When the control log of an empty folder is recovered as that of a founding voter
+    And a snapshot up to entry 3 is written
+    And the log is lost but not the snapshot
+    Then the control log has no incarnation
--- a/features/support.py
+++ b/features/support.py
@@ -5,6 +5,7 @@
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.requests import StatementKind
+from gentianspread_lab.fakes import FakeDisk
 from gentianspread_lab.fakes.simulation import GROUP
 
 
@@ -41,6 +42,21 @@
     return f"{outcome.result.value}: {outcome.refusal.code.value}"
 
 
+def follower_name(context):
+    """Return the name of a running voter other than the leader."""
+    leader = context.simulation.leader()
+    names = [name for name in leader.board.log.voters if name != leader.name]
+    return next(name for name in sorted(names) if context.simulation.vms[name].alive)
+
+
+def lose_disk(context, vm):
+    """Kill a VM and replace its disk with a blank one; it is started again separately."""
+    vm.kill()
+    context.lost_vm = vm.name
+    context.lost_disks.setdefault(vm.name, []).append(vm.disk)
+    vm.disk = FakeDisk()
+
+
 def violations_of(context):
     """Return the violated invariants and their counts over all VMs."""
     return {
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -24,7 +24,7 @@
     NAME_PRIMARY = "name_primary"
     NAME_ALLOCATOR = "name_allocator"
     CHANGE_VOTERS = "change_voters"
-    VOTER_JOINED = "voter_joined"
+    VOTER_JOINED = "voter_joined"  # in logs of older builds
     DECLARE = "declare"
     CHANGE_DECLARATION = "change_declaration"
     ENDPOINT_GONE = "endpoint_gone"
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -6,6 +6,7 @@
 
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration
+from .log import FOUNDING_INCARNATION
 
 MAX_STORED_OUTCOMES = 4096
 
@@ -174,7 +175,8 @@
 
     `revision` is the index of the last applied log entry; `operator_revision` counts accepted
     operator changes only. `confirmed_at` is when a quorum last confirmed the configuration, in
-    seconds of the VM's clock.
+    seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
+    control log.
     """
 
     __slots__ = (
@@ -190,7 +192,7 @@
         "allocators",
         "voters",
         "learners",
-        "joined_voters",
+        "incarnations",
         "outcomes",
         "confirmed_at",
         "declaration",
@@ -209,11 +211,16 @@
         self.allocators: dict[str, Allocator] = {}
         self.voters: list[str] = []
         self.learners: list[str] = []
-        self.joined_voters: list[str] = []
+        self.incarnations: dict[str, str] = {}
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.confirmed_at = float("-inf")
         self.declaration: Declaration | None = None
 
+    def is_voter(self, name: str, incarnation: str | None) -> bool:
+        """Return whether a VM with a disk of this incarnation is a voter."""
+        held = self.incarnations.get(name, FOUNDING_INCARNATION)
+        return name in self.voters and held == incarnation
+
     def store_outcome(self, change_id: str, outcome: ChangeOutcome) -> None:
         """Store the outcome of a change for resends; drop the oldest beyond the limit."""
         if not change_id:
@@ -242,7 +249,8 @@
         "open_routes": dict(configuration.open_routes),
         "voters": list(configuration.voters),
         "learners": list(configuration.learners),
-        "joined_voters": list(configuration.joined_voters),
+        "incarnations": dict(configuration.incarnations),
+        "joined_voters": list(configuration.voters),  # required by older builds
         "outcomes": {name: item.to_record() for name, item in configuration.outcomes.items()},
     }
     if configuration.declaration is not None:
@@ -288,7 +296,7 @@
     configuration.open_routes = dict(snapshot["open_routes"])
     configuration.voters = list(snapshot["voters"])
     configuration.learners = list(snapshot["learners"])
-    configuration.joined_voters = list(snapshot["joined_voters"])
+    configuration.incarnations = dict(snapshot.get("incarnations", {}))
     declared = snapshot.get("declaration")
     configuration.declaration = Declaration.from_record(declared) if declared else None
     configuration.outcomes = {
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/election.py
@@ -18,8 +18,8 @@
     """Term, vote and leader; times in seconds of the VM's clock.
 
     `last_leader_contact` and `last_vote_at` are minus infinity until a leader made contact, or this
-    VM gave a vote, since its start. `barred` marks a VM that lost the record of its votes and still
-    counts as a voter: it takes no part in the control log.
+    VM gave a vote, since its start. `heard` names the VMs that have sent a control message since
+    then.
     """
 
     __slots__ = (
@@ -34,7 +34,7 @@
         "pre_votes",
         "votes",
         "deadline",
-        "barred",
+        "heard",
     )
 
     def __init__(self) -> None:
@@ -49,4 +49,4 @@
         self.pre_votes: set[str] = set()
         self.votes: set[str] = set()
         self.deadline = 0.0
-        self.barred = False
+        self.heard: set[str] = set()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -6,6 +6,8 @@
 
 from .commands import Command
 
+FOUNDING_INCARNATION = ""  # of the voters of the first start, and of disks that record none
+
 
 class LogEntry:
     """One entry of the control log."""
@@ -41,15 +43,39 @@
         self.state = state
 
 
+class SyncedRecords:
+    """Identifies the last entry of a batch that was synced to the disk."""
+
+    __slots__ = ("index", "term")
+
+    def __init__(self, index: int, term: int) -> None:
+        self.index = index
+        self.term = term
+
+
+class RecoveredLog:
+    """The snapshot, the entries and the incarnation that the disk held at start."""
+
+    __slots__ = ("snapshot", "entries", "incarnation")
+
+    def __init__(self, snapshot: Snapshot, entries: list[LogEntry], incarnation: str) -> None:
+        self.snapshot = snapshot
+        self.entries = entries
+        self.incarnation = incarnation
+
+
 class Peer:
     """The leader's replication state of one voter or learner; times in seconds.
 
+    It is that of one `incarnation`: what another disk of the same VM confirmed does not count.
+
     `in_flight` is set from sending entries or a snapshot, at `entries_sent_at`, until the reply.
     `acked_sent_at` is when the newest of the messages that got a reply was sent.
     """
 
     __slots__ = (
         "name",
+        "incarnation",
         "next_index",
         "match_index",
         "acked_sent_at",
@@ -58,8 +84,9 @@
         "entries_sent_at",
     )
 
-    def __init__(self, name: str, next_index: int, now: float) -> None:
+    def __init__(self, name: str, incarnation: str, next_index: int, now: float) -> None:
         self.name = name
+        self.incarnation = incarnation
         self.next_index = next_index
         self.match_index = 0
         self.acked_sent_at = float("-inf")
@@ -71,7 +98,11 @@
 class ControlLog:
     """Entries after the snapshot, and how far they are synced and committed.
 
-    `recovered_index` is the index of the last entry that was on disk at start.
+    `recovered_index` is the index of the last entry that was on disk at start. A voter is a VM's
+    name together with the incarnation of its disk: `incarnation` is this VM's own, `incarnations`
+    has those of voters and learners that are no founding ones, by name. Until the disk was read,
+    this VM's own is none, and it takes no part. `voters_index` is the index of the entry, or of the
+    snapshot, that the voters were taken from.
     """
 
     __slots__ = (
@@ -83,6 +114,9 @@
         "confirmed_at",
         "voters",
         "learners",
+        "incarnation",
+        "incarnations",
+        "voters_index",
         "recovered_index",
     )
 
@@ -96,6 +130,17 @@
         self.confirmed_at = float("-inf")
         self.voters: list[str] = []
         self.learners: list[str] = []
+        self.incarnation: str | None = None
+        self.incarnations: dict[str, str] = {}
+        self.voters_index = 0
+
+    def incarnation_of(self, name: str) -> str:
+        """Return the incarnation with which a VM is a voter or a learner."""
+        return self.incarnations.get(name, FOUNDING_INCARNATION)
+
+    def is_voter(self, name: str) -> bool:
+        """Return whether this VM, under its name and with its own disk, is a voter."""
+        return name in self.voters and self.incarnation_of(name) == self.incarnation
 
     def last_index(self) -> int:
         """Return the index of the last entry, or of the snapshot."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/members.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/members.py
@@ -9,16 +9,16 @@
 class MemberContact:
     """The last report from a VM: when, in seconds of this VM's clock, and its revision then.
 
-    `lost_votes` marks a VM that restarted with an empty disk.
+    `incarnation` is that of the VM's disk, none until the VM has read it.
     """
 
-    __slots__ = ("member", "at", "revision", "lost_votes")
+    __slots__ = ("member", "at", "revision", "incarnation")
 
-    def __init__(self, member: str, at: float, revision: int, lost_votes: bool = False) -> None:
+    def __init__(self, member: str, at: float, revision: int, incarnation: str | None) -> None:
         self.member = member
         self.at = at
         self.revision = revision
-        self.lost_votes = lost_votes
+        self.incarnation = incarnation
 
 
 class Members:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from .commands import ChangeOutcome, Command
-from .log import LogEntry
+from .log import FOUNDING_INCARNATION, ControlLog, LogEntry
 
 
 class MessageKind(Enum):
@@ -27,7 +27,8 @@
     `index` and `log_term` identify the entry before `entries` (append), the sender's last entry
     (votes), the last included entry (snapshot) or the last matching one (replies). `sent_at` is the
     sender's clock in seconds and is echoed by replies. `commit` is the leader's commit index, `age`
-    the seconds since a majority confirmed the leader.
+    the seconds since a majority confirmed the leader. A message is sent by one incarnation of a VM
+    and is meant for one of another; the receiver drops it if its disk has another incarnation.
     """
 
     __slots__ = (
@@ -43,6 +44,8 @@
         "sent_at",
         "age",
         "state",
+        "sender_incarnation",
+        "receiver_incarnation",
     )
 
     def __init__(
@@ -59,6 +62,8 @@
         sent_at: float = 0.0,
         age: float = 0.0,
         state: dict[str, Any] | None = None,
+        sender_incarnation: str = FOUNDING_INCARNATION,
+        receiver_incarnation: str = FOUNDING_INCARNATION,
     ) -> None:
         self.kind = kind
         self.sender = sender
@@ -72,6 +77,8 @@
         self.sent_at = sent_at
         self.age = age
         self.state = state
+        self.sender_incarnation = sender_incarnation
+        self.receiver_incarnation = receiver_incarnation
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> Message:
@@ -89,15 +96,36 @@
             record["sent_at"],
             record["age"],
             record["state"],
+            record.get("sender_incarnation", FOUNDING_INCARNATION),
+            record.get("receiver_incarnation", FOUNDING_INCARNATION),
         )
 
     def to_record(self) -> dict[str, Any]:
-        """Return the JSON form."""
+        """Return the JSON form, without founding incarnations, which older builds do not know."""
         record = {slot: getattr(self, slot) for slot in self.__slots__}
         record["kind"] = self.kind.value
         record["entries"] = [entry.to_record() for entry in self.entries]
+        for slot in ("sender_incarnation", "receiver_incarnation"):
+            if record[slot] == FOUNDING_INCARNATION:
+                del record[slot]
         return record
 
+    def set_incarnations(self, log: ControlLog, request: Message | None = None) -> None:
+        """Set the sender's incarnation, and that which the receiver has in the log or a request."""
+        self.sender_incarnation = log.incarnation or FOUNDING_INCARNATION
+        if request is None:
+            self.receiver_incarnation = log.incarnation_of(self.receiver)
+        else:
+            self.receiver_incarnation = request.sender_incarnation
+
+    def is_for(self, log: ControlLog) -> bool:
+        """Return whether this message is meant for the VM's present disk."""
+        return self.receiver_incarnation == log.incarnation
+
+    def is_from_participant(self, log: ControlLog) -> bool:
+        """Return whether the sender has the incarnation that is in the log under its name."""
+        return self.sender_incarnation == log.incarnation_of(self.sender)
+
 
 class Proposal:
     """A command proposed to the control log, and its outcome once it is known.
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -7,11 +7,14 @@
 from __future__ import annotations
 
 from enum import Enum
+from random import Random
 
 from ..positions import Position
-from .log import LogEntry, Snapshot
+from .log import FOUNDING_INCARNATION, LogEntry, Snapshot
 from .messages import Message
 
+INCARNATION_BITS = 64
+
 
 class UnreachableReason(Enum):
     """Why an endpoint is unreachable, as seen when connecting to its address.
@@ -182,14 +185,24 @@
 class HardState:
     """The control log's term as this VM knows it (not that of a group), and its vote in that term.
 
-    Both must be synced to disk before a message that depends on them is sent.
+    Both must be synced to disk before a message that depends on them is sent. `incarnation` is
+    drawn once for each empty disk and is lost with it, so that a VM that has lost its term, vote
+    and log is never taken for the one it was. It is none only on an empty disk.
     """
 
-    __slots__ = ("term", "voted_for")
+    __slots__ = ("term", "voted_for", "incarnation")
 
-    def __init__(self, term: int, voted_for: str | None) -> None:
+    def __init__(self, term: int, voted_for: str | None, incarnation: str | None = None) -> None:
         self.term = term
         self.voted_for = voted_for
+        self.incarnation = incarnation
+
+    @classmethod
+    def for_empty_disk(cls, is_founder: bool, randomness: Random) -> HardState:
+        """Return the first state of an empty disk; only a voter of the first start is a founder."""
+        if is_founder:
+            return cls(0, None, FOUNDING_INCARNATION)
+        return cls(0, None, f"{randomness.getrandbits(INCARNATION_BITS):016x}")
 
 
 class ControlBatch:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -44,21 +44,17 @@
         election = self.board.election
         election.term = hard_state.term
         election.voted_for = hard_state.voted_for
-        election.barred = self.board.settings.lost_votes
         self.on_voters_changed(None)
         self._schedule_election_check()
 
     def on_configuration(self, revision: int) -> None:
-        """Clear `barred` once the voters have removed this VM, so that it can be added again."""
-        voters = self.board.configuration.voters
-        if voters and self._own_name() not in voters:
-            self.board.election.barred = False
+        """Become an observer if the configuration shows that the voters removed this VM."""
         self.on_voters_changed(None)
 
     def on_voters_changed(self, _entry: None) -> None:
         """Become a follower or an observer according to the newest known list of voters."""
         election = self.board.election
-        is_voter = self._own_name() in self.board.log.voters and not self._was_removed()
+        is_voter = self.board.log.is_voter(self._own_name()) and not self._was_removed()
         if is_voter and election.role is Role.OBSERVER:
             election.role = Role.FOLLOWER
         elif not is_voter and election.role in (Role.FOLLOWER, Role.CANDIDATE):
@@ -86,7 +82,8 @@
 
     def on_message(self, message: Message) -> None:
         """Adopt higher terms; answer vote requests, and count votes."""
-        if self.board.election.barred:
+        self.board.election.heard.add(message.sender)
+        if not message.is_for(self.board.log):
             return
         if message.kind is MessageKind.PRE_VOTE:
             self._answer_pre_vote(message)
@@ -105,11 +102,10 @@
 
     def _was_removed(self) -> bool:
         """Return whether the voters removed this VM in an entry that its own log lacks."""
-        configuration = self.board.configuration
-        is_ahead = configuration.revision > self.board.log.commit_index
-        return (
-            is_ahead and bool(configuration.voters) and self._own_name() not in configuration.voters
-        )
+        configuration, log = self.board.configuration, self.board.log
+        is_ahead = configuration.revision > log.commit_index
+        is_listed = configuration.is_voter(self._own_name(), log.incarnation)
+        return is_ahead and bool(configuration.voters) and not is_listed
 
     def _own_name(self) -> str:
         return self.board.settings.member
@@ -128,7 +124,8 @@
         voters = self.board.log.voters
         return len(names & set(voters)) > len(voters) // 2
 
-    def _send(self, message: Message) -> None:
+    def _send(self, message: Message, request: Message | None = None) -> None:
+        message.set_incarnations(self.board.log, request)
         self.board.outbox.control.messages.append(message)
 
     def _request(self, kind: MessageKind, term: int) -> None:
@@ -164,7 +161,7 @@
             message.term,
             granted=granted,
         )
-        self._send(reply)
+        self._send(reply, message)
 
     def _goes_before(self, message: Message) -> bool:
         """Return whether this VM has just asked for pre-votes too and is the first by name.
@@ -195,6 +192,8 @@
         expected = election.role is Role.CANDIDATE and message.term == election.term + 1
         if not (expected and message.granted and election.pre_votes):
             return
+        if not message.is_from_participant(self.board.log):
+            return
         election.pre_votes.add(message.sender)
         if self._is_majority(election.pre_votes):
             self._request_votes()
@@ -225,12 +224,12 @@
         reply = Message(
             MessageKind.VOTE_REPLY, self._own_name(), message.sender, election.term, granted=granted
         )
-        self._send(reply)
+        self._send(reply, message)
 
     def _count_vote(self, message: Message) -> None:
         election = self.board.election
         expected = election.role is Role.CANDIDATE and message.term == election.term
-        if not (expected and message.granted):
+        if not (expected and message.granted and message.is_from_participant(self.board.log)):
             return
         election.votes.add(message.sender)
         if self._is_majority(election.votes):
@@ -280,4 +279,6 @@
 
     def _persist(self) -> None:
         election = self.board.election
-        self.board.outbox.control.hard_state = HardState(election.term, election.voted_for)
+        self.board.outbox.control.hard_state = HardState(
+            election.term, election.voted_for, self.board.log.incarnation
+        )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -20,6 +20,7 @@
 REPAIR_INTERVAL_S = 0.25
 CONTACT_TIMEOUT_S = 1.0  # a VM without contact for longer does not count as alive
 MAX_LEARNER_LAG_ENTRIES = 2
+LOST_DISK_SILENCE_S = 0.5  # a present voter answers within it; a report may have been under way
 
 
 class RepairController:
@@ -138,15 +139,12 @@
             self._remove_voter(lost or self._surplus_voter())
         elif lost is not None or len(log.voters) < target_count:
             self._add_learner(lost)
-        else:
-            self._record_joined_voter()
 
     def _lost_voter(self) -> str | None:
         timeout_s = self.board.settings.voter_loss_timeout_s
         now = self.board.clock.now()
         for name in self.board.log.voters:
-            contact = self.board.members.last_contacts.get(name)
-            if contact is not None and contact.lost_votes and now - contact.at < timeout_s:
+            if self._has_lost_disk(name):
                 return name
             peer = self.board.log.peers.get(name)
             if (
@@ -156,6 +154,16 @@
                 return name
         return None
 
+    def _has_lost_disk(self, name: str) -> bool:
+        """Return whether a VM runs with another disk than the one that is in the control log."""
+        contact = self.board.members.last_contacts.get(name)
+        peer = self.board.log.peers.get(name)
+        if contact is None or peer is None:
+            return False
+        if contact.incarnation in (None, peer.incarnation):
+            return False
+        return contact.at - peer.last_response_at > LOST_DISK_SILENCE_S
+
     def _surplus_voter(self) -> str:
         """Return the voter to remove when all voters answer but there are too many.
 
@@ -169,17 +177,6 @@
             key=lambda name: (log.peers[name].match_index, log.peers[name].last_response_at, name),
         )
 
-    def _record_joined_voter(self) -> None:
-        """Record a voter that has answered, so that it cannot vote again if it loses its disk."""
-        joined = self.board.configuration.joined_voters
-        for name in self.board.log.voters:
-            peer = self.board.log.peers.get(name)
-            has_answered = peer is not None and peer.match_index > 0
-            is_self = name == self.board.settings.member
-            if name not in joined and (has_answered or is_self):
-                self._propose(CommandKind.VOTER_JOINED, {"name": name})
-                return
-
     def _add_learner(self, lost: str | None) -> None:
         """Add a standby as a learner.
 
@@ -209,7 +206,10 @@
         alive = [
             item
             for item in members.values()
-            if item.has_disk and item.name not in voters and self._is_alive(item)
+            if item.has_disk
+            and item.name not in voters
+            and self._is_alive(item)
+            and self._incarnation_of(item.name) is not None
         ]
         if not alive:
             return None
@@ -218,11 +218,9 @@
     def _promote_learner(self, learner: str) -> None:
         log = self.board.log
         peer = log.peers.get(learner)
-        now = self.board.clock.now()
-        if (
-            peer is not None
-            and now - peer.last_response_at > self.board.settings.voter_loss_timeout_s
-        ):
+        timeout_s = self.board.settings.voter_loss_timeout_s
+        is_silent = peer is not None and self.board.clock.now() - peer.last_response_at > timeout_s
+        if is_silent or self._has_lost_disk(learner):
             self._change_voters(list(log.voters), [])
         elif peer is not None and peer.match_index + MAX_LEARNER_LAG_ENTRIES >= log.commit_index:
             self._change_voters([*log.voters, learner], [])
@@ -252,9 +250,22 @@
         self.board.timeline.record(
             EventKind.VOTERS_CHANGED, "control log", "repair", voters=voters, learners=learners
         )
-        fields = {"voters": voters, "learners": learners}
+        incarnations = {name: self._incarnation_of(name) for name in [*voters, *learners]}
+        fields = {
+            "voters": voters,
+            "learners": learners,
+            "incarnations": {name: value for name, value in incarnations.items() if value},
+        }
         self._propose(CommandKind.CHANGE_VOTERS, fields)
 
+    def _incarnation_of(self, name: str) -> str | None:
+        """Return the incarnation in the control log, or that which a new learner reported."""
+        log = self.board.log
+        contact = self.board.members.last_contacts.get(name)
+        if name in log.voters or name in log.learners or contact is None:
+            return log.incarnation_of(name)
+        return contact.incarnation
+
     def _propose(self, kind: CommandKind, fields: dict[str, Any]) -> None:
         self._is_change_pending = True
         proposal = Proposal(Command(kind, fields), self._finish_change)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -12,7 +12,7 @@
 from ..blackboard.commands import Command, CommandKind
 from ..blackboard.configuration import to_snapshot
 from ..blackboard.election import Role
-from ..blackboard.log import LogEntry, Peer, Snapshot
+from ..blackboard.log import LogEntry, Peer, RecoveredLog, Snapshot, SyncedRecords
 from ..blackboard.messages import Message, MessageKind, Proposal
 from .configuration import AppliedCommand
 from .election import CHECK_QUORUM_ELECTION_TIMEOUTS
@@ -21,26 +21,6 @@
 RESEND_TIMEOUT_S = 0.5  # entries and snapshots of 100 KB are answered within it
 
 
-class SyncedRecords:
-    """Identifies the last entry of a batch that was synced to the disk."""
-
-    __slots__ = ("index", "term")
-
-    def __init__(self, index: int, term: int) -> None:
-        self.index = index
-        self.term = term
-
-
-class RecoveredLog:
-    """The snapshot and entries that the disk held at start."""
-
-    __slots__ = ("snapshot", "entries")
-
-    def __init__(self, snapshot: Snapshot, entries: list[LogEntry]) -> None:
-        self.snapshot = snapshot
-        self.entries = entries
-
-
 class ReplicationController:
     """Owns the control log section."""
 
@@ -68,6 +48,7 @@
     def on_recovered(self, recovered: RecoveredLog) -> None:
         """Restore the log from the disk; only the snapshot in it counts as committed."""
         log = self.board.log
+        log.incarnation = recovered.incarnation
         log.snapshot = recovered.snapshot
         log.entries = recovered.entries
         log.synced_index = log.last_index()
@@ -79,7 +60,7 @@
 
     def on_message(self, message: Message) -> None:
         """Handle messages of the current term; reject appends and snapshots of older terms."""
-        if self.board.election.barred:
+        if not message.is_for(self.board.log):
             return
         if message.term != self.board.election.term:
             self._reject_stale(message)
@@ -97,8 +78,7 @@
             log.confirmed_at = float("-inf")
             self._abandon_proposals()
             return
-        now = self.board.clock.now()
-        log.peers = {name: Peer(name, log.last_index() + 1, now) for name in self._peer_names()}
+        log.peers = {name: self._new_peer(name) for name in self._peer_names()}
         self._first_index_of_term = log.last_index() + 1
         self._append(Command(CommandKind.NO_OP, {}))
         self.on_heartbeat(None)
@@ -169,13 +149,17 @@
         log = self.board.log
         return [name for name in [*log.voters, *log.learners] if name != self._own_name()]
 
+    def _new_peer(self, name: str) -> Peer:
+        log = self.board.log
+        return Peer(name, log.incarnation_of(name), log.last_index() + 1, self.board.clock.now())
+
     def _update_peers(self) -> None:
         log = self.board.log
         names = self._peer_names()
-        now = self.board.clock.now()
         for name in names:
-            if name not in log.peers:
-                log.peers[name] = Peer(name, log.last_index() + 1, now)
+            peer = log.peers.get(name)
+            if peer is None or peer.incarnation != log.incarnation_of(name):
+                log.peers[name] = self._new_peer(name)
         for name in list(log.peers):
             if name not in names:
                 del log.peers[name]
@@ -200,22 +184,22 @@
     def _load_voters(self) -> None:
         """Load the voters from the newest entry that changes them, committed or not."""
         log = self.board.log
-        log.voters = list(log.snapshot.state.get("voters") or self._initial_voters())
+        log.voters = list(log.snapshot.state.get("voters") or self.board.settings.initial_voters)
         log.learners = list(log.snapshot.state.get("learners", []))
+        log.incarnations = dict(log.snapshot.state.get("incarnations", {}))
+        log.voters_index = log.snapshot.index
         for entry in reversed(log.entries):
             if entry.command.kind is CommandKind.CHANGE_VOTERS:
                 log.voters = list(entry.command.fields["voters"])
                 log.learners = list(entry.command.fields["learners"])
+                log.incarnations = dict(entry.command.fields.get("incarnations", {}))
+                log.voters_index = entry.index
                 break
         self.board.changes.post(Topic.VOTERS_CHANGED)
 
-    def _initial_voters(self) -> list[str]:
-        """Return the voters before any change, without this VM if it lost its earlier votes."""
-        settings = self.board.settings
-        voters = list(settings.initial_voters)
-        if settings.lost_votes and settings.member in voters:
-            voters.remove(settings.member)
-        return voters
+    def _send(self, message: Message, request: Message | None = None) -> None:
+        message.set_incarnations(self.board.log, request)
+        self.board.outbox.control.messages.append(message)
 
     def _send_to(self, peer: Peer) -> None:
         log = self.board.log
@@ -240,7 +224,7 @@
         if entries:
             peer.in_flight = True
             peer.entries_sent_at = now
-        self.board.outbox.control.messages.append(message)
+        self._send(message)
 
     def _send_snapshot(self, peer: Peer, now: float) -> None:
         snapshot = self.board.log.snapshot
@@ -256,7 +240,7 @@
             sent_at=now,
             state=snapshot.state,
         )
-        self.board.outbox.control.messages.append(message)
+        self._send(message)
 
     def _reject_stale(self, message: Message) -> None:
         if message.kind in (MessageKind.APPEND, MessageKind.SNAPSHOT):
@@ -272,7 +256,7 @@
             granted=granted,
             sent_at=message.sent_at,
         )
-        self.board.outbox.control.messages.append(reply)
+        self._send(reply, message)
 
     def _accept_append(self, message: Message) -> None:
         log = self.board.log
@@ -320,7 +304,7 @@
     def _handle_reply(self, message: Message) -> None:
         log = self.board.log
         peer = log.peers.get(message.sender)
-        if peer is None:
+        if peer is None or peer.incarnation != message.sender_incarnation:
             return
         peer.last_response_at = self.board.clock.now()
         peer.acked_sent_at = max(peer.acked_sent_at, message.sent_at)
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -83,9 +83,8 @@
 class CoreSettings:
     """This VM's identity, and the timeouts, intervals and limits of its controllers.
 
-    `lost_votes` marks a voter whose disk came back empty: it may have voted before and must not
-    vote again. `max_configuration_age_s` is how long this VM may serve after a quorum last
-    confirmed its configuration. `token_ttl_s` is how long rate limit tokens may be spent after they
+    `max_configuration_age_s` is how long this VM may serve after a quorum last confirmed its
+    configuration. `token_ttl_s` is how long rate limit tokens may be spent after they
     were asked for. `startup_timeout_s` is how long after its start this VM expects its first fresh
     configuration. `initial_backoff_s` is the first backoff of a suspected endpoint. `voter_count`
     is the wanted number of voters, 0 for the number of initial voters. `records_initial_voters`
@@ -99,7 +98,6 @@
         "address",
         "has_disk",
         "initial_voters",
-        "lost_votes",
         "zones",
         "max_configuration_age_s",
         "startup_timeout_s",
@@ -128,7 +126,6 @@
         self.address = address
         self.has_disk = False
         self.initial_voters: list[str] = []
-        self.lost_votes = False
         self.zones: list[str] = [zone]
         self.max_configuration_age_s = 2.0
         self.startup_timeout_s = 1.5
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -252,16 +252,7 @@
 def _set_voters(configuration: Configuration, command: Command) -> None:
     configuration.voters = list(command.fields["voters"])
     configuration.learners = list(command.fields["learners"])
-    participants = {*configuration.voters, *configuration.learners}
-    configuration.joined_voters = [
-        item for item in configuration.joined_voters if item in participants
-    ]
-
-
-def _record_joined_voter(configuration: Configuration, command: Command) -> None:
-    name = command.fields["name"]
-    if name not in configuration.joined_voters:
-        configuration.joined_voters.append(name)
+    configuration.incarnations = dict(command.fields.get("incarnations", {}))
 
 
 def _require_workspace(configuration: Configuration, name: str) -> None:
@@ -292,7 +283,7 @@
     CommandKind.NAME_PRIMARY: _set_primary,
     CommandKind.NAME_ALLOCATOR: _set_allocator,
     CommandKind.CHANGE_VOTERS: _set_voters,
-    CommandKind.VOTER_JOINED: _record_joined_voter,
+    CommandKind.VOTER_JOINED: _no_op,
     CommandKind.DECLARE: _apply_declaration,
     CommandKind.CHANGE_DECLARATION: _apply_declaration_change,
     CommandKind.ENDPOINT_GONE: _deregister_endpoint,
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/disk.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/disk.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
-from gentianspread_core.blackboard.log import LogEntry, Snapshot
+from gentianspread_core.blackboard.log import (
+    FOUNDING_INCARNATION,
+    LogEntry,
+    RecoveredLog,
+    Snapshot,
+)
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
-from gentianspread_core.controllers.replication import RecoveredLog
 
 
 class FakeDisk:
@@ -13,14 +17,14 @@
     __slots__ = ("hard_state", "snapshot", "entries", "is_full")
 
     def __init__(self) -> None:
-        self.hard_state = HardState(0, None)
+        self.hard_state = HardState(0, None)  # without an incarnation while the disk is blank
         self.snapshot = Snapshot(0, 0, {})
         self.entries: list[LogEntry] = []
         self.is_full = False
 
     def is_blank(self) -> bool:
         """Return whether nothing was ever synced."""
-        return not (self.hard_state.term or self.snapshot.index or self.entries)
+        return self.hard_state.incarnation is None
 
     def write(self, batch: ControlBatch) -> bool:
         """Sync a batch; return false if the disk is full."""
@@ -39,4 +43,5 @@
 
     def recover(self) -> RecoveredLog:
         """Return the log that a restarted VM recovers."""
-        return RecoveredLog(self.snapshot, list(self.entries))
+        incarnation = self.hard_state.incarnation or FOUNDING_INCARNATION
+        return RecoveredLog(self.snapshot, list(self.entries), incarnation)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -16,6 +16,7 @@
     DeclaredWorkspace,
     Route,
 )
+from gentianspread_core.blackboard.log import SyncedRecords
 from gentianspread_core.blackboard.messages import Proposal
 from gentianspread_core.blackboard.outbox import (
     ConnectionClose,
@@ -33,7 +34,6 @@
     SessionStatement,
     StatementCall,
 )
-from gentianspread_core.controllers.replication import SyncedRecords
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
@@ -55,6 +55,7 @@
     """VMs and the endpoints of one group, the blocked links between them, and scheduled events.
 
     `diskless` counts the VMs without a disk, `standbys` those with one that are no voters yet.
+    `is_first_start` is set until all VMs have started for the first time.
     """
 
     def __init__(
@@ -68,6 +69,7 @@
         self.selector_factory = selector_factory
         self.clock = FakeClock()
         self.randomness = random.Random(seed)
+        self.incarnation_randomness = random.Random(f"incarnations {seed}")
         self.vms: dict[str, FakeVM] = {}
         self.endpoints: dict[str, FakeEndpoint] = {}
         self.blocked_links: set[frozenset[str]] = set()
@@ -78,7 +80,9 @@
         self._events: list[ScheduledEvent] = []
         self._event_count = 0
         self._request_count = 0
+        self.is_first_start = True
         self._add_vms(voters, diskless, standbys)
+        self.is_first_start = False
         self.call_later(self._poll, POLL_INTERVAL_S)
         self.call_later(self._replicate, PULL_INTERVAL_S)
 
@@ -317,8 +321,19 @@
         if not peers:
             return
         leader = self.leader()
-        prefers_leader = leader in peers and not vm.board.is_fresh()
-        peer = leader if prefers_leader else self.randomness.choice(peers)
+        is_fresh = vm.board.is_fresh()
+        self.poll(vm, leader if leader in peers and not is_fresh else self.randomness.choice(peers))
+        if leader in peers:
+            contact = MemberContact(
+                vm.name,
+                self.clock.now(),
+                vm.board.configuration.revision,
+                vm.board.log.incarnation,
+            )
+            leader.board.post(Topic.MEMBER_REPORTED, contact)
+
+    def poll(self, vm: FakeVM, peer: FakeVM) -> None:
+        """Have a VM take over what another one knows, however old that is."""
         peer.board.post(Topic.POLL_RECEIVED)
         has_log = vm.board.election.role is not Role.OBSERVER
         update = peer.engine.configuration.build_update(
@@ -328,9 +343,6 @@
             update.entries, update.snapshot, update.revision, update.confirmed_at
         )
         vm.board.post(Topic.CONFIGURATION_RECEIVED, copy)
-        if leader is not None and self.can_reach(vm.name, leader.name):
-            contact = MemberContact(vm.name, self.clock.now(), vm.board.configuration.revision)
-            leader.board.post(Topic.MEMBER_REPORTED, contact)
 
     def _register_members(self) -> None:
         leader = self.leader()
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
@@ -6,16 +6,17 @@
 from typing import TYPE_CHECKING, Any
 
 from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.log import SyncedRecords
 from gentianspread_core.blackboard.outbox import (
     ControlBatch,
     EndpointCommand,
     EndpointProbe,
+    HardState,
     ReplicaWatch,
     TransactionRelease,
 )
 from gentianspread_core.blackboard.rate_limits import TokenRequest
 from gentianspread_core.blackboard.requests import Request
-from gentianspread_core.controllers.replication import SyncedRecords
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
 
@@ -56,7 +57,6 @@
         self.frozen = False
         self.unwritten_batch = None
         self.incarnation += 1
-        self.settings.lost_votes = self._lost_votes()
         self.engine = Engine.for_requests(
             self.settings, simulation.clock, simulation.randomness, simulation.clock.wall_ms
         )
@@ -66,9 +66,19 @@
         changes.subscribe(Topic.INTENT_POSTED, self._on_intent)
         changes.subscribe(Topic.EXCHANGE_SCHEDULED, self._on_exchange_scheduled)
         disk = self.disk or FakeDisk()
+        if self.disk is not None and disk.is_blank():
+            is_founder = simulation.is_first_start and self.name in self.settings.initial_voters
+            disk.hard_state = HardState.for_empty_disk(
+                is_founder, simulation.incarnation_randomness
+            )
         self.board.post(Topic.LOG_RECOVERED, disk.recover())
         self.board.post(Topic.CONTROL_STARTED, disk.hard_state)
 
+    def lose_disk(self) -> None:
+        """Kill this VM and replace its disk with a blank one; it is started again separately."""
+        self.kill()
+        self.disk = FakeDisk()
+
     def kill(self) -> None:
         """Stop at once: unsynced state is lost, and open transactions are rolled back."""
         self.alive = False
@@ -109,16 +119,6 @@
 
         self.simulation.call_later(run, delay)
 
-    def _lost_votes(self) -> bool:
-        """Return whether the disk is blank although this VM had joined the voters before.
-
-        Such a VM may have lost votes that it granted.
-        """
-        if self.disk is None or not self.disk.is_blank():
-            return False
-        others = [vm for vm in self.simulation.vms.values() if vm is not self and vm.alive]
-        return any(self.name in vm.board.configuration.joined_voters for vm in others)
-
     def _on_exchange_scheduled(self, request: Request) -> None:
         self.call_later(lambda: self.simulation.execute_exchange(self, request))
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
@@ -13,11 +13,12 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from .fakes import FakeDisk, FakeVM, Simulation
+from .fakes import FakeVM, Simulation
 from .fakes.simulation import GROUP
 from .history import HistoryChecker, SentCommit, SentRequest, Session
 
-VM_NAMES = ("v1", "v2", "v3", "s1", "o1", "o2")  # voters, a standby, and VMs without a disk
+DISK_NAMES = ("v1", "v2", "v3", "s1")  # voters and a standby
+VM_NAMES = (*DISK_NAMES, "o1", "o2")
 ENDPOINT_NAMES = ("e1", "e2", "e3")
 PROCESS_NAMES = VM_NAMES + ENDPOINT_NAMES
 RATE_PER_S = 40.0
@@ -45,6 +46,7 @@
         self.withdrawal_outcomes: list[ChangeOutcome | None] = []
         self.workspace_outcomes: dict[str, list[ChangeOutcome | None]] = {}
         self.value_count = 0
+        self.unreplaced_disk: str | None = None
         self.simulation.run(2.0)
         self.simulation.add_endpoints()
         self.simulation.set_up_workspace(RATE_PER_S, BURST_REQUESTS)
@@ -157,14 +159,29 @@
         vm = self.simulation.vms[name]
         vm.frozen = vm.alive and not vm.frozen
 
-    @rule(name=st.sampled_from(["v1", "v2", "v3"]))
-    def lose_disk(self, name: str) -> None:
-        """Restart a voter with an empty disk, if every voter has its data and is up to date."""
-        if self._is_stable():
-            vm = self.simulation.vms[name]
-            vm.kill()
-            vm.disk = FakeDisk()
-            vm.start()
+    @rule(name=st.sampled_from(DISK_NAMES), restart=st.booleans())
+    def lose_disk(self, name: str, restart: bool) -> None:
+        """Lose a disk, whatever the other VMs do, if no other lost disk is without replacement."""
+        if self.unreplaced_disk in (None, name) or self._is_redundant():
+            self.unreplaced_disk = name
+            self.simulation.vms[name].lose_disk()
+            if restart:
+                self.simulation.vms[name].start()
+
+    @rule(name=st.sampled_from(DISK_NAMES), other=st.sampled_from(DISK_NAMES))
+    def hear_stale_list(self, name: str, other: str) -> None:
+        """Have a VM take over another one's configuration, however old its list of voters is."""
+        vm, upstream = self.simulation.vms[name], self.simulation.vms[other]
+        if name != other and vm.is_running() and upstream.is_running():
+            self.simulation.poll(vm, upstream)
+
+    @rule(names=st.sets(st.sampled_from(DISK_NAMES)))
+    def lose_power(self, names: set[str]) -> None:
+        """Kill all VMs with a disk at once, and start some of them again."""
+        for name in DISK_NAMES:
+            self.simulation.vms[name].kill()
+        for name in sorted(names):
+            self.simulation.vms[name].start()
 
     @rule(name=st.sampled_from(ENDPOINT_NAMES))
     def crash_endpoint(self, name: str) -> None:
@@ -247,27 +264,33 @@
         vm = self.simulation.vms[name]
         return vm if vm.is_running() else None
 
-    def _is_stable(self) -> bool:
-        """Return whether no fault is active and all three voters have the whole control log."""
+    def _is_redundant(self) -> bool:
+        """Return whether three voters with their present disks have the whole control log."""
         leader = self.simulation.leader()
-        is_healthy = (
-            all(vm.is_running() for vm in self.simulation.vms.values())
-            and not self.simulation.blocked_links
-        )
-        if leader is None or not is_healthy:
+        if leader is None:
             return False
         log = leader.board.log
-        synced = (
-            all(peer.match_index >= log.last_index() for peer in log.peers.values())
-            and log.commit_index == log.last_index()
+        voters = [self.simulation.vms[name] for name in log.voters]
+        is_newest = all(
+            vm.board.log.commit_index <= log.commit_index for vm in self.simulation.vms.values()
         )
-        joined = set(leader.board.configuration.joined_voters)
-        has_disk = all(
-            not disk.is_blank()
-            for disk in (self.simulation.vms[name].disk for name in log.voters)
-            if disk is not None
+        return (
+            is_newest
+            and len(voters) == 3
+            and not log.learners
+            and log.commit_index == log.last_index()
+            and all(self._has_whole_log(vm, leader) for vm in voters)
         )
-        return synced and has_disk and set(log.voters) <= joined and len(log.voters) == 3
+
+    def _has_whole_log(self, vm: FakeVM, leader: FakeVM) -> bool:
+        if vm.disk is None or vm.disk.is_blank():
+            return False
+        recovered = vm.disk.recover()
+        entries, log = recovered.entries, leader.board.log
+        last = (entries[-1].index, entries[-1].term) if entries else None
+        last = last or (recovered.snapshot.index, recovered.snapshot.term)
+        is_complete = last == (log.last_index(), log.last_term())
+        return is_complete and recovered.incarnation == log.incarnation_of(vm.name)
 
     def _new_value(self) -> str:
         self.value_count += 1
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -24,6 +24,9 @@
     load_snapshot,
 )
 from gentianspread_core.blackboard.endpoints import Endpoint
+from gentianspread_core.blackboard.log import FOUNDING_INCARNATION
+from gentianspread_core.blackboard.messages import Message
+from gentianspread_core.blackboard.outbox import HardState
 from gentianspread_core.blackboard.rate_limits import TokenBucket
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.blackboard.sessions import SessionRequest
@@ -180,13 +183,8 @@
     return {**ORIGINAL_HANDLERS, CommandKind.DECLARE: _apply_declaration_of_any_version}
 
 
-def _start_unbarred(self: ElectionController, hard_state: Any) -> None:
-    self.board.settings.lost_votes = False
-    election = self.board.election
-    election.term = hard_state.term
-    election.voted_for = hard_state.voted_for
-    self.on_voters_changed(None)
-    self._schedule_election_check()
+def _start_as_founder(is_founder: bool, randomness: Any) -> HardState:
+    return HardState(0, None, FOUNDING_INCARNATION)
 
 
 def _usable_while_leaving(self: Endpoint) -> bool:
@@ -277,12 +275,9 @@
         "_conflicts_with_voter_change",
         constant(False),
     ),
-    Mutant(
-        "a voter may vote after losing its disk",
-        ElectionController,
-        "on_started",
-        _start_unbarred,
-    ),
+    Mutant("an empty disk votes as the lost one", HardState, "for_empty_disk", _start_as_founder),
+    Mutant("replies of a lost disk count", Message, "is_from_participant", constant(True)),
+    Mutant("messages to a lost disk are answered", Message, "is_for", constant(True)),
     Mutant("old snapshots are loaded", ConfigurationController, "_load", _load_any_snapshot),
     Mutant("leaving endpoints get work", Endpoint, "is_usable", _usable_while_leaving),
     Mutant("transactions outlive their key", TransactionController, "_end_reason", constant("")),
--- a/packages/gentianspread-server/src/gentianspread_server/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/control.py
@@ -3,12 +3,18 @@
 from __future__ import annotations
 
 import logging
+import random
+from collections.abc import Callable
 
 import gevent
 from gentianspread_core.blackboard import Board, Topic
-from gentianspread_core.blackboard.log import Snapshot
+from gentianspread_core.blackboard.log import (
+    FOUNDING_INCARNATION,
+    RecoveredLog,
+    Snapshot,
+    SyncedRecords,
+)
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
-from gentianspread_core.controllers.replication import RecoveredLog, SyncedRecords
 from gentianspread_core.errors import ErrorCode, StorageError
 from gevent.event import Event
 
@@ -59,26 +65,29 @@
         """
         if self.storage is None:
             return None
-        stored: StoredState | None = None
-        while stored is None:
-            try:
-                stored = self.storage.open()
-            except StorageError as error:
-                if not isinstance(error.__cause__, OSError):
-                    raise
-                self._report_failure(error)
-                gevent.sleep(WRITE_RETRY_INTERVAL_S)
-        self._report_success()
-        is_empty = not (stored.hard_state.term or stored.snapshot.index or stored.entries)
-        return None if is_empty else stored
+        stored = self._retry(self.storage.open)
+        return None if stored.hard_state.incarnation is None else stored
+
+    def write_first_state(self, is_founder: bool) -> StoredState | None:
+        """Make this VM a new member with an incarnation of its own, or a voter of the first start.
+
+        Called once for an empty disk; waits while the disk fails.
+        """
+        storage = self.storage
+        if storage is None:
+            return None
+        hard_state = HardState.for_empty_disk(is_founder, random.SystemRandom())
+        log.info("the data folder is empty; this VM starts as a %s", _new_role(is_founder))
+        return self._retry(lambda: storage.write_first_state(hard_state))
 
     def start(self, stored: StoredState | None) -> None:
         """Start taking part in the control log with the recovered state."""
         gevent.spawn(self._run)
         hard_state = stored.hard_state if stored else HardState(0, None)
+        incarnation = hard_state.incarnation or FOUNDING_INCARNATION
         snapshot = stored.snapshot if stored else Snapshot(0, 0, {})
         entries = stored.entries if stored else []
-        self.board.post(Topic.LOG_RECOVERED, RecoveredLog(snapshot, entries))
+        self.board.post(Topic.LOG_RECOVERED, RecoveredLog(snapshot, entries, incarnation))
         self.board.post(Topic.CONTROL_STARTED, hard_state)
 
     def wake(self) -> None:
@@ -117,6 +126,20 @@
                 self._report_success()
                 return
 
+    def _retry(self, action: Callable[[], StoredState]) -> StoredState:
+        """Run an action on the storage until the disk no longer fails it."""
+        while True:
+            try:
+                stored = action()
+            except StorageError as error:
+                if not isinstance(error.__cause__, OSError):
+                    raise
+                self._report_failure(error)
+                gevent.sleep(WRITE_RETRY_INTERVAL_S)
+            else:
+                self._report_success()
+                return stored
+
     def _report_failure(self, error: StorageError) -> None:
         """Log the first of several failures in a row."""
         if not self.is_write_failing:
@@ -134,3 +157,7 @@
             sender = PeerSender(name, self.addresses, self.client, self.board)
             self._senders[name] = sender
         return sender
+
+
+def _new_role(is_founder: bool) -> str:
+    return "voter of the first start" if is_founder else "new member without a vote"
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -48,7 +48,8 @@
     """Polls other VMs for the configuration, and answers their polls.
 
     `_reports` holds the newest report of each VM; the `age` of a stored report is not an age but
-    the time of the report on this VM's clock, in seconds.
+    the time of the report on this VM's clock, in seconds. `is_first_start` is whether this process
+    started with an empty disk, none until that is known.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "_registering",
         "_entry_vm_counter",
         "serving_vms",
+        "is_first_start",
     )
 
     def __init__(
@@ -81,6 +83,7 @@
         self._registering: set[str] = set()
         self._entry_vm_counter = EntryVMCounter()
         self.serving_vms = ServingVMRegistry(board)
+        self.is_first_start: bool | None = None
 
     def start(self) -> None:
         """Start polling."""
@@ -123,38 +126,48 @@
         )
         age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
-        return {
+        answer = {
             "revision": update.revision,
             "entries": [entry.to_record() for entry in update.entries],
             "snapshot": update.snapshot,
             "age_s": age if math.isfinite(age) else None,
             "waited_s": self.board.clock.now() - started,
             "leader": self.leader(),
-            "joined": self.board.configuration.joined_voters,
+            "joined": self.board.log.voters,  # required by older builds
             "stamp": [timeline.wall_ms, timeline.counter],
             "entry_vms": self._count_entry_vms(),
             "serving_taken": is_list_stored,
             "homes": self.serving_vms.build_fleet_list(message.get("homes", "")),
             "observations": self._recent_observations(),
         }
+        if message.get("asks_first_start"):
+            answer["first_start"] = self._is_first_start_of(sender)
+        return answer
 
-    def may_vote_with_empty_disk(self) -> bool:
-        """Return whether this VM may vote with an empty disk: only if it never was a voter.
+    def is_founder(self) -> bool:
+        """Return whether this VM, whose disk is empty, is a voter of the fleet's first start.
 
-        Polls the other seeds until any of them answers that this VM was a voter, or until a fresh
-        one or all of them answer that it was not.
+        Polls the other seeds until any of them denies it or all of them have confirmed it.
         """
-        own_name = self.board.settings.member
+        others = [name for name in self.addresses.seeds if name != self.board.settings.member]
         while True:
-            responses = [self._poll_once(name) for name in self.addresses.seeds if name != own_name]
-            received = [response for response in responses if response is not None]
-            if any(own_name in response["joined"] for response in received):
+            responses = [self._poll_once(name, asks_first_start=True) for name in others]
+            answers = [
+                None if response is None else response.get("first_start", False)
+                for response in responses
+            ]
+            if False in answers:
                 return False
-            fresh = [response for response in received if response["age_s"] is not None]
-            if len(received) == len(responses) or fresh:
+            if None not in answers:
                 return True
             gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
 
+    def _is_first_start_of(self, sender: str) -> bool | None:
+        """Return whether the fleet starts for the first time, and a VM has not voted in it yet."""
+        if sender in self.board.election.heard:
+            return False
+        return self.is_first_start
+
     def _run(self) -> None:
         failed_polls = 0
         last_failure_at = self.board.clock.now()
@@ -238,7 +251,9 @@
             self.board.post(Topic.OBSERVATION_RECEIVED, received)
         return age is not None and age < MAX_UPSTREAM_AGE_S
 
-    def _poll_once(self, name: str, wait_s: float = 0.0) -> dict[str, Any] | None:
+    def _poll_once(
+        self, name: str, wait_s: float = 0.0, asks_first_start: bool = False
+    ) -> dict[str, Any] | None:
         address = self.addresses.resolve(name)
         settings = self.board.settings
         if address is None:
@@ -251,6 +266,8 @@
             "reports": [report.to_record() for report in self._reports_to_send()],
             "homes": self.board.homes.version,
         }
+        if asks_first_start:
+            message["asks_first_start"] = True
         serving_list = self.serving_vms.build_own_list_for(name) if settings.has_disk else None
         if serving_list is not None:
             message["serving"] = serving_list
@@ -306,9 +323,9 @@
             settings.has_disk,
             revision,
             0.0,
-            self.board.election.barred,
             self._entry_vm_counter.count(now),
             bool(settings.address) and not settings.has_disk and not self.board.leaving,
+            self.board.log.incarnation,
         )
         reports = [own]
         for report in self._reports.values():
@@ -322,8 +339,8 @@
                         report.has_disk,
                         report.revision,
                         age,
-                        report.lost_votes,
                         report.entries,
+                        incarnation=report.incarnation,
                     )
                 )
         return reports
@@ -336,7 +353,7 @@
             return
         report.age = reported_at
         self._reports[report.name] = report
-        contact = MemberContact(report.name, reported_at, report.revision, report.lost_votes)
+        contact = MemberContact(report.name, reported_at, report.revision, report.incarnation)
         self.board.post(Topic.MEMBER_REPORTED, contact)
         if self.board.election.role is Role.LEADER:
             self.register(report)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -41,7 +41,8 @@
     def start(self) -> None:
         """Recover the control log from disk, then start the server and the log's replication."""
         stored = self.control.recover()
-        self.board.settings.lost_votes = stored is None and not self.settings.is_first_start
+        if stored is None:
+            stored = self.control.write_first_state(self.settings.is_first_start)
         self.board.changes.on_idle = self.control.wake
         self.board.changes.subscribe(Topic.LEADERSHIP_CHANGED, self._on_leadership_changed)
         self._server.start()
--- a/packages/gentianspread-server/src/gentianspread_server/reports.py
+++ b/packages/gentianspread-server/src/gentianspread_server/reports.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from gentianspread_core.blackboard.log import FOUNDING_INCARNATION
+
 MAX_REPORT_AGE_S = 2.0
 COUNT_DECREASE_DELAY_S = 5.0  # a killed VM is back and a new leader has counted all VMs by then
 
@@ -11,8 +13,8 @@
 class MemberReport:
     """A VM's report on itself, possibly passed on by another VM; `age` is in seconds.
 
-    `lost_votes` marks a voter whose disk came back empty; `entries` counts the VMs without a disk
-    that poll this one; `serves` marks a VM that accepts statements of callers.
+    `entries` counts the VMs without a disk that poll this one; `serves` marks a VM that accepts
+    statements of callers; `incarnation` is that of the VM's disk, none until the VM has read it.
     """
 
     __slots__ = (
@@ -22,9 +24,9 @@
         "has_disk",
         "revision",
         "age",
-        "lost_votes",
         "entries",
         "serves",
+        "incarnation",
     )
 
     def __init__(
@@ -35,9 +37,9 @@
         has_disk: bool,
         revision: int,
         age: float,
-        lost_votes: bool = False,
         entries: int = 0,
         serves: bool = False,
+        incarnation: str | None = FOUNDING_INCARNATION,
     ) -> None:
         self.name = name
         self.address = address
@@ -45,18 +47,32 @@
         self.has_disk = has_disk
         self.revision = revision
         self.age = age
-        self.lost_votes = lost_votes
         self.entries = entries
         self.serves = serves
+        self.incarnation = incarnation
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> MemberReport:
         """Build from the plain form."""
-        return cls(*(record[slot] for slot in cls.__slots__))
+        return cls(
+            record["name"],
+            record["address"],
+            record["zone"],
+            record["has_disk"],
+            record["revision"],
+            record["age"],
+            record["entries"],
+            record["serves"],
+            record.get("incarnation", FOUNDING_INCARNATION),
+        )
 
     def to_record(self) -> dict[str, Any]:
-        """Return the plain form."""
-        return {slot: getattr(self, slot) for slot in self.__slots__}
+        """Return the plain form, with `lost_votes`, which older builds require."""
+        record = {slot: getattr(self, slot) for slot in self.__slots__}
+        record["lost_votes"] = False
+        if self.incarnation == FOUNDING_INCARNATION:
+            del record["incarnation"]
+        return record
 
 
 class EntryVMCounter:
--- a/packages/gentianspread-server/src/gentianspread_server/storage.py
+++ b/packages/gentianspread-server/src/gentianspread_server/storage.py
@@ -20,7 +20,7 @@
 from typing import Any
 
 import orjson
-from gentianspread_core.blackboard.log import LogEntry, Snapshot
+from gentianspread_core.blackboard.log import FOUNDING_INCARNATION, LogEntry, Snapshot
 from gentianspread_core.blackboard.outbox import ControlBatch, HardState
 from gentianspread_core.errors import ErrorCode, StorageError
 
@@ -34,7 +34,10 @@
 
 
 class StoredState:
-    """What the data folder held at start: term and vote, the snapshot, and the entries after it."""
+    """What the data folder held at start: term and vote, the snapshot, and the entries after it.
+
+    The term has no incarnation if the folder held no term: it was empty, or its log is lost.
+    """
 
     __slots__ = ("hard_state", "snapshot", "entries")
 
@@ -85,6 +88,13 @@
             raise self._failure("Opening", error) from error
         return StoredState(self._hard_state, self._snapshot, list(self._entries))
 
+    def write_first_state(self, hard_state: HardState) -> StoredState:
+        """Write the first state of an empty folder; raises `StorageError` if that fails."""
+        batch = ControlBatch()
+        batch.hard_state = hard_state
+        self.write(batch)
+        return StoredState(hard_state, self._snapshot, list(self._entries))
+
     def write(self, batch: ControlBatch) -> None:
         """Write a batch and sync it; raises `StorageError` if either fails.
 
@@ -206,7 +216,7 @@
             )
         for record in records:
             if "hard" in record:
-                self._hard_state = HardState(record["hard"]["term"], record["hard"]["voted_for"])
+                self._hard_state = _decode_hard_state(record["hard"])
             else:
                 self._add_entry(LogEntry.from_record(record["entry"]))
         return length, length < len(content)
@@ -225,7 +235,19 @@
 
 
 def _hard_state_record(hard_state: HardState) -> dict[str, Any]:
-    return {"hard": {"term": hard_state.term, "voted_for": hard_state.voted_for}}
+    return {
+        "hard": {
+            "term": hard_state.term,
+            "voted_for": hard_state.voted_for,
+            "incarnation": hard_state.incarnation,
+        }
+    }
+
+
+def _decode_hard_state(record: dict[str, Any]) -> HardState:
+    """Return a stored term and vote; older builds stored no incarnation."""
+    incarnation = record.get("incarnation") or FOUNDING_INCARNATION
+    return HardState(record["term"], record["voted_for"], incarnation)
 
 
 def _decode_frames(content: bytes, name: str) -> tuple[list[dict[str, Any]], int]:
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -122,15 +122,14 @@
     def _join(self) -> None:
         """Recover the control log and take part in it.
 
-        A seed with an empty disk that has joined before may have voted and lost the record of it,
-        so it must not vote and comes back as a standby.
+        A VM with an empty disk is a new member, except for the seeds at the fleet's first start.
         """
         self.distribution.start()
         stored = self.control.recover()
-        is_seed = self.settings.name in self.settings.seeds
-        if stored is None and is_seed and not self.distribution.may_vote_with_empty_disk():
-            log.warning("the data folder has lost earlier votes; this VM comes back as a standby")
-            self.board.settings.lost_votes = True
+        self.distribution.is_first_start = stored is None
+        if stored is None:
+            is_seed = self.settings.name in self.settings.seeds
+            stored = self.control.write_first_state(is_seed and self.distribution.is_founder())
         self.control.start(stored)
 
     def _drain(self) -> None:
