Let no older list of voters remove a voter

The control log could stay without a leader although a majority of voters ran. After a restart a VM has committed nothing yet, so any configuration that it heard counted as newer than its log, also one from before it became a voter. It then took itself for removed and never asked for votes; if it alone had the newest entries, nobody else could win.

A list removes a VM only if its revision is at least that of the list in the VM's own log. Such a list was committed at or after that entry, so it is newer, or the entry was superseded.

Evidence: the new scenario fails on the code before (no leader 3 s after the start) and holds after; the mutant "older lists remove" fails in it.

--- a/features/lost_disks.feature
+++ b/features/lost_disks.feature
@@ -98,3 +98,12 @@
     And 5 s pass
     And a voter is isolated and asks for votes, and a late vote from the lost disk reaches it
     Then that voter does not count it
+
+  Scenario: The only voter with the newest entries can lead although it hears an older list of voters
+    Guards against a fleet that stays without a leader.
+    When a voter freezes until the standby has replaced it, and another one is killed
+    And a change is acknowledged
+    And all others are killed, the leader's disk is lost, and the frozen voter wakes
+    And the other two voters start, and the new one hears the older list of voters
+    And 3 s pass
+    Then there is a leader with the acknowledged change
--- a/features/steps/lost_disks.py
+++ b/features/steps/lost_disks.py
@@ -210,6 +210,25 @@
     assert log.peers[context.lost_vm].match_index <= log.last_index()
 
 
+@when("all others are killed, the leader's disk is lost, and the frozen voter wakes")
+def step_all_killed(context):
+    for vm in context.simulation.vms.values():
+        if vm is not context.parts["frozen"]:
+            vm.kill()
+    lose_disk(context, context.parts["leader"])
+    context.parts["frozen"].frozen = False
+    context.simulation.run(POWER_LOSS_S)
+
+
+@when("the other two voters start, and the new one hears the older list of voters")
+def step_start_without_leader(context):
+    new_voter = context.simulation.vms["s1"]
+    update = context.parts["frozen"].engine.configuration.build_update(0, "s1", has_log=False)
+    new_voter.start()
+    context.parts["killed"].start()
+    new_voter.board.post(Topic.CONFIGURATION_RECEIVED, update)
+
+
 @when("a voter is isolated and asks for votes, and a late vote from the lost disk reaches it")
 def step_late_vote(context):
     simulation = context.simulation
@@ -232,3 +251,10 @@
     election = context.candidate.board.election
     assert election.role is Role.CANDIDATE, election.role
     assert election.term == context.term_before, election.term
+
+
+@then("there is a leader with the acknowledged change")
+def step_leader_has_change(context):
+    leader = context.simulation.leader()
+    assert leader is not None, "there is no leader"
+    assert set(context.outcomes) <= set(leader.board.configuration.workspaces)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -104,8 +104,9 @@
         """Return whether the voters removed this VM in an entry that its own log lacks."""
         configuration, log = self.board.configuration, self.board.log
         is_ahead = configuration.revision > log.commit_index
+        is_newer_list = configuration.revision >= log.voters_index
         is_listed = configuration.is_voter(self._own_name(), log.incarnation)
-        return is_ahead and bool(configuration.voters) and not is_listed
+        return is_ahead and is_newer_list and bool(configuration.voters) and not is_listed
 
     def _own_name(self) -> str:
         return self.board.settings.member
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -187,6 +187,12 @@
     return HardState(0, None, FOUNDING_INCARNATION)
 
 
+def _was_removed_by_any_list(self: ElectionController) -> bool:
+    configuration, log = self.board.configuration, self.board.log
+    is_listed = configuration.is_voter(self._own_name(), log.incarnation)
+    return configuration.revision > log.commit_index and not is_listed
+
+
 def _usable_while_leaving(self: Endpoint) -> bool:
     return not self.suspected
 
@@ -278,6 +284,7 @@
     Mutant("an empty disk votes as the lost one", HardState, "for_empty_disk", _start_as_founder),
     Mutant("replies of a lost disk count", Message, "is_from_participant", constant(True)),
     Mutant("messages to a lost disk are answered", Message, "is_for", constant(True)),
+    Mutant("older lists remove", ElectionController, "_was_removed", _was_removed_by_any_list),
     Mutant("old snapshots are loaded", ConfigurationController, "_load", _load_any_snapshot),
     Mutant("leaving endpoints get work", Endpoint, "is_usable", _usable_while_leaving),
     Mutant("transactions outlive their key", TransactionController, "_end_reason", constant("")),
