--- a/features/platform_wire.feature
+++ b/features/platform_wire.feature
@@ -88,6 +88,49 @@
       | no version       |
       | a list           |
 
+  Scenario Outline: A configuration document with an odd value is invalid
+    Guards against a number in the control log that other VMs read back as no number.
+    When a configuration document with <value> as <field> of its <item> is decoded
+    Then it is refused
+    And the refusal is shorter than 300 characters
+
+    Examples:
+      | item     | field          | value                      |
+      | tenant   | ratePerS       | "inf"                      |
+      | tenant   | ratePerS       | "NaN"                      |
+      | tenant   | ratePerS       | true                       |
+      | tenant   | ratePerS       | 1e400                      |
+      | tenant   | burstSize      | "Infinity"                 |
+      | tenant   | burstSize      | {}                         |
+      | tenant   | apiKeys        | [7]                        |
+      | route    | timeoutMs      | true                       |
+      | route    | timeoutMs      | "800"                      |
+      | route    | targetLatencyMs | false                     |
+      | route    | maxStalenessMs | [1]                        |
+      | route    | priority       | 99999999999999999999999999 |
+      | route    | host           | "\ud800"                   |
+      | route    | routeType      | ["primary"]                |
+      | service  | maxConns       | 1e300                      |
+      | service  | syncReplicas   | "1"                        |
+      | document | version        | 99999999999999999999999999 |
+      | document | version        | 1.0                        |
+      | document | limits         | {"txIdleMs": true}         |
+      | document | limits         | null                       |
+      | document | tenants        | ""                         |
+      | document | tenants        | {}                         |
+      | tenant   | apiKeys        | "key-one"                  |
+      | document | version        | 800 nested lists           |
+      | document | routes         | 800 nested lists           |
+      | route    | name           | 800 nested lists           |
+      | route    | service        | 800 nested lists           |
+      | route    | routeType      | 800 nested lists           |
+      | route    | host           | 800 nested lists           |
+      | route    | timeoutMs      | 800 nested lists           |
+      | tenant   | name           | 800 nested lists           |
+      | tenant   | ratePerS       | 800 nested lists           |
+      | route    | service        | a text of 100000 letters   |
+      | tenant   | ratePerS       | a text of 100000 letters   |
+
   Scenario: A valid configuration document is decoded into routes, groups and workspaces
     When a configuration document with "nothing wrong" is decoded
     Then it holds version 7, 2 routes, 1 group and 2 workspaces
@@ -106,3 +149,34 @@
       | {"service":"s","address":"1.2.3.4:5","zone":"z","state":"sleeping","slots":1,"dbRole":"replica","sequence":1} |
       | {"service":"s","address":"1.2.3.4","zone":"z","state":"ready","slots":1,"dbRole":"replica","sequence":1}      |
       | {"service":"s","address":"1.2.3.4:5","zone":"z","state":"ready","slots":"3","dbRole":"replica","sequence":1}  |
+
+  Scenario Outline: A statement whose id is not UTF-8 is refused, one whose data is not is forwarded
+    Guards against an id that later ends what logs or relays it.
+    When the bytes "<line>" of a statement are decoded
+    Then its verb is "<verb>" and its bytes are unchanged
+
+    Examples:
+      | line                     | verb      |
+      | \xff\xfe1 READ a         | malformed |
+      | \xed\xa0\x80 READ a      | malformed |
+      | a\xc3 COMMIT             | malformed |
+      | \xc3\xa9 READ a          | read      |
+      | id-1 WRITE a \xff\xfe    | write     |
+      | id-1 READ a              | read      |
+
+  Scenario Outline: A prepared statement has one word as its name at endpoints
+    Guards against a shape whose blanks make it a part of the name, and so another statement.
+    When a read of the shape "<shape>" is prepared and executed with the item "i7"
+    Then the endpoint prepares and executes the same name, with the shape and "i7" unchanged
+
+    Examples:
+      | shape            |
+      | q2c              |
+      | select a from b  |
+      | READ x           |
+      | a                |
+      | \xff \xfe        |
+
+  Scenario: Prepared statements of different shapes have different names
+    Guards against a statement that runs with the shape of another.
+    Then 1000 shapes have 1000 names of at most 66 characters
--- a/features/steps/first_start.py
+++ b/features/steps/first_start.py
@@ -45,7 +45,7 @@
         engine = Engine.for_requests(settings, MonotonicClock(), random.Random(1), wall_ms)
         addresses = PeerAddresses(engine.board, {seed: seed for seed in SEEDS})
         distribution = Distribution(engine.board, engine.configuration, addresses, context.client)
-        distribution.is_first_start = True
+        distribution.first_start.had_empty_disk = True
         context.client.distributions[name] = distribution
 
 
@@ -57,7 +57,7 @@
 
 @when('"{name:w}" has started from its disk')
 def step_from_disk(context, name):
-    context.client.distributions[name].is_first_start = False
+    context.client.distributions[name].first_start.had_empty_disk = False
 
 
 @when('"{name:w}" is of an older build')
@@ -72,24 +72,24 @@
 
 @when('"{name:w}" has not read its disk yet')
 def step_not_read(context, name):
-    context.client.distributions[name].is_first_start = None
+    context.client.distributions[name].first_start.had_empty_disk = None
 
 
 @then('"{name:w}" is a founder')
 def step_founder(context, name):
-    assert context.client.distributions[name].is_founder() is True
+    assert context.client.distributions[name].first_start.is_founder(SEEDS) is True
 
 
 @then('"{name:w}" is not a founder')
 def step_no_founder(context, name):
-    assert context.client.distributions[name].is_founder() is False
+    assert context.client.distributions[name].first_start.is_founder(SEEDS) is False
 
 
 @then('"{name:w}" does not know whether it is a founder, and is one once "{other:w}" can tell')
 def step_waits(context, name, other):
-    asking = gevent.spawn(context.client.distributions[name].is_founder)
+    asking = gevent.spawn(context.client.distributions[name].first_start.is_founder, SEEDS)
     gevent.sleep(CHECK_S)
     assert not asking.ready(), asking.value
     context.client.unreachable.clear()
-    context.client.distributions[other].is_first_start = True
+    context.client.distributions[other].first_start.had_empty_disk = True
     assert asking.get(timeout=5.0) is True
--- a/features/steps/platform_wire.py
+++ b/features/steps/platform_wire.py
@@ -6,7 +6,7 @@
 import json
 
 from behave import then, when
-from gentianspread_core.blackboard.sessions import Step, StepKind
+from gentianspread_core.blackboard.sessions import PreparedStatement, Step, StepKind
 from gentianspread_core.errors import DeclarationError, ErrorCode, ExecutionResult, Refusal
 from gentianspread_core.positions import Position
 from gentianspread_server.platform import wire
@@ -167,6 +167,35 @@
 }
 
 
+RAW_VALUES = {
+    "800 nested lists": "[" * 800 + "]" * 800,
+    "a text of 100000 letters": json.dumps("a" * 100_000),
+}
+
+
+@when("a configuration document with {value} as {field:w} of its {item:w} is decoded")
+def step_odd_document(context, value, field, item):
+    document = copy.deepcopy(DOCUMENT)
+    owners = {
+        "document": document,
+        "tenant": document["tenants"][0],
+        "route": document["routes"][0],
+        "service": document["services"][0],
+    }
+    owners[item][field] = "THE VALUE"
+    text = json.dumps(document).replace('"THE VALUE"', RAW_VALUES.get(value, value))
+    context.error = None
+    try:
+        decode_declaration(text.encode())
+    except DeclarationError as error:
+        context.error = error
+
+
+@then("the refusal is shorter than {count:d} characters")
+def step_short_refusal(context, count):
+    assert len(context.error.message) < count, context.error.message[:count]
+
+
 @when('a configuration document with "{fault:Quoted}" is decoded')
 def step_document(context, fault):
     document = copy.deepcopy(DOCUMENT)
@@ -205,3 +234,49 @@
 @then("it describes no endpoint")
 def step_no_endpoint(context):
     assert context.announcement is None
+
+
+@when('the bytes "{line}" of a statement are decoded')
+def step_statement_bytes(context, line):
+    context.line = line.encode().decode("unicode_escape").encode("latin-1")
+    statement_id, _, text = wire._decode_line(context.line).partition(" ")
+    context.statement = wire.decode_statement(statement_id, text)
+
+
+@then('its verb is "{verb}" and its bytes are unchanged')
+def step_verb(context, verb):
+    assert context.statement.verb.value == verb, context.statement.verb
+    step = Step(StepKind.STATEMENT, context.statement.statement_id, context.statement.text)
+    assert wire.encode_step(step) == b"QUERY " + context.line + b"\r\n"
+
+
+@when('a read of the shape "{shape}" is prepared and executed with the item "{item}"')
+def step_prepare_shape(context, shape, item):
+    context.shape = shape.encode().decode("unicode_escape")
+    context.shape = context.shape.encode("latin-1").decode("utf-8", "surrogateescape")
+    context.item = item
+    name = PreparedStatement(False, context.shape).shared_name()
+    prepare = Step(StepKind.PREPARE, name=name, value=context.shape)
+    execute = Step(StepKind.STATEMENT, "id-1", "EXECUTE s1 i7", name=name, value=item)
+    context.sent = [_statement_of(wire.encode_step(step)) for step in (prepare, execute)]
+
+
+def _statement_of(message):
+    line = wire._decode_line(message.removesuffix(b"\r\n")).removeprefix("QUERY ")
+    _, _, text = line.partition(" ")
+    return wire.decode_statement("id", text)
+
+
+@then('the endpoint prepares and executes the same name, with the shape and "{item}" unchanged')
+def step_same_name(context, item):
+    prepared, executed = context.sent
+    assert prepared.name == executed.name and prepared.value == context.shape, context.sent
+    assert executed.arguments == item
+
+
+@then("{count:d} shapes have {names:d} names of at most {length:d} characters")
+def step_different_names(context, count, names, length):
+    shapes = [f"{'x ' * (number % 7)}q{number}" for number in range(count - 2)]
+    shapes += ["-" + PreparedStatement(False, "a b").shared_name()[2:], "a b"]
+    found = {PreparedStatement(False, shape).shared_name() for shape in shapes}
+    assert len(found) == names and max(len(name) for name in found) <= length
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/messages.py
@@ -7,6 +7,10 @@
 
 from .commands import ChangeOutcome, Command
 from .log import FOUNDING_INCARNATION, ControlLog, LogEntry
+from .registrations import MAX_INTEGER, is_integer
+
+INTEGER_FIELDS = ("term", "index", "log_term", "commit")
+INCARNATION_FIELDS = ("sender_incarnation", "receiver_incarnation")
 
 
 class MessageKind(Enum):
@@ -82,7 +86,13 @@
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> Message:
-        """Build from the JSON form."""
+        """Build from the JSON form; raises an error if a number or text is of another type."""
+        for field in INTEGER_FIELDS:
+            if not is_integer(record[field]) or not 0 <= record[field] <= MAX_INTEGER:
+                raise ValueError(f"{field} is not a number from 0 to {MAX_INTEGER}")
+        for field in INCARNATION_FIELDS:
+            if not isinstance(record.get(field, FOUNDING_INCARNATION), str):
+                raise ValueError(f"{field} is not a text")
         return cls(
             MessageKind(record["kind"]),
             record["sender"],
@@ -105,7 +115,7 @@
         record = {slot: getattr(self, slot) for slot in self.__slots__}
         record["kind"] = self.kind.value
         record["entries"] = [entry.to_record() for entry in self.entries]
-        for slot in ("sender_incarnation", "receiver_incarnation"):
+        for slot in INCARNATION_FIELDS:
             if record[slot] == FOUNDING_INCARNATION:
                 del record[slot]
         return record
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -205,9 +205,10 @@
 
 
 class Relays:
-    """Open transactions of other VMs' callers by handle."""
+    """Open transactions of other VMs' callers by handle, and their running statements."""
 
-    __slots__ = ("transactions",)
+    __slots__ = ("transactions", "running")
 
     def __init__(self) -> None:
         self.transactions: dict[str, RelayedTransaction] = {}
+        self.running: set[RelayedStatement] = set()
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -9,7 +9,13 @@
 import gevent
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.configuration import Registration
+from gentianspread_core.blackboard.registrations import (
+    MAX_COUNT,
+    MAX_GROUP_SIZE,
+    MAX_NAME_CHARS,
+    Registration,
+    find_fault,
+)
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
 from .proposals import Proposer
@@ -35,14 +41,14 @@
     ],
     "additionalProperties": False,
     "properties": {
-        "name": {"type": "string", "minLength": 1, "maxLength": 200},
+        "name": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
         "address": {"type": "string", "pattern": "^[0-9a-fA-F.:\\[\\]]+:[0-9]+$"},
-        "zone": {"type": "string", "minLength": 1, "maxLength": 200},
-        "group": {"type": "string", "minLength": 1, "maxLength": 200},
+        "zone": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
+        "group": {"type": "string", "minLength": 1, "maxLength": MAX_NAME_CHARS},
         "leaving": {"type": "boolean"},
-        "connections": {"type": "integer", "minimum": 1},
-        "slots": {"type": "integer", "minimum": 1},
-        "group_size": {"type": "integer", "minimum": 1, "maximum": 99},
+        "connections": {"type": "integer", "minimum": 1, "maximum": MAX_COUNT},
+        "slots": {"type": "integer", "minimum": 1, "maximum": MAX_COUNT},
+        "group_size": {"type": "integer", "minimum": 1, "maximum": MAX_GROUP_SIZE},
     },
 }
 _check_schema = fastjsonschema.compile(ANNOUNCEMENT_SCHEMA)
@@ -65,6 +71,9 @@
             _check_schema(message)
         except fastjsonschema.JsonSchemaException as error:
             raise Refusal(ErrorCode.BAD_REQUEST, f"{error.message}.") from None
+        fault = find_fault(message)
+        if fault:
+            raise Refusal(ErrorCode.BAD_REQUEST, f"The announcement is invalid: {fault}.")
         if not self._is_registered(message) and message["name"] not in self._pending:
             self._pending.add(message["name"])
             gevent.spawn(self._propose_announcement, message)
@@ -73,7 +82,11 @@
         """Propose an endpoint's registration; return whether it is certainly in the log.
 
         A registration that changes nothing, or is older than the one in the log, counts as in it.
+        One of a group that is not declared is not proposed.
         """
+        if not self.board.configuration.may_have_group(fields["group"]):
+            log.warning("announcement of %s ignored: its group is not declared", fields["name"])
+            return False
         registered = self.board.configuration.endpoints.get(fields["name"])
         registration = Registration(**fields)
         if registered is not None and not registration.is_newer_than(registered):
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -25,14 +25,17 @@
 from gentianspread_core.positions import Position
 
 from .connections import RequestNotSentError, ResponseLostError
+from .founding import FirstStart
+from .guards import run_for_ever
 from .news import News
 from .peers import PeerAddresses, PeerClient
-from .reports import MAX_REPORT_AGE_S, EntryVMCounter, MemberReport
+from .reports import MAX_REPORT_AGE_S, POLL_RESPONSE_FIELDS, EntryVMCounter, MemberReport
 from .serving import ServingVMRegistry
 
 log = logging.getLogger(__name__)
 
 POLL_PATH = "/peer/poll"
+LOOP_NAME = "polling"
 LONG_POLL_WAIT_S = 0.3
 POLL_TIMEOUT_S = 0.4  # in addition to the wait
 POLL_BACKOFF_STEP_S = 0.05
@@ -40,7 +43,6 @@
 FIRST_POLL_TIMEOUT_S = 3.0  # a full snapshot takes half a second on a 1.4 Mbit/s link
 MAX_OBSERVATION_AGE_S = 5.0  # no route accepts reads of older data
 MAX_UPSTREAM_AGE_S = 1.2
-EMPTY_DISK_CHECK_INTERVAL_S = 0.2
 PREFERRED_UPSTREAM_RETRY_S = 3.0  # returning to the preferred upstream saves traffic between zones
 
 
@@ -48,8 +50,7 @@
     """Polls other VMs for the configuration, and answers their polls.
 
     `_reports` holds the newest report of each VM; the `age` of a stored report is not an age but
-    the time of the report on this VM's clock, in seconds. `is_first_start` is whether this process
-    started with an empty disk, none until that is known.
+    the time of the report on this VM's clock, in seconds.
     """
 
     __slots__ = (
@@ -62,8 +63,11 @@
         "_reported_leader",
         "_registering",
         "_entry_vm_counter",
+        "_failed_polls",
+        "_last_failure_at",
+        "_polled_leader",
         "serving_vms",
-        "is_first_start",
+        "first_start",
     )
 
     def __init__(
@@ -82,8 +86,13 @@
         self._reported_leader: str | None = None
         self._registering: set[str] = set()
         self._entry_vm_counter = EntryVMCounter()
+        self._failed_polls = 0
+        self._last_failure_at = float("-inf")
+        self._polled_leader: str | None = None
         self.serving_vms = ServingVMRegistry(board)
-        self.is_first_start: bool | None = None
+        self.first_start = FirstStart(
+            board, lambda name: self._poll_once(name, asks_first_start=True)
+        )
 
     def start(self) -> None:
         """Start polling."""
@@ -141,54 +150,38 @@
             "observations": self._recent_observations(),
         }
         if message.get("asks_first_start"):
-            answer["first_start"] = self._is_first_start_of(sender)
+            answer["first_start"] = self.first_start.confirms(sender)
         return answer
 
-    def is_founder(self) -> bool:
-        """Return whether this VM, whose disk is empty, is a voter of the fleet's first start.
+    def _run(self) -> None:
+        run_for_ever(self.board, LOOP_NAME, self._poll_next)
 
-        Polls the other seeds until any of them denies it or all of them have confirmed it.
-        """
-        others = [name for name in self.addresses.seeds if name != self.board.settings.member]
-        while True:
-            responses = [self._poll_once(name, asks_first_start=True) for name in others]
-            answers = [
-                None if response is None else response.get("first_start", False)
-                for response in responses
-            ]
-            if False in answers:
-                return False
-            if None not in answers:
-                return True
-            gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
-
-    def _is_first_start_of(self, sender: str) -> bool | None:
-        """Return whether the fleet starts for the first time, and a VM has not voted in it yet."""
-        if sender in self.board.election.heard:
+    def _poll_next(self) -> None:
+        """Poll the next upstream, or wait while this VM is the leader."""
+        if self.board.election.role is Role.LEADER:
+            gevent.sleep(LONG_POLL_WAIT_S)
+            return
+        now = self.board.clock.now()
+        is_retry_due = self._failed_polls and now - self._last_failure_at > (
+            PREFERRED_UPSTREAM_RETRY_S
+        )
+        if is_retry_due or self._polled_leader != self.leader():
+            self._failed_polls, self._polled_leader = 0, self.leader()
+        upstreams = self.upstreams()
+        name = upstreams[self._failed_polls % len(upstreams)] if upstreams else ""
+        if not name or not self._poll_safely(name):
+            self._failed_polls += 1
+            self._last_failure_at = self.board.clock.now()
+            backoff = min(POLL_BACKOFF_STEP_S * self._failed_polls, MAX_POLL_BACKOFF_S)
+            self._news.wait_for_leader(backoff)
+
+    def _poll_safely(self, name: str) -> bool:
+        """Poll a VM; a response that cannot be read counts as none, so that another is polled."""
+        try:
+            return self._poll(name)
+        except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+            self.board.timeline.record_error(LOOP_NAME, error)
             return False
-        return self.is_first_start
-
-    def _run(self) -> None:
-        failed_polls = 0
-        last_failure_at = self.board.clock.now()
-        leader: str | None = None
-        while True:
-            if self.board.election.role is Role.LEADER:
-                gevent.sleep(LONG_POLL_WAIT_S)
-                continue
-            is_retry_due = (
-                failed_polls
-                and self.board.clock.now() - last_failure_at > PREFERRED_UPSTREAM_RETRY_S
-            )
-            if is_retry_due or leader != self.leader():
-                failed_polls, leader = 0, self.leader()
-            upstreams = self.upstreams()
-            name = upstreams[failed_polls % len(upstreams)] if upstreams else ""
-            if not name or not self._poll(name):
-                failed_polls += 1
-                last_failure_at = self.board.clock.now()
-                backoff = min(POLL_BACKOFF_STEP_S * failed_polls, MAX_POLL_BACKOFF_S)
-                self._news.wait_for_leader(backoff)
 
     def upstreams(self) -> list[str]:
         """Return the VMs to poll, in order of preference.
@@ -276,6 +269,10 @@
             response = self.client.request(address, POLL_PATH, message, timeout_s + wait_s)
         except (RequestNotSentError, ResponseLostError):
             return None
+        if not isinstance(response, dict) or not response.keys() >= POLL_RESPONSE_FIELDS:
+            error = ValueError(f"the response of {name} lacks fields")
+            self.board.timeline.record_error(LOOP_NAME, error)
+            return None
         if serving_list is not None:
             self.serving_vms.mark_sent(
                 name, serving_list["version"] if response["serving_taken"] else ""
@@ -324,7 +321,9 @@
             revision,
             0.0,
             self._entry_vm_counter.count(now),
-            bool(settings.address) and not settings.has_disk and not self.board.leaving,
+            bool(settings.address)
+            and not settings.has_disk
+            and not self.board.shutdown.is_requested(),
             self.board.log.incarnation,
         )
         reports = [own]
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -13,9 +13,15 @@
     DeclaredWorkspace,
     Route,
 )
+from gentianspread_core.blackboard.registrations import find_fault, is_integer
 from gentianspread_core.errors import DeclarationError, ErrorCode
 
+from ..clocks import wall_ms
+
 MS_PER_S = 1000
+MAX_CLOCK_DIFFERENCE_MS = 86_400_000  # of two machines' times of day
+MAX_SHOWN_CHARS = 100  # of a value in an error message
+SEPARATOR = " "  # of the fields of a message to an endpoint
 CONSISTENCY_BY_ROUTE_TYPE = {
     "primary": Consistency.LATEST,
     "bounded_stale": Consistency.BOUNDED,
@@ -37,17 +43,18 @@
         message = orjson.loads(body)
         return _build_declaration(message, body.decode())
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError) as error:
-        raise _declaration_error(f"The configuration cannot be read: {error!r}.") from error
+        raise _declaration_error(f"The configuration cannot be read: {_shorten(error)}.") from error
 
 
 def _build_declaration(message: dict[str, Any], document: str) -> Declaration:
     version = _require_integer(message["version"])
-    groups = [_decode_group(item) for item in message["services"]]
-    routes = [_decode_route(item) for item in message["routes"]]
-    workspaces = [_decode_workspace(item) for item in message.get("tenants", [])]
+    groups = [_decode_group(item) for item in _require_list(message["services"])]
+    routes = [_decode_route(item) for item in _require_list(message["routes"])]
+    workspaces = [_decode_workspace(item) for item in _require_list(message.get("tenants", []))]
     _check_routes(message["routes"], {item.name for item in groups})
     _check_keys_are_unique(workspaces)
-    idle_ms = message.get("limits", {}).get("txIdleMs", DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS)
+    limits = message.get("limits", {})
+    idle_ms = _require_number(limits.get("txIdleMs", DEFAULT_TRANSACTION_IDLE_TIMEOUT_MS))
     return Declaration(version, routes, groups, workspaces, idle_ms / MS_PER_S, document)
 
 
@@ -61,29 +68,28 @@
 def _decode_route(item: dict[str, Any]) -> Route:
     consistency = CONSISTENCY_BY_ROUTE_TYPE.get(item.get("routeType", "primary"))
     if consistency is None:
-        raise _declaration_error(f"The route {item['name']} has an unknown kind.")
-    timeout_ms = item["timeoutMs"]
+        raise _declaration_error(f"The route {_shorten(item['name'])} has an unknown kind.")
+    timeout_ms = _require_number(item["timeoutMs"])
     if not timeout_ms > 0:
-        raise _declaration_error(f"The route {item['name']} has no time limit.")
+        raise _declaration_error(f"The route {_shorten(item['name'])} has no time limit.")
     max_age_ms = item.get("maxStalenessMs")
     return Route(
         _require_string(item["name"]),
         _require_string(item["host"]),
         _require_string(item["service"]),
         consistency,
-        None if max_age_ms is None else max_age_ms / MS_PER_S,
+        None if max_age_ms is None else _require_number(max_age_ms) / MS_PER_S,
         timeout_ms / MS_PER_S,
-        item.get("targetLatencyMs", timeout_ms) / MS_PER_S,
+        _require_number(item.get("targetLatencyMs", timeout_ms)) / MS_PER_S,
         _require_integer(item.get("priority", 0)),
         bool(item.get("authExempt", False)),
     )
 
 
 def _decode_workspace(item: dict[str, Any]) -> DeclaredWorkspace:
-    hashes = [hash_key(_require_string(key)) for key in item["apiKeys"]]
-    return DeclaredWorkspace(
-        _require_string(item["name"]), float(item["ratePerS"]), float(item["burstSize"]), hashes
-    )
+    hashes = [hash_key(_require_string(key)) for key in _require_list(item["apiKeys"])]
+    rate, burst = _require_number(item["ratePerS"]), _require_number(item["burstSize"])
+    return DeclaredWorkspace(_require_string(item["name"]), rate, burst, hashes)
 
 
 def _check_routes(routes: list[dict[str, Any]], groups: set[str]) -> None:
@@ -91,11 +97,12 @@
     for item in routes:
         if item["service"] not in groups:
             raise _declaration_error(
-                f"The route {item['name']} names an unknown group {item['service']}."
+                f"The route {_shorten(item['name'])} names an unknown group "
+                f"{_shorten(item['service'])}."
             )
         host_and_path = (item["host"], item.get("pathPrefix", "/"))
         if host_and_path in seen:
-            raise _declaration_error(f"Two routes are declared for {item['host']}.")
+            raise _declaration_error(f"Two routes are declared for {_shorten(item['host'])}.")
         seen.add(host_and_path)
 
 
@@ -104,21 +111,41 @@
     for workspace in workspaces:
         for key_hash in workspace.key_hashes:
             if owners.setdefault(key_hash, workspace.name) != workspace.name:
-                raise _declaration_error(f"{workspace.name} and another workspace share a key.")
+                name = _shorten(workspace.name)
+                raise _declaration_error(f"{name} and another workspace share a key.")
 
 
 def _require_integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(f"{value!r} is not a whole number")
+    if not is_integer(value):
+        raise ValueError(f"{_shorten(value)} is not a whole number")
+    return value
+
+
+def _require_number(value: Any) -> float:
+    """Return a number of a JSON document, which is always finite."""
+    if not (is_integer(value) or isinstance(value, float)):
+        raise ValueError(f"{_shorten(value)} is not a number")
+    return float(value)
+
+
+def _require_list(value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise ValueError(f"{_shorten(value)} is not a list")
     return value
 
 
 def _require_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
-        raise ValueError(f"{value!r} is not a name")
+        raise ValueError(f"{_shorten(value)} is not a name")
     return value
 
 
+def _shorten(value: Any) -> str:
+    """Return the start of a value's text; lists and objects may be nested too deeply to print."""
+    is_printable = isinstance(value, str | int | float | Exception)
+    return str(value)[:MAX_SHOWN_CHARS] if is_printable else f"a {type(value).__name__}"
+
+
 def _declaration_error(message: str) -> DeclarationError:
     return DeclarationError(ErrorCode.INVALID_DECLARATION, message)
 
@@ -132,24 +159,25 @@
         message = orjson.loads(body)
         if message["state"] not in ENDPOINT_STATES or message["dbRole"] not in ENDPOINT_ROLES:
             return None
-        host, _, port = _require_string(message["address"]).rpartition(":")
-        if not host or not int(port):
-            return None
-        return {
-            "name": _require_string(name),
+        fields = {
+            "name": name,
             "address": message["address"],
-            "zone": _require_string(message["zone"]),
-            "group": _require_string(message["service"]),
+            "zone": message["zone"],
+            "group": message["service"],
             "leaving": message["state"] == "draining",
             "connections": 1,
-            "slots": _require_integer(message["slots"]),
+            "slots": message["slots"],
             "group_size": 0,
-            "incarnation": _require_integer(message.get("born", 0)),
-            "sequence": _require_integer(message["sequence"]),
+            "incarnation": message.get("born", 0),
+            "sequence": message["sequence"],
             "claims_primary": message["dbRole"] == "primary",
         }
     except (orjson.JSONDecodeError, KeyError, TypeError, ValueError, AttributeError):
         return None
+    if find_fault(fields):
+        return None
+    has_separator = any(SEPARATOR in fields[field] for field in ("name", "zone", "group"))
+    return None if has_separator or not _is_start_time(fields["incarnation"]) else fields
 
 
 def decode_deregistration(body: bytes) -> int | None:
@@ -157,6 +185,15 @@
     if not body:
         return 0
     try:
-        return _require_integer(orjson.loads(body).get("born", 0))
+        incarnation = orjson.loads(body).get("born", 0)
     except (orjson.JSONDecodeError, TypeError, ValueError, AttributeError):
         return None
+    return incarnation if _is_start_time(incarnation) else None
+
+
+def _is_start_time(value: Any) -> bool:
+    """Return whether a value is a time in milliseconds since the Unix epoch, and not far ahead.
+
+    A start time that is never reached would hide all later starts of the endpoint.
+    """
+    return is_integer(value) and 0 <= value <= wall_ms() + MAX_CLOCK_DIFFERENCE_MS
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -7,6 +7,8 @@
 import random
 
 import gevent
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import GentianspreadError
@@ -14,6 +16,7 @@
 
 from ..clocks import BootTimeClock, wall_ms
 from ..distribution import Distribution
+from ..guards import record_handler_errors, run_for_ever
 from ..intents import IntentRunner
 from ..logs import log_event
 from ..peers import FleetSigner, PeerAddresses, PeerClient
@@ -42,6 +45,7 @@
         )
         self.board = self.engine.board
         self.board.timeline.sink = log_event
+        record_handler_errors(self.board)
         signer = FleetSigner(os.environ.get(FLEET_SECRET_VARIABLE, ""))
         client = PeerClient(signer)
         self.randomness = random.Random()
@@ -57,6 +61,7 @@
         self.metrics = SessionMetrics(self.engine, client.traffic)
         self._metrics_server = _build_metrics_server(settings, self.metrics)
         self.stopped = Event()
+        self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_shutdown_phase)
         self._timer_changed = Event()
         self._settings_modified_at = _modification_time(settings.path)
 
@@ -65,7 +70,7 @@
         self.board.changes.on_timer = self._timer_changed.set
         self.start()
         gevent.spawn(run_timer_loop, self.board, self._timer_changed)
-        gevent.spawn(self._watch_settings)
+        gevent.spawn(run_for_ever, self.board, "settings", self._check_settings)
         self.board.timeline.record(EventKind.STARTED, self.settings.name, "start of the process")
         self.stopped.wait()
 
@@ -75,9 +80,23 @@
         if self._metrics_server is not None:
             self._metrics_server.start()
 
+    def shutdown_plan(self) -> ShutdownPlan:
+        """Return when the phases of a planned stop begin."""
+        return ShutdownPlan.from_grace_period(self.settings.grace_period_s, 0.0)
+
     def stop(self) -> None:
-        """Shut down: record the event and let `run` return."""
-        self.board.timeline.record(EventKind.STOPPING, self.settings.name, "planned stop")
+        """Begin a planned stop, after which `run` returns."""
+        self.board.post(Topic.SHUTDOWN_REQUESTED, self.shutdown_plan())
+
+    def finish(self) -> None:
+        """Send the last answers; called once the board's part of a planned stop has ended."""
+
+    def _on_shutdown_phase(self, phase: ShutdownPhase) -> None:
+        if phase is ShutdownPhase.ENDED:
+            gevent.spawn(self._finish)
+
+    def _finish(self) -> None:
+        self.finish()
         self.stopped.set()
 
     def reload(self) -> None:
@@ -93,13 +112,12 @@
         self.addresses.seeds = renewed.seeds
         log.info("settings reloaded", extra={"details": {"seeds": settings.seeds}})
 
-    def _watch_settings(self) -> None:
-        while True:
-            gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
-            modified = _modification_time(self.settings.path)
-            if modified != self._settings_modified_at:
-                self._settings_modified_at = modified
-                self.reload()
+    def _check_settings(self) -> None:
+        gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
+        modified = _modification_time(self.settings.path)
+        if modified != self._settings_modified_at:
+            self._settings_modified_at = modified
+            self.reload()
 
 
 def _build_metrics_server(settings: PlatformSettings, metrics: SessionMetrics) -> WebServer | None:
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -12,6 +12,7 @@
 from gentianspread_core.blackboard.relays import RelayedStatement, load_reply, reply_to_record
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.errors import ErrorCode, Refusal
 
 from .connections import RequestNotSentError, ResponseLostError
 from .front import HttpFrontend
@@ -26,6 +27,8 @@
 RELEASE_PATH = "/peer/release"
 PEER_CREDENTIAL = "peer"
 RELAY_TIMEOUT_MARGIN_S = 0.15  # the round trip between two busy VMs
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)  # from decoding a reply
+LOST_REPLY_MARGIN_S = 1.0  # after the statement's own limit, when the sender has given up
 RELEASE_TIMEOUT_S = 0.5  # a home that misses the release ends the transaction once it is idle
 
 
@@ -65,8 +68,11 @@
                 str(error),
                 True,
             )
-        except ResponseLostError as error:
+        except (ResponseLostError, *UNREADABLE) as error:
+            reply.status, reply.code, reply.keeps_transaction = ExchangeStatus.LOST, "", False
             reply.was_sent, reply.message, reply.home_failed = True, str(error), True
+            if isinstance(error, UNREADABLE):
+                self.board.timeline.record_error("relayed reply", error)
         if reply.keeps_transaction:
             self._in_transaction[connection.number] = connection
         else:
@@ -111,12 +117,11 @@
 class RelayServer:
     """Runs the statements that other VMs relay, and ends their transactions on request."""
 
-    __slots__ = ("board", "runner", "running_count")
+    __slots__ = ("board", "runner")
 
     def __init__(self, board: Board, runner: ExchangeRunner) -> None:
         self.board = board
         self.runner = runner
-        self.running_count = 0
         board.changes.subscribe(Topic.RELAY_ANSWERED, self._on_answered)
 
     def add_to(self, front: HttpFrontend) -> None:
@@ -129,23 +134,22 @@
         relayed = RelayedStatement.from_record(unescape(decode_json_object(body)))
         waiter = Waiter()
         relayed.waiter = waiter
-        self.running_count += 1
+        give_up_at = self.board.clock.now() + relayed.timeout_s + LOST_REPLY_MARGIN_S
+        self.board.post(Topic.RELAY_RECEIVED, relayed)
         try:
-            self.board.post(Topic.RELAY_RECEIVED, relayed)
             while relayed.reply is None:
                 request: Any = waiter.take_assigned()
+                remaining_s = give_up_at - self.board.clock.now()
                 if request is not None:
                     self.runner.run(request)
+                elif remaining_s > 0:
+                    waiter.wait(remaining_s)
                 else:
-                    waiter.wait()
+                    raise Refusal(ErrorCode.OUTCOME_UNKNOWN, "No controller answered in time.")
         finally:
-            self.running_count -= 1
+            self.board.post(Topic.RELAY_ENDED, relayed)
         return encode_json(escape(reply_to_record(relayed.reply)))
 
-    def is_busy(self) -> bool:
-        """Return whether any relayed statement is running or any relayed transaction is open."""
-        return bool(self.running_count or self.board.relays.transactions)
-
     def release_transaction(self, body: bytes) -> bytes:
         """End the transaction of a handle."""
         self.board.post(Topic.RELAY_RELEASED, decode_json_object(body)["handle"])
--- a/packages/gentianspread-server/src/gentianspread_server/reports.py
+++ b/packages/gentianspread-server/src/gentianspread_server/reports.py
@@ -7,6 +7,22 @@
 from gentianspread_core.blackboard.log import FOUNDING_INCARNATION
 
 MAX_REPORT_AGE_S = 2.0
+POLL_RESPONSE_FIELDS = frozenset(
+    {
+        "revision",
+        "entries",
+        "snapshot",
+        "age_s",
+        "waited_s",
+        "leader",
+        "joined",
+        "stamp",
+        "entry_vms",
+        "serving_taken",
+        "homes",
+        "observations",
+    }
+)
 COUNT_DECREASE_DELAY_S = 5.0  # a killed VM is back and a new leader has counted all VMs by then
 
 
@@ -53,7 +69,10 @@
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> MemberReport:
-        """Build from the plain form."""
+        """Build from the plain form; raises a `ValueError` if the incarnation is no text."""
+        incarnation = record.get("incarnation", FOUNDING_INCARNATION)
+        if not isinstance(incarnation, str | None):
+            raise ValueError("the incarnation is not a text")
         return cls(
             record["name"],
             record["address"],
@@ -63,7 +82,7 @@
             record["age"],
             record["entries"],
             record["serves"],
-            record.get("incarnation", FOUNDING_INCARNATION),
+            incarnation,
         )
 
     def to_record(self) -> dict[str, Any]:
