--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -9,14 +9,7 @@
 from gentianspread_core.blackboard.election import Role
 from gentianspread_core.blackboard.messages import Message, MessageKind
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
-from gentianspread_lab.fakes import FakeDisk
-from support import create_workspace, record_permits, result_of, send
-
-
-def follower_name(context):
-    leader = context.simulation.leader()
-    names = [name for name in leader.board.log.voters if name != leader.name]
-    return next(name for name in sorted(names) if context.simulation.vms[name].alive)
+from support import create_workspace, follower_name, lose_disk, record_permits, result_of, send
 
 
 @when("a network partition isolates a voter other than the leader")
@@ -44,8 +37,7 @@
 def step_lose_disk(context):
     context.lost_vm = follower_name(context)
     vm = context.simulation.vms[context.lost_vm]
-    vm.kill()
-    vm.disk = FakeDisk()
+    lose_disk(context, vm)
     vm.start()
 
 
@@ -79,6 +71,25 @@
     )
 
 
+@when("all VMs are killed and two voters start and ask for votes {gap:g} s apart")
+def step_ask_together(context, gap):
+    simulation = context.simulation
+    for vm in simulation.vms.values():
+        vm.kill()
+    voters = [simulation.vms[name] for name in ("v1", "v2")]
+    for vm in voters:
+        vm.start()
+    for vm in reversed(voters):
+        vm.board.post(Topic.ELECTION_DUE)
+        simulation.run(gap)
+
+
+@then("one of the two is the leader")
+def step_one_leads(context):
+    leader = context.simulation.leader()
+    assert leader is not None and leader.name in ("v1", "v2"), leader
+
+
 @when("all VMs are killed and start again")
 def step_restart_all(context):
     for vm in context.simulation.vms.values():
--- a/features/steps/loops.py
+++ b/features/steps/loops.py
@@ -572,7 +572,8 @@
 @when("it asks whether it may vote, and {response} comes before the true response")
 def step_may_vote(context, response):
     context.control_vm.odd_responses = [SHORT_RESPONSES[response]]
-    running = gevent.spawn(context.distribution.may_vote_with_empty_disk)
+    context.control_vm.distribution.first_start.had_empty_disk = True
+    running = gevent.spawn(context.distribution.first_start.is_founder, ["c1"])
     running.join(GUARD_S)
     context.may_vote = running.value
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -6,6 +6,7 @@
 
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration
+from .log import FOUNDING_INCARNATION
 from .registrations import Registration, find_fault
 
 MAX_STORED_OUTCOMES = 4096
@@ -114,7 +115,8 @@
 
     `revision` is the index of the last applied log entry; `operator_revision` counts accepted
     operator changes only. `confirmed_at` is when a quorum last confirmed the configuration, in
-    seconds of the VM's clock.
+    seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
+    control log.
     """
 
     __slots__ = (
@@ -130,7 +132,7 @@
         "allocators",
         "voters",
         "learners",
-        "joined_voters",
+        "incarnations",
         "outcomes",
         "confirmed_at",
         "declaration",
@@ -149,11 +151,16 @@
         self.allocators: dict[str, Allocator] = {}
         self.voters: list[str] = []
         self.learners: list[str] = []
-        self.joined_voters: list[str] = []
+        self.incarnations: dict[str, str] = {}
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.confirmed_at = float("-inf")
         self.declaration: Declaration | None = None
 
+    def is_voter(self, name: str, incarnation: str | None) -> bool:
+        """Return whether a VM with a disk of this incarnation is a voter."""
+        held = self.incarnations.get(name, FOUNDING_INCARNATION)
+        return name in self.voters and held == incarnation
+
     def may_have_group(self, name: str) -> bool:
         """Return whether endpoints of a group are accepted: a declaration must name the group."""
         declaration = self.declaration
@@ -187,7 +194,8 @@
         "open_routes": dict(configuration.open_routes),
         "voters": list(configuration.voters),
         "learners": list(configuration.learners),
-        "joined_voters": list(configuration.joined_voters),
+        "incarnations": dict(configuration.incarnations),
+        "joined_voters": list(configuration.voters),  # required by older builds
         "outcomes": {name: item.to_record() for name, item in configuration.outcomes.items()},
     }
     if configuration.declaration is not None:
@@ -248,7 +256,7 @@
         "open_routes": dict(snapshot["open_routes"]),
         "voters": list(snapshot["voters"]),
         "learners": list(snapshot["learners"]),
-        "joined_voters": list(snapshot["joined_voters"]),
+        "incarnations": dict(snapshot.get("incarnations", {})),
         "declaration": Declaration.from_record(declared) if declared else None,
         "outcomes": outcomes,
         **tables,
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -15,6 +15,7 @@
 from ..interfaces import Randomness
 
 CHECK_QUORUM_ELECTION_TIMEOUTS = 1.5  # without a majority for so long, a leader steps down
+SIMULTANEOUS_REQUEST_S = 0.02  # some round trips between zones
 STARTUP_TIMEOUT_FRACTION = 0.3  # pre-votes depose no leader, so a started VM may ask early
 
 
@@ -43,21 +44,17 @@
         election = self.board.election
         election.term = hard_state.term
         election.voted_for = hard_state.voted_for
-        election.barred = self.board.settings.lost_votes
         self.on_voters_changed(None)
         self._schedule_election_check()
 
     def on_configuration(self, revision: int) -> None:
-        """Clear `barred` once the voters have removed this VM, so that it can be added again."""
-        voters = self.board.configuration.voters
-        if voters and self._own_name() not in voters:
-            self.board.election.barred = False
+        """Become an observer if the configuration shows that the voters removed this VM."""
         self.on_voters_changed(None)
 
     def on_voters_changed(self, _entry: None) -> None:
         """Become a follower or an observer according to the newest known list of voters."""
         election = self.board.election
-        is_voter = self._own_name() in self.board.log.voters and not self._was_removed()
+        is_voter = self.board.log.is_voter(self._own_name()) and not self._was_removed()
         if is_voter and election.role is Role.OBSERVER:
             election.role = Role.FOLLOWER
         elif not is_voter and election.role in (Role.FOLLOWER, Role.CANDIDATE):
@@ -72,7 +69,9 @@
         last_contact = max(election.last_leader_contact, election.last_vote_at)
         elapsed = self.board.clock.now() - last_contact
         timed_out = elapsed >= self.board.settings.election_timeout_s
-        if election.role in (Role.FOLLOWER, Role.CANDIDATE) and timed_out:
+        since_pre_vote = self.board.clock.now() - election.pre_vote_given_at
+        may_ask = timed_out and since_pre_vote >= SIMULTANEOUS_REQUEST_S
+        if election.role in (Role.FOLLOWER, Role.CANDIDATE) and may_ask:
             self._request_pre_votes()
         self._schedule_election_check()
 
@@ -83,7 +82,8 @@
 
     def on_message(self, message: Message) -> None:
         """Adopt higher terms; answer vote requests, and count votes."""
-        if self.board.election.barred:
+        self.board.election.heard.add(message.sender)
+        if not message.is_for(self.board.log):
             return
         if message.kind is MessageKind.PRE_VOTE:
             self._answer_pre_vote(message)
@@ -102,11 +102,11 @@
 
     def _was_removed(self) -> bool:
         """Return whether the voters removed this VM in an entry that its own log lacks."""
-        configuration = self.board.configuration
-        is_ahead = configuration.revision > self.board.log.commit_index
-        return (
-            is_ahead and bool(configuration.voters) and self._own_name() not in configuration.voters
-        )
+        configuration, log = self.board.configuration, self.board.log
+        is_ahead = configuration.revision > log.commit_index
+        is_newer_list = configuration.revision >= log.voters_index
+        is_listed = configuration.is_voter(self._own_name(), log.incarnation)
+        return is_ahead and is_newer_list and bool(configuration.voters) and not is_listed
 
     def _own_name(self) -> str:
         return self.board.settings.member
@@ -125,7 +125,8 @@
         voters = self.board.log.voters
         return len(names & set(voters)) > len(voters) // 2
 
-    def _send(self, message: Message) -> None:
+    def _send(self, message: Message, request: Message | None = None) -> None:
+        message.set_incarnations(self.board.log, request)
         self.board.outbox.control.messages.append(message)
 
     def _request(self, kind: MessageKind, term: int) -> None:
@@ -140,6 +141,7 @@
         election.role = Role.CANDIDATE
         election.leader = None
         election.pre_votes = {self._own_name()}
+        election.pre_votes_asked_at = self.board.clock.now()
         self._request(MessageKind.PRE_VOTE, election.term + 1)
         if self._is_majority(election.pre_votes):
             self._request_votes()
@@ -149,7 +151,10 @@
             message.term > self.board.election.term
             and self._is_up_to_date(message)
             and not self._has_leader()
+            and not self._goes_before(message)
         )
+        if granted:
+            self.board.election.pre_vote_given_at = self.board.clock.now()
         reply = Message(
             MessageKind.PRE_VOTE_REPLY,
             self._own_name(),
@@ -157,7 +162,18 @@
             message.term,
             granted=granted,
         )
-        self._send(reply)
+        self._send(reply, message)
+
+    def _goes_before(self, message: Message) -> bool:
+        """Return whether this VM has just asked for pre-votes too and is the first by name.
+
+        If each of two candidates had the other's pre-vote, both would vote for themselves.
+        """
+        election, log = self.board.election, self.board.log
+        elapsed = self.board.clock.now() - election.pre_votes_asked_at
+        is_asking = election.role is Role.CANDIDATE and elapsed < SIMULTANEOUS_REQUEST_S
+        is_as_recent = (message.log_term, message.index) == (log.last_term(), log.last_index())
+        return is_asking and is_as_recent and self._own_name() < message.sender
 
     def _has_leader(self) -> bool:
         election = self.board.election
@@ -177,6 +193,8 @@
         expected = election.role is Role.CANDIDATE and message.term == election.term + 1
         if not (expected and message.granted and election.pre_votes):
             return
+        if not message.is_from_participant(self.board.log):
+            return
         election.pre_votes.add(message.sender)
         if self._is_majority(election.pre_votes):
             self._request_votes()
@@ -207,12 +225,12 @@
         reply = Message(
             MessageKind.VOTE_REPLY, self._own_name(), message.sender, election.term, granted=granted
         )
-        self._send(reply)
+        self._send(reply, message)
 
     def _count_vote(self, message: Message) -> None:
         election = self.board.election
         expected = election.role is Role.CANDIDATE and message.term == election.term
-        if not (expected and message.granted):
+        if not (expected and message.granted and message.is_from_participant(self.board.log)):
             return
         election.votes.add(message.sender)
         if self._is_majority(election.votes):
@@ -262,4 +280,6 @@
 
     def _persist(self) -> None:
         election = self.board.election
-        self.board.outbox.control.hard_state = HardState(election.term, election.voted_for)
+        self.board.outbox.control.hard_state = HardState(
+            election.term, election.voted_for, self.board.log.incarnation
+        )
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -25,6 +25,7 @@
 from gentianspread_core.positions import Position
 
 from .connections import RequestNotSentError, ResponseLostError
+from .founding import FirstStart
 from .guards import run_for_ever
 from .news import News
 from .peers import PeerAddresses, PeerClient
@@ -42,7 +43,6 @@
 FIRST_POLL_TIMEOUT_S = 3.0  # a full snapshot takes half a second on a 1.4 Mbit/s link
 MAX_OBSERVATION_AGE_S = 5.0  # no route accepts reads of older data
 MAX_UPSTREAM_AGE_S = 1.2
-EMPTY_DISK_CHECK_INTERVAL_S = 0.2
 PREFERRED_UPSTREAM_RETRY_S = 3.0  # returning to the preferred upstream saves traffic between zones
 
 
@@ -67,6 +67,7 @@
         "_last_failure_at",
         "_polled_leader",
         "serving_vms",
+        "first_start",
     )
 
     def __init__(
@@ -89,6 +90,9 @@
         self._last_failure_at = float("-inf")
         self._polled_leader: str | None = None
         self.serving_vms = ServingVMRegistry(board)
+        self.first_start = FirstStart(
+            board, lambda name: self._poll_once(name, asks_first_start=True)
+        )
 
     def start(self) -> None:
         """Start polling."""
@@ -131,37 +135,23 @@
         )
         age = self.board.clock.now() - update.confirmed_at
         timeline = self.board.timeline
-        return {
+        answer = {
             "revision": update.revision,
             "entries": [entry.to_record() for entry in update.entries],
             "snapshot": update.snapshot,
             "age_s": age if math.isfinite(age) else None,
             "waited_s": self.board.clock.now() - started,
             "leader": self.leader(),
-            "joined": self.board.configuration.joined_voters,
+            "joined": self.board.log.voters,  # required by older builds
             "stamp": [timeline.wall_ms, timeline.counter],
             "entry_vms": self._count_entry_vms(),
             "serving_taken": is_list_stored,
             "homes": self.serving_vms.build_fleet_list(message.get("homes", "")),
             "observations": self._recent_observations(),
         }
-
-    def may_vote_with_empty_disk(self) -> bool:
-        """Return whether this VM may vote with an empty disk: only if it never was a voter.
-
-        Polls the other seeds until any of them answers that this VM was a voter, or until a fresh
-        one or all of them answer that it was not.
-        """
-        own_name = self.board.settings.member
-        while True:
-            responses = [self._poll_once(name) for name in self.addresses.seeds if name != own_name]
-            received = [response for response in responses if response is not None]
-            if any(own_name in response["joined"] for response in received):
-                return False
-            fresh = [response for response in received if response["age_s"] is not None]
-            if len(received) == len(responses) or fresh:
-                return True
-            gevent.sleep(EMPTY_DISK_CHECK_INTERVAL_S)
+        if message.get("asks_first_start"):
+            answer["first_start"] = self.first_start.confirms(sender)
+        return answer
 
     def _run(self) -> None:
         run_for_ever(self.board, LOOP_NAME, self._poll_next)
@@ -254,7 +244,9 @@
             self.board.post(Topic.OBSERVATION_RECEIVED, received)
         return age is not None and age < MAX_UPSTREAM_AGE_S
 
-    def _poll_once(self, name: str, wait_s: float = 0.0) -> dict[str, Any] | None:
+    def _poll_once(
+        self, name: str, wait_s: float = 0.0, asks_first_start: bool = False
+    ) -> dict[str, Any] | None:
         address = self.addresses.resolve(name)
         settings = self.board.settings
         if address is None:
@@ -267,6 +259,8 @@
             "reports": [report.to_record() for report in self._reports_to_send()],
             "homes": self.board.homes.version,
         }
+        if asks_first_start:
+            message["asks_first_start"] = True
         serving_list = self.serving_vms.build_own_list_for(name) if settings.has_disk else None
         if serving_list is not None:
             message["serving"] = serving_list
@@ -326,11 +320,11 @@
             settings.has_disk,
             revision,
             0.0,
-            self.board.election.barred,
             self._entry_vm_counter.count(now),
             bool(settings.address)
             and not settings.has_disk
             and not self.board.shutdown.is_requested(),
+            self.board.log.incarnation,
         )
         reports = [own]
         for report in self._reports.values():
@@ -344,8 +338,8 @@
                         report.has_disk,
                         report.revision,
                         age,
-                        report.lost_votes,
                         report.entries,
+                        incarnation=report.incarnation,
                     )
                 )
         return reports
@@ -358,7 +352,7 @@
             return
         report.age = reported_at
         self._reports[report.name] = report
-        contact = MemberContact(report.name, reported_at, report.revision, report.lost_votes)
+        contact = MemberContact(report.name, reported_at, report.revision, report.incarnation)
         self.board.post(Topic.MEMBER_REPORTED, contact)
         if self.board.election.role is Role.LEADER:
             self.register(report)
