--- a/features/environment.py
+++ b/features/environment.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+
 from behave import register_type, use_fixture
 from fixtures import (
     caller_server,
     fleet_simulation,
     home_simulation,
+    platform_fleet,
     session_simulation,
     temporary_folder,
 )
@@ -18,7 +21,12 @@
     return text
 
 
-register_type(Quoted=parse_quoted)
+@with_pattern(r"\S+")
+def parse_json(text):
+    return json.loads(text)
+
+
+register_type(Quoted=parse_quoted, Json=parse_json)
 
 
 def before_scenario(context, scenario):
@@ -32,5 +40,7 @@
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
         use_fixture(temporary_folder, context)
+    if "fleet" in scenario.effective_tags:
+        use_fixture(platform_fleet, context)
     if "caller_server" in scenario.effective_tags:
         use_fixture(caller_server, context)
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -10,6 +10,7 @@
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
 from gentianspread_lab.fakes.session_runner import HeldSessionRunner
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
+from gentianspread_lab.platform.fleet import PlatformFleet
 from gentianspread_lab.platform.ports import PortBlock
 from gentianspread_server.platform.callers import CallerServer
 
@@ -29,6 +30,17 @@
     yield context.simulation
 
 
+@fixture
+def platform_fleet(context):
+    """Three control VMs and three entry VMs as processes, and one group of three endpoints."""
+    context.fleet = PlatformFleet()
+    try:
+        context.fleet.start()
+        yield context.fleet
+    finally:
+        context.fleet.stop(keep_logs=True)
+
+
 @fixture
 def temporary_folder(context):
     """A folder that is removed after the scenario."""
--- a/features/shutdown.feature
+++ b/features/shutdown.feature
@@ -125,3 +125,61 @@
     And "a" sends at "h3" "WRITE y 1"
     Then the last statement of "a" was refused as "transaction_unknown"
     And no home or endpoint holds an open transaction
+
+  @homes
+  Scenario: A home that takes no new work leaves the first statement of a transaction to another VM
+    Guards against transactions that a stopping home accepts and then rolls back when it ends.
+    Given a session "a" on "latest" at "h3"
+    And a session "b" on "latest" at "h1"
+    And a session "c" on "latest" at "h4"
+    When a planned stop of every VM but "h3" begins
+    And 2.2 s pass
+    And "a" sends at "h3" "BEGIN"
+    And "a" sends at "h3" "WRITE x 1"
+    And "a" sends at "h3" "COMMIT"
+    Then every statement of "a" succeeded
+
+  @homes
+  Scenario: A transaction whose home VM has ended is reported as rolled back
+    Guards against an answer that promises nothing although nothing can be kept: callers that wrote
+    may not try again after it.
+    Given a session "a" on "latest" at "h3"
+    When "a" sends at "h3" "BEGIN"
+    And "a" sends at "h3" "WRITE x 1"
+    And no VM but "h3" can be connected to
+    And "a" sends at "h3" "COMMIT"
+    Then the last statement of "a" was refused as "transaction_unknown"
+
+  @simulation
+  Scenario: A transaction whose statement may outlast a daemon's planned stop is rolled back there
+    Guards against writes that are committed after their caller was told that they were rolled back.
+    Given a running fleet
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And a planned stop of o1 begins
+    And 3.5 s pass
+    And "s2" is a write of "card-2" inside "b" sent to o1
+    And 0.1 s pass
+    Then the result of "s2" is "not run: transaction_unknown"
+    When "c" is a commit inside "b" with a timeout of 1 s sent to o1
+    And 0.5 s pass
+    Then the result of "c" is "unknown: transaction_unknown"
+    And the primary stores the value "card-1" 0 time(s)
+
+  @simulation
+  Scenario: A commit that is retried late in a daemon's planned stop is not reported as not run
+    Guards against writes that a caller repeats because of a false report that they were rolled back.
+    Given a running fleet
+    When "b" is a begin of "" sent to o1
+    And 0.2 s pass
+    And "s1" is a write of "card-1" inside "b" sent to o1
+    And 0.2 s pass
+    And a planned stop of o1 begins
+    And "c1" is a commit of "" with id "r1" inside "b" sent to o1
+    And 3.5 s pass
+    Then the result of "c1" is "run"
+    When "c2" is a commit of "" with id "r1" inside "b" sent to o1
+    And 0.5 s pass
+    Then the result of "c2" is "unknown: transaction_unknown"
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -16,6 +16,14 @@
     And the server begins to stop, and the statement ends
     Then the answer to the first statement is complete
 
+  # Guards against one caller that does not read keeping all others without their last answers.
+  @caller_server
+  Scenario: Callers get their last answers although another one does not read
+    Given 4 callers with running statements, of which one does not read
+    When the server closes all connections
+    Then each of the other callers got one complete answer
+    And the server closed within 1 s
+
   # Guards against sessions that are cut off while they wait for a configuration to be opened.
   @caller_server
   Scenario: A session that waits to be opened is answered although idle sessions are closed
@@ -62,9 +70,28 @@
     When an operator's change is sent, and the daemon is stopped while it waits
     Then the request got a complete response
 
+  # Guards against statements that are cut off when a daemon's limit for its stop has passed.
+  @processes
+  Scenario: A transaction's statement that runs when a daemon's time to stop is over is answered
+    Given daemons with a stop limit of 1 s, and endpoints that take 4 s for a write
+    When a transaction's write is sent 1.5 s after the daemon was told to stop
+    Then the request got a complete response
+
   # Guards against control VMs that end while they wait for the control log.
   @processes
   Scenario: A declared configuration is answered although the control VM that took it is stopped
     Given a control VM in a fleet without a leader
     When a configuration is declared, and the control VM is stopped while it waits
     Then the request got a complete response
+
+  # Guards against a process that ends because its settings changed while it was starting.
+  Scenario: A request to reload the settings is ignored while a program is still loading
+    When a program of the platform is loaded
+    Then it ignores requests to reload before it loads its libraries
+
+  # Guards against a reload signal that ends a process which has not installed its handlers yet.
+  @processes
+  Scenario: A VM that is told to reload its settings while it starts goes on starting
+    Given an entry VM that has begun to load its modules
+    When it is told to reload its settings
+    Then it has not ended after 1 s
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -9,12 +9,14 @@
 
 from __future__ import annotations
 
+import hashlib
 from enum import Enum
 from typing import Any
 
 from ..errors import Refusal
 from ..positions import SessionToken
 from .connections import BackendConnection
+from .declarations import Route
 from .requests import Exchange, Reply, Request, StatementKind
 
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
@@ -22,6 +24,8 @@
 GUARANTEED_TOKEN_TIMEOUT_FRACTION = 0.75  # if it is known that a token will become available
 TOKEN_TIMEOUT_FRACTION = 0.3
 MAX_TOKEN_TIMEOUT_S = 0.06  # the same for most routes, so that none of them takes all tokens
+MAX_SHAPE_IN_NAME_CHARS = 64
+SHAPE_HASH_BYTES = 16
 
 
 class Verb(Enum):
@@ -86,8 +90,14 @@
         """Return the name that it has at endpoints, so that sessions can share a connection.
 
         It is derived from the content: equal statements have one name, whatever callers name them.
+        A shape that is no single short word is hashed, with a mark that no other name has.
         """
-        return f"{'w' if self.writes else 'r'}{self.shape}"
+        kind = "w" if self.writes else "r"
+        is_word = self.shape.isascii() and self.shape.isalnum()
+        if is_word and len(self.shape) <= MAX_SHAPE_IN_NAME_CHARS:
+            return f"{kind}{self.shape}"
+        content = self.shape.encode("utf-8", "surrogateescape")
+        return f"{kind}-{hashlib.blake2b(content, digest_size=SHAPE_HASH_BYTES).hexdigest()}"
 
 
 class SessionState(Enum):
@@ -101,13 +111,15 @@
 class SessionTransaction:
     """A transaction of a session, bound to a connection by its first statement for an endpoint.
 
+    `route` is the one in effect when it began; changes to it apply from the next transaction.
     `began_at` and `last_used` are in seconds of the VM's monotonic clock.
     """
 
-    __slots__ = ("is_read_only", "began_at", "last_used", "connection", "has_written")
+    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "has_written")
 
-    def __init__(self, is_read_only: bool, now: float) -> None:
+    def __init__(self, is_read_only: bool, route: Route, now: float) -> None:
         self.is_read_only = is_read_only
+        self.route = route
         self.began_at = now
         self.last_used = now
         self.connection: BackendConnection | None = None
@@ -203,6 +215,9 @@
     STATEMENT = "statement"
 
 
+SETUP_KINDS = frozenset({StepKind.RESET, StepKind.SET, StepKind.PREPARE})
+
+
 class Step:
     """One message to an endpoint.
 
@@ -350,8 +365,10 @@
         return transaction is not None and transaction.connection is not None
 
     def continues_transaction(self) -> bool:
-        """Return whether the session has a transaction, bound to a connection or not."""
-        return self.session.transaction is not None
+        """Return whether this VM has accepted a transaction that this belongs to."""
+        relayed = self.relayed_statement
+        is_first = relayed is not None and relayed.begins_transaction
+        return self.session.transaction is not None and not is_first
 
     def token_timeout(self, is_guaranteed: bool = False) -> float:
         """Return the seconds to wait for a token of the workspace's rate limit.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -26,12 +26,13 @@
     "LAGGING": ErrorCode.REPLICA_LAGGING,
     "BUSY": ErrorCode.OVERLOADED,
     "CONNLIMIT": ErrorCode.CONNECTION_LIMIT,
-    "NOSTMT": ErrorCode.NO_STATEMENT,
+    # The session has prepared it, so it is the connection that lacks it.
+    "NOSTMT": ErrorCode.NO_ENDPOINT,
     "ABORTED": ErrorCode.TRANSACTION_UNKNOWN,
     "MALFORMED": ErrorCode.BAD_REQUEST,
 }
 VM_ERRORS = {code.value: code for code in ErrorCode}
-PERMANENT_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.NO_STATEMENT, ErrorCode.KEY_REFUSED})
+PERMANENT_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.KEY_REFUSED})
 
 
 class CompletionController:
@@ -108,7 +109,7 @@
 
     def _refuse_in_transaction(self, request: SessionRequest, reply: SessionReply) -> None:
         """Refuse a transaction's statement; no retry, as its connection is lost or has failed."""
-        if reply.status is ExchangeStatus.LOST:
+        if reply.status in (ExchangeStatus.LOST, ExchangeStatus.NOT_SENT):
             is_unknown = request.kind is StatementKind.COMMIT and reply.was_sent
             refusal = self._unknown_refusal(reply) if is_unknown else self._rollback_refusal(reply)
         elif reply.status is ExchangeStatus.REFUSED:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -116,7 +116,9 @@
             Topic.EXCHANGE_SCHEDULED, lambda request: self._on_exchange_scheduled(board, request)
         )
         changes.subscribe(Topic.INTENT_POSTED, lambda intent: self._on_intent(board, intent))
-        changes.subscribe(Topic.RELAY_ANSWERED, lambda relayed: relayed.waiter.wake())
+        changes.subscribe(
+            Topic.RELAY_ANSWERED, lambda relayed: self._on_relay_answered(board, relayed)
+        )
         self.vms[name] = engine
         self.boards.append(board)
 
@@ -187,7 +189,7 @@
         if (board.settings.member in self.cut_off_vms) != (
             connection.home.name in self.cut_off_vms
         ):
-            reply.home_failed = True
+            reply.status, reply.home_failed = ExchangeStatus.NOT_SENT, True
             self.call_later(
                 lambda: board.post(Topic.EXCHANGE_ENDED, request), HOME_CONNECT_TIMEOUT_S
             )
@@ -195,6 +197,10 @@
         home = self.vms[connection.home.name].board
         self.call_later(lambda: home.post(Topic.RELAY_RECEIVED, received), LATENCY_S)
 
+    def _on_relay_answered(self, board: Board, relayed: RelayedStatement) -> None:
+        relayed.waiter.wake()
+        board.changes.post(Topic.RELAY_ENDED, relayed)
+
     def _on_relay_reply(
         self, board: Board, request: SessionRequest, reply: SessionReply, received: SessionReply
     ) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -12,6 +12,7 @@
 from gentianspread_core.blackboard.relays import RelayedStatement, load_reply, reply_to_record
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.errors import ErrorCode, Refusal
 
 from .connections import RequestNotSentError, ResponseLostError
 from .front import HttpFrontend
@@ -26,6 +27,8 @@
 RELEASE_PATH = "/peer/release"
 PEER_CREDENTIAL = "peer"
 RELAY_TIMEOUT_MARGIN_S = 0.15  # the round trip between two busy VMs
+UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)  # from decoding a reply
+LOST_REPLY_MARGIN_S = 1.0  # after the statement's own limit, when the sender has given up
 RELEASE_TIMEOUT_S = 0.5  # a home that misses the release ends the transaction once it is idle
 
 
@@ -65,8 +68,11 @@
                 str(error),
                 True,
             )
-        except ResponseLostError as error:
+        except (ResponseLostError, *UNREADABLE) as error:
+            reply.status, reply.code, reply.keeps_transaction = ExchangeStatus.LOST, "", False
             reply.was_sent, reply.message, reply.home_failed = True, str(error), True
+            if isinstance(error, UNREADABLE):
+                self.board.timeline.record_error("relayed reply", error)
         if reply.keeps_transaction:
             self._in_transaction[connection.number] = connection
         else:
@@ -128,13 +134,20 @@
         relayed = RelayedStatement.from_record(unescape(decode_json_object(body)))
         waiter = Waiter()
         relayed.waiter = waiter
+        give_up_at = self.board.clock.now() + relayed.timeout_s + LOST_REPLY_MARGIN_S
         self.board.post(Topic.RELAY_RECEIVED, relayed)
-        while relayed.reply is None:
-            request: Any = waiter.take_assigned()
-            if request is not None:
-                self.runner.run(request)
-            else:
-                waiter.wait()
+        try:
+            while relayed.reply is None:
+                request: Any = waiter.take_assigned()
+                remaining_s = give_up_at - self.board.clock.now()
+                if request is not None:
+                    self.runner.run(request)
+                elif remaining_s > 0:
+                    waiter.wait(remaining_s)
+                else:
+                    raise Refusal(ErrorCode.OUTCOME_UNKNOWN, "No controller answered in time.")
+        finally:
+            self.board.post(Topic.RELAY_ENDED, relayed)
         return encode_json(escape(reply_to_record(relayed.reply)))
 
     def release_transaction(self, body: bytes) -> bytes:
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -26,6 +26,7 @@
 from .driver import EndpointDriver
 from .forwarding import FORWARD_PATH, Forwarder
 from .front import HttpFrontend, RequestRunner
+from .guards import record_handler_errors
 from .intents import IntentRunner
 from .logs import log_event
 from .metrics import Metrics
@@ -65,6 +66,7 @@
         self.engine = Engine.for_requests(settings.to_core(), clock, random.Random(), wall_ms)
         self.board = self.engine.board
         self.board.timeline.sink = log_event
+        record_handler_errors(self.board)
         signer = FleetSigner(settings.fleet_secret)
         client = PeerClient(signer)
         addresses = PeerAddresses(self.board, settings.seeds)
@@ -179,6 +181,9 @@
             raise Refusal(ErrorCode.DRAINING, "This VM is stopping.")
         if not self.board.is_fresh():
             raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, "This VM has no recent configuration.")
+        if self.board.failing_loops:
+            loops = ", ".join(sorted(self.board.failing_loops))
+            raise Refusal(ErrorCode.OVERLOADED, f"Loops of this VM fail: {loops}.")
         return encode_json({"ready": True, "revision": self.board.configuration.revision})
 
     def _handle_announcement(self, body: bytes) -> bytes:
