--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -185,14 +185,10 @@
     return {**ORIGINAL_HANDLERS, CommandKind.DECLARE: _apply_declaration_of_any_version}
 
 
-def _start_as_founder(is_founder: bool, randomness: Any) -> HardState:
-    return HardState(0, None, FOUNDING_INCARNATION)
-
-
 def _was_removed_by_any_list(self: ElectionController) -> bool:
-    configuration, log = self.board.configuration, self.board.log
-    is_listed = configuration.is_voter(self._own_name(), log.incarnation)
-    return configuration.revision > log.commit_index and not is_listed
+    log = self.board.log
+    is_ahead = self.board.configuration.revision > log.commit_index
+    return is_ahead and not self.board.configuration.is_voter(self._own_name(), log.incarnation)
 
 
 def _usable_while_leaving(self: Endpoint) -> bool:
@@ -214,6 +210,7 @@
     return ORIGINAL_BUILD_REPLY({**response, "exchange": exchange_number}, exchange_number)
 
 
+FOUNDER = HardState(0, None, FOUNDING_INCARNATION)
 ORIGINAL_BUILD_REPLY = driver._build_reply
 ORIGINAL_HANDLERS = dict(state_machine._HANDLERS)
 ORIGINAL_ON_CONFIGURATION = AllocatorController.on_configuration
@@ -283,7 +280,7 @@
         "_conflicts_with_voter_change",
         constant(False),
     ),
-    Mutant("an empty disk votes as the lost one", HardState, "for_empty_disk", _start_as_founder),
+    Mutant("an empty disk votes as the lost one", HardState, "for_empty_disk", constant(FOUNDER)),
     Mutant("replies of a lost disk count", Message, "is_from_participant", constant(True)),
     Mutant("messages to a lost disk are answered", Message, "is_for", constant(True)),
     Mutant("older lists remove", ElectionController, "_was_removed", _was_removed_by_any_list),
