--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -47,13 +47,12 @@
 class RequestRunner:
     """Runs requests through the board's controllers, each in the greenlet of its connection."""
 
-    __slots__ = ("board", "driver", "metrics", "running_count")
+    __slots__ = ("board", "driver", "metrics")
 
     def __init__(self, board: Board, driver: EndpointDriver, metrics: Metrics) -> None:
         self.board = board
         self.driver = driver
         self.metrics = metrics
-        self.running_count = 0
         board.changes.subscribe(Topic.EXCHANGE_SCHEDULED, self._on_exchange_scheduled)
         board.changes.subscribe(Topic.REQUEST_DONE, self._on_request_done)
 
@@ -61,16 +60,12 @@
         """Post a request and run the exchanges scheduled for it until it has an outcome."""
         waiter = Waiter()
         request.waiter = waiter
-        self.running_count += 1
-        try:
-            self.board.post(Topic.REQUEST_ARRIVED, request)
-            while request.outcome is None:
-                if waiter.take_assigned() is not None:
-                    self.driver.run(request)
-                else:
-                    waiter.wait()
-        finally:
-            self.running_count -= 1
+        self.board.post(Topic.REQUEST_ARRIVED, request)
+        while request.outcome is None:
+            if waiter.take_assigned() is not None:
+                self.driver.run(request)
+            else:
+                waiter.wait()
         self.metrics.count(request, self.board.clock.now())
 
     def _on_exchange_scheduled(self, request: Request) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/sessions.py
+++ b/packages/gentianspread-server/src/gentianspread_server/sessions.py
@@ -34,13 +34,12 @@
 class SessionRunner:
     """Opens and closes sessions and serves their statements in the calling greenlet."""
 
-    __slots__ = ("board", "driver", "metrics", "running_count", "_session_count")
+    __slots__ = ("board", "driver", "metrics", "_session_count")
 
     def __init__(self, board: Board, driver: ExchangeRunner, metrics: SessionMetrics) -> None:
         self.board = board
         self.driver = driver
         self.metrics = metrics
-        self.running_count = 0
         self._session_count = 0
         board.changes.subscribe(Topic.EXCHANGE_SCHEDULED, self._on_exchange_scheduled)
         board.changes.subscribe(Topic.STATEMENT_ANSWERED, self._on_statement_answered)
@@ -75,20 +74,16 @@
         waiter = Waiter()
         call = StatementCall(session, statement, self.board.clock.now(), waiter)
         give_up_at = call.arrived_at + self._statement_limit(session) + LOST_ANSWER_MARGIN_S
-        self.running_count += 1
-        try:
-            self.board.post(Topic.STATEMENT_ARRIVED, call)
-            while call.answer is None:
-                request: Any = waiter.take_assigned()
-                remaining_s = give_up_at - self.board.clock.now()
-                if request is not None:
-                    self.driver.run(request)
-                elif remaining_s > 0:
-                    waiter.wait(remaining_s)
-                else:
-                    self._give_up(call)
-        finally:
-            self.running_count -= 1
+        self.board.post(Topic.STATEMENT_ARRIVED, call)
+        while call.answer is None:
+            request: Any = waiter.take_assigned()
+            remaining_s = give_up_at - self.board.clock.now()
+            if request is not None:
+                self.driver.run(request)
+            elif remaining_s > 0:
+                waiter.wait(remaining_s)
+            else:
+                self._give_up(call)
         self.metrics.count(call, self.board.clock.now())
         return call.answer
 
