Let the fault soak use open connections until the process is gone

It also passed 0 for statements of withdrawn keys, and never counted stale reads.

The soak, the demo and the stop trial now share one fleet, operator, announcer of endpoints and set of callers:

- Callers of all shapes keep using their sessions while VMs stop.
Reads of bounded age are a shape of their own; replicas apply commits late.
- Faults overlap: stops with a second SIGTERM, SIGHUP, a freeze or a kill within them, stops right after a start, rolling stops of all entry VMs, stops of control VMs, endpoints that announce their end and are replaced, storms of configurations with changing keys, routes, rates and timeouts, settings files that change with and without SIGHUP.
- The checks run every 2 s and at the end, from what callers, the operator and endpoints saw.
`features/soak_checks.feature` shows for each check but that of the last phase that it can fail.
- A time for which the host gave the soak no processor is recorded and counts as a disruption of all VMs, since they were starved as well.

The old check of served callers wanted one success in the last phase; the new one wants a quarter of the statements served, which is the platform's limit, and every entry VM ready.

Openings that end without an answer are now judged like statements: not within 4 s of an unplanned disruption.

--- a/features/environment.py
+++ b/features/environment.py
@@ -11,6 +11,7 @@
     home_simulation,
     platform_fleet,
     session_simulation,
+    soak_board,
     temporary_folder,
 )
 from parse import with_pattern
@@ -45,3 +46,5 @@
         use_fixture(platform_fleet, context)
     if "caller_server" in scenario.effective_tags:
         use_fixture(caller_server, context)
+    if "soak_board" in scenario.effective_tags:
+        use_fixture(soak_board, context)
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import tempfile
 
 from behave import fixture
@@ -11,7 +12,9 @@
 from gentianspread_lab.fakes.session_runner import HeldSessionRunner
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
 from gentianspread_lab.platform.fleet import PlatformFleet
+from gentianspread_lab.platform.ledger import Ledger
 from gentianspread_lab.platform.ports import PortBlock
+from gentianspread_lab.platform.soakboard import SoakBoard
 from gentianspread_server.platform.callers import CallerServer
 
 SETTLING_S = 5.0
@@ -91,3 +94,12 @@
     context.held_runner.release()
     context.caller_server.close_all(CLOSE_TIMEOUT_S)
     ports.release()
+
+
+@fixture
+def soak_board(context):
+    """The blackboard of a fault soak whose fleet has not been started."""
+    fleet = PlatformFleet()
+    context.board = SoakBoard(fleet, Ledger(), random.Random(1))
+    yield context.board
+    fleet.stop()
--- a/features/steps/hostile_input.py
+++ b/features/steps/hostile_input.py
@@ -10,7 +10,8 @@
 import gevent
 import orjson
 from behave import then, when
-from gentianspread_lab.platform.callers import read_answer
+from gentianspread_lab.platform.operators import Configuration, call
+from gentianspread_lab.platform.sessions import read_answer
 from gentianspread_server.connections import connect
 from gentianspread_server.platform.wire import LineSocket, ProtocolError
 
@@ -82,11 +83,11 @@
         # An entry of a field that is not checked would describe an endpoint; see `VALID`.
         if field in ("version", "coldRemainingMs"):
             field = "address"
-        fleet.post(address, f"/Instances.Heartbeat/{name}", _odd_body(randomness, field))
+        call(address, "POST", f"/Instances.Heartbeat/{name}", _odd_body(randomness, field))
         born = b'{"born":%s}' % randomness.choice(ODD_VALUES)
-        fleet.post(address, f"/Instances.Deregister/{name}", born)
+        call(address, "POST", f"/Instances.Deregister/{name}", born)
         document = b'{"version":9,"routes":[],"services":[],"tenants":%s}'
-        fleet.post(address, "/Config.Replace", document % randomness.choice(ODD_VALUES))
+        call(address, "POST", "/Config.Replace", document % randomness.choice(ODD_VALUES))
 
     _run_for(seconds, [lambda address=item: write(address) for item in fleet.control_addresses])
 
@@ -191,6 +192,7 @@
 
 @then("a new version of the configuration takes effect")
 def step_new_version(context):
-    context.fleet.declare(10, {"w1": ["key-1"], "w3": ["key-3"]})
+    configuration = Configuration(10, {"w1": ["key-1"], "w3": ["key-3"]})
+    assert context.fleet.operator.declare(configuration)
     for address in context.fleet.entry_addresses.values():
         _wait_for(lambda address=address: _is_served(address, "key-3"))
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -8,6 +8,7 @@
 from behave import then, when
 
 RUN_TIMEOUT_S = 240
+SOAK_ENTRY_VMS = "6"
 
 
 def _run(context, *arguments):
@@ -27,7 +28,7 @@
 
 @when("the soak of the platform's programs runs with seed {seed:d} for {seconds:g} s")
 def step_soak(context, seed, seconds):
-    arguments = ("--seed", str(seed), "--seconds", str(seconds))
+    arguments = ("--seed", str(seed), "--seconds", str(seconds), "--entries", SOAK_ENTRY_VMS)
     _run(context, "gentianspread_lab.platform.soak", *arguments)
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/callers.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/callers.py
@@ -1,147 +1,95 @@
-"""Callers of the platform's entry VMs, and the results that they got."""
+"""Callers of the platform's entry VMs, and the load balancer that sends them there."""
 
 from __future__ import annotations
 
+import logging
 import random
 
 import gevent
-from gentianspread_server.platform.wire import LineSocket, ProtocolError
-from gevent import socket
 
-STATEMENT_TIMEOUT_S = 5.0  # routes allow 1 s
-OPERATION_INTERVAL_S = 0.02
-NOT_RUN_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
+from .fleet import PlatformFleet
+from .ledger import Ledger
+from .sessions import CallerSession, SessionEndedError
+from .shapes import Shape
 
+log = logging.getLogger(__name__)
 
-class CallerResults:
-    """The results of all callers.
+READINESS_CHECK_INTERVAL_S = 1.0
+MAX_MISSED_CHECKS = 2  # before a VM gets no new sessions
+RECONNECT_DELAY_S = 0.05
+USED_KEYS = 3  # of a caller's newest keys; one more than are valid at a time
 
-    `acknowledged` and `refused_as_not_run` hold the ids of single writes that were answered with
-    success, and with an error that guarantees that the write did not run. `stale_reads` is
-    for reads that missed a write of their session, which nothing counts yet; `failures_by_error`
-    counts failed operations by error code.
-    """
 
-    __slots__ = (
-        "acknowledged",
-        "refused_as_not_run",
-        "stale_reads",
-        "failures_by_error",
-        "succeeded",
-    )
+class Rotation:
+    """The VMs that get new sessions: those that have not failed two readiness checks in a row."""
+
+    def __init__(self, fleet: PlatformFleet) -> None:
+        self.fleet = fleet
+        self.missed = {name: 0 for name in fleet.entry_addresses}
+        self._greenlets: list[gevent.Greenlet] = []
 
-    def __init__(self) -> None:
-        self.acknowledged: set[str] = set()
-        self.refused_as_not_run: set[str] = set()
-        self.stale_reads = 0
-        self.failures_by_error: dict[str, int] = {}
-        self.succeeded = 0
+    def start(self) -> None:
+        """Start the checks."""
+        self._greenlets = [gevent.spawn(self._watch, name) for name in self.missed]
 
+    def pick(self, randomness: random.Random) -> str:
+        """Return a VM in rotation, or any if none is."""
+        names = [name for name, count in self.missed.items() if count < MAX_MISSED_CHECKS]
+        return randomness.choice(names or list(self.missed))
 
-class Answer:
-    """A complete answer: its rows, its error code if any, and the session's state."""
+    def stop(self) -> None:
+        """Stop the checks."""
+        gevent.killall(self._greenlets)
 
-    __slots__ = ("rows", "error", "state")
+    def _watch(self, name: str) -> None:
+        while True:
+            is_ready = self.fleet.is_entry_ready(name)
+            self.missed[name] = 0 if is_ready else self.missed[name] + 1
+            gevent.sleep(READINESS_CHECK_INTERVAL_S)
 
-    def __init__(self, rows: list[str], error: str, state: str) -> None:
-        self.rows = rows
-        self.error = error
-        self.state = state
 
+class ShapedCaller:
+    """A caller that uses one session after another in the way of its shape, until `stopping`.
 
-class Caller:
-    """One caller that opens sessions on any VM, and reads after each of its writes."""
+    It opens each session with one of the last of its `keys`, which may be withdrawn meanwhile.
+    """
 
-    def __init__(self, name: str, key: str, addresses: list[str], results: CallerResults) -> None:
+    def __init__(
+        self,
+        name: str,
+        keys: list[str],
+        shape: Shape,
+        rotation: Rotation,
+        ledger: Ledger,
+        seed: int,
+    ) -> None:
         self.name = name
-        self.key = key
-        self.addresses = addresses
-        self.results = results
-        self.randomness = random.Random(name)
+        self.keys = keys
+        self.shape = shape
+        self.rotation = rotation
+        self.ledger = ledger
+        self.randomness = random.Random(f"{seed} {name}")
         self.stopping = False
-        self._statement_count = 0
+        self._session_count = 0
 
     def run(self) -> None:
-        """Open one session after another until `stopping` is set."""
+        """Use sessions until `stopping` is set and the last one has ended."""
         while not self.stopping:
-            try:
-                with gevent.Timeout(STATEMENT_TIMEOUT_S):
-                    connection = self._open_session()
-                if connection is not None:
-                    self._run_session(connection)
-            except (OSError, ProtocolError, gevent.Timeout) as error:
-                self._count_failure(type(error).__name__)
-            gevent.sleep(OPERATION_INTERVAL_S)
-
-    def execute(self, connection: LineSocket, text: str) -> tuple[str, Answer]:
-        """Send a statement and return its id and answer.
-
-        The id is the caller's name, "x" and a count, such as c3x17 for the caller c3.
-        """
-        self._statement_count += 1
-        statement_id = f"{self.name}x{self._statement_count}"
-        with gevent.Timeout(STATEMENT_TIMEOUT_S):
-            connection.send(f"QUERY {statement_id} {text}\r\n".encode())
-            return statement_id, read_answer(connection)
-
-    def _open_session(self) -> LineSocket | None:
-        host, _, port = self.randomness.choice(self.addresses).rpartition(":")
-        connection = LineSocket(
-            socket.create_connection((host, int(port)), timeout=STATEMENT_TIMEOUT_S)
+            self.use_session(self.rotation.pick(self.randomness))
+            gevent.sleep(RECONNECT_DELAY_S)
+
+    def use_session(self, vm: str) -> None:
+        """Open a session on a VM and use it to its end."""
+        self._session_count += 1
+        key = self.randomness.choice(self.keys[-USED_KEYS:])
+        session = CallerSession(
+            f"{self.name}s{self._session_count}", vm, self.shape.name, self.ledger
         )
-        connection.send(f"OPEN own {self.key}\r\n".encode())
-        line = connection.read_line()
-        if line is None or not line.startswith("READY"):
-            self._count_failure((line or "closed").partition(" ")[2].partition(" ")[0])
-            connection.close()
-            return None
-        return connection
-
-    def _run_session(self, connection: LineSocket) -> None:
-        """Set a session value, then write and read a random number of times."""
         try:
-            self.execute(connection, f"SET who {self.name}")
-            for _ in range(self.randomness.randint(3, 20)):
-                if self.stopping:
-                    break
-                self._write_and_read(connection)
-                gevent.sleep(OPERATION_INTERVAL_S)
+            address = self.rotation.fleet.entry_addresses[vm]
+            session.open(address, self.shape.database, key)
+            self.shape.use(session, self.randomness)
+        except SessionEndedError as error:
+            log.debug("session %s ended: %s", session.name, error)
         finally:
-            connection.close()
-
-    def _write_and_read(self, connection: LineSocket) -> None:
-        statement_id, written = self.execute(connection, f"WRITE {self.name} data")
-        if written.error:
-            self._count_failure(written.error)
-            if written.error in NOT_RUN_ERRORS:
-                self.results.refused_as_not_run.add(statement_id)
-            return
-        self.results.acknowledged.add(statement_id)
-        self.results.succeeded += 1
-        _, read = self.execute(connection, f"READ {self.name}")
-        if read.error:
-            self._count_failure(read.error)
-        else:
-            self.results.succeeded += 1
-
-    def _count_failure(self, error_code: str) -> None:
-        self.results.failures_by_error[error_code] = (
-            self.results.failures_by_error.get(error_code, 0) + 1
-        )
-
-
-def read_answer(connection: LineSocket) -> Answer:
-    """Read one complete answer."""
-    rows: list[str] = []
-    error = ""
-    while True:
-        line = connection.read_line()
-        if line is None:
-            raise ProtocolError("the VM closed the connection within an answer")
-        keyword, _, rest = line.partition(" ")
-        if keyword == "ROW":
-            rows.append(rest)
-        elif keyword == "ERROR":
-            error = rest.partition(" ")[0]
-        elif keyword == "READY":
-            return Answer(rows, error, rest.partition(" ")[0])
+            session.leave()
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import time
+from collections import deque
+
+DEFAULT_LAG_S = 0.02
 
 
 class ExecutedStatement:
@@ -45,18 +48,39 @@
 
 
 class LogCopy:
-    """One endpoint's copy of the group's log.
+    """One endpoint's copy of the group's log, which a replica applies `lag_s` after receipt.
 
     `paused_term` is the term of the command that paused its replication, or 0 if it is not paused.
     """
 
-    __slots__ = ("name", "log", "paused_term", "alive")
+    __slots__ = ("name", "log", "lag_s", "paused_term", "alive", "_applied_length", "_unapplied")
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.log: list[str] = []
+        self.lag_s = DEFAULT_LAG_S
         self.paused_term = 0
         self.alive = True
+        self._applied_length = 0
+        self._unapplied: deque[tuple[float, int]] = deque()
+
+    def replace(self, log: list[str]) -> None:
+        """Take over another copy's log and apply all of it at once."""
+        self.log = list(log)
+        self._unapplied.clear()
+        self._applied_length = len(log)
+
+    def receive(self, writes: list[str]) -> None:
+        """Append commits, which are applied later."""
+        self.log.extend(writes)
+        self._unapplied.append((time.monotonic() + self.lag_s, len(self.log)))
+
+    def applied_length(self) -> int:
+        """Return how many commits of the log are applied by now."""
+        now = time.monotonic()
+        while self._unapplied and self._unapplied[0][0] <= now:
+            self._applied_length = self._unapplied.popleft()[1]
+        return self._applied_length
 
 
 class DatabaseGroup:
@@ -91,19 +115,43 @@
         return name == self.primary
 
     def position(self, name: str) -> str:
-        """Return an endpoint's log position, as the term and the log's length."""
+        """Return the position up to which an endpoint applied its log: term and length."""
+        return f"{self.term}.{self.applied_length(name)}"
+
+    def received_position(self, name: str) -> str:
+        """Return the position up to which an endpoint received its log: term and length."""
         return f"{self.term}.{len(self.copies[name].log)}"
 
+    def applied_length(self, name: str) -> int:
+        """Return how much of its log an endpoint applied; a primary applies it at once."""
+        copy = self.copies[name]
+        return len(copy.log) if self.is_primary(name) else copy.applied_length()
+
+    def newest_log(self) -> list[str]:
+        """Return the primary's log, or the longest one while there is no primary."""
+        if self.primary in self.copies:
+            return self.copies[self.primary].log
+        return max((copy.log for copy in self.copies.values()), key=len)
+
+    def add(self, name: str) -> None:
+        """Add a new endpoint, which starts with the newest log."""
+        self.copies[name] = LogCopy(name)
+        self.copies[name].replace(self.newest_log())
+
     def commit(self, name: str, writes: list[str]) -> bool:
         """Append writes at the primary and replicate them; return whether a replica has them."""
-        self.copies[name].log.extend(writes)
+        primary = self.copies[name]
+        primary.receive(writes)
         replicas = [
             item
             for item in self.copies.values()
             if item.name != name and item.alive and not item.paused_term
         ]
         for copy in replicas:
-            copy.log = list(self.copies[name].log)
+            if len(copy.log) == len(primary.log) - len(writes):
+                copy.receive(writes)
+            else:
+                copy.replace(primary.log)
         return bool(replicas)
 
     def rejoin(self, name: str) -> None:
@@ -111,7 +159,7 @@
         copy = self.copies[name]
         copy.paused_term = 0
         if self.primary and self.primary != name:
-            copy.log = list(self.copies[self.primary].log)
+            copy.replace(self.copies[self.primary].log)
 
     def promote(self, name: str, fencing_token: int) -> bool:
         """Make an endpoint the primary of a new term; return whether it is the primary now.
@@ -129,5 +177,5 @@
         for copy in self.copies.values():
             copy.paused_term = 0
             if copy.alive:
-                copy.log = list(self.copies[name].log)
+                copy.replace(self.copies[name].log)
         return True
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -134,9 +134,8 @@
 
     def _execute(self, session: EndpointSession, statement_id: str, text: str) -> StatementResult:
         if text.startswith("WAITPOS "):
-            # The position is only checked: this simulation does not wait for it.
             _, position, text = text.split(" ", 2)
-            if not self._has_reached(position):
+            if not self._has_applied(position):
                 return StatementResult(error="LAGGING")
         keyword, _, rest = text.partition(" ")
         if keyword in ("RESET", "SET", "PREPARE"):
@@ -150,9 +149,9 @@
             return StatementResult()
         return self._execute_statement(session, statement_id, text)
 
-    def _has_reached(self, position: str) -> bool:
+    def _has_applied(self, position: str) -> bool:
         required = tuple(int(part) for part in position.split("."))
-        return (self.database.term, len(self.database.copies[self.name].log)) >= required
+        return (self.database.term, self.database.applied_length(self.name)) >= required
 
     def _configure_session(
         self, session: EndpointSession, keyword: str, rest: str
@@ -181,7 +180,7 @@
         elif keyword == "STEPDOWN" and self.database.is_primary(self.name):
             self.database.primary = ""
         role = "primary" if self.database.is_primary(self.name) else "replica"
-        position = self.database.position(self.name)
+        position = self.database.received_position(self.name)
         # The zeros and the one stand for lag, busy and connections, which VMs do not read.
         return StatementResult([f"{role} {self.database.term} {position} {copy.paused_term} 0 0 1"])
 
@@ -209,7 +208,7 @@
             return StatementResult(error="READONLY")
         if text == "COMMIT":
             return self._commit(session, statement_id)
-        log_length = len(self.database.copies[self.name].log)
+        log_length = self.database.applied_length(self.name)
         self.database.executed_statements.append(
             ExecutedStatement(
                 statement_id, text, session.workspace, dict(session.values), log_length
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
@@ -5,10 +5,10 @@
 import math
 from enum import Enum
 
-from .callers import NOT_RUN_ERRORS
 from .database import DatabaseGroup, ReceivedStatement
 from .ledger import Ending, Ledger, StatementRecord, StopRecord
 
+NOT_RUN_ERRORS = ("BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT")
 LATE_STOP_FRACTION = 5 / 6  # statements that still run in the last sixth of the grace period
 EARLY_SENT_S = 3.0  # may be cut if they were sent no later than this after the stop began
 CONTACT_S = 4.0  # after a disruption; the fleet's VMs have no setting for it
@@ -135,7 +135,8 @@
     findings = []
     for opening in ledger.openings:
         stop = ledger.stop_around(opening.vm, opening.ended_at)
-        if opening.is_unanswered() and stop is not None:
+        is_disrupted = ledger.is_disrupted(opening.sent_at, opening.ended_at, CONTACT_S)
+        if opening.is_unanswered() and stop is not None and not is_disrupted:
             waited_s = opening.ended_at - opening.sent_at
             kind = FindingKind.OPENING_CLOSED
             if waited_s > LOSS_SLACK_S:
@@ -149,7 +150,7 @@
 
 
 def _judge_log(ledger: Ledger, database: DatabaseGroup) -> list[Finding]:
-    log = database.copies[database.primary].log
+    log = database.newest_log()
     committed = set(log)
     findings = [
         Finding(FindingKind.TWICE, statement_id, f"{log.count(statement_id)} entries in the log")
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/ledger.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/ledger.py
@@ -9,6 +9,8 @@
 from collections import Counter
 from enum import Enum
 
+HOST = "host"  # subject of a disruption of all processes
+
 
 class Ending(Enum):
     """How a statement or the opening of a session ended for its caller."""
@@ -74,16 +76,36 @@
         """Return whether the VM ended the connection without a complete answer."""
         return self.ending in (Ending.CUT, Ending.CLOSED, Ending.RESET)
 
+    def is_served(self) -> bool:
+        """Return whether the statement succeeded."""
+        return self.ending is Ending.ANSWERED and not self.error
+
+    def is_read(self) -> bool:
+        """Return whether the statement reads an item."""
+        return self.text.startswith(("READ ", "EXECUTE r "))
+
 
 class OpeningRecord:
     """One attempt to open a session; `error` is the code with which it was refused, or empty."""
 
-    __slots__ = ("session", "vm", "shape", "sent_at", "ended_at", "ending", "error")
+    __slots__ = (
+        "session",
+        "vm",
+        "shape",
+        "database",
+        "key",
+        "sent_at",
+        "ended_at",
+        "ending",
+        "error",
+    )
 
-    def __init__(self, session: str, vm: str, shape: str) -> None:
+    def __init__(self, session: str, vm: str, shape: str, database: str, key: str) -> None:
         self.session = session
         self.vm = vm
         self.shape = shape
+        self.database = database
+        self.key = key
         self.sent_at = time.monotonic()
         self.ended_at = 0.0
         self.ending = Ending.OUTSTANDING
@@ -131,13 +153,14 @@
 
 
 class Ledger:
-    """All records of one run, in the order of their times."""
+    """All records of one run, in the order of their times; `sessions` has the openings by name."""
 
-    __slots__ = ("statements", "openings", "stops", "disruptions")
+    __slots__ = ("statements", "openings", "sessions", "stops", "disruptions")
 
     def __init__(self) -> None:
         self.statements: dict[str, StatementRecord] = {}
         self.openings: list[OpeningRecord] = []
+        self.sessions: dict[str, OpeningRecord] = {}
         self.stops: list[StopRecord] = []
         self.disruptions: list[Disruption] = []
 
@@ -148,6 +171,7 @@
     def add_opening(self, record: OpeningRecord) -> None:
         """Add an opening that is about to be sent."""
         self.openings.append(record)
+        self.sessions[record.session] = record
 
     def begin_stop(self, vm: str, grace_period_s: float) -> StopRecord:
         """Record that a VM is told to stop."""
@@ -170,14 +194,21 @@
         )
 
     def stop_around(self, vm: str, moment: float) -> StopRecord | None:
-        """Return the stop of a VM that a moment belongs to, until 1 s after its grace period."""
-        for stop in self.stops:
+        """Return a VM's last stop that a moment belongs to, until 1 s after its grace period."""
+        for stop in reversed(self.stops):
             if stop.vm == vm and stop.sent_at <= moment <= stop.sent_at + stop.grace_period_s + 1.0:
                 return stop
         return None
 
-    def is_disrupted(self, begin: float, end: float, contact_s: float) -> bool:
-        """Return whether a disruption lasted at any time from `contact_s` before `begin`."""
+    def is_disrupted(
+        self, begin: float, end: float, contact_s: float, subject: str | None = None
+    ) -> bool:
+        """Return whether a disruption lasted at any time from `contact_s` before `begin`.
+
+        With a subject, only its disruptions count.
+        """
         return any(
-            item.began_at <= end and item.ended_at >= begin - contact_s for item in self.disruptions
+            item.began_at <= end and item.ended_at >= begin - contact_s
+            for item in self.disruptions
+            if subject is None or item.subject == subject
         )
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/ports.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/ports.py
@@ -48,6 +48,12 @@
             return cls(lock, list(range(first, first + PORTS_PER_BLOCK)))
         raise OSError("All blocks of ports are reserved; run fewer fleets at once.")
 
+    def has_free_port(self) -> bool:
+        """Return whether a port of the block is not bound."""
+        while self._ports and not _is_free(self._ports[0]):
+            self._ports.pop(0)
+        return bool(self._ports)
+
     def next_address(self) -> str:
         """Return an address with the next port of the block that is not bound."""
         while self._ports:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/sessions.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/sessions.py
@@ -9,7 +9,6 @@
 from gentianspread_server.platform.wire import LineSocket, ProtocolError
 from gevent import socket
 
-from .callers import Answer
 from .ledger import Ending, Ledger, OpeningRecord, StatementRecord
 
 log = logging.getLogger(__name__)
@@ -22,6 +21,38 @@
     """The session cannot be used any more."""
 
 
+class Answer:
+    """A complete answer: its rows, its error code if any, and the session's state."""
+
+    __slots__ = ("rows", "error", "state")
+
+    def __init__(self, rows: list[str], error: str, state: str) -> None:
+        self.rows = rows
+        self.error = error
+        self.state = state
+
+    def add(self, line: str) -> None:
+        """Add a line of the answer; the last one sets the state."""
+        keyword, _, rest = line.partition(" ")
+        if keyword == "ROW":
+            self.rows.append(rest)
+        elif keyword == "ERROR":
+            self.error = rest.partition(" ")[0]
+        elif keyword == "READY":
+            self.state = rest.partition(" ")[0]
+
+
+def read_answer(connection: LineSocket) -> Answer:
+    """Read one complete answer; raises `ProtocolError` if the VM closes the connection before."""
+    answer = Answer([], "", "")
+    while not answer.state:
+        line = connection.read_line()
+        if line is None:
+            raise ProtocolError("the VM closed the connection within an answer")
+        answer.add(line)
+    return answer
+
+
 class CallerSession:
     """One session: its connection, the VM that serves it, and the state of its transaction."""
 
@@ -46,7 +77,7 @@
             raise SessionEndedError(str(error)) from error
         connected.settimeout(None)
         self._connection = LineSocket(connected)
-        record = OpeningRecord(self.name, self.vm, self.shape)
+        record = OpeningRecord(self.name, self.vm, self.shape, database, key)
         self.ledger.add_opening(record)
         line: str | None = None
         try:
@@ -79,7 +110,7 @@
                     if line is None:
                         break
                     ending = Ending.CUT
-                    self._add_line(answer, line)
+                    answer.add(line)
         except gevent.Timeout:
             ending = Ending.TIMED_OUT
         except (OSError, ProtocolError) as error:
@@ -148,15 +179,6 @@
             self.leave()
             raise SessionEndedError(str(error)) from error
 
-    def _add_line(self, answer: Answer, line: str) -> None:
-        keyword, _, rest = line.partition(" ")
-        if keyword == "ROW":
-            answer.rows.append(rest)
-        elif keyword == "ERROR":
-            answer.error = rest.partition(" ")[0]
-        elif keyword == "READY":
-            answer.state = rest.partition(" ")[0]
-
     def _require_connection(self) -> LineSocket:
         if self._connection is None:
             raise SessionEndedError("the session has ended")
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/shapes.py
@@ -201,6 +201,28 @@
             session.leave()
 
 
+class BoundedReads:
+    """Reads data that may be old, alone and in read-only transactions."""
+
+    name = "bounded"
+    database = "bounded"
+
+    def use(self, session: CallerSession, randomness: random.Random) -> None:
+        """Read with pauses."""
+        for _ in range(20):
+            in_transaction = randomness.random() < 0.3
+            if in_transaction:
+                session.execute("BEGIN READ")
+            for _ in range(randomness.randint(1, 3)):
+                if in_transaction and session.state != "T":
+                    break
+                session.execute(f"READ {randomness.randrange(ITEM_COUNT)}")
+                session.pause(randomness.uniform(0.01, 0.4))
+            if in_transaction:
+                _end_transaction(session, randomness, rollback_share=0.2)
+        session.close()
+
+
 # All shapes but `LastingTransaction`, which is for callers of a VM that is about to stop.
 ALL_SHAPES: list[Shape] = [
     SingleOperations(),
@@ -212,6 +234,7 @@
     SlowTransactions(),
     PreparedStatements(),
     Leaving(),
+    BoundedReads(),
 ]
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/stops.py
@@ -7,7 +7,6 @@
 monkey.patch_all()
 
 import argparse  # noqa: E402
-import logging  # noqa: E402
 import random  # noqa: E402
 import signal  # noqa: E402
 import subprocess  # noqa: E402
@@ -17,20 +16,15 @@
 
 import gevent  # noqa: E402
 
-from .fleet import WORKSPACE_KEYS, PlatformFleet  # noqa: E402
+from .callers import Rotation, ShapedCaller  # noqa: E402
+from .fleet import GRACE_PERIOD_S, PlatformFleet  # noqa: E402
 from .judgement import FindingKind, count_by_kind, judge  # noqa: E402
 from .ledger import Ledger  # noqa: E402
-from .sessions import CallerSession, SessionEndedError  # noqa: E402
-from .shapes import ALL_SHAPES, LastingTransaction, Shape  # noqa: E402
-
-log = logging.getLogger(__name__)
+from .operators import FIRST_KEYS, Configuration  # noqa: E402
+from .shapes import ALL_SHAPES, LastingTransaction  # noqa: E402
 
 ENTRY_VM_COUNT = 6  # two for each zone, so that most statements are relayed
 ENDPOINT_SLOTS = 12  # transactions of slow statements leave slots for the other callers
-GRACE_PERIOD_S = 6.0  # in the fleet's settings
-READINESS_CHECK_INTERVAL_S = 1.0
-MAX_MISSED_CHECKS = 2  # before a VM gets no new sessions
-RECONNECT_DELAY_S = 0.05
 WARM_UP_S = 2.5
 MAX_STOP_DELAY_S = 0.7  # between the stops of one round
 EXIT_CHECK_INTERVAL_S = 0.02
@@ -39,67 +33,6 @@
 MAX_PRINTED_FINDINGS = 12
 
 
-class Rotation:
-    """The VMs that get new sessions: those that have not failed two readiness checks in a row."""
-
-    def __init__(self, fleet: PlatformFleet) -> None:
-        self.fleet = fleet
-        self.missed = {name: 0 for name in fleet.entry_addresses}
-        self._greenlets = [gevent.spawn(self._watch, name) for name in self.missed]
-
-    def pick(self, randomness: random.Random) -> str:
-        """Return a VM in rotation, or any if none is."""
-        names = [name for name, count in self.missed.items() if count < MAX_MISSED_CHECKS]
-        return randomness.choice(names or list(self.missed))
-
-    def stop(self) -> None:
-        """Stop the checks."""
-        gevent.killall(self._greenlets)
-
-    def _watch(self, name: str) -> None:
-        while True:
-            is_ready = self.fleet.is_entry_ready(name)
-            self.missed[name] = 0 if is_ready else self.missed[name] + 1
-            gevent.sleep(READINESS_CHECK_INTERVAL_S)
-
-
-class ShapedCaller:
-    """A caller that uses one session after another in the way of its shape, until `stopping`."""
-
-    def __init__(
-        self, name: str, key: str, shape: Shape, rotation: Rotation, ledger: Ledger, seed: int
-    ) -> None:
-        self.name = name
-        self.key = key
-        self.shape = shape
-        self.rotation = rotation
-        self.ledger = ledger
-        self.randomness = random.Random(f"{seed} {name}")
-        self.stopping = False
-        self._session_count = 0
-
-    def run(self) -> None:
-        """Use sessions until `stopping` is set and the last one has ended."""
-        while not self.stopping:
-            self.use_session(self.rotation.pick(self.randomness))
-            gevent.sleep(RECONNECT_DELAY_S)
-
-    def use_session(self, vm: str) -> None:
-        """Open a session on a VM and use it to its end."""
-        self._session_count += 1
-        session = CallerSession(
-            f"{self.name}s{self._session_count}", vm, self.shape.name, self.ledger
-        )
-        try:
-            address = self.rotation.fleet.entry_addresses[vm]
-            session.open(address, self.shape.database, self.key)
-            self.shape.use(session, self.randomness)
-        except SessionEndedError as error:
-            log.debug("session %s ended: %s", session.name, error)
-        finally:
-            session.leave()
-
-
 class Interference(Enum):
     """What else happens to a VM while it stops."""
 
@@ -115,7 +48,7 @@
     def __init__(self, seed: int, callers_per_shape: int = CALLERS_PER_SHAPE) -> None:
         self.seed = seed
         self.randomness = random.Random(seed)
-        self.fleet = PlatformFleet(ENTRY_VM_COUNT, ENDPOINT_SLOTS)
+        self.fleet = PlatformFleet(ENTRY_VM_COUNT, ENDPOINT_SLOTS, traces_owners=True)
         self.ledger = Ledger()
         self.callers_per_shape = callers_per_shape
         self.interferences: Counter[Interference] = Counter()
@@ -125,10 +58,11 @@
         """Run callers of all shapes and the rounds; then wait for the callers' sessions to end."""
         self.fleet.start()
         rotation = Rotation(self.fleet)
+        rotation.start()
         shapes = [shape for shape in ALL_SHAPES for _ in range(self.callers_per_shape)]
         callers = [
             ShapedCaller(
-                f"c{index}", f"key-{index % 2 + 1}", shape, rotation, self.ledger, self.seed
+                f"c{index}", [f"key-{index % 2 + 1}"], shape, rotation, self.ledger, self.seed
             )
             for index, shape in enumerate(shapes)
         ]
@@ -167,7 +101,7 @@
             process.send_signal(signal.SIGHUP)
         elif kind is Interference.DECLARATION:
             self.version += 1
-            self.fleet.declare(self.version, WORKSPACE_KEYS)
+            self.fleet.operator.declare(Configuration(self.version, FIRST_KEYS))
 
     def _start_lasting_transactions(
         self, vms: list[str], rotation: Rotation
@@ -177,7 +111,7 @@
             for index in range(LASTING_TRANSACTIONS_PER_STOP):
                 name = f"l{len(self.ledger.stops)}{vm[-1]}{index}"
                 caller = ShapedCaller(
-                    name, "key-1", LastingTransaction(), rotation, self.ledger, self.seed
+                    name, ["key-1"], LastingTransaction(), rotation, self.ledger, self.seed
                 )
                 greenlets.append(gevent.spawn(caller.use_session, vm))
         return greenlets
