--- a/features/support.py
+++ b/features/support.py
@@ -1,12 +1,20 @@
-"""Helpers with which steps query and change the simulated fleet."""
+"""Helpers with which steps query and change simulated fleets and single boards."""
 
 from __future__ import annotations
 
-from gentianspread_core.blackboard import Topic
+import time
+
+import gevent
+from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.requests import StatementKind
+from gentianspread_core.blackboard.timeline import Timeline
+from gentianspread_core.settings import CoreSettings
 from gentianspread_lab.fakes import FakeDisk
 from gentianspread_lab.fakes.simulation import GROUP
+from gentianspread_server.clocks import BootTimeClock, wall_ms
+
+GUARD_S = 5.0  # for what happens at once unless it fails
 
 
 def primary_of(context):
@@ -78,3 +86,21 @@
         Topic.REQUEST_PERMITTED,
         lambda request: context.permits.append((context.simulation.clock.now(), request.workspace)),
     )
+
+
+def new_board():
+    """Return the board of a VM without controllers, on the machine's clock."""
+    return Board(CoreSettings("vm", "z1", "vm"), BootTimeClock(), Timeline("vm", wall_ms))
+
+
+def fail(_entry):
+    """Fail, as a handler does that meets an item that it cannot read."""
+    raise RuntimeError("an odd item")
+
+
+def wait_while(is_waiting, timeout_s=GUARD_S):
+    """Wait until a condition no longer holds, and fail after the timeout."""
+    deadline = time.monotonic() + timeout_s
+    while is_waiting():
+        assert time.monotonic() < deadline, "it did not happen in time"
+        gevent.sleep(0.02)
