--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,14 @@
 STAMP := $(VENV)/.installed
 PACKAGES := core server cli lab
 
+# Entry VMs of the fault soak, and callers of each shape; three control VMs run besides.
 SOAK_SEEDS ?= 5
+SOAK_ENTRIES ?= 9
+SOAK_CALLERS ?= 4
+# Seeds that failed with 6 entry VMs. 2, 5, 6, 9, 10, 11, 15, 18, 19 and 20: an entry VM ended while
+# statements of transactions ran late in the grace period. 4 and 17: SIGHUP ended a process that was
+# loading.
+KEPT_SEEDS := 2 4 5 6 9 10 11 15 17 18 19 20
 
 # The users' bench and their folder of deployments are outside the repository.
 FLEETBENCH ?=
@@ -16,7 +23,7 @@
 	large/brackwater-pumpdesk-large grown/brackwater-pumpdesk-grown grown/msp-pool-grown
 JOBS ?= 3
 
-.PHONY: test demo platform-demo platform-soak bench capacity soak mutants format regression
+.PHONY: test demo platform-demo platform-soak platform-soak-kept bench capacity soak mutants format regression
 
 $(STAMP): constraints.txt $(foreach package,$(PACKAGES),packages/gentianspread-$(package)/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
@@ -36,7 +43,13 @@
 	$(BIN)/python -m gentianspread_lab.platform.demo
 
 platform-soak: $(STAMP)
-	$(BIN)/python -m gentianspread_lab.platform.soak --seed=$(SEED) --count=$(SOAK_SEEDS)
+	$(BIN)/python -m gentianspread_lab.platform.soak --seed=$(SEED) --count=$(SOAK_SEEDS) \
+		--entries=$(SOAK_ENTRIES) --callers=$(SOAK_CALLERS)
+
+platform-soak-kept: $(STAMP)
+	for seed in $(KEPT_SEEDS); do \
+		$(BIN)/python -m gentianspread_lab.platform.soak --seed=$$seed --entries=6 || exit 1; \
+	done
 
 bench: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.bench
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -4,10 +4,14 @@
     When the demo of the platform's programs runs with phases of 1 s
     Then every guarantee held
 
+  # Guards against faults of the programs that the soak has found with one of these seeds before.
   Scenario Outline: The guarantees hold under seeded random faults injected from outside
     When the soak of the platform's programs runs with seed <seed> for 5 s
     Then every guarantee held
 
     Examples:
-      | seed |
-      | 3    |
+      | seed | cause of an earlier failure                                                       |
+      | 3    | none                                                                              |
+      | 23   | an entry VM ended while statements of transactions ran late in the grace period   |
+      | 27   | an entry VM ended while statements of transactions ran late in the grace period   |
+      | 30   | an entry VM ended while statements of transactions ran late in the grace period   |
