Take the age and the wait of a poll's answer at the same moment

A VM that answers a poll gave the age of its configuration first and read the clock again for the time that it had waited, with the encoding of the entries between them. The poller places the confirmation at its own sending time plus the wait minus the age, so a freeze or a long encoding between the two readings made an outdated configuration look newer by as much, up to serving reads and requests that it no longer may.

Both now come from one reading. Ruled out: observations of positions, whose age is read after it and can only come out too high.

Scenario "A control VM that freezes while it builds its answer does not understate its age": with 5 s between the two readings, the confirmation was placed 5 s too late before, and is never too late now.

--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -68,6 +68,12 @@
     When a VM polls it and it becomes fresh 0.1 s later
     Then the response has no age, within 0.05 s
 
+  # Guards against reads and requests that are served by an outdated configuration.
+  Scenario: A control VM that freezes while it builds its answer does not understate its age
+    Given a control VM whose clock advances by 5 s while it encodes an entry
+    When a VM polls it that lacks an entry
+    Then the response does not place the confirmation later than it was
+
   Scenario: Control VMs that have just started do not wait for each other
     Given a control VM that has just started
     When a control VM polls it and it becomes fresh 0.1 s later
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -133,14 +133,16 @@
         update = self.configuration.build_update(
             sender_revision, sender, message.get("has_log", False), only_serves
         )
-        age = self.board.clock.now() - update.confirmed_at
+        # The poller subtracts the age from the wait; the VM may freeze between two readings.
+        now = self.board.clock.now()
+        age = now - update.confirmed_at
         timeline = self.board.timeline
         answer = {
             "revision": update.revision,
             "entries": [entry.to_record() for entry in update.entries],
             "snapshot": update.snapshot,
             "age_s": age if math.isfinite(age) else None,
-            "waited_s": self.board.clock.now() - started,
+            "waited_s": now - started,
             "leader": self.leader(),
             "joined": self.board.log.voters,  # required by older builds
             "stamp": [timeline.wall_ms, timeline.counter],
