Record the initial voters on each founder's disk before its first message

Operators saw a fleet that never came back: a change was acknowledged during the first start, all control VMs were killed within 0.2 s and started again with their disks, and no leader was elected any more; reads and changes stayed unanswered.

Cause: which VMs vote was known from the settings alone until the repair wrote it to the control log, 0.25 s after the first leader; on the platform only the settings of the first start name the voters. The simulation gave them to every start, and all tests began with a settled fleet.

Change: the first state of a founder's disk, which is synced before its first message, lists the initial voters, and the disk goes before the settings. A disk of an older build with entries but no voters takes the seeds, if they name the VM itself; a VM that knows no voters says so in its log, readiness, refusals and metrics. A first start that waits for seeds names them.

Ruled out: holding back acknowledgements until the voters are recorded, and the founding leader's first entry; both leave founders that are killed earlier without voters (docs/design/control.md).

The mutant "initial voters are not recorded" is found by the features and by fuzzing that begins at the founding.

--- a/features/first_start.feature
+++ b/features/first_start.feature
@@ -24,6 +24,9 @@
     When "b" <cannot tell>
     Then "a" does not know whether it is a founder, and is one once "b" can tell
 
+    # Guards against a first start that waits without a word.
+    And "a" has logged once that it waits for "b"
+
     Examples:
       | cannot tell                    |
       | is out of reach                |
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -15,3 +15,8 @@
       | 23   | an entry VM ended while statements of transactions ran late in the grace period   |
       | 27   | an entry VM ended while statements of transactions ran late in the grace period   |
       | 30   | an entry VM ended while statements of transactions ran late in the grace period   |
+
+  # Guards against a fleet that has acknowledged a change and is without voters after a restart.
+  Scenario: The control VMs go on after all were killed just after the first acknowledged change
+    When the first start is interrupted 0 s and 0.1 s after the first acknowledged change
+    Then every guarantee held
--- a/features/steps/first_start.py
+++ b/features/steps/first_start.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 
 import gevent
@@ -10,6 +11,7 @@
 from gentianspread_core.blackboard.messages import Message, MessageKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
+from gentianspread_server import founding
 from gentianspread_server.clocks import MonotonicClock, wall_ms
 from gentianspread_server.connections import RequestNotSentError
 from gentianspread_server.distribution import Distribution
@@ -85,8 +87,30 @@
     assert context.client.distributions[name].first_start.is_founder(SEEDS) is False
 
 
+class Lines(logging.Handler):
+    """Keeps the formatted lines of a logger."""
+
+    def __init__(self):
+        super().__init__()
+        self.lines = []
+
+    def emit(self, record):
+        self.lines.append(record.getMessage())
+
+
+@then('"{name:w}" has logged once that it waits for "{other:w}"')
+def step_logged(context, name, other):
+    waiting = [line for line in context.lines if "waits" in line]
+    assert len(waiting) == 1 and f"['{other}']" in waiting[0], context.lines
+
+
 @then('"{name:w}" does not know whether it is a founder, and is one once "{other:w}" can tell')
 def step_waits(context, name, other):
+    handler = Lines()
+    founding.log.addHandler(handler)
+    founding.log.setLevel(logging.INFO)
+    context.add_cleanup(founding.log.removeHandler, handler)
+    context.lines = handler.lines
     asking = gevent.spawn(context.client.distributions[name].first_start.is_founder, SEEDS)
     gevent.sleep(CHECK_S)
     assert not asking.ready(), asking.value
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -32,6 +32,11 @@
     _run(context, "gentianspread_lab.platform.soak", *arguments)
 
 
+@when("the first start is interrupted {first} s and {second} s after the first acknowledged change")
+def step_first_start(context, first, second):
+    _run(context, "gentianspread_lab.platform.firststarts", "--delays", first, second)
+
+
 @then("every guarantee held")
 def step_held(context):
     assert context.process.returncode == 0, context.process.stdout + context.process.stderr
--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -15,6 +15,8 @@
 from gentianspread_server.control import ControlLoop
 from gentianspread_server.storage import LOG_FILE, ControlStorage, _encode_frame
 
+INITIAL_VOTERS = ["v1", "v2", "v3"]
+
 
 def entry(index, term=3):
     return LogEntry(index, term, Command(CommandKind.NO_OP, {"number": index}))
@@ -229,20 +231,34 @@
         mock.patch.object(control, "WRITE_RETRY_INTERVAL_S", 0.01),
     ):
         assert loop.recover() is None
-        stored = loop.write_first_state(is_founder=role == "founding voter")
+        stored = loop.write_first_state(INITIAL_VOTERS if role == "founding voter" else [])
     context.incarnations = [
         *getattr(context, "incarnations", []),
         stored.hard_state.incarnation,
     ]
+    context.initial_voters = stored.hard_state.initial_voters
 
 
 @when("entries {first:d} to {last:d} and a vote in term {term:d} are written with its incarnation")
 def step_write_with_incarnation(context, first, last, term):
-    hard_state = HardState(term, "v1", context.incarnations[-1])
+    hard_state = HardState(term, "v1", context.incarnations[-1], context.initial_voters)
     entries = [entry(index) for index in range(first, last + 1)]
     context.storage.write(batch_of(entries, hard_state))
 
 
+@then("the initial voters are those of the first start")
+def step_initial_voters(context):
+    context.storage.close()
+    stored = ControlLoop(None, ControlStorage(context.folder), None, None).recover()
+    assert list(stored.hard_state.initial_voters) == INITIAL_VOTERS, stored.hard_state
+
+
+@then("no initial voters are recorded")
+def step_no_initial_voters(context):
+    stored = ControlLoop(None, ControlStorage(context.folder), None, None).recover()
+    assert not stored.hard_state.initial_voters, stored.hard_state
+
+
 @when("all files of the folder are lost")
 def step_lose_files(context):
     context.storage.close()
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -79,6 +79,13 @@
   Scenario: A folder of an older build, which records no incarnation, is that of a founding voter
     When an older build has written a vote in term 3 and the entry 1
     Then the control log is recovered with the founding incarnation
+    And no initial voters are recorded
+
+  Scenario: The initial voters stay recorded through votes, entries and snapshots
+    When the control log of an empty folder is recovered as that of a founding voter
+    And entries 1 to 5 and a vote in term 3 are written with its incarnation
+    And a snapshot up to entry 3 is written
+    Then the initial voters are those of the first start
 
   Scenario: A folder that has lost its log, and with it the vote, counts as lost although it has a snapshot
     When the control log of an empty folder is recovered as that of a founding voter
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -98,6 +98,12 @@
         age = self.clock.now() - self.configuration.confirmed_at
         return age <= self.settings.max_configuration_age_s
 
+    def explain_staleness(self) -> str:
+        """Return why no quorum confirms the configuration, as far as this VM can tell."""
+        if not (self.log.voters or self.configuration.voters):
+            return "This VM knows no voters of the control log, and no other VM has named them."
+        return "No quorum confirmed the configuration."
+
     def has_control_contact(self) -> bool:
         """Return whether a recent poll brought a confirmation of the configuration."""
         age = self.clock.now() - self.configuration.confirmed_at
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from .commands import Command
+from .commands import Command, CommandKind
 
 FOUNDING_INCARNATION = ""  # of the voters of the first start, and of disks that record none
 
@@ -54,14 +54,26 @@
 
 
 class RecoveredLog:
-    """The snapshot, the entries and the incarnation that the disk held at start."""
+    """The snapshot, the entries, the incarnation and the initial voters that the disk held."""
 
-    __slots__ = ("snapshot", "entries", "incarnation")
+    __slots__ = ("snapshot", "entries", "incarnation", "initial_voters")
 
-    def __init__(self, snapshot: Snapshot, entries: list[LogEntry], incarnation: str) -> None:
+    def __init__(
+        self,
+        snapshot: Snapshot,
+        entries: list[LogEntry],
+        incarnation: str,
+        initial_voters: tuple[str, ...] = (),
+    ) -> None:
         self.snapshot = snapshot
         self.entries = entries
         self.incarnation = incarnation
+        self.initial_voters = initial_voters
+
+    def has_voters(self) -> bool:
+        """Return whether the snapshot or an entry lists the voters."""
+        is_listed = any(item.command.kind is CommandKind.CHANGE_VOTERS for item in self.entries)
+        return is_listed or bool(self.snapshot.state.get("voters"))
 
 
 class Peer:
@@ -102,7 +114,8 @@
     name together with the incarnation of its disk: `incarnation` is this VM's own, `incarnations`
     has those of voters and learners that are no founding ones, by name. Until the disk was read,
     this VM's own is none, and it takes no part. `voters_index` is the index of the entry, or of the
-    snapshot, that the voters were taken from.
+    snapshot, that the voters were taken from. `initial_voters` are those of the first start, which
+    this VM's disk records; they vote until an entry changes the voters.
     """
 
     __slots__ = (
@@ -117,6 +130,7 @@
         "incarnation",
         "incarnations",
         "voters_index",
+        "initial_voters",
         "recovered_index",
     )
 
@@ -133,6 +147,7 @@
         self.incarnation: str | None = None
         self.incarnations: dict[str, str] = {}
         self.voters_index = 0
+        self.initial_voters: tuple[str, ...] = ()
 
     def incarnation_of(self, name: str) -> str:
         """Return the incarnation with which a VM is a voter or a learner."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from enum import Enum
 from random import Random
 
@@ -187,21 +188,32 @@
 
     Both must be synced to disk before a message that depends on them is sent. `incarnation` is
     drawn once for each empty disk and is lost with it, so that a VM that has lost its term, vote
-    and log is never taken for the one it was. It is none only on an empty disk.
+    and log is never taken for the one it was. It is none only on an empty disk. `initial_voters`
+    are the voters of the first start, none on the disk of a VM that joined later.
     """
 
-    __slots__ = ("term", "voted_for", "incarnation")
+    __slots__ = ("term", "voted_for", "incarnation", "initial_voters")
 
-    def __init__(self, term: int, voted_for: str | None, incarnation: str | None = None) -> None:
+    def __init__(
+        self,
+        term: int,
+        voted_for: str | None,
+        incarnation: str | None = None,
+        initial_voters: tuple[str, ...] = (),
+    ) -> None:
         self.term = term
         self.voted_for = voted_for
         self.incarnation = incarnation
+        self.initial_voters = initial_voters
+
+    @classmethod
+    def for_founder(cls, initial_voters: Iterable[str]) -> HardState:
+        """Return the first state of an empty disk at the first start of the fleet."""
+        return cls(0, None, FOUNDING_INCARNATION, tuple(initial_voters))
 
     @classmethod
-    def for_empty_disk(cls, is_founder: bool, randomness: Random) -> HardState:
-        """Return the first state of an empty disk; only a voter of the first start is a founder."""
-        if is_founder:
-            return cls(0, None, FOUNDING_INCARNATION)
+    def for_new_member(cls, randomness: Random) -> HardState:
+        """Return the first state of an empty disk of a VM that joins a fleet."""
         return cls(0, None, f"{randomness.getrandbits(INCARNATION_BITS):016x}")
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -42,6 +42,8 @@
     ALLOCATOR_NAMED = "allocator_named"
     VOTER_LOST = "voter_lost"
     VOTERS_CHANGED = "voters_changed"
+    VOTERS_ASSUMED = "voters_assumed"
+    VOTERS_UNKNOWN = "voters_unknown"
     REDUNDANCY_RESTORED = "redundancy_whole"
     TRANSACTION_DROPPED = "transaction_dropped"
     INVARIANT_VIOLATED = "invariant_broken"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/election.py
@@ -280,6 +280,7 @@
 
     def _persist(self) -> None:
         election = self.board.election
+        log = self.board.log
         self.board.outbox.control.hard_state = HardState(
-            election.term, election.voted_for, self.board.log.incarnation
+            election.term, election.voted_for, log.incarnation, log.initial_voters
         )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -12,8 +12,16 @@
 from ..blackboard.commands import Command, CommandKind
 from ..blackboard.configuration import to_snapshot
 from ..blackboard.election import Role
-from ..blackboard.log import LogEntry, Peer, RecoveredLog, Snapshot, SyncedRecords
+from ..blackboard.log import (
+    FOUNDING_INCARNATION,
+    LogEntry,
+    Peer,
+    RecoveredLog,
+    Snapshot,
+    SyncedRecords,
+)
 from ..blackboard.messages import Message, MessageKind, Proposal
+from ..blackboard.timeline import EventKind
 from .configuration import AppliedCommand
 from .election import CHECK_QUORUM_ELECTION_TIMEOUTS
 
@@ -54,7 +62,9 @@
         log.synced_index = log.last_index()
         log.recovered_index = log.last_index()
         log.commit_index = recovered.snapshot.index
+        log.initial_voters = recovered.initial_voters or self._voters_of_older_disk(recovered)
         self._load_voters()
+        self._report_unknown_voters()
         if recovered.snapshot.index:
             self.board.changes.post(Topic.SNAPSHOT_INSTALLED, recovered.snapshot)
 
@@ -184,7 +194,8 @@
     def _load_voters(self) -> None:
         """Load the voters from the newest entry that changes them, committed or not."""
         log = self.board.log
-        log.voters = list(log.snapshot.state.get("voters") or self.board.settings.initial_voters)
+        initial_voters = log.initial_voters or self.board.settings.initial_voters
+        log.voters = list(log.snapshot.state.get("voters") or initial_voters)
         log.learners = list(log.snapshot.state.get("learners", []))
         log.incarnations = dict(log.snapshot.state.get("incarnations", {}))
         log.voters_index = log.snapshot.index
@@ -197,6 +208,39 @@
                 break
         self.board.changes.post(Topic.VOTERS_CHANGED)
 
+    def _voters_of_older_disk(self, recovered: RecoveredLog) -> tuple[str, ...]:
+        """Return the initial voters for a disk of a build that did not record them, if it shows.
+
+        Before the first list of voters was in the log, only initial voters had entries.
+        """
+        settings = self.board.settings
+        is_founding_log = bool(recovered.entries) and not recovered.has_voters()
+        is_founder = recovered.incarnation == FOUNDING_INCARNATION
+        if settings.member in settings.seeds and is_founding_log and is_founder:
+            self.board.timeline.record(
+                EventKind.VOTERS_ASSUMED,
+                settings.member,
+                "the control log has entries but no voters; the seeds were the voters of the first"
+                " start",
+                voters=settings.seeds,
+            )
+            return tuple(settings.seeds)
+        return ()
+
+    def _report_unknown_voters(self) -> None:
+        """Report that this VM was at the first start but knows no voters, and so cannot vote."""
+        log = self.board.log
+        was_used = bool(log.entries) or log.incarnation == FOUNDING_INCARNATION
+        if self.board.settings.has_disk and was_used and not log.voters:
+            self.board.timeline.record(
+                EventKind.VOTERS_UNKNOWN,
+                self.board.settings.member,
+                "the disk names no voters of the control log; this VM waits until another VM does."
+                " If none does, list this VM among the seeds, or empty the data folders of all VMs"
+                " and start the fleet for the first time",
+                last_index=log.last_index(),
+            )
+
     def _send(self, message: Message, request: Message | None = None) -> None:
         message.set_incarnations(self.board.log, request)
         self.board.outbox.control.messages.append(message)
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -86,10 +86,11 @@
     `max_configuration_age_s` is how long this VM may serve after a quorum last confirmed its
     configuration. `token_ttl_s` is how long rate limit tokens may be spent after they
     were asked for. `startup_timeout_s` is how long after its start this VM expects its first fresh
-    configuration. `initial_backoff_s` is the first backoff of a suspected endpoint. `voter_count`
-    is the wanted number of voters, 0 for the number of initial voters. `records_initial_voters`
-    writes the initial voters to the control log. `registers_diskless_members` registers VMs without
-    a disk as members.
+    configuration. `initial_voters` are the voters of the first start, unless the disk records them;
+    `seeds` are the control VMs that this VM was told of. `initial_backoff_s` is the first backoff
+    of a suspected endpoint. `voter_count` is the wanted number of voters, 0 for the number of
+    initial voters. `records_initial_voters` writes the initial voters to the control log.
+    `registers_diskless_members` registers VMs without a disk as members.
     """
 
     __slots__ = (
@@ -98,6 +99,7 @@
         "address",
         "has_disk",
         "initial_voters",
+        "seeds",
         "zones",
         "max_configuration_age_s",
         "startup_timeout_s",
@@ -126,6 +128,7 @@
         self.address = address
         self.has_disk = False
         self.initial_voters: list[str] = []
+        self.seeds: list[str] = []
         self.zones: list[str] = [zone]
         self.max_configuration_age_s = 2.0
         self.startup_timeout_s = 1.5
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/disk.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/disk.py
@@ -44,4 +44,5 @@
     def recover(self) -> RecoveredLog:
         """Return the log that a restarted VM recovers."""
         incarnation = self.hard_state.incarnation or FOUNDING_INCARNATION
-        return RecoveredLog(self.snapshot, list(self.entries), incarnation)
+        initial_voters = self.hard_state.initial_voters
+        return RecoveredLog(self.snapshot, list(self.entries), incarnation, initial_voters)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/simulation.py
@@ -56,7 +56,8 @@
     """VMs and the endpoints of one group, the blocked links between them, and scheduled events.
 
     `diskless` counts the VMs without a disk, `standbys` those with one that are no voters yet.
-    `is_first_start` is set until all VMs have started for the first time.
+    `is_first_start` is set until all VMs have started for the first time. With `on_platform`, only
+    then are VMs told the initial voters, which the control log records.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         diskless: int = 1,
         standbys: int = 0,
         selector_factory: Callable[[Board], ReplicaSelector] | None = None,
+        on_platform: bool = False,
     ) -> None:
         self.selector_factory = selector_factory
         self.clock = FakeClock()
@@ -84,6 +86,8 @@
         self.is_first_start = True
         self._add_vms(voters, diskless, standbys)
         self.is_first_start = False
+        if on_platform:
+            self._apply_platform_settings(voters)
         self.call_later(self._poll, POLL_INTERVAL_S)
         self.call_later(self._replicate, PULL_INTERVAL_S)
 
@@ -283,6 +287,7 @@
         names += [f"o{number}" for number in range(1, diskless + 1)]
         for number, name in enumerate(names):
             settings = CoreSettings(name, f"z{number % 3 + 1}", name)
+            settings.seeds = list(first)
             settings.initial_voters = list(first)
             settings.zones = ["z1", "z2", "z3"][: max(1, min(3, len(names)))]
             settings.has_disk = not name.startswith("o")
@@ -290,6 +295,12 @@
             self.vms[name] = FakeVM(self, settings, disk)
             self.vms[name].start()
 
+    def _apply_platform_settings(self, voters: int) -> None:
+        for vm in self.vms.values():
+            vm.settings.initial_voters = []
+            vm.settings.records_initial_voters = True
+            vm.settings.voter_count = voters
+
     def _flush_control_batches(self) -> None:
         for vm in self.vms.values():
             vm.flush_control_batch()
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
@@ -67,10 +67,10 @@
         changes.subscribe(Topic.EXCHANGE_SCHEDULED, self._on_exchange_scheduled)
         disk = self.disk or FakeDisk()
         if self.disk is not None and disk.is_blank():
-            is_founder = simulation.is_first_start and self.name in self.settings.initial_voters
-            disk.hard_state = HardState.for_empty_disk(
-                is_founder, simulation.incarnation_randomness
-            )
+            if simulation.is_first_start and self.name in self.settings.initial_voters:
+                disk.hard_state = HardState.for_founder(self.settings.initial_voters)
+            else:
+                disk.hard_state = HardState.for_new_member(simulation.incarnation_randomness)
         self.board.post(Topic.LOG_RECOVERED, disk.recover())
         self.board.post(Topic.CONTROL_STARTED, disk.hard_state)
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
@@ -14,7 +14,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from .fakes import FakeVM, Simulation
-from .fakes.simulation import GROUP
+from .fakes.simulation import GROUP, WORKSPACE
 from .history import HistoryChecker, SentCommit, SentRequest, Session
 
 DISK_NAMES = ("v1", "v2", "v3", "s1")  # voters and a standby
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.simulation = Simulation(7, voters=3, diskless=2, standbys=1)
+        self.simulation = self.create_simulation()
         self.history = HistoryChecker(self.simulation)
         self.sessions = [Session(), Session()]
         self.reported_results: dict[str, str] = {}
@@ -47,12 +47,24 @@
         self.workspace_outcomes: dict[str, list[ChangeOutcome | None]] = {}
         self.value_count = 0
         self.unreplaced_disk: str | None = None
+        self.begin()
+
+    def create_simulation(self) -> Simulation:
+        """Return the simulated fleet."""
+        return Simulation(7, voters=3, diskless=2, standbys=1)
+
+    def begin(self) -> None:
+        """Bring the fleet into the state in which the steps begin."""
         self.simulation.run(2.0)
-        self.simulation.add_endpoints()
-        self.simulation.set_up_workspace(RATE_PER_S, BURST_REQUESTS)
+        self.set_up()
         self.simulation.run(5.0)
         self.history.check_vms()
 
+    def set_up(self) -> None:
+        """Register the endpoints and create the workspace that the requests are sent in."""
+        self.simulation.add_endpoints()
+        self.simulation.set_up_workspace(RATE_PER_S, BURST_REQUESTS)
+
     @rule(session=st.integers(0, 1), vm=st.sampled_from(VM_NAMES), with_id=st.booleans())
     def write(self, session: int, vm: str, with_id: bool) -> None:
         """Write one new value."""
@@ -229,14 +241,18 @@
             if not vm.alive:
                 vm.start()
         self._run(3.0)
-        for name in ENDPOINT_NAMES:
-            self.simulation.register_endpoint(name, leaving=False)
+        self.register_all()
         self._run(RECOVERY_TIME_S)
         self._collect_outcomes()
         self.history.check_vms()
         self.history.check_rate_limit(RATE_PER_S, BURST_REQUESTS)
         self._check_final_state()
 
+    def register_all(self) -> None:
+        """Register every endpoint as staying."""
+        for name in ENDPOINT_NAMES:
+            self.simulation.register_endpoint(name, leaving=False)
+
     def _check_final_state(self) -> None:
         leader = self.simulation.leader()
         assert leader is not None, "no leader after all faults ended"
@@ -389,3 +405,35 @@
     for group, position in second.positions.items():
         merged = merged.with_position(group, position)
     return merged
+
+
+class FoundingMachine(FleetMachine):
+    """Begins with the first start of the fleet; its changes are proposed while it is founded."""
+
+    def create_simulation(self) -> Simulation:
+        """Return a fleet whose VMs know the initial voters only at the first start."""
+        return Simulation(7, voters=3, diskless=2, standbys=1, on_platform=True)
+
+    def begin(self) -> None:
+        """Begin before the first leader is elected; the endpoints run but are not registered."""
+        self.simulation.add_endpoints()
+        self.history.check_vms()
+
+    @rule(seconds=st.sampled_from([0.002, 0.01, 0.02]))
+    def wait_briefly(self, seconds: float) -> None:
+        """Let so little time pass that messages are under way."""
+        self._run(seconds)
+
+    @rule()
+    def register_once(self) -> None:
+        """Register the endpoints and create the workspace, unless the leader knows them."""
+        leader = self.simulation.leader()
+        if leader is not None and GROUP not in leader.board.configuration.groups:
+            self.register_all()
+
+    def register_all(self) -> None:
+        """Register every endpoint as staying, and create the workspace if there is none."""
+        super().register_all()
+        leader = self.simulation.leader()
+        if leader is not None and WORKSPACE not in leader.board.configuration.workspaces:
+            self.simulation.set_up_workspace(RATE_PER_S, BURST_REQUESTS)
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -49,6 +49,7 @@
 from gentianspread_server import driver, storage
 from gentianspread_server.platform import endpoints
 
+from .fuzz import FleetMachine, FoundingMachine
 from .soak import soak
 
 FUZZ_STEPS = 4000
@@ -280,7 +281,8 @@
         "_conflicts_with_voter_change",
         constant(False),
     ),
-    Mutant("an empty disk votes as the lost one", HardState, "for_empty_disk", constant(FOUNDER)),
+    Mutant("an empty disk votes as the lost one", HardState, "for_new_member", constant(FOUNDER)),
+    Mutant("initial voters are not recorded", HardState, "for_founder", constant(FOUNDER)),
     Mutant("replies of a lost disk count", Message, "is_from_participant", constant(True)),
     Mutant("messages to a lost disk are answered", Message, "is_for", constant(True)),
     Mutant("older lists remove", ElectionController, "_was_removed", _was_removed_by_any_list),
@@ -356,7 +358,8 @@
     if run_behave([*arguments, "--tags=not @processes", "features"]) != 0:
         return "features"
     try:
-        soak(FUZZ_SEED, FUZZ_STEPS, shrink=False)
+        for machine in (FleetMachine, FoundingMachine):
+            soak(FUZZ_SEED, FUZZ_STEPS, shrink=False, machine=machine)
     except Exception as error:  # noqa: BLE001
         return f"fuzzing: {str(error).splitlines()[0] if str(error) else type(error).__name__}"
     return ""
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -90,7 +90,7 @@
         name = f"control-{index + 1}"
         settings = self._settings(name, ZONES[index], is_first)
         settings["listenAddrs.control"] = self.control_addresses[index]
-        settings["dataDir"] = os.path.join(self.folder, name)
+        settings["dataDir"] = self.data_folder(name)
         self._start_process(name, settings)
 
     def start_entry(self, name: str) -> None:
@@ -178,6 +178,10 @@
             file.write(text)
         os.replace(written, path)
 
+    def data_folder(self, name: str) -> str:
+        """Return the data folder of a control VM."""
+        return os.path.join(self.folder, name)
+
     def _settings_path(self, name: str) -> str:
         return os.path.join(self.folder, f"{name}.conf")
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/soak.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/soak.py
@@ -12,17 +12,23 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from .fuzz import FleetMachine
+from .fuzz import FleetMachine, FoundingMachine
 
 STEPS_PER_RUN = 50
 PHASES = (Phase.generate, Phase.shrink)
 
 flags.DEFINE_integer("seed", 1, "Seed of the runs.")
 flags.DEFINE_integer("steps", 20_000, "Steps over all runs.", lower_bound=1)
+flags.DEFINE_boolean("founding", False, "Begin with the first start of the fleet.")
 
 
-def soak(seed_number: int, steps: int, shrink: bool = True) -> None:
-    """Run the state machine for about `steps` steps; raises on the first violated rule."""
+def soak(
+    seed_number: int,
+    steps: int,
+    shrink: bool = True,
+    machine: type[FleetMachine] = FleetMachine,
+) -> None:
+    """Run a state machine for about `steps` steps; raises on the first violated rule."""
     runs = max(1, steps // STEPS_PER_RUN)
     options = settings(
         max_examples=runs,
@@ -33,7 +39,7 @@
         suppress_health_check=list(HealthCheck),
         phases=PHASES if shrink else (Phase.generate,),
     )
-    run_state_machine_as_test(seed(seed_number)(FleetMachine), settings=options)
+    run_state_machine_as_test(seed(seed_number)(machine), settings=options)
 
 
 def main(_arguments: list[str]) -> None:
@@ -41,8 +47,9 @@
     values = flags.FLAGS
     started = time.monotonic()
     print(f"seed {values.seed}, {values.steps} steps")
+    machine = FoundingMachine if values.founding else FleetMachine
     try:
-        soak(values.seed, values.steps)
+        soak(values.seed, values.steps, machine=machine)
     except AssertionError as error:
         print(f"BROKEN with seed {values.seed}: {error}")
         sys.exit(1)
--- a/packages/gentianspread-server/src/gentianspread_server/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/control.py
@@ -70,16 +70,21 @@
         stored = self._retry(self.storage.open)
         return None if stored.hard_state.incarnation is None else stored
 
-    def write_first_state(self, is_founder: bool) -> StoredState | None:
-        """Make this VM a new member with an incarnation of its own, or a voter of the first start.
+    def write_first_state(self, initial_voters: list[str]) -> StoredState | None:
+        """Make this VM a new member with an incarnation of its own, or a founder of the fleet.
 
-        Called once for an empty disk; waits while the disk fails.
+        `initial_voters` are those of the first start, none if this VM joins a fleet. Called once
+        for an empty disk; waits while the disk fails.
         """
         storage = self.storage
         if storage is None:
             return None
-        hard_state = HardState.for_empty_disk(is_founder, random.SystemRandom())
-        log.info("the data folder is empty; this VM starts as a %s", _new_role(is_founder))
+        if initial_voters:
+            hard_state = HardState.for_founder(initial_voters)
+        else:
+            hard_state = HardState.for_new_member(random.SystemRandom())
+        role = "founder" if initial_voters else "new member without a vote"
+        log.info("the data folder is empty; this VM starts as a %s", role)
         return self._retry(lambda: storage.write_first_state(hard_state))
 
     def start(self, stored: StoredState | None) -> None:
@@ -89,7 +94,8 @@
         incarnation = hard_state.incarnation or FOUNDING_INCARNATION
         snapshot = stored.snapshot if stored else Snapshot(0, 0, {})
         entries = stored.entries if stored else []
-        self.board.post(Topic.LOG_RECOVERED, RecoveredLog(snapshot, entries, incarnation))
+        recovered = RecoveredLog(snapshot, entries, incarnation, hard_state.initial_voters)
+        self.board.post(Topic.LOG_RECOVERED, recovered)
         self.board.post(Topic.CONTROL_STARTED, hard_state)
 
     def wake(self) -> None:
@@ -164,7 +170,3 @@
             sender = PeerSender(name, self.addresses, self.client, self.board)
             self._senders[name] = sender
         return sender
-
-
-def _new_role(is_founder: bool) -> str:
-    return "voter of the first start" if is_founder else "new member without a vote"
--- a/packages/gentianspread-server/src/gentianspread_server/declarations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/declarations.py
@@ -49,9 +49,7 @@
         configuration = self.board.configuration
         while configuration.confirmed_at < started_at:
             if self.board.clock.now() - started_at > READ_TIMEOUT_S:
-                raise Refusal(
-                    ErrorCode.CONFIGURATION_NOT_FRESH, "No quorum confirmed the configuration."
-                )
+                raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, self.board.explain_staleness())
             gevent.sleep(CONFIRMATION_CHECK_INTERVAL_S)
         if configuration.declaration is None:
             raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, "No configuration was declared yet.")
--- a/packages/gentianspread-server/src/gentianspread_server/founding.py
+++ b/packages/gentianspread-server/src/gentianspread_server/founding.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 from typing import Any
 
 import gevent
 from gentianspread_core.blackboard import Board
 
+log = logging.getLogger(__name__)
+
 CHECK_INTERVAL_S = 0.2
 
 
@@ -28,6 +31,7 @@
     def is_founder(self, seeds: list[str]) -> bool:
         """Ask the other seeds until any of them denies the first start or all have confirmed it."""
         others = [name for name in seeds if name != self.board.settings.member]
+        reported: list[str] = []
         while True:
             responses = [self.ask(name) for name in others]
             answers = [
@@ -38,6 +42,10 @@
                 return False
             if None not in answers:
                 return True
+            awaited = [name for name, answer in zip(others, answers, strict=True) if answer is None]
+            if awaited != reported:
+                log.info("the first start waits until all seeds run; missing: %s", awaited)
+                reported = awaited
             gevent.sleep(CHECK_INTERVAL_S)
 
     def confirms(self, sender: str) -> bool | None:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
@@ -113,6 +113,7 @@
         )
         core.has_disk = bool(self.data_dir)
         core.zones = self.zones
+        core.seeds = list(self.seeds)
         core.initial_voters = list(self.seeds) if self.is_first_start else []
         core.voter_count = 2 * self.max_lost_voters + 1
         core.records_initial_voters = True
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -44,7 +44,7 @@
         """Recover the control log from disk, then start the server and the log's replication."""
         stored = self.control.recover()
         if stored is None:
-            stored = self.control.write_first_state(self.settings.is_first_start)
+            stored = self.control.write_first_state(self.board.settings.initial_voters)
         self.board.changes.on_idle = self.control.wake
         self.board.changes.subscribe(Topic.LEADERSHIP_CHANGED, self._on_leadership_changed)
         self._server.start()
--- a/packages/gentianspread-server/src/gentianspread_server/settings.py
+++ b/packages/gentianspread-server/src/gentianspread_server/settings.py
@@ -220,6 +220,7 @@
         """Return the settings for the core."""
         core = CoreSettings(self.name, self.zone, self.listen)
         core.has_disk = bool(self.data_dir)
+        core.seeds = list(self.seeds)
         core.initial_voters = list(self.seeds)
         core.zones = sorted(self.zones)
         core.max_configuration_age_s = self.freshness_s
--- a/packages/gentianspread-server/src/gentianspread_server/storage.py
+++ b/packages/gentianspread-server/src/gentianspread_server/storage.py
@@ -240,14 +240,16 @@
             "term": hard_state.term,
             "voted_for": hard_state.voted_for,
             "incarnation": hard_state.incarnation,
+            "initial_voters": hard_state.initial_voters,
         }
     }
 
 
 def _decode_hard_state(record: dict[str, Any]) -> HardState:
-    """Return a stored term and vote; older builds stored no incarnation."""
+    """Return a stored term and vote; older builds stored no incarnation or no initial voters."""
     incarnation = record.get("incarnation") or FOUNDING_INCARNATION
-    return HardState(record["term"], record["voted_for"], incarnation)
+    initial_voters = tuple(record.get("initial_voters", ()))
+    return HardState(record["term"], record["voted_for"], incarnation, initial_voters)
 
 
 def _decode_frames(content: bytes, name: str) -> tuple[list[dict[str, Any]], int]:
--- a/packages/gentianspread-server/src/gentianspread_server/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/vm.py
@@ -141,7 +141,7 @@
         if stored is None:
             seeds = list(self.settings.seeds)
             is_founder = self.settings.name in seeds and first_start.is_founder(seeds)
-            stored = self.control.write_first_state(is_founder)
+            stored = self.control.write_first_state(seeds if is_founder else [])
         self.control.start(stored)
 
     def _on_shutdown_phase(self, phase: ShutdownPhase) -> None:
@@ -181,7 +181,8 @@
         if self.front.is_draining:
             raise Refusal(ErrorCode.DRAINING, "This VM is stopping.")
         if not self.board.is_fresh():
-            raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, "This VM has no recent configuration.")
+            cause = f"This VM has no recent configuration. {self.board.explain_staleness()}"
+            raise Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, cause)
         if self.board.failing_loops:
             loops = ", ".join(sorted(self.board.failing_loops))
             raise Refusal(ErrorCode.OVERLOADED, f"Loops of this VM fail: {loops}.")
