--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -59,6 +59,32 @@
     And 2 s pass
     Then "b2" is the primary
 
+  # Guards against the loss of commits that only a replica had confirmed which then lost its log.
+  Scenario Outline: A replica that starts again empty blocks the promotion until the primary is back
+    When the endpoint "b2" receives no commits
+    And the primary makes commits for 0.5 s that the other replica confirms
+    And <moment>, "b3" starts again empty and <announced>
+    And 3 s pass
+    Then no endpoint was promoted
+    When the former primary starts again with its log
+    And 3 s pass
+    Then no committed write was lost
+
+    Examples:
+      | moment                          | announced                             |
+      | 0 s after the primary crashes   | announces that                        |
+      | 0 s after the primary crashes   | does not announce it                  |
+      | 0.2 s after the primary crashes | announces that                        |
+      | 0.2 s after the primary crashes | does not announce it                  |
+      | 0.2 s after the primary crashes | is deregistered before it announces it |
+
+  Scenario: A replica that starts again empty does not block the promotion once another has all
+    When "b3" starts again empty and announces that
+    And 1 s pass
+    And the primary crashes
+    And 2 s pass
+    Then "b2" is the primary
+
   Scenario: A leaving endpoint that terminates without deregistering is removed
     When "b3" announces with sequence 5 that it leaves
     And the endpoint "b3" crashes
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -49,6 +49,52 @@
     simulation.run(0.1)
 
 
+@when("the primary makes commits for {seconds:g} s that the other replica confirms")
+def step_confirmed_by_one(context, seconds):
+    simulation = context.session_simulation
+    for number in range(5):
+        simulation.primary()._append([f"c{number}"])
+        simulation.run(seconds / 5)
+    context.committed_writes = list(simulation.primary().log)
+
+
+@when('"{name:w}" starts again empty and announces that')
+def step_starts_empty(context, name):
+    start_empty(context, name)
+    announce_start(context, name)
+
+
+@when('{seconds:g} s after the primary crashes, "{name:w}" starts again empty and {announced}')
+def step_starts_empty_after(context, seconds, name, announced):
+    simulation = context.session_simulation
+    simulation.endpoints[name].alive = False
+    step_primary_crashes(context)
+    simulation.run(seconds)
+    start_empty(context, name)
+    if announced == "is deregistered before it announces it":
+        simulation.propose(Command(CommandKind.ENDPOINT_GONE, {"name": name, "incarnation": 1}))
+    if announced != "does not announce it":
+        announce_start(context, name)
+
+
+def start_empty(context, name):
+    endpoint = context.session_simulation.endpoints[name]
+    endpoint.alive = True
+    endpoint.replication_paused = False
+    endpoint.sessions.clear()
+    endpoint.log, endpoint.applied = [], 0
+
+
+def announce_start(context, name):
+    endpoint = context.session_simulation.endpoints[name]
+    context.session_simulation.announce(endpoint, leaving=False, sequence=1, incarnation=2)
+
+
+@when("the former primary starts again with its log")
+def step_primary_back(context):
+    context.session_simulation.endpoints[context.crashed_primary].alive = True
+
+
 @when('another endpoint takes the address of "{name:w}"')
 def step_address_taken(context, name):
     context.session_simulation.endpoints[name].alive = False
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -42,9 +42,10 @@
     database, not the control log, numbers the terms of its primaries, and `granted_term` is only
     the fencing token of promotions.
 
-    An endpoint is leaving once it announced that it will stop, and departed once its registration
-    was removed from the control log. `departed` names departed replicas; a commit that one of them
-    confirmed may now be on the primary alone.
+    An endpoint is leaving once it announced that it will stop. One of its incarnations is departed
+    once its registration was removed from the control log, or a newer incarnation has registered.
+    `departed` lists those of replicas as NAME/INCARNATION; a commit that one of them confirmed may
+    now be on the primary alone.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -100,7 +100,9 @@
 
     `not_primary_answers` counts the consecutive probes that it answered as no primary. All probes
     since `terminated_since` proved that it terminated; none if the last did not. `probed` is set
-    once a probe has succeeded or failed since the last promotion.
+    once a probe has succeeded or failed since the last promotion. At `lost_log_at` its position was
+    first seen to be before an earlier one, as after a start with an empty log; none if another
+    endpoint has since received all that it may have confirmed.
     """
 
     __slots__ = (
@@ -112,6 +114,7 @@
         "probed",
         "not_primary_answers",
         "terminated_since",
+        "lost_log_at",
     )
 
     def __init__(self) -> None:
@@ -123,6 +126,13 @@
         self.probed = False
         self.not_primary_answers = 0
         self.terminated_since: float | None = None
+        self.lost_log_at: float | None = None
+
+    def has_lost_log(self, position: Position | None) -> bool:
+        """Return whether a new position shows that the endpoint started again with less log."""
+        if position is None or self.position is None:
+            return False
+        return not position.reaches(self.position)
 
 
 class Groups:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -36,6 +36,7 @@
     HOME_SUSPECTED = "home_suspected"
     ENDPOINT_RECOVERED = "endpoint_recovered"
     POOL_FLUSHED = "pool_flushed"
+    LOG_LOST = "log_lost"
     FAILOVER_STARTED = "failover_started"
     FENCE_FAILED = "fence_failed"
     PRIMARY_PROMOTED = "primary_promoted"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -17,6 +17,7 @@
 from ..blackboard.messages import Proposal
 from ..blackboard.outbox import EndpointProbe
 from ..blackboard.registrations import Registration
+from ..blackboard.timeline import EventKind
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
 
 PROBE_PURPOSE = "promotion"
@@ -75,6 +76,8 @@
             return
         if probe.alive:
             health.failures = 0
+            if health.has_lost_log(probe.position):
+                self._record_lost_log(health, probe, registration)
             health.position = probe.position
             health.is_primary = probe.is_primary
             health.not_primary_answers = 0 if probe.is_primary else health.not_primary_answers + 1
@@ -93,6 +96,19 @@
                 health.probed = False
                 health.not_primary_answers = 0
 
+    def _record_lost_log(
+        self, health: Health, probe: EndpointProbe, registration: Registration
+    ) -> None:
+        health.lost_log_at = self.board.clock.now()
+        self.board.timeline.record(
+            EventKind.LOG_LOST,
+            f"endpoint {registration.name}",
+            "its position is before an earlier one",
+            group=registration.group,
+            before=str(health.position),
+            now=str(probe.position),
+        )
+
     def _record_failure(
         self, health: Health, probe: EndpointProbe, registration: Registration
     ) -> None:
@@ -147,13 +163,18 @@
         known = self.board.groups.departures_seen_at.get(group.name, {})
         seen_at = {name: known.get(name, now) for name in group.departed}
         self.board.groups.departures_seen_at[group.name] = seen_at
-        if not seen_at:
+        last_departure_at = self.view.last_departure_at(group)
+        if last_departure_at is None:
             return
         replicas = [
             replica for replica in self.view.replicas(group) if self.view.is_healthy(replica.name)
         ]
         positions = [self.board.groups.health[replica.name].position for replica in replicas]
-        if self.view.reaches_primary_since(group.name, max(seen_at.values()), positions):
+        if not self.view.reaches_primary_since(group.name, last_departure_at, positions):
+            return
+        for health in self.view.without_log(group):
+            health.lost_log_at = None
+        if group.departed:
             fields = {"group": group.name, "names": group.departed}
             self._propose(CommandKind.DEPARTURES_COVERED, fields)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -102,6 +102,10 @@
 
     def _handle_position(self, promotion: Promotion, command: EndpointCommand) -> None:
         """Record a replica's position, or that it has terminated."""
+        health = self.board.groups.health.get(command.endpoint)
+        if command.accepted and health is not None and health.has_lost_log(command.position):
+            self._abort(promotion, f"{command.endpoint} has lost its log")
+            return
         if command.accepted and command.position is not None:
             promotion.received_positions[command.endpoint] = command.position
         elif self._has_terminated(command):
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -146,6 +146,8 @@
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer announcement is known.")
     if registration.incarnation and not _evict_older_at_address(configuration, registration):
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer endpoint has this address.")
+    if current is not None and registration.incarnation > current.incarnation > 0:
+        _list_departed(configuration, current)
     configuration.endpoints[registration.name] = registration
     _resize_group(configuration, registration.group)
 
@@ -162,14 +164,20 @@
 
 
 def _remove_endpoint(configuration: Configuration, endpoint: Registration) -> None:
-    """Remove an endpoint's registration and list a replica as departed from its group.
+    """Remove an endpoint's registration; an incarnation that does not run holds no commits."""
+    del configuration.endpoints[endpoint.name]
+    _list_departed(configuration, endpoint)
+
 
-    A commit that only this replica had confirmed may now be on the primary alone.
+def _list_departed(configuration: Configuration, endpoint: Registration) -> None:
+    """List a replica's incarnation as departed from its group.
+
+    A commit that only it had confirmed may now be on the primary alone, which keeps its log when it
+    starts again; a replica does not.
     """
-    del configuration.endpoints[endpoint.name]
     group = configuration.groups.get(endpoint.group)
     if group is not None and group.counts_own_terms and endpoint.name != group.primary:
-        group.departed = [*group.departed, endpoint.name]
+        group.departed = [*group.departed, f"{endpoint.name}/{endpoint.incarnation}"]
 
 
 def _deregister_endpoint(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -172,7 +172,9 @@
         endpoint.call_later = self.call_later
         self.announce(endpoint, leaving, sequence=1)
 
-    def announce(self, endpoint: FakeSessionEndpoint, leaving: bool, sequence: int) -> None:
+    def announce(
+        self, endpoint: FakeSessionEndpoint, leaving: bool, sequence: int, incarnation: int = 1
+    ) -> None:
         """Register an endpoint's announcement in the control log."""
         fields = {
             "name": endpoint.name,
@@ -183,7 +185,7 @@
             "connections": 1,
             "slots": endpoint.slots,
             "group_size": 0,
-            "incarnation": 1,
+            "incarnation": incarnation,
             "sequence": sequence,
             "claims_primary": endpoint.is_primary,
         }
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -24,6 +24,7 @@
     load_snapshot,
 )
 from gentianspread_core.blackboard.endpoints import Endpoint
+from gentianspread_core.blackboard.groups import Health
 from gentianspread_core.blackboard.log import FOUNDING_INCARNATION
 from gentianspread_core.blackboard.messages import Message
 from gentianspread_core.blackboard.outbox import HardState
@@ -309,6 +310,8 @@
         _least_advanced_paused,
     ),
     Mutant("any unreachable replica is skipped", GroupView, "can_promote_without", constant(True)),
+    Mutant("restarted replicas count", state_machine, "_list_departed", constant(None)),
+    Mutant("positions may go back", Health, "has_lost_log", constant(False)),
     Mutant("departed endpoints are ignored", GroupView, "last_departure_at", constant(None)),
     Mutant(
         "removed voters get no updates", ConfigurationController, "_receives_log", constant(True)
