Bound the control log and the histories by memory, not only by entries

Change: an entry knows about how many bytes it takes; the log is compacted after 16 MB of entries, histories drop entries beyond 16 MB, and a message to a follower carries at most 2 MB of them, or one entry.

--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -206,7 +206,7 @@
     history = context.session_simulation.engine.configuration.history
     whole = sum(
         len(repr(item.to_record()))
-        for item in history
+        for item in history.entries
         if item.command.kind is CommandKind.DECLARE and item.command.fields["version"] > 2
     )
     assert context.update.snapshot is None and sent < share * whole, (sent, whole)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -2,22 +2,47 @@
 
 from __future__ import annotations
 
+from collections import deque
+from itertools import accumulate
 from typing import Any
 
 from .commands import Command, CommandKind
 
 FOUNDING_INCARNATION = ""  # of the voters of the first start, and of disks that record none
+ENTRY_BYTES = 300  # of an entry and its command, without the command's fields
+VALUE_BYTES = 56  # of a text, a list or an object, without its content
+ITEM_BYTES = 16  # of a number, or of the place of an item in a list or an object
+
+
+def estimate_size(value: Any) -> int:
+    """Return about how many bytes of memory a value in JSON types takes."""
+    if isinstance(value, str):
+        return VALUE_BYTES + len(value)
+    if isinstance(value, list):
+        return VALUE_BYTES + sum(ITEM_BYTES + estimate_size(item) for item in value)
+    if isinstance(value, dict):
+        return VALUE_BYTES + sum(
+            2 * ITEM_BYTES + estimate_size(key) + estimate_size(item) for key, item in value.items()
+        )
+    return ITEM_BYTES
 
 
 class LogEntry:
     """One entry of the control log."""
 
-    __slots__ = ("index", "term", "command")
+    __slots__ = ("index", "term", "command", "_size")
 
     def __init__(self, index: int, term: int, command: Command) -> None:
         self.index = index
         self.term = term
         self.command = command
+        self._size = 0
+
+    def size(self) -> int:
+        """Return about how many bytes of memory the entry takes."""
+        if not self._size:
+            self._size = ENTRY_BYTES + estimate_size(self.command.fields)
+        return self._size
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> LogEntry:
@@ -29,6 +54,38 @@
         return {"index": self.index, "term": self.term, "command": self.command.to_record()}
 
 
+class EntryHistory:
+    """The newest entries in a row, within a number of entries and bytes of memory."""
+
+    __slots__ = ("entries", "limit", "limit_bytes", "size")
+
+    def __init__(self, limit: int, limit_bytes: int) -> None:
+        self.entries: deque[LogEntry] = deque()
+        self.limit = limit
+        self.limit_bytes = limit_bytes
+        self.size = 0
+
+    def append(self, entry: LogEntry) -> None:
+        """Append an entry and drop the oldest ones beyond the limits."""
+        self.entries.append(entry)
+        self.size += entry.size()
+        while len(self.entries) > self.limit or self.size > self.limit_bytes:
+            self.size -= self.entries.popleft().size()
+
+    def clear(self) -> None:
+        """Drop all entries."""
+        self.entries.clear()
+        self.size = 0
+
+    def holds_all_after(self, index: int) -> bool:
+        """Return whether it has the entry after an index, and so all that follow."""
+        return bool(self.entries) and self.entries[0].index <= index + 1
+
+    def after(self, index: int) -> list[LogEntry]:
+        """Return the entries after an index."""
+        return [entry for entry in self.entries if entry.index > index]
+
+
 class Snapshot:
     """The configuration as it stood after an entry, which `index` and `term` identify.
 
@@ -184,6 +241,17 @@
         offset = max(0, index - self.snapshot.index - 1)
         return self.entries[offset : offset + limit]
 
+    def batch_from(self, index: int, limit: int, limit_bytes: int) -> list[LogEntry]:
+        """Return entries from the index on: the first one, and more within both limits."""
+        entries = self.entries_from(index, limit)
+        sizes = accumulate(entry.size() for entry in entries)
+        count = sum(1 for size in sizes if size <= limit_bytes)
+        return entries[: max(1, count)]
+
+    def size(self) -> int:
+        """Return about how many bytes of memory the entries after the snapshot take."""
+        return sum(entry.size() for entry in self.entries)
+
     def truncate_from(self, index: int) -> None:
         """Drop the entry at the index and all after it."""
         offset = index - self.snapshot.index - 1
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -2,19 +2,19 @@
 
 from __future__ import annotations
 
-from collections import deque
 from typing import Any
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
 from ..blackboard.configuration import load_snapshot, to_diskless_snapshot, to_snapshot
 from ..blackboard.declarations import Declaration
-from ..blackboard.log import LogEntry, Snapshot
+from ..blackboard.log import EntryHistory, LogEntry, Snapshot
 from ..blackboard.timeline import EventKind
 from ..errors import ErrorCode
 from ..state_machine import apply_command
 
 MAX_HISTORY_ENTRIES = 512
+MAX_HISTORY_BYTES = 16 * 1024 * 1024  # of memory; a VM that lacks older entries gets a snapshot
 FRESHNESS_CHECK_MARGIN_S = 0.01
 
 
@@ -68,8 +68,8 @@
 
     def __init__(self, board: Board) -> None:
         self.board = board
-        self.history: deque[LogEntry] = deque(maxlen=MAX_HISTORY_ENTRIES)
-        self.serving_history: deque[LogEntry] = deque(maxlen=MAX_HISTORY_ENTRIES)
+        self.history = EntryHistory(MAX_HISTORY_ENTRIES, MAX_HISTORY_BYTES)
+        self.serving_history = EntryHistory(MAX_HISTORY_ENTRIES, MAX_HISTORY_BYTES)
         self._serving_snapshot: dict[str, Any] = {}
         self._is_reported_fresh = False
         self._applied_kinds: list[str] = []
@@ -143,10 +143,9 @@
         snapshot = None
         is_replicated = has_log and self._receives_log(member)
         if after < configuration.revision and not is_replicated:
-            first = self.history[0].index if self.history else configuration.revision + 1
             history = self.serving_history if only_serves else self.history
-            if after > 0 and first <= after + 1:
-                entries = [entry for entry in history if entry.index > after]
+            if after > 0 and history.holds_all_after(after):
+                entries = history.after(after)
             elif only_serves:
                 snapshot = self._build_serving_snapshot()
             else:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -26,6 +26,7 @@
 from .election import CHECK_QUORUM_ELECTION_TIMEOUTS
 
 MAX_ENTRIES_PER_MESSAGE = 64
+MAX_ENTRY_BYTES_PER_MESSAGE = 2 * 1024 * 1024  # of memory
 RESEND_TIMEOUT_S = 0.5  # entries and snapshots of 100 KB are answered within it
 
 
@@ -253,7 +254,11 @@
             self._send_snapshot(peer, now)
             return
         previous = max(peer.next_index - 1, log.snapshot.index)
-        entries = log.entries_from(previous + 1, MAX_ENTRIES_PER_MESSAGE) if can_send else []
+        entries = []
+        if can_send:
+            entries = log.batch_from(
+                previous + 1, MAX_ENTRIES_PER_MESSAGE, MAX_ENTRY_BYTES_PER_MESSAGE
+            )
         message = Message(
             MessageKind.APPEND,
             self._own_name(),
@@ -432,7 +437,11 @@
         entries = log.entries_from(log.commit_index + 1, index - log.commit_index)
         log.commit_index = index
         self.board.changes.post(Topic.ENTRIES_COMMITTED, entries)
-        if len(log.entries) > self.board.settings.snapshot_threshold_entries:
+        settings = self.board.settings
+        if (
+            len(log.entries) > settings.snapshot_threshold_entries
+            or log.size() > settings.snapshot_threshold_bytes
+        ):
             self.board.changes.post(Topic.SNAPSHOT_DUE)
 
     def _abandon_proposals(self) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -117,6 +117,7 @@
         "transaction_idle_timeout_s",
         "initial_backoff_s",
         "snapshot_threshold_entries",
+        "snapshot_threshold_bytes",
         "voter_count",
         "records_initial_voters",
         "registers_diskless_members",
@@ -146,6 +147,7 @@
         self.transaction_idle_timeout_s = 10.0
         self.initial_backoff_s = 0.5
         self.snapshot_threshold_entries = 256
+        self.snapshot_threshold_bytes = 16 * 1024 * 1024
         self.voter_count = 0
         self.records_initial_voters = False
         self.registers_diskless_members = True
