--- a/packages/gentianspread-lab/src/gentianspread_lab/capacityrows.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/capacityrows.py
@@ -4,6 +4,9 @@
 
 from collections.abc import Callable
 
+from gentianspread_core.controllers.configuration import MAX_HISTORY_BYTES
+from gentianspread_core.settings import CoreSettings
+
 SECONDS_PER_DAY = 86_400
 BYTES_PER_MB = 1024 * 1024
 ENDPOINTS_PER_DATABASE = 3
@@ -242,6 +245,16 @@
             "MB",
             "snapshot and trimmed log",
         ),
+        Row(
+            "control voter",
+            "earlier changes kept for others",
+            "the bound of the log and of two histories",
+            (CoreSettings("", "", "").snapshot_threshold_bytes + 2 * MAX_HISTORY_BYTES)
+            / BYTES_PER_MB,
+            sizes.max_control_memory_mb,
+            "MB",
+            "snapshots of the log and dropped entries, by their size",
+        ),
         Row(
             "control voter",
             "applying changes",
