--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/firststarts.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/firststarts.py
@@ -1,4 +1,4 @@
-"""First-start trial: interrupts the control VMs just after the first acknowledged change."""
+"""First-start trial: interrupts the control VMs during the first start of a fleet."""
 
 from __future__ import annotations
 
@@ -28,14 +28,21 @@
 
 
 class Interruption(Enum):
-    """What happens to the control VMs after the delay."""
+    """What happens to the control VMs after the delay.
+
+    The delay begins at the first acknowledged change, or at the start of the last control VM.
+    """
 
     KILL_ALL = "kill all"
     KILL_ALL_AND_LOSE_DISK = "kill all and lose one disk"
+    KILL_ALL_STARTING = "kill all that start"
+
+
+AFTER_FIRST_CHANGE = (Interruption.KILL_ALL, Interruption.KILL_ALL_AND_LOSE_DISK)
 
 
 class FirstStartTrial:
-    """One first start that is interrupted `delay_s` after its first acknowledged change."""
+    """One first start that is interrupted after `delay_s` seconds."""
 
     __slots__ = ("interruption", "delay_s", "fleet", "randomness")
 
@@ -53,6 +60,8 @@
         fleet = self.fleet
         for index in range(len(fleet.control_addresses)):
             fleet.start_control(index, is_first=True)
+        if self.interruption is Interruption.KILL_ALL_STARTING:
+            return self._interrupt_start()
         if not self._declare(1, time.monotonic() + START_TIMEOUT_S):
             raise TimeoutError("The first configuration was not acknowledged.")
         gevent.sleep(self.delay_s)
@@ -65,6 +74,13 @@
                 raise ValueError(f"{address} returns version {version}, acknowledged was 1")
         return time.monotonic() - started_at if self._declare(2, deadline) else None
 
+    def _interrupt_start(self) -> float | None:
+        gevent.sleep(self.delay_s)
+        self._interrupt()
+        started_at = time.monotonic()
+        is_acknowledged = self._declare(1, started_at + ACKNOWLEDGEMENT_TIMEOUT_S)
+        return time.monotonic() - started_at if is_acknowledged else None
+
     def _interrupt(self) -> None:
         names = self.fleet.control_names()
         for name in names:
@@ -124,14 +140,16 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--runs", type=int, default=1, help="how many with each delay")
     parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--delays", type=float, nargs="+", default=DELAYS_S, help="in seconds")
     parser.add_argument(
-        "--delays", type=float, nargs="+", default=DELAYS_S, help="seconds after the first change"
+        "--starting", action="store_true", help="interrupt the start, not the first change"
     )
     options = parser.parse_args()
+    interruptions = (Interruption.KILL_ALL_STARTING,) if options.starting else AFTER_FIRST_CHANGE
     results = [
         run_trial(interruption, delay_s, seed)
         for seed in range(options.seed, options.seed + options.runs)
-        for interruption in Interruption
+        for interruption in interruptions
         for delay_s in options.delays
     ]
     print(f"{sum(results)} of {len(results)} fleets went on")
