Take a frame header that ends in zeros for a torn write

Operators would see a control VM that ends at each start: a power loss left only the marker of the last frame on the disk, with zeros after it. Its length and its checksum are then zero, as those of an empty payload, so the frame counted as valid and its payload could not be decoded.

A frame without a payload is now invalid.

Evidence: two new scenarios cut the first and the last write of a control log at every byte, with nothing, zeros and noise in the place of the rest: both ended with the JSONDecodeError before, none now. The first start also gets a control VM that joins during it; it held.

--- a/features/founding.feature
+++ b/features/founding.feature
@@ -15,6 +15,7 @@
       | a founder restarts without its disk                |
       | a founder stays down                               |
       | a founder is late                                  |
+      | a control VM joins and all control VMs restart     |
 
   # Guards against VMs that stay without voters after an upgrade.
   Scenario: Disks of an older build do not record the initial voters
--- a/features/steps/founding.py
+++ b/features/steps/founding.py
@@ -6,7 +6,8 @@
 from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.outbox import HardState
 from gentianspread_core.blackboard.timeline import EventKind
-from gentianspread_lab.fakes import Simulation
+from gentianspread_core.settings import CoreSettings
+from gentianspread_lab.fakes import FakeDisk, FakeVM, Simulation
 
 FOUNDERS = ("v1", "v2", "v3")
 CONTROL_VMS = (*FOUNDERS, "s1")
@@ -118,6 +119,19 @@
     start.start(["v1"])
 
 
+def join_and_restart_all(start):
+    founder = start.simulation.vms["v1"].settings
+    settings = CoreSettings("s2", "z2", "s2")
+    settings.has_disk = True
+    settings.zones = founder.zones
+    settings.seeds = founder.seeds
+    settings.records_initial_voters = True
+    settings.voter_count = founder.voter_count
+    start.simulation.vms["s2"] = FakeVM(start.simulation, settings, FakeDisk())
+    start.start(["s2"])
+    restart_all(start)
+
+
 INTERRUPTIONS = {
     "all control VMs restart": restart_all,
     "all control VMs restart and a founder has no disk": restart_all_and_lose_disk,
@@ -125,6 +139,7 @@
     "a founder restarts without its disk": restart_founder_without_disk,
     "a founder stays down": stop_founder,
     "a founder is late": delay_founder,
+    "a control VM joins and all control VMs restart": join_and_restart_all,
 }
 
 
--- a/features/steps/storage.py
+++ b/features/steps/storage.py
@@ -237,6 +237,7 @@
         stored.hard_state.incarnation,
     ]
     context.initial_voters = stored.hard_state.initial_voters
+    context.first_length = os.path.getsize(log_path(context))
 
 
 @when("entries {first:d} to {last:d} and a vote in term {term:d} are written with its incarnation")
@@ -253,6 +254,34 @@
     assert list(stored.hard_state.initial_voters) == INITIAL_VOTERS, stored.hard_state
 
 
+def recovered_parts(context, start):
+    """Yield what is recovered from the log without its end, and with zeros or noise in its place.
+
+    `start` is the length in bytes that an earlier sync covers.
+    """
+    context.storage.close()
+    with open(log_path(context), "rb") as file:
+        content = file.read()
+    for length in range(start, len(content)):
+        missing = len(content) - length
+        for end in (b"", bytes(missing), bytes(value ^ 0x5A for value in content[length:])):
+            with open(log_path(context), "wb") as file:
+                file.write(content[:length] + end)
+            yield ControlLoop(None, ControlStorage(context.folder), None, None).recover()
+
+
+@then("the initial voters are recorded whatever part of the last write is on the disk")
+def step_torn_write(context):
+    for stored in recovered_parts(context, context.first_length):
+        assert list(stored.hard_state.initial_voters) == INITIAL_VOTERS
+        assert stored.hard_state.term == 0 and not stored.entries, stored.hard_state.term
+
+
+@then("the control log has no incarnation whatever part of the first write is missing")
+def step_torn_first_write(context):
+    assert all(stored is None for stored in recovered_parts(context, 0))
+
+
 @then("no initial voters are recorded")
 def step_no_initial_voters(context):
     stored = ControlLoop(None, ControlStorage(context.folder), None, None).recover()
--- a/features/storage.feature
+++ b/features/storage.feature
@@ -81,6 +81,16 @@
     Then the control log is recovered with the founding incarnation
     And no initial voters are recorded
 
+  # Guards against a control VM that ends at each start after a power loss tore the header of a write.
+  Scenario: Whatever a power loss leaves of the last write, the folder names the initial voters
+    When the control log of an empty folder is recovered as that of a founding voter
+    And entries 1 to 2 and a vote in term 1 are written with its incarnation
+    Then the initial voters are recorded whatever part of the last write is on the disk
+
+  Scenario: A folder whose first write was torn counts as empty
+    When the control log of an empty folder is recovered as that of a founding voter
+    Then the control log has no incarnation whatever part of the first write is missing
+
   Scenario: The initial voters stay recorded through votes, entries and snapshots
     When the control log of an empty folder is recovered as that of a founding voter
     And entries 1 to 5 and a vote in term 3 are written with its incarnation
--- a/packages/gentianspread-server/src/gentianspread_server/storage.py
+++ b/packages/gentianspread-server/src/gentianspread_server/storage.py
@@ -272,7 +272,9 @@
         return None
     marker, size, checksum = FRAME_HEADER.unpack_from(content, offset)
     payload = content[offset + FRAME_HEADER.size : offset + FRAME_HEADER.size + size]
-    is_valid = marker == FRAME_MARKER and len(payload) == size and zlib.crc32(payload) == checksum
+    # A header whose end is zeros has the size and the checksum of an empty payload.
+    is_whole = size > 0 and len(payload) == size
+    is_valid = marker == FRAME_MARKER and is_whole and zlib.crc32(payload) == checksum
     return payload if is_valid else None
 
 
