--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/log.py
@@ -206,6 +206,24 @@
         self.voters_index = 0
         self.initial_voters: tuple[str, ...] = ()
 
+    def load_voters(self, default: list[str]) -> None:
+        """Load the voters from the newest entry that changes them, committed or not.
+
+        Without one they are those of the snapshot, else the initial voters, else `default`.
+        """
+        state = self.snapshot.state
+        self.voters = list(state.get("voters") or self.initial_voters or default)
+        self.learners = list(state.get("learners", []))
+        self.incarnations = dict(state.get("incarnations", {}))
+        self.voters_index = self.snapshot.index
+        for entry in reversed(self.entries):
+            if entry.command.kind is CommandKind.CHANGE_VOTERS:
+                self.voters = list(entry.command.fields["voters"])
+                self.learners = list(entry.command.fields["learners"])
+                self.incarnations = dict(entry.command.fields.get("incarnations", {}))
+                self.voters_index = entry.index
+                break
+
     def incarnation_of(self, name: str) -> str:
         """Return the incarnation with which a VM is a voter or a learner."""
         return self.incarnations.get(name, FOUNDING_INCARNATION)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -12,18 +12,11 @@
 from ..blackboard.commands import Command, CommandKind
 from ..blackboard.configuration import to_snapshot
 from ..blackboard.election import Role
-from ..blackboard.log import (
-    FOUNDING_INCARNATION,
-    LogEntry,
-    Peer,
-    RecoveredLog,
-    Snapshot,
-    SyncedRecords,
-)
+from ..blackboard.log import LogEntry, Peer, RecoveredLog, Snapshot, SyncedRecords
 from ..blackboard.messages import Message, MessageKind, Proposal
-from ..blackboard.timeline import EventKind
 from .configuration import AppliedCommand
 from .election import CHECK_QUORUM_ELECTION_TIMEOUTS
+from .initialvoters import find_initial_voters, report_unknown_voters
 
 MAX_ENTRIES_PER_MESSAGE = 64
 MAX_ENTRY_BYTES_PER_MESSAGE = 2 * 1024 * 1024  # of memory
@@ -63,9 +56,9 @@
         log.synced_index = log.last_index()
         log.recovered_index = log.last_index()
         log.commit_index = recovered.snapshot.index
-        log.initial_voters = recovered.initial_voters or self._voters_of_older_disk(recovered)
+        log.initial_voters = find_initial_voters(self.board, recovered)
         self._load_voters()
-        self._report_unknown_voters()
+        report_unknown_voters(self.board)
         if recovered.snapshot.index:
             self.board.changes.post(Topic.SNAPSHOT_INSTALLED, recovered.snapshot)
 
@@ -194,54 +187,9 @@
 
     def _load_voters(self) -> None:
         """Load the voters from the newest entry that changes them, committed or not."""
-        log = self.board.log
-        initial_voters = log.initial_voters or self.board.settings.initial_voters
-        log.voters = list(log.snapshot.state.get("voters") or initial_voters)
-        log.learners = list(log.snapshot.state.get("learners", []))
-        log.incarnations = dict(log.snapshot.state.get("incarnations", {}))
-        log.voters_index = log.snapshot.index
-        for entry in reversed(log.entries):
-            if entry.command.kind is CommandKind.CHANGE_VOTERS:
-                log.voters = list(entry.command.fields["voters"])
-                log.learners = list(entry.command.fields["learners"])
-                log.incarnations = dict(entry.command.fields.get("incarnations", {}))
-                log.voters_index = entry.index
-                break
+        self.board.log.load_voters(self.board.settings.initial_voters)
         self.board.changes.post(Topic.VOTERS_CHANGED)
 
-    def _voters_of_older_disk(self, recovered: RecoveredLog) -> tuple[str, ...]:
-        """Return the initial voters for a disk of a build that did not record them, if it shows.
-
-        Before the first list of voters was in the log, only initial voters had entries.
-        """
-        settings = self.board.settings
-        is_founding_log = bool(recovered.entries) and not recovered.has_voters()
-        is_founder = recovered.incarnation == FOUNDING_INCARNATION
-        if settings.member in settings.seeds and is_founding_log and is_founder:
-            self.board.timeline.record(
-                EventKind.VOTERS_ASSUMED,
-                settings.member,
-                "the control log has entries but no voters; the seeds were the voters of the first"
-                " start",
-                voters=settings.seeds,
-            )
-            return tuple(settings.seeds)
-        return ()
-
-    def _report_unknown_voters(self) -> None:
-        """Report that this VM was at the first start but knows no voters, and so cannot vote."""
-        log = self.board.log
-        was_used = bool(log.entries) or log.incarnation == FOUNDING_INCARNATION
-        if self.board.settings.has_disk and was_used and not log.voters:
-            self.board.timeline.record(
-                EventKind.VOTERS_UNKNOWN,
-                self.board.settings.member,
-                "the disk names no voters of the control log; this VM waits until another VM does."
-                " If none does, list this VM among the seeds, or empty the data folders of all VMs"
-                " and start the fleet for the first time",
-                last_index=log.last_index(),
-            )
-
     def _send(self, message: Message, request: Message | None = None) -> None:
         message.set_incarnations(self.board.log, request)
         self.board.outbox.control.messages.append(message)
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -50,7 +50,8 @@
 from gentianspread_server import driver, storage
 from gentianspread_server.platform import endpoints
 
-from .fuzz import FleetMachine, FoundingMachine
+from .foundingfuzz import FoundingMachine
+from .fuzz import FleetMachine
 from .soak import soak
 
 FUZZ_STEPS = 4000
--- a/packages/gentianspread-lab/src/gentianspread_lab/soak.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/soak.py
@@ -12,7 +12,8 @@
 from hypothesis import HealthCheck, Phase, seed, settings
 from hypothesis.stateful import run_state_machine_as_test
 
-from .fuzz import FleetMachine, FoundingMachine
+from .foundingfuzz import FoundingMachine
+from .fuzz import FleetMachine
 
 STEPS_PER_RUN = 50
 PHASES = (Phase.generate, Phase.shrink)
