--- a/features/homes.feature
+++ b/features/homes.feature
@@ -113,3 +113,15 @@
     When every home VM of "b1" hears from others that it cannot be reached, 0.1 s apart
     And the VMs receive 300 reads per second in all for 4 s
     Then the share of these reads sent after 2 s that were served is at least 0.99
+
+  Scenario: A relaying VM learns a home's load from its replies, without a message of its own
+    Guards against choosing by guesses: the home alone knows its queue and its running statements.
+    Given endpoint loads are reported
+    And a session "a" on "latest" at "h3"
+    When "a" sends at "h3" "WRITE x 1"
+    Then "h3" holds a load report of the home that it relayed to
+
+  Scenario: No load is reported where neither settings nor the sizes of VMs call for it
+    Given a session "a" on "latest" at "h3"
+    When "a" sends at "h3" "WRITE x 1"
+    Then "h3" holds no load report
--- a/features/steps/homes.py
+++ b/features/steps/homes.py
@@ -397,3 +397,23 @@
     calls = [call for call in context.statement_calls if call.arrived_at >= since]
     served = [call for call in calls if call.answer is not None and call.answer.refusal is None]
     assert calls and len(served) >= share * len(calls), (len(served), len(calls))
+
+
+@given("endpoint loads are reported")
+def step_loads_reported(context):
+    for engine in context.home_simulation.vms.values():
+        engine.board.loads.is_reported = True
+
+
+@then('"{vm:w}" holds a load report of the home that it relayed to')
+def step_has_load_report(context, vm):
+    reports = context.home_simulation.vms[vm].board.loads.by_endpoint
+    homes = [name for by_home in reports.values() for name in by_home]
+    assert len(homes) == 1 and homes[0] != vm, reports
+    (report,) = next(iter(reports.values())).values()
+    assert report.service_s > 0, report.service_s
+
+
+@then('"{vm:w}" holds no load report')
+def step_has_no_load_report(context, vm):
+    assert not context.home_simulation.vms[vm].board.loads.by_endpoint
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -13,6 +13,7 @@
 from .endpoints import Endpoints
 from .groups import Groups
 from .homes import HomeVMs
+from .loads import Loads
 from .log import ControlLog
 from .members import Members
 from .observations import Observations
@@ -46,6 +47,7 @@
         "endpoints",
         "groups",
         "homes",
+        "loads",
         "observations",
         "queues",
         "relays",
@@ -72,6 +74,7 @@
         self.endpoints = Endpoints()
         self.groups = Groups()
         self.homes = HomeVMs()
+        self.loads = Loads()
         self.observations = Observations()
         self.queues = Queues()
         self.relays = Relays()
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
@@ -0,0 +1,58 @@
+"""Section of what other VMs report of the load of endpoints; owned by the load controller.
+
+A home VM knows its own part of an endpoint's load exactly and returns it with each reply to a
+relayed statement. So reports cost no message of their own, and each has an age.
+"""
+
+from __future__ import annotations
+
+MAX_REPORT_AGE_S = 2.0  # older reports say nothing about the load at present
+RECORD_DIGITS = 4  # a tenth of a millisecond
+
+
+class EndpointLoad:
+    """One home VM's part of an endpoint's load.
+
+    `running` and `waiting` count statements, `wait_s` is how long the newest dispatched one waited
+    at the home, `service_s` the smoothed time that the endpoint takes for a statement, both in
+    seconds. `measured_at` is in seconds of the clock of the VM that holds the report.
+    """
+
+    __slots__ = ("running", "waiting", "wait_s", "service_s", "measured_at")
+
+    def __init__(
+        self, running: int, waiting: int, wait_s: float, service_s: float, measured_at: float
+    ) -> None:
+        self.running = running
+        self.waiting = waiting
+        self.wait_s = wait_s
+        self.service_s = service_s
+        self.measured_at = measured_at
+
+    @classmethod
+    def from_record(cls, record: list[float], received_at: float) -> EndpointLoad:
+        """Build from the JSON form; the age of a report starts when it is received."""
+        running, waiting, wait_s, service_s = record
+        return cls(int(running), int(waiting), float(wait_s), float(service_s), received_at)
+
+    def to_record(self) -> list[float]:
+        """Return the JSON form, without the time of measurement."""
+        wait_s, service_s = round(self.wait_s, RECORD_DIGITS), round(self.service_s, RECORD_DIGITS)
+        return [self.running, self.waiting, wait_s, service_s]
+
+
+class Loads:
+    """The newest reports, by endpoint and home VM; `is_reported` enables sending them."""
+
+    __slots__ = ("by_endpoint", "is_reported")
+
+    def __init__(self) -> None:
+        self.by_endpoint: dict[str, dict[str, EndpointLoad]] = {}
+        self.is_reported = False
+
+    def of_home(self, endpoint: str, home: str, now: float) -> EndpointLoad | None:
+        """Return a home's report on an endpoint, unless it has none that is recent."""
+        report = self.by_endpoint.get(endpoint, {}).get(home)
+        if report is None or now - report.measured_at > MAX_REPORT_AGE_S:
+            return None
+        return report
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -171,7 +171,7 @@
 
 def reply_to_record(reply: SessionReply) -> dict[str, Any]:
     """Return the JSON form of an endpoint's reply."""
-    return {
+    record = {
         "status": reply.status.value,
         "rows": reply.rows,
         "position": reply.position.to_pair() if reply.position else None,
@@ -180,6 +180,9 @@
         "signature": reply.signature,
         "flags": [getattr(reply, name) for name in REPLY_FLAGS],
     }
+    if reply.load is not None:
+        record["load"] = reply.load
+    return record
 
 
 def load_reply(reply: SessionReply, record: dict[str, Any]) -> None:
@@ -192,6 +195,7 @@
     reply.signature = record["signature"]
     for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
         setattr(reply, name, value)
+    reply.load = record.get("load")
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -292,10 +292,17 @@
     this VM's own messages before it do not count. `keeps_transaction` is set if the connection is
     still in a transaction that can continue, `is_reusable` if the connection may be used again.
     `home_failed` is set if the home VM, which holds the connection, did not respond; that says
-    nothing about the endpoint.
+    nothing about the endpoint. `load` is the JSON form of the home's load report, or none.
     """
 
-    __slots__ = ("signature", "was_sent", "keeps_transaction", "is_reusable", "home_failed")
+    __slots__ = (
+        "signature",
+        "was_sent",
+        "keeps_transaction",
+        "is_reusable",
+        "home_failed",
+        "load",
+    )
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
         super().__init__(*arguments, **named)
@@ -304,6 +311,7 @@
         self.keeps_transaction = False
         self.is_reusable = False
         self.home_failed = False
+        self.load: list[float] | None = None
 
 
 class SessionRequest(Request):
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
@@ -0,0 +1,46 @@
+"""Load controller: keeps the load reports that come with replies to relayed statements."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...blackboard import Board, Topic
+from ...blackboard.connections import ConnectionState
+from ...blackboard.loads import EndpointLoad
+from ...blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+
+
+class LoadController:
+    """Owns the loads section."""
+
+    __slots__ = ("board",)
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        board.loads.is_reported = board.settings.schedules_by_priority
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {Topic.EXCHANGE_ENDED: self.on_exchange_ended}
+
+    def on_exchange_ended(self, request: SessionRequest) -> None:
+        """Keep the report that came with the reply of a home VM."""
+        exchange = request.exchange
+        if not isinstance(exchange, SessionExchange) or exchange.connection.home is None:
+            return
+        reply = exchange.reply
+        if not isinstance(reply, SessionReply) or reply.load is None:
+            return
+        report = EndpointLoad.from_record(reply.load, self.board.clock.now())
+        reports = self.board.loads.by_endpoint.setdefault(exchange.endpoint, {})
+        reports[exchange.connection.home.name] = report
+
+
+def measure_load(board: Board, endpoint_name: str, wait_s: float) -> EndpointLoad:
+    """Return this VM's part of an endpoint's load; `wait_s` is how long a statement waited."""
+    connections = board.connections.of(endpoint_name)
+    running = sum(1 for item in connections if item.state is ConnectionState.BUSY)
+    queue = board.queues.pinned.get(endpoint_name)
+    endpoint = board.endpoints.by_name.get(endpoint_name)
+    service_s = endpoint.latency if endpoint is not None else 0.0
+    return EndpointLoad(running, queue.length if queue else 0, wait_s, service_s, board.clock.now())
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
@@ -5,12 +5,12 @@
 
 from __future__ import annotations
 
-from ..blackboard import Board
-from ..blackboard.connections import BackendConnection, ConnectionState
-from ..blackboard.endpoints import Endpoint
-from ..blackboard.homes import ServingVM
-from ..blackboard.sessions import SessionRequest
-from ..positions import Position
+from ...blackboard import Board
+from ...blackboard.connections import BackendConnection, ConnectionState
+from ...blackboard.endpoints import Endpoint
+from ...blackboard.homes import ServingVM
+from ...blackboard.sessions import SessionRequest
+from ...positions import Position
 
 CONNECT_COST_S = 0.04  # 12 to 27 ms of an endpoint slot that others need, plus the wait for it
 CROSS_ZONE_COST_S = 0.06  # connecting and evicting in the own zone cost callers less than this
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -20,6 +20,7 @@
     StatementCall,
 )
 from ..errors import ErrorCode
+from .balancing import measure_load
 
 IDLE_CHECK_INTERVAL_S = 1.0
 IDLE_MARGIN_S = 1.0  # after the time at which the sender itself ends an idle transaction
@@ -102,6 +103,8 @@
             refusal = request.outcome.refusal if request.outcome else None
             code = refusal.code.value if refusal else ErrorCode.OVERLOADED.value
             reply = self._refusal_reply(code, refusal.message if refusal else "")
+        if self.board.loads.is_reported:
+            reply.load = self._load_record(request)
         self._answer(relayed_statement, reply)
 
     def on_due(self, _entry: None) -> None:
@@ -141,6 +144,13 @@
         transactions[handle] = RelayedTransaction(request.session, self.board.clock.now())
         self._schedule_idle_check()
 
+    def _load_record(self, request: SessionRequest) -> list[float]:
+        """Return the load of the request's endpoint as this VM knows it after the request."""
+        exchange = request.exchange
+        dispatched_at = exchange.sent_at if exchange is not None else self.board.clock.now()
+        wait_s = max(0.0, dispatched_at - request.arrived_at)
+        return measure_load(self.board, request.relayed_statement.endpoint, wait_s).to_record()
+
     def _schedule_idle_check(self) -> None:
         if self.board.relays.transactions and not self._is_check_scheduled:
             self._is_check_scheduled = True
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -8,6 +8,7 @@
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
 from .controllers.allocator import AllocatorController
+from .controllers.balancing import LoadController
 from .controllers.completion import CompletionController
 from .controllers.configuration import ConfigurationController
 from .controllers.dispatch import DispatchController
@@ -117,6 +118,7 @@
             LimitController(board, randomness),
             AllocatorController(board),
             HomeController(board),
+            LoadController(board),
             EndpointController(board),
             ObservationController(board),
             PlacementController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -4,6 +4,21 @@
 
 from .controllers import Controller
 from .environment import Clock, Randomness
-from .policies import QueuePolicy, ReplicaSelector
+from .policies import (
+    EndpointFilter,
+    EndpointSelector,
+    QueuePolicy,
+    ReplicaSelector,
+    WaitingPolicy,
+)
 
-__all__ = ["Clock", "Controller", "QueuePolicy", "Randomness", "ReplicaSelector"]
+__all__ = [
+    "Clock",
+    "Controller",
+    "EndpointFilter",
+    "EndpointSelector",
+    "QueuePolicy",
+    "Randomness",
+    "ReplicaSelector",
+    "WaitingPolicy",
+]
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -1,4 +1,4 @@
-"""Protocols of the policies for replica selection and queueing."""
+"""Protocols of the policies for endpoint selection and queueing."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
     from ..blackboard.endpoints import Endpoint
     from ..blackboard.queues import WaitingQueue
     from ..blackboard.requests import Request
+    from ..blackboard.sessions import SessionRequest
+    from ..controllers.placement.selection import ServingOption
 
 
 class ReplicaSelector(Protocol):
@@ -28,3 +30,36 @@
 
     def pop(self, queue: WaitingQueue) -> Request | None:
         """Remove and return the next request to run, or None."""
+
+
+class EndpointFilter(Protocol):
+    """Excludes endpoints that must not serve a request of a session, whatever their load."""
+
+    def allows(self, request: SessionRequest, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint may serve the request."""
+
+
+class EndpointSelector(Protocol):
+    """Selects among the ways to serve a session's request that are open now."""
+
+    def choose(self, request: SessionRequest, options: list[ServingOption]) -> ServingOption | None:
+        """Return the option to use, or None if the request must wait."""
+
+
+class WaitingPolicy(Protocol):
+    """Orders the sessions' requests that wait for an endpoint.
+
+    A queue is divided into keys, each with an order of its own; the keys take turns.
+    """
+
+    def push(self, queue: WaitingQueue, request: SessionRequest) -> SessionRequest | None:
+        """Add a request; return the one dropped to make room, which may be the same one."""
+
+    def turns(self, queue: WaitingQueue) -> list[str]:
+        """Return the keys to take one request from in turn, the first one first."""
+
+    def take(self, queue: WaitingQueue, key: str) -> SessionRequest:
+        """Remove and return the next request of a key."""
+
+    def put_back(self, queue: WaitingQueue, key: str, request: SessionRequest) -> None:
+        """Return a request that could not be placed to where it was taken from."""
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -80,6 +80,19 @@
         return (self.overage_fraction * (rate * self.window_s + burst) + self.slack_requests) / 4
 
 
+class WarmupTolerance:
+    """How far the fleet may exceed the rate that a cold endpoint takes, in any second.
+
+    Allowed are `overage_factor` times the endpoint's declared rate, plus `slack_requests`.
+    """
+
+    __slots__ = ("overage_factor", "slack_requests")
+
+    def __init__(self, overage_factor: float = 1.0, slack_requests: float = 0.0) -> None:
+        self.overage_factor = overage_factor
+        self.slack_requests = slack_requests
+
+
 class CoreSettings:
     """This VM's identity, and the timeouts, intervals and limits of its controllers.
 
@@ -91,6 +104,10 @@
     of a suspected endpoint. `voter_count` is the wanted number of voters, 0 for the number of
     initial voters. `records_initial_voters` writes the initial voters to the control log.
     `registers_diskless_members` registers VMs without a disk as members.
+    `regions` gives the region of each availability zone. `evacuation_timeout_s` is how long after
+    its acknowledgement an evacuation of a zone must be complete, 0 if zones are never evacuated.
+    `schedules_by_priority` serves requests in the order of their routes' priorities while endpoints
+    lack capacity. `size` is this VM's processor capacity in cores.
     """
 
     __slots__ = (
@@ -121,6 +138,11 @@
         "voter_count",
         "records_initial_voters",
         "registers_diskless_members",
+        "regions",
+        "evacuation_timeout_s",
+        "warmup_tolerance",
+        "schedules_by_priority",
+        "size",
     )
 
     def __init__(self, member: str, zone: str, address: str) -> None:
@@ -151,6 +173,15 @@
         self.voter_count = 0
         self.records_initial_voters = False
         self.registers_diskless_members = True
+        self.regions: dict[str, str] = {}
+        self.evacuation_timeout_s = 0.0
+        self.warmup_tolerance = WarmupTolerance()
+        self.schedules_by_priority = False
+        self.size = 1.0
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone; a zone of unknown region is a region of its own."""
+        return self.regions.get(zone, zone)
 
     def target_voter_count(self) -> int:
         """Return the number of voters that the control log should have."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -32,7 +32,7 @@
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.blackboard.sessions import SessionRequest
 from gentianspread_core.blackboard.shutdown import Shutdown
-from gentianspread_core.controllers import dispatch, failover, keys, placement, steps
+from gentianspread_core.controllers import dispatch, failover, keys, steps
 from gentianspread_core.controllers.acknowledgement import AcknowledgementController
 from gentianspread_core.controllers.allocator import AllocatorController
 from gentianspread_core.controllers.configuration import ConfigurationController
@@ -40,7 +40,8 @@
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.keys import KeyController
 from gentianspread_core.controllers.limits import LimitController
-from gentianspread_core.controllers.placement import PlacementController
+from gentianspread_core.controllers.placement import controller as placement
+from gentianspread_core.controllers.placement.candidates import Candidates
 from gentianspread_core.controllers.promotion import PromotionController
 from gentianspread_core.controllers.relays import RelayController
 from gentianspread_core.controllers.repair import RepairController
@@ -333,7 +334,7 @@
         _handlers_ignoring_base_version(),
     ),
     Mutant("home VMs check no key", KeyController, "on_arrived", _authenticate_without_check),
-    Mutant("reads require no position", PlacementController, "_min_position", constant(LOG_START)),
+    Mutant("reads require no position", Candidates, "_min_position", constant(LOG_START)),
     Mutant("sessions share connection values", steps, "_session_steps", constant([])),
     Mutant("no key check at placement", placement, "check_key", constant(True)),
     Mutant("older announcements are accepted", Registration, "is_newer_than", constant(True)),
--- a/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
@@ -5,7 +5,7 @@
 import os
 
 from gentianspread_core.errors import ErrorCode, SettingsError
-from gentianspread_core.settings import CoreSettings, RateTolerance
+from gentianspread_core.settings import CoreSettings, RateTolerance, WarmupTolerance
 
 SETTINGS_PATH_VARIABLE = "GENTIANSPREAD_BOOT"
 CONFIGURATION_AGE_FRACTION = 0.76  # of the key withdrawal limit; the rest covers clock error
@@ -13,6 +13,8 @@
 VOTER_LOSS_TIMEOUT_S = 2.0  # short, so that a lost voter is replaced before another one fails
 ELECTION_TIMEOUT_S = 0.6  # six heartbeat intervals
 TRUE = "true"
+PRIORITY_CONTRACT = "pressure"
+BYTES_PER_MB = 1024 * 1024
 
 
 class PlatformSettings:
@@ -23,7 +25,9 @@
     `is_first_start` is set only when the whole fleet starts for the first time. `max_lost_voters`
     is how many voters may be lost at once, `rate_tolerance` how far rates may be exceeded. After
     `grace_period_s` a stopping process is killed. `first_port` is the first port that the process
-    may use, or 0.
+    may use, or 0. `regions` gives the region of each zone, `evacuation_timeout_s` is 0 if zones are
+    never evacuated. `size` is the processor capacity in cores. The process is killed if it uses
+    more than `memory_bytes`, and has `max_descriptors`; both are 0 if not limited.
     """
 
     __slots__ = (
@@ -44,6 +48,13 @@
         "rate_tolerance",
         "platform_service_address",
         "first_port",
+        "regions",
+        "evacuation_timeout_s",
+        "warmup_tolerance",
+        "schedules_by_priority",
+        "size",
+        "memory_bytes",
+        "max_descriptors",
     )
 
     def __init__(self, path: str, values: dict[str, str]) -> None:
@@ -52,7 +63,12 @@
         self.ip_address = values["ip"]
         self.zone = values["zone"]
         prefix = "zones."
-        self.zones = sorted(key[len(prefix) :] for key in values if key.startswith(prefix))
+        self.regions = {
+            key.removeprefix(prefix): value
+            for key, value in values.items()
+            if key.startswith(prefix)
+        }
+        self.zones = sorted(self.regions)
         self.seeds = _split_list(values.get("seedNodes", ""))
         self.control_address = values.get("listenAddrs.control", "")
         self.caller_address = values.get("listenAddrs.front", "")
@@ -72,6 +88,15 @@
         )
         self.platform_service_address = values.get("cloudApi.address", "")
         self.first_port = int(values.get("portRange", "0,0").partition(",")[0])
+        self.evacuation_timeout_s = float(values.get("bounds.evacuateMs", "0")) / 1000
+        self.warmup_tolerance = WarmupTolerance(
+            float(values.get("bounds.coldOverage", "1")), float(values.get("bounds.coldSlack", "0"))
+        )
+        self.schedules_by_priority = PRIORITY_CONTRACT in _split_list(values.get("contracts", ""))
+        cores = float(values.get("limits.cores", "1"))
+        self.size = cores * float(values.get("limits.cpuShare", "1"))
+        self.memory_bytes = int(float(values.get("limits.memoryMb", "0")) * BYTES_PER_MB)
+        self.max_descriptors = int(values.get("limits.maxFds", "0"))
 
     @classmethod
     def from_environment(cls) -> PlatformSettings:
@@ -122,6 +147,11 @@
         core.rate_tolerance = self.rate_tolerance
         core.voter_loss_timeout_s = VOTER_LOSS_TIMEOUT_S
         core.election_timeout_s = ELECTION_TIMEOUT_S
+        core.regions = self.regions
+        core.evacuation_timeout_s = self.evacuation_timeout_s
+        core.warmup_tolerance = self.warmup_tolerance
+        core.schedules_by_priority = self.schedules_by_priority
+        core.size = self.size
         return core
 
 
