--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -7,6 +7,7 @@
 from .policies import (
     EndpointFilter,
     EndpointSelector,
+    LoadEstimator,
     QueuePolicy,
     ReplicaSelector,
     WaitingPolicy,
@@ -17,6 +18,7 @@
     "Controller",
     "EndpointFilter",
     "EndpointSelector",
+    "LoadEstimator",
     "QueuePolicy",
     "Randomness",
     "ReplicaSelector",
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -7,6 +7,7 @@
 
 if TYPE_CHECKING:
     from ..blackboard.endpoints import Endpoint
+    from ..blackboard.homes import ServingVM
     from ..blackboard.queues import WaitingQueue
     from ..blackboard.requests import Request
     from ..blackboard.sessions import SessionRequest
@@ -63,3 +64,13 @@
 
     def put_back(self, queue: WaitingQueue, key: str, request: SessionRequest) -> None:
         """Return a request that could not be placed to where it was taken from."""
+
+
+class LoadEstimator(Protocol):
+    """Estimates the load of an endpoint now, from load reports that have an age."""
+
+    def expected_wait_s(self, endpoint: Endpoint, home: ServingVM | None) -> float | None:
+        """Return the seconds that a new statement would wait before the endpoint runs it.
+
+        None if nothing recent is known of the endpoint through this home VM.
+        """
