--- a/features/steps/webserver.py
+++ b/features/steps/webserver.py
@@ -47,6 +47,11 @@
     client.close()
 
 
+@when("the bytes of a URL of {length:d} characters arrive")
+def step_long_url(context, length):
+    step_bytes(context, "GET /" + "a" * length, "")
+
+
 @then('the response bodies are "{expected:Quoted}"')
 def step_response_bodies(context, expected):
     responses = context.received.split(b"HTTP/1.1 200 OK\r\n")[1:]
--- a/features/webserver.feature
+++ b/features/webserver.feature
@@ -8,6 +8,17 @@
     When the bytes "GET /1?q HTTP/1.1||GET /2 HTTP/1.1||" arrive, and "" a little later
     Then the response bodies are "GET /1 , GET /2 "
 
+  Scenario: A request whose URL arrives in two reads is answered
+    Guards against a wrong path: requests of other VMs were answered with 404 when a segment ended
+    inside the URL.
+    When the bytes "GET /first/sec" arrive, and "ond?q HTTP/1.1||" a little later
+    Then the response bodies are "GET /first/second "
+
+  Scenario: A URL that does not end is refused
+    Guards against memory that grows with a URL.
+    When the bytes of a URL of 9000 characters arrive
+    Then the status is 400 and the connection is closed
+
   Scenario: A request that expects 100 Continue and has a chunked body is answered
     When the bytes "POST /c HTTP/1.1|Expect: 100-continue|Transfer-Encoding: chunked||" arrive, and "2|hi|0||" a little later
     Then the response bodies are "POST /c hi"
--- a/packages/gentianspread-server/src/gentianspread_server/webserver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/webserver.py
@@ -27,6 +27,7 @@
 LISTEN_BACKLOG = 512
 RECEIVE_BUFFER_BYTES = 16 * 1024  # most messages are below 4 KiB
 MAX_BODY_BYTES = 64 * 1024 * 1024  # the largest body that any route accepts
+MAX_URL_BYTES = 8 * 1024  # the usual limit of web servers; paths here are below 300 bytes
 MAX_HEADERS = 100  # of a request, to limit the memory for its environment
 READ_TIMEOUT_S = 10.0  # for each read from the socket while a request is incomplete
 IDLE_TIMEOUT_S = 60.0  # for a connection between requests; other VMs stop using theirs sooner
@@ -47,7 +48,15 @@
     `completed_environs` holds the environments of complete requests that are not yet served.
     """
 
-    __slots__ = ("parser", "completed_environs", "expects_continue", "_environ", "_body", "_length")
+    __slots__ = (
+        "parser",
+        "completed_environs",
+        "expects_continue",
+        "_url",
+        "_environ",
+        "_body",
+        "_length",
+    )
 
     def __init__(self) -> None:
         self.parser = httptools.HttpRequestParser(self)
@@ -57,14 +66,16 @@
 
     def on_message_begin(self) -> None:
         """Reset the state; called by the parser at the start of a request, and here at its end."""
+        self._url = b""
         self._environ: dict[str, Any] = {}
         self._body: list[bytes] = []
         self._length = 0
 
-    def on_url(self, url: bytes) -> None:
-        """Store the path; the query string is dropped."""
-        path = url.partition(b"?")[0].decode("latin-1")
-        self._environ["PATH_INFO"] = _unquote(path) if "%" in path else path
+    def on_url(self, part: bytes) -> None:
+        """Collect the URL; the parser passes it on in parts if it arrives in several reads."""
+        self._url += part
+        if len(self._url) > MAX_URL_BYTES:
+            raise RequestTooLargeError(f"the URL is longer than {MAX_URL_BYTES} bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header."""
@@ -74,7 +85,9 @@
         self._environ[ENVIRON_PREFIX_BY_HEADER.get(key, "HTTP_") + key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
-        """Check whether the client waits for a 100 Continue response before it sends the body."""
+        """Store the path, without the query string; check whether a 100 Continue is expected."""
+        path = self._url.partition(b"?")[0].decode("latin-1")
+        self._environ["PATH_INFO"] = _unquote(path) if "%" in path else path
         if self._environ.get("HTTP_EXPECT", "").lower() == "100-continue":
             self.expects_continue = True
 
@@ -97,7 +110,7 @@
 
     def is_between_requests(self) -> bool:
         """Return whether nothing of the next request's URL and headers has been received."""
-        return not self._environ
+        return not (self._url or self._environ)
 
 
 class HttpConnection:
