--- a/features/environment.py
+++ b/features/environment.py
@@ -10,6 +10,7 @@
     fleet_simulation,
     home_simulation,
     platform_fleet,
+    priority_simulation,
     session_simulation,
     soak_board,
     temporary_folder,
@@ -38,6 +39,8 @@
         use_fixture(fleet_simulation, context)
     if "homes" in scenario.effective_tags:
         use_fixture(home_simulation, context)
+    if "priorities" in scenario.effective_tags:
+        use_fixture(priority_simulation, context)
     if "sessions" in scenario.effective_tags:
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -64,9 +64,9 @@
 
 
 @fixture
-def home_simulation(context):
+def home_simulation(context, **options):
     """Six VMs that serve callers, in the zones of one group's three endpoints."""
-    context.home_simulation = HomeSimulation()
+    context.home_simulation = HomeSimulation(**options)
     context.advance_clock = context.home_simulation.run
     context.sessions = {}
     context.calls_by_session = {}
@@ -82,6 +82,12 @@
     yield context.home_simulation
 
 
+@fixture
+def priority_simulation(context):
+    """The VMs of `home_simulation`, scheduling by priority, and endpoints with one slow slot."""
+    yield from home_simulation(context, slots=1, statement_cost_s=0.02, schedules_by_priority=True)
+
+
 @fixture
 def caller_server(context):
     """A server for callers on loopback whose statements a test can hold."""
--- /dev/null
+++ b/features/overload.feature
@@ -0,0 +1,50 @@
+@priorities
+Feature: While endpoints lack capacity, requests are served by priority, and refused early
+  The VMs and endpoints are those of homes.feature, with settings that schedule by priority. Each
+  endpoint has 1 slot and needs 0.02 s for each statement, so the group serves 150 reads per second.
+  Replicas can serve all reads on the routes "urgent" (priority 0), "usual" (1) and "background" (2).
+  Their latency objective is 0.25 s, their timeout 1 s. Sessions of 8 workspaces are open at each VM
+  on each route. Reads arrive on random ones.
+
+  Background:
+    Given routes "urgent", "usual" and "background" of the priorities 0, 1 and 2
+
+  Scenario: The most urgent reads are served while twice as many arrive as the slots can serve
+    Guards against a reversed order of service: all reads wait in the same queues.
+    When 300 reads per second arrive on all routes for 4 s
+    Then at least 0.7 of the reads on "urgent" were served within 0.25 s
+    And a larger share of the reads was served within 0.25 s on "urgent" than on "usual"
+    And a larger share of the reads was served within 0.25 s on "usual" than on "background"
+
+  Scenario: No priority starves while more urgent reads arrive than the slots can serve
+    Guards against starvation: each priority that waits has a share of the dispatches.
+    When 300 reads per second arrive on "urgent" for 4 s, and 40 on "background"
+    Then at least 0.05 of the reads on "background" were served within 1 s
+
+  Scenario: The slots serve reads in time while twice as many arrive as they can serve
+    Guards against metastable overload: statements that wait at an endpoint until their VM gives up.
+    When 300 reads per second arrive on all routes for 4 s
+    Then at least 0.8 of the reads that the slots can serve were answered within 0.25 s
+
+  Scenario: Reads that cannot be answered in time any more are refused at once
+    Guards against requests that are kept until their deadline and refused then, with no time left
+    for their callers to try another VM.
+    When 90 reads per second arrive on all routes for 2 s
+    And 100 reads on "usual" arrive at "h1" at once
+    Then half of the refused reads were refused within 0.2 s
+
+  Scenario: Nearly all reads are served in time while the slots can serve all that arrive
+    Guards against refusals by wrong estimates.
+    When 90 reads per second arrive on all routes for 4 s
+    Then at least 0.97 of the reads on "urgent" were served within 0.25 s
+    And at least 0.97 of the reads on "usual" were served within 0.25 s
+    And at least 0.97 of the reads on "background" were served within 0.25 s
+
+  Scenario: A home VM knows how long a relayed statement has waited already
+    Guards against a home VM that gives a statement more time than its caller has.
+    When a read on "urgent" that arrived 0.1 s ago is relayed
+    Then the home VM counts its objective from the arrival at the entry VM
+
+  Scenario: A statement of a VM that does not send its age is taken as new
+    When a read on "urgent" is relayed by a VM of the previous build
+    Then the home VM counts its objective from the receipt
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.connections import ConnectionState
-from gentianspread_lab.fakes.session_simulation import DATABASES, GROUP
+from gentianspread_lab.fakes.declarations import DATABASES, GROUP
 from gentianspread_server.platform.wire import decode_statement
 
 OTHER_GROUP = "other"  # has no endpoints
--- /dev/null
+++ b/features/steps/overload.py
@@ -0,0 +1,185 @@
+"""Steps about priorities and early refusals while endpoints lack capacity."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.relays import RelayedStatement
+from gentianspread_core.blackboard.requests import StatementKind
+from gentianspread_lab.fakes.session_simulation import NoOpWaiter
+from gentianspread_server.platform.wire import decode_statement
+
+WORKSPACES = 8
+OBJECTIVE_S = 0.25
+TIMEOUT_S = 1.0
+SETTLING_S = 1.5
+DIGITS = 3
+
+
+@given('routes "{first:w}", "{second:w}" and "{third:w}" of the priorities 0, 1 and 2')
+def step_routes(context, first, second, third):
+    simulation = context.home_simulation
+    priorities = {first: 0, second: 1, third: 2}
+    simulation.declare(
+        2,
+        keys={f"w{number}": [f"k{number}"] for number in range(WORKSPACES)},
+        timeout_s=TIMEOUT_S,
+        objectives_s=dict.fromkeys(priorities, OBJECTIVE_S),
+        priorities=priorities,
+    )
+    simulation.run(1.0)
+    context.databases = list(priorities)
+    context.idle_sessions = {name: [] for name in priorities}
+    context.calls_by_database = {name: [] for name in priorities}
+
+
+def _session(context, database, vm):
+    """Return a session without a running statement at a VM, of a random workspace."""
+    simulation = context.home_simulation
+    key = f"k{simulation.randomness.randrange(WORKSPACES)}"
+    for index, (name, session) in enumerate(context.idle_sessions[database]):
+        if name == vm and session.key_hash == key and session.call is None:
+            del context.idle_sessions[database][index]
+            return session
+    return simulation.open_session_at(vm, database, key)
+
+
+def send_read(context, database, vm=None):
+    """Send a read on a route, at a VM or a random one, for a random workspace."""
+    simulation = context.home_simulation
+    vm = vm or simulation.randomness.choice(list(simulation.vms))
+    session = _session(context, database, vm)
+    calls = context.calls_by_database[database]
+    statement = decode_statement(f"{database}{len(calls)}", "READ x")
+    calls.append(simulation.send_statement_at(vm, session, statement))
+    context.idle_sessions[database].append((vm, session))
+
+
+def send_reads(context, rates, seconds):
+    """Send reads at given rates by route, with exponential times between them."""
+    simulation = context.home_simulation
+    end = simulation.clock.now() + seconds
+    context.load_seconds = seconds
+    while simulation.clock.now() < end:
+        simulation.run(simulation.randomness.expovariate(sum(rates.values())))
+        database = simulation.randomness.choices(list(rates), list(rates.values()))[0]
+        send_read(context, database)
+    simulation.run(SETTLING_S)
+
+
+@when("{rate:d} reads per second arrive on all routes for {seconds:g} s")
+def step_all_routes(context, rate, seconds):
+    share = rate / len(context.databases)
+    send_reads(context, dict.fromkeys(context.databases, share), seconds)
+
+
+@when(
+    '{rate:d} reads per second arrive on "{first:w}" for {seconds:g} s, '
+    'and {other:d} on "{second:w}"'
+)
+def step_two_routes(context, rate, first, seconds, other, second):
+    send_reads(context, {first: rate, second: other}, seconds)
+
+
+@when('{count:d} reads on "{database:w}" arrive at "{vm:w}" at once')
+def step_batch(context, count, database, vm):
+    for _ in range(count):
+        send_read(context, database, vm)
+    context.home_simulation.run(SETTLING_S)
+
+
+def _duration_s(context, call):
+    return context.answered_at[call.statement.statement_id] - call.arrived_at
+
+
+def _is_served(context, call, seconds):
+    return call.answer.refusal is None and _duration_s(context, call) <= seconds
+
+
+def _share_served(context, database, seconds):
+    calls = context.calls_by_database[database]
+    assert calls and all(call.answer is not None for call in calls)
+    return sum(1 for call in calls if _is_served(context, call, seconds)) / len(calls)
+
+
+def _shares(context, seconds):
+    return {
+        name: round(_share_served(context, name, seconds), DIGITS)
+        for name in context.databases
+        if context.calls_by_database[name]
+    }
+
+
+@then('at least {share:g} of the reads on "{database:w}" were served within {seconds:g} s')
+def step_share(context, share, database, seconds):
+    assert _share_served(context, database, seconds) >= share, _shares(context, seconds)
+
+
+@then(
+    "a larger share of the reads was served within {seconds:g} s "
+    'on "{first:w}" than on "{second:w}"'
+)
+def step_larger_share(context, seconds, first, second):
+    shares = _shares(context, seconds)
+    assert shares[first] > shares[second], shares
+
+
+def _all_calls(context):
+    return [call for calls in context.calls_by_database.values() for call in calls]
+
+
+@then("at least {share:g} of the reads that the slots can serve were answered within {seconds:g} s")
+def step_slots_busy(context, share, seconds):
+    served = sum(1 for call in _all_calls(context) if _is_served(context, call, seconds))
+    endpoints = context.home_simulation.endpoints.values()
+    statements_per_s = sum(item.slots / item.statement_cost_s for item in endpoints)
+    possible = statements_per_s * context.load_seconds
+    assert served >= share * possible, (served, possible, _shares(context, seconds))
+
+
+@then("half of the refused reads were refused within {seconds:g} s")
+def step_refused_early(context, seconds):
+    refused = [call for call in _all_calls(context) if call.answer.refusal is not None]
+    durations = sorted(_duration_s(context, call) for call in refused)
+    assert durations, "no read was refused"
+    median = durations[len(durations) // 2]
+    assert median <= seconds, (median, durations[-1], len(durations))
+
+
+def _relay(context, database, age_s):
+    """Relay a read to a home VM, and keep the request that this VM makes of it."""
+    simulation = context.home_simulation
+    board = simulation.vms["h1"].board
+    endpoint = board.endpoints.by_name["b1"]
+    route = board.configuration.declaration.route_of(database)
+    statement = decode_statement("n1", "READ x")
+    sent = RelayedStatement(
+        "h9/1", endpoint.name, "k1", route, {}, StatementKind.READ, statement, None, None, 1.0, 0.5
+    )
+    sent.age_s = age_s
+    context.relayed = RelayedStatement.from_record(sent.to_record())
+    context.relayed.waiter = NoOpWaiter()
+    context.relayed_requests = []
+    board.changes.subscribe(Topic.REQUEST_ARRIVED, context.relayed_requests.append)
+    context.received_at = simulation.clock.now()
+    board.post(Topic.RELAY_RECEIVED, context.relayed)
+
+
+@when('a read on "{database:w}" that arrived {seconds:g} s ago is relayed')
+def step_relay_aged(context, database, seconds):
+    context.age_s = seconds
+    _relay(context, database, seconds)
+
+
+@when('a read on "{database:w}" is relayed by a VM of the previous build')
+def step_relay_without_age(context, database):
+    context.age_s = 0.0
+    _relay(context, database, None)
+
+
+@then("the home VM counts its objective from the arrival at the entry VM")
+@then("the home VM counts its objective from the receipt")
+def step_home_age(context):
+    (request,) = context.relayed_requests
+    assert abs(request.arrived_at - (context.received_at - context.age_s)) < 1e-6
+    assert abs(request.deadline - (context.received_at + context.relayed.timeout_s)) < 1e-6
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/connections.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/connections.py
@@ -22,7 +22,8 @@
 
     `values` and `prepared` are the session values and the names of the prepared statements that the
     endpoint keeps for it; `last_used` is in seconds of the VM's clock. If `home` is set, that VM
-    holds the actual connection, and statements are relayed to it.
+    holds the actual connection, and statements are relayed to it. `is_opening` is set until its
+    first exchange has ended.
     """
 
     __slots__ = (
@@ -36,6 +37,7 @@
         "prepared",
         "last_used",
         "home",
+        "is_opening",
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         self.prepared: set[str] = set()
         self.last_used = now
         self.home: ServingVM | None = None
+        self.is_opening = True
 
 
 class Connections:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -4,6 +4,7 @@
 
 from ..positions import LOG_START, Position
 
+FASTEST_REPLY_PERIOD_S = 30.0  # longer than most bursts, in which no reply comes without a queue
 MAX_RELAYED_STATEMENTS = 16.0  # as many as a VM's callers send in half a second
 
 
@@ -20,9 +21,10 @@
         self.limit = limit
         self.decreased_at = 0.0
 
-    def set_limit(self, limit: float) -> None:
-        """Change the limit; a window that was at its limit stays there."""
-        self.size = limit if self.size >= self.limit else min(self.size, limit)
+    def set_limit(self, limit: float, keeps_size: bool = False) -> None:
+        """Change the limit; a window at its limit stays there unless it keeps its size."""
+        is_at_limit = self.size >= self.limit and not keeps_size
+        self.size = limit if is_at_limit else min(self.size, limit)
         self.limit = limit
 
     def increase(self) -> None:
@@ -36,14 +38,37 @@
             self.decreased_at = now
 
 
+class FastestReply:
+    """The shortest time to a reply in the last one to two periods, in seconds."""
+
+    __slots__ = ("_current", "_previous", "_period_ends_at")
+
+    def __init__(self) -> None:
+        self._current = float("inf")
+        self._previous = float("inf")
+        self._period_ends_at = 0.0
+
+    def observe(self, elapsed_s: float, now: float) -> None:
+        """Take the time to one reply into account."""
+        if now >= self._period_ends_at:
+            self._previous, self._current = self._current, float("inf")
+            self._period_ends_at = now + FASTEST_REPLY_PERIOD_S
+        self._current = min(self._current, elapsed_s)
+
+    def seconds(self) -> float:
+        """Return the shortest time, infinite if there was no reply."""
+        return min(self._current, self._previous)
+
+
 class Endpoint:
     """One database endpoint.
 
     `window` limits the statements that this VM runs on it, `relay_window` those that it relays to
-    the endpoint's home VMs. The endpoint is treated as a lagging replica until `lagging_until`, as
-    overloaded until `busy_until`, and as at its connection limit, whoever holds the connections,
-    until `connection_limit_until`. `apply_lag` is by how many seconds its log was behind the
-    primary's when it last answered, `lag` the smoothed age of its data.
+    the endpoint's home VMs. `fastest_read` and `fastest_write` are its times without a queue, as
+    seen on this VM's own connections. The endpoint is treated as a lagging replica until
+    `lagging_until`, as overloaded until `busy_until`, and as at its connection limit, whoever holds
+    the connections, until `connection_limit_until`. `apply_lag` is by how many seconds its log was
+    behind the primary's when it last answered, `lag` the smoothed age of its data.
     `suspected` is set from a failure until a probe succeeds or, if `uses_passive_checks`, until a
     backoff ends: the next statement is then the check, as the home VM that it is relayed to probes
     the endpoint. `suspected_since`, `lag` and `latency` are in seconds. `slots` is how many
@@ -61,6 +86,8 @@
         "latency",
         "window",
         "relay_window",
+        "fastest_read",
+        "fastest_write",
         "apply_lag",
         "lagging_until",
         "busy_until",
@@ -87,6 +114,8 @@
         self.latency = 0.0
         self.window = ConcurrencyWindow(float(capacity))
         self.relay_window = ConcurrencyWindow(MAX_RELAYED_STATEMENTS)
+        self.fastest_read = FastestReply()
+        self.fastest_write = FastestReply()
         self.apply_lag = 0.0
         self.lagging_until = 0.0
         self.busy_until = 0.0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
@@ -10,10 +10,11 @@
 class WaitingQueue:
     """Requests that wait for the same endpoints, in a queue per workspace.
 
-    `running` counts the requests of each workspace that endpoints are executing.
+    `running` counts the requests of each workspace that endpoints are executing. `credits` are the
+    parts of a turn that each priority has gained while others were served.
     """
 
-    __slots__ = ("by_workspace", "running", "length", "limit", "order")
+    __slots__ = ("by_workspace", "running", "length", "limit", "order", "credits")
 
     def __init__(self, limit: int) -> None:
         self.by_workspace: dict[str, deque[Request]] = {}
@@ -21,6 +22,7 @@
         self.length = 0
         self.limit = limit
         self.order: deque[str] = deque()
+        self.credits: dict[int, float] = {}
 
 
 class Queues:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -28,7 +28,8 @@
 
     `handle` identifies the sender's connection and, if `in_transaction`, the transaction bound to
     it; `begins_transaction` marks its first statement. `wait_timeout_s` is the part of `timeout_s`
-    until the statement is sent. `reply` is the endpoint's reply, for which `waiter` waits.
+    until the statement is sent. `age_s` is how long ago the caller's statement arrived, or none if
+    the sender does not say. `reply` is the endpoint's reply, for which `waiter` waits.
     """
 
     __slots__ = (
@@ -46,6 +47,7 @@
         "min_position",
         "timeout_s",
         "wait_timeout_s",
+        "age_s",
         "begins_transaction",
         "in_transaction",
         "is_read_only",
@@ -81,6 +83,7 @@
         self.min_position = min_position
         self.timeout_s = timeout_s
         self.wait_timeout_s = wait_timeout_s
+        self.age_s: float | None = None
         self.begins_transaction = False
         self.in_transaction = False
         self.is_read_only = False
@@ -88,7 +91,9 @@
         self.waiter: Any = None
 
     @classmethod
-    def from_request(cls, request: SessionRequest, handle: str, now: float) -> RelayedStatement:
+    def from_request(
+        cls, request: SessionRequest, handle: str, now: float, sends_age: bool = False
+    ) -> RelayedStatement:
         """Build the message that has another VM carry out a request's exchange."""
         exchange = request.exchange
         time_left = max(0.0, request.wait_deadline - now)
@@ -106,6 +111,8 @@
             exchange.timeout_s,
             wait_timeout_s,
         )
+        if sends_age:
+            relayed.age_s = max(0.0, now - request.arrived_at)
         transaction = request.session.transaction
         if transaction is not None:
             relayed.in_transaction = True
@@ -120,7 +127,7 @@
     def to_record(self) -> dict[str, Any]:
         """Return the JSON form."""
         prepared, position = self.prepared, self.min_position
-        return {
+        record = {
             "handle": self.handle,
             "endpoint": self.endpoint,
             "key_hash": self.key_hash,
@@ -139,6 +146,9 @@
                 [self.begins_transaction, self.is_read_only] if self.in_transaction else None
             ),
         }
+        if self.age_s is not None:
+            record["age_s"] = round(self.age_s, TIMEOUT_DIGITS)
+        return record
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> RelayedStatement:
@@ -160,6 +170,8 @@
             record["limit_s"],
             record["patience_s"],
         )
+        if record.get("age_s") is not None:
+            relayed.age_s = max(0.0, float(record["age_s"]))
         if record["transaction"] is not None:
             relayed.in_transaction = True
             relayed.begins_transaction, relayed.is_read_only = record["transaction"]
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
@@ -0,0 +1,84 @@
+"""Limits on the statements under way at an endpoint, adapted to the times of its replies."""
+
+from __future__ import annotations
+
+from ...blackboard import Board
+from ...blackboard.endpoints import Endpoint
+from ...blackboard.requests import ExchangeStatus, Reply, Request, StatementKind
+from ...blackboard.sessions import SessionExchange
+from ...errors import ErrorCode
+
+LAGGING_CODE = "LAGGING"
+OVERLOAD_CODES = frozenset({"BUSY", ErrorCode.OVERLOADED.value})
+LATE_REPLY_FRACTION = 0.5  # of the objective; the rest is for queueing and another endpoint
+MAX_QUEUEING_FRACTION = 0.1  # of the objective; what waits at an endpoint has no order of priority
+WINDOW_DECREASE_FACTOR = 0.7  # usual for a gentle decrease; three in a row reduce it to a third
+
+
+class LateReplyLimit:
+    """Lowers the limit of an endpoint that replies late, and raises that of others.
+
+    Additive increase, multiplicative decrease; at most one decrease for the statements that were in
+    flight together.
+    """
+
+    __slots__ = ("board",)
+
+    starts_low = False
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    def adapt(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
+        """Update the endpoint's window for what was relayed, or for this VM's own connections."""
+        exchange, route = request.exchange, getattr(request, "route", None)
+        if exchange is None or route is None or reply.code == LAGGING_CODE:
+            return
+        now = self.board.clock.now()
+        is_relayed = isinstance(exchange, SessionExchange) and exchange.connection.home is not None
+        window = endpoint.relay_window if is_relayed else endpoint.window
+        is_late = now - exchange.sent_at > LATE_REPLY_FRACTION * route.objective
+        if is_late or reply.status is ExchangeStatus.LOST or reply.code in OVERLOAD_CODES:
+            window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
+        elif reply.status is ExchangeStatus.OK:
+            window.increase()
+
+
+class QueueingDelayLimit:
+    """Keeps the time short that statements wait at the endpoint itself, where priorities are lost.
+
+    Like `LateReplyLimit`, but an own connection's reply also counts as late if it took longer than
+    the endpoint's fastest recent reply and a fraction of the objective. Source of the estimate of
+    the queue from the smallest round trip: Brakmo and Peterson, "TCP Vegas", 1995.
+    """
+
+    __slots__ = ("board", "_late_replies")
+
+    starts_low = True
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self._late_replies = LateReplyLimit(board)
+
+    def adapt(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
+        """Update the endpoint's window for what was relayed, or for this VM's own connections."""
+        exchange, route = request.exchange, getattr(request, "route", None)
+        is_measured = (
+            isinstance(exchange, SessionExchange)
+            and exchange.connection.home is None
+            and reply.status is ExchangeStatus.OK
+            and route is not None
+            and not exchange.connection.is_opening
+        )
+        if not is_measured:
+            self._late_replies.adapt(endpoint, request, reply)
+            return
+        now = self.board.clock.now()
+        elapsed_s = now - exchange.sent_at
+        is_read = request.kind is StatementKind.READ
+        fastest = endpoint.fastest_read if is_read else endpoint.fastest_write
+        fastest.observe(elapsed_s, now)
+        if elapsed_s - fastest.seconds() > MAX_QUEUEING_FRACTION * route.objective:
+            endpoint.window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
+        else:
+            endpoint.window.increase()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -18,21 +18,20 @@
 from ..blackboard.sessions import SessionExchange
 from ..blackboard.timeline import EventKind
 from ..errors import ErrorCode
+from ..interfaces import ConcurrencyLimit
 from ..positions import max_position
+from .admission import LateReplyLimit
+from .admission.concurrency import LAGGING_CODE, OVERLOAD_CODES
 
 MAX_PROBE_BACKOFF_S = 2.0
 LAG_SMOOTHING_FACTOR = 0.2
 LATENCY_SMOOTHING_FACTOR = 0.1  # weight of the newest exchange; adapts within ten exchanges
 RESERVED_CONNECTIONS = 4  # of each endpoint; for probes by the leader, its successor, and checks
 PROBE_PURPOSE = "endpoint"
-LAGGING_CODE = "LAGGING"
 CONNECTION_LIMIT_CODE = "CONNLIMIT"
 CONNECTION_LIMIT_BACKOFF_S = 0.5  # endpoints drop connections of a VM without power after 3 s
-OVERLOAD_CODES = frozenset({"BUSY", ErrorCode.OVERLOADED.value})
 MAX_IN_FLIGHT_PER_SLOT = 6  # statements; with five queued per running one most meet the objective
 HOME_CONNECTIONS_FRACTION = 0.8  # of an endpoint's; the rest is for VMs that reach no home
-LATE_REPLY_FRACTION = 0.5  # of the objective; the rest is for queueing and another endpoint
-WINDOW_DECREASE_FACTOR = 0.7  # usual for a gentle decrease; three in a row reduce it to a third
 LAG_RECHECK_INTERVAL_S = 0.25  # a replica that is behind for longer gets four requests a second
 OVERLOAD_BACKOFF_S = 0.05  # an endpoint's slots finish a few statements in this time
 MIN_CONNECTIONS = 1
@@ -48,10 +47,11 @@
 class EndpointController:
     """Owns the endpoints section, except for the `in_use` field."""
 
-    __slots__ = ("board",)
+    __slots__ = ("board", "limit")
 
-    def __init__(self, board: Board) -> None:
+    def __init__(self, board: Board, limit: ConcurrencyLimit | None = None) -> None:
         self.board = board
+        self.limit = limit or LateReplyLimit(board)
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -102,7 +102,7 @@
             endpoint.consecutive_losses = 0
         self._update_lag(endpoint, exchange, reply)
         self._update_from_refusal(endpoint, reply)
-        self._adapt_window(endpoint, request, reply)
+        self.limit.adapt(endpoint, request, reply)
         if reply.status in (ExchangeStatus.OK, ExchangeStatus.LOST):
             elapsed = self.board.clock.now() - exchange.sent_at
             endpoint.latency += (elapsed - endpoint.latency) * LATENCY_SMOOTHING_FACTOR
@@ -126,23 +126,6 @@
         elif reply.status is not ExchangeStatus.LOST:
             endpoint.failures = 0
 
-    def _adapt_window(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
-        """Lower the concurrency limit of an endpoint that replies late, and raise that of others.
-
-        Additive increase, multiplicative decrease; at most one decrease for the statements that
-        were in flight together.
-        """
-        exchange, route = request.exchange, getattr(request, "route", None)
-        if exchange is None or route is None or reply.code == LAGGING_CODE:
-            return
-        now = self.board.clock.now()
-        window = endpoint.relay_window if _is_relayed(exchange) else endpoint.window
-        is_late = now - exchange.sent_at > LATE_REPLY_FRACTION * route.objective
-        if is_late or reply.status is ExchangeStatus.LOST or reply.code in OVERLOAD_CODES:
-            window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
-        elif reply.status is ExchangeStatus.OK:
-            window.increase()
-
     def _update_lag(self, endpoint: Endpoint, exchange: Exchange, reply: Reply) -> None:
         """Update the lag of a replica's log from the position in its reply."""
         group = self.board.configuration.groups.get(endpoint.group)
@@ -208,6 +191,8 @@
                 registration.group,
                 capacity,
             )
+            if self.limit.starts_low:
+                endpoint.window.size = 1.0
             endpoints.by_name[registration.name] = endpoint
             endpoints.by_group.setdefault(registration.group, []).append(endpoint)
             self.board.changes.post(Topic.ENDPOINT_CHANGED, endpoint)
@@ -219,7 +204,8 @@
         endpoint.leaving = registration.leaving
         endpoint.slots = registration.slots
         endpoint.capacity = capacity
-        endpoint.window.set_limit(self._window_limit(registration, capacity))
+        limit = self._window_limit(registration, capacity)
+        endpoint.window.set_limit(limit, keeps_size=self.limit.starts_low)
         endpoint.address = registration.address
 
     def _capacity(self, registration: Registration, serving: int) -> int:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -34,6 +34,7 @@
 from .waiting import FairWaiting, GroupQueues
 
 READ_TIMEOUT_FRACTION = 0.5  # of the objective; the other half is left for another endpoint
+RELAYED_READ_TIMEOUT_FRACTION = 0.75  # of the objective; a home that refuses early may wait longer
 MIN_READ_TIMEOUT_LATENCIES = 5.0  # times the endpoint's latency; a slow endpoint is not a dead one
 
 
@@ -103,6 +104,7 @@
         connection = exchange.connection
         request.holds_connection = False
         connection.last_used = self.board.clock.now()
+        connection.is_opening = False
         if not isinstance(reply, SessionReply) or not reply.is_reusable:
             self.pool.remove(connection)
         self._update_running(request, -1)
@@ -142,7 +144,7 @@
         for group in {*self.board.queues.reads, *self.board.queues.writes}:
             self._drain_group(group)
         for queue in self.board.queues.pinned.values():
-            self._drain_queue(queue)
+            self._drain_queues([queue])
 
     def on_homes(self, _entry: None) -> None:
         """Close idle connections to endpoints that this VM is not a home of."""
@@ -180,8 +182,7 @@
         """
         candidates = self.candidates.of_request(request)
         option = self.selector.choose(request, self._options(request, candidates))
-        workspace_queue = self.queues.of_request(request).by_workspace.get(request.workspace)
-        waiting = len(workspace_queue) if workspace_queue else 0
+        waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
             return False
         if self._costs.waiting_cost(request, candidates, waiting) < option.cost:
@@ -212,7 +213,7 @@
         now = self.board.clock.now()
         rounds, proves_primary = plan_rounds(request, connection)
         number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
-        timeout_s = self._exchange_timeout(request, connection.endpoint, now)
+        timeout_s = self._exchange_timeout(request, connection, now)
         exchange = SessionExchange(
             number, connection.endpoint, now, timeout_s, connection, evicted, rounds
         )
@@ -227,16 +228,20 @@
         self._update_running(request, 1)
         self.board.changes.post(Topic.EXCHANGE_SCHEDULED, request)
 
-    def _exchange_timeout(self, request: SessionRequest, name: str, now: float) -> float:
+    def _exchange_timeout(
+        self, request: SessionRequest, connection: BackendConnection, now: float
+    ) -> float:
         """Return the timeout of an exchange; that of a read leaves time for another endpoint.
 
         It ends before a planned stop does, so that the caller is answered.
         """
         remaining = min(request.deadline, self.board.shutdown.ends_at) - now
-        endpoint = self.board.endpoints.by_name.get(name)
+        endpoint = self.board.endpoints.by_name.get(connection.endpoint)
         if not request.is_standalone_read() or endpoint is None:
             return remaining
-        timeout = READ_TIMEOUT_FRACTION * request.route.objective
+        waits_in_order = self.board.settings.schedules_by_priority and connection.home is not None
+        fraction = RELAYED_READ_TIMEOUT_FRACTION if waits_in_order else READ_TIMEOUT_FRACTION
+        timeout = fraction * request.route.objective
         return min(remaining, max(timeout, MIN_READ_TIMEOUT_LATENCIES * endpoint.latency))
 
     def _bind_transaction(
@@ -275,22 +280,28 @@
             request.refuse(ErrorCode.NO_ENDPOINT, f"{request.group} has no primary at present.")
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
             return
-        rejected = self.waiting.push(self.queues.of_request(request), request)
-        if rejected is not None:
-            rejected.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
-            self.board.changes.post(Topic.REQUEST_REFUSED, rejected)
+        queue = self.queues.of_request(request)
+        self._refuse_overloaded(self.waiting.push(queue, request))
+        self._refuse_overloaded(self.waiting.drop_overdue(queue))
+
+    def _refuse_overloaded(self, requests: list[SessionRequest]) -> None:
+        for request in requests:
+            request.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
 
     def _drain_group(self, group: str) -> None:
         """Retry the queued requests of a group."""
-        for queue in self.queues.of_group(group):
-            self._drain_queue(queue)
+        for queues in self.waiting.merge(self.queues.of_group(group)):
+            self._drain_queues(queues)
 
-    def _drain_queue(self, queue: WaitingQueue) -> None:
+    def _drain_queues(self, queues: list[WaitingQueue]) -> None:
         """Dispatch queued requests, one of each key in turn, until none can be placed."""
-        is_placed = queue.length > 0
+        for queue in queues:
+            self._refuse_overloaded(self.waiting.drop_overdue(queue))
+        is_placed = any(queue.length > 0 for queue in queues)
         while is_placed:
             is_placed = False
-            for key in self.waiting.turns(queue):
+            for queue, key in self.waiting.turns(queues):
                 is_placed = self._dispatch_next(queue, key) or is_placed
 
     def _dispatch_next(self, queue: WaitingQueue, key: str) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/waiting.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/waiting.py
@@ -25,13 +25,30 @@
         self.board = board
         self._fair_queue = FairQueue(MAX_QUEUED_PER_WORKSPACE)
 
-    def push(self, queue: WaitingQueue, request: SessionRequest) -> SessionRequest | None:
+    def push(self, queue: WaitingQueue, request: SessionRequest) -> list[SessionRequest]:
         """Add a request; return the one that is dropped for it, which may be itself."""
-        return self._fair_queue.push(queue, request)
+        dropped = self._fair_queue.push(queue, request)
+        return [dropped] if dropped is not None else []
 
-    def turns(self, queue: WaitingQueue) -> list[str]:
-        """Return the keys of the queues to take one request from in turn, the first one first."""
-        return self._fair_queue.workspaces_by_load(queue)
+    def drop_overdue(self, queue: WaitingQueue) -> list[SessionRequest]:
+        """Return nothing: each request waits until its time to wait ends."""
+        return []
+
+    def count_before(self, queue: WaitingQueue, request: SessionRequest) -> int:
+        """Return how many requests of the same workspace wait."""
+        return len(queue.by_workspace.get(request.workspace, ()))
+
+    def merge(self, queues: list[WaitingQueue]) -> list[list[WaitingQueue]]:
+        """Order each queue on its own."""
+        return [[queue] for queue in queues]
+
+    def turns(self, queues: list[WaitingQueue]) -> list[tuple[WaitingQueue, str]]:
+        """Return the workspaces to take one request from in turn, the first one first."""
+        return [
+            (queue, workspace)
+            for queue in queues
+            for workspace in self._fair_queue.workspaces_by_load(queue)
+        ]
 
     def take(self, queue: WaitingQueue, key: str) -> SessionRequest:
         """Remove and return the next request of one key."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -59,7 +59,10 @@
             return
         session.values = relayed_statement.values
         now = self.board.clock.now()
-        call = StatementCall(session, relayed_statement.statement(), now, relayed_statement.waiter)
+        arrived_at = now - (relayed_statement.age_s or 0.0)
+        call = StatementCall(
+            session, relayed_statement.statement(), arrived_at, relayed_statement.waiter
+        )
         self._request_count += 1
         request = SessionRequest(
             self._request_count,
@@ -72,6 +75,7 @@
         request.permitted = True
         request.prepared = relayed_statement.prepared
         request.min_position = relayed_statement.min_position
+        request.deadline = now + relayed_statement.timeout_s
         request.wait_deadline = now + relayed_statement.wait_timeout_s
         self.board.changes.post(Topic.REQUEST_ARRIVED, request)
 
@@ -148,7 +152,8 @@
         """Return the load of the request's endpoint as this VM knows it after the request."""
         exchange = request.exchange
         dispatched_at = exchange.sent_at if exchange is not None else self.board.clock.now()
-        wait_s = max(0.0, dispatched_at - request.arrived_at)
+        received_at = request.arrived_at + (request.relayed_statement.age_s or 0.0)
+        wait_s = max(0.0, dispatched_at - received_at)
         return measure_load(self.board, request.relayed_statement.endpoint, wait_s).to_record()
 
     def _schedule_idle_check(self) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -7,6 +7,7 @@
 from .blackboard import Board
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
+from .controllers.admission import QueueingDelayLimit
 from .controllers.allocator import AllocatorController
 from .controllers.balancing import LoadController
 from .controllers.completion import CompletionController
@@ -21,6 +22,7 @@
 from .controllers.limits import LimitController
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
+from .controllers.placement.priority import PriorityWaiting
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
 from .controllers.relays import RelayController
@@ -119,9 +121,13 @@
             AllocatorController(board),
             HomeController(board),
             LoadController(board),
-            EndpointController(board),
+            EndpointController(
+                board, QueueingDelayLimit(board) if settings.schedules_by_priority else None
+            ),
             ObservationController(board),
-            PlacementController(board),
+            PlacementController(
+                board, waiting=PriorityWaiting(board) if settings.schedules_by_priority else None
+            ),
             CompletionController(board, RetryBudget()),
             SessionController(board),
             RelayController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -5,6 +5,7 @@
 from .controllers import Controller
 from .environment import Clock, Randomness
 from .policies import (
+    ConcurrencyLimit,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Clock",
+    "ConcurrencyLimit",
     "Controller",
     "EndpointFilter",
     "EndpointSelector",
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -9,7 +9,7 @@
     from ..blackboard.endpoints import Endpoint
     from ..blackboard.homes import ServingVM
     from ..blackboard.queues import WaitingQueue
-    from ..blackboard.requests import Request
+    from ..blackboard.requests import Reply, Request
     from ..blackboard.sessions import SessionRequest
     from ..controllers.placement.selection import ServingOption
 
@@ -53,11 +53,20 @@
     A queue is divided into keys, each with an order of its own; the keys take turns.
     """
 
-    def push(self, queue: WaitingQueue, request: SessionRequest) -> SessionRequest | None:
-        """Add a request; return the one dropped to make room, which may be the same one."""
+    def push(self, queue: WaitingQueue, request: SessionRequest) -> list[SessionRequest]:
+        """Add a request; return those that are dropped, of which it may be one."""
 
-    def turns(self, queue: WaitingQueue) -> list[str]:
-        """Return the keys to take one request from in turn, the first one first."""
+    def drop_overdue(self, queue: WaitingQueue) -> list[SessionRequest]:
+        """Remove and return the requests that cannot be served in time any more."""
+
+    def count_before(self, queue: WaitingQueue, request: SessionRequest) -> int:
+        """Return how many requests of the same key wait, before a request is added."""
+
+    def merge(self, queues: list[WaitingQueue]) -> list[list[WaitingQueue]]:
+        """Divide queues that compete into lists; the queues of a list are ordered together."""
+
+    def turns(self, queues: list[WaitingQueue]) -> Iterable[tuple[WaitingQueue, str]]:
+        """Return the queues and keys to take one request from in turn, the first one first."""
 
     def take(self, queue: WaitingQueue, key: str) -> SessionRequest:
         """Remove and return the next request of a key."""
@@ -66,6 +75,18 @@
         """Return a request that could not be placed to where it was taken from."""
 
 
+class ConcurrencyLimit(Protocol):
+    """Adapts how many statements this VM keeps under way at an endpoint.
+
+    If `starts_low`, a window starts at one statement, and grows with the replies.
+    """
+
+    starts_low: bool
+
+    def adapt(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
+        """Update the endpoint's windows after the reply to a request."""
+
+
 class LoadEstimator(Protocol):
     """Estimates the load of an endpoint now, from load reports that have an age."""
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -56,13 +56,23 @@
     """
 
     def __init__(
-        self, vm_count: int = 6, seed: int = 1, slots: int = 3, statement_cost_s: float = 0.005
+        self,
+        vm_count: int = 6,
+        seed: int = 1,
+        slots: int = 3,
+        statement_cost_s: float = 0.005,
+        schedules_by_priority: bool = False,
     ) -> None:
         self.vms: dict[str, Engine] = {}
         self.unreachable_vms: set[str] = set()
         self.cut_off_vms: set[str] = set()
         self.relayed_count = 0
-        super().__init__(seed, slots=slots, statement_cost_s=statement_cost_s)
+        super().__init__(
+            seed,
+            slots=slots,
+            statement_cost_s=statement_cost_s,
+            schedules_by_priority=schedules_by_priority,
+        )
         for number in range(1, vm_count + 1):
             self._add_vm(f"h{number}", f"z{(number - 1) % 3 + 1}")
         self._poll()
@@ -108,6 +118,7 @@
         settings = CoreSettings(name, zone, name)
         settings.zones = ["z1", "z2", "z3"]
         settings.max_configuration_age_s = 3.8
+        settings.schedules_by_priority = self.schedules_by_priority
         engine = Engine.for_sessions(settings, self.clock, self.randomness, self.clock.wall_ms)
         board = engine.board
         board.members.entry_vm_count = 6
@@ -180,7 +191,9 @@
             )
             return
         handle = f"{board.settings.member}/{connection.number}"
-        sent = RelayedStatement.from_request(request, handle, self.clock.now())
+        sent = RelayedStatement.from_request(
+            request, handle, self.clock.now(), board.settings.schedules_by_priority
+        )
         received = RelayedStatement.from_record(sent.to_record())
         received.waiter = ReplyWaiter(
             received,
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -9,13 +9,6 @@
 
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.declarations import (
-    Consistency,
-    Declaration,
-    DeclaredGroup,
-    DeclaredWorkspace,
-    Route,
-)
 from gentianspread_core.blackboard.log import SyncedRecords
 from gentianspread_core.blackboard.messages import Proposal
 from gentianspread_core.blackboard.outbox import (
@@ -38,17 +31,12 @@
 from gentianspread_core.settings import CoreSettings
 
 from .clock import FakeClock
+from .declarations import GROUP, build_declaration
 from .disk import FakeDisk
 from .session_endpoint import FakeSessionEndpoint, endpoint_address
 
-GROUP = "g"
 LATENCY_S = 0.001
 PROMOTION_DURATION_S = 0.3
-DATABASES = {
-    "latest": (Consistency.LATEST, None),
-    "bounded": (Consistency.BOUNDED, 1.5),
-    "own": (Consistency.OWN_WRITES, 2.5),
-}
 
 
 class ScheduledEvent:
@@ -86,7 +74,9 @@
         endpoint_count: int = 3,
         slots: int = 3,
         statement_cost_s: float = 0.005,
+        schedules_by_priority: bool = False,
     ):
+        self.schedules_by_priority = schedules_by_priority
         self.clock = FakeClock()
         self.randomness = random.Random(seed)
         self.endpoints: dict[str, FakeSessionEndpoint] = {}
@@ -142,26 +132,23 @@
         max_connections: int = 46,
         objectives_s: dict[str, float] | None = None,
         groups: dict[str, str] | None = None,
+        priorities: dict[str, int] | None = None,
     ) -> None:
         """Declare the three databases, and the workspaces with the hashes of their keys.
 
         A route's objective is half of its timeout if `objectives_s` does not have its database.
-        `groups` are by database, which are left out otherwise; the default is one for all."""
-        objectives = {**dict.fromkeys(DATABASES, timeout_s / 2), **(objectives_s or {})}
-        groups = groups or dict.fromkeys(DATABASES, GROUP)
-        workspaces = keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]}
-        routes = [
-            Route(name, name, group, *DATABASES[name], timeout_s, objectives[name], 1, False)
-            for name, group in groups.items()
-        ]
-        declared_groups = sorted({GROUP, *groups.values()})
-        declaration = Declaration(
+        `groups` are by database, which are left out otherwise; the default is one for all.
+        `priorities` are by database; those that are not of `DATABASES` are bounded."""
+        declaration = build_declaration(
             version,
-            routes,
-            [DeclaredGroup(group, max_connections, True) for group in declared_groups],
-            [DeclaredWorkspace(name, rate, burst, hashes) for name, hashes in workspaces.items()],
-            3.0,
-            f"document {version}",
+            rate,
+            burst,
+            keys if keys is not None else {"w1": ["k1"], "w2": ["k2"]},
+            timeout_s,
+            max_connections,
+            objectives_s or {},
+            groups or {},
+            priorities or {},
         )
         self.propose(Command(CommandKind.DECLARE, declaration.to_record()))
         self.run(0.1)
@@ -241,6 +228,7 @@
         settings.max_configuration_age_s = 3.8
         settings.records_initial_voters = True
         settings.voter_count = 1
+        settings.schedules_by_priority = self.schedules_by_priority
         return Engine.for_sessions(settings, self.clock, self.randomness, self.clock.wall_ms)
 
     def _start(self) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/relays.py
+++ b/packages/gentianspread-server/src/gentianspread_server/relays.py
@@ -86,7 +86,10 @@
     ) -> None:
         connection = exchange.connection
         relayed = RelayedStatement.from_request(
-            request, self._handle_of(connection), self.board.clock.now()
+            request,
+            self._handle_of(connection),
+            self.board.clock.now(),
+            self.board.settings.schedules_by_priority,
         )
         response = self.client.request(
             connection.home.address,
