--- a/features/overload.feature
+++ b/features/overload.feature
@@ -33,6 +33,19 @@
     And 100 reads on "usual" arrive at "h1" at once
     Then half of the refused reads were refused within 0.2 s
 
+  Scenario: A workspace that sends far more than the others takes no more than its share
+    Guards against a noisy neighbour whose rate limit does not apply yet: workspaces take turns.
+    When 300 reads per second of one workspace and 70 of the other ones arrive on "usual" for 4 s
+    Then at least 0.85 of the reads of the other workspaces were served within 0.25 s
+    And at least 0.8 of the reads that the slots can serve were answered within 0.25 s
+
+  Scenario: The VMs retry a tenth of the reads at most, and urgent ones rather than others
+    Guards against a retry storm: each VM has a budget of retries, of which 10 can be saved.
+    When 300 reads per second arrive on all routes for 8 s
+    Then at most 0.1 of the reads were retried, and 60 more
+    And a larger share of the failed attempts was retried on "urgent" than on "usual"
+    And a larger share of the failed attempts was retried on "usual" than on "background"
+
   Scenario: Nearly all reads are served in time while the slots can serve all that arrive
     Guards against refusals by wrong estimates.
     When 90 reads per second arrive on all routes for 4 s
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.relays import RelayedStatement
-from gentianspread_core.blackboard.requests import StatementKind
+from gentianspread_core.blackboard.requests import ExchangeStatus, StatementKind
 from gentianspread_lab.fakes.session_simulation import NoOpWaiter
 from gentianspread_server.platform.wire import decode_statement
 
@@ -29,14 +31,28 @@
     )
     simulation.run(1.0)
     context.databases = list(priorities)
+    context.retried_attempts, context.failed_attempts = Counter(), Counter()
+    for engine in simulation.vms.values():
+        changes = engine.board.changes
+        changes.subscribe(
+            Topic.REQUEST_RETRIED,
+            lambda request: context.retried_attempts.update([request.route.name]),
+        )
+        changes.subscribe(Topic.EXCHANGE_ENDED, lambda request: _count_failure(context, request))
     context.idle_sessions = {name: [] for name in priorities}
     context.calls_by_database = {name: [] for name in priorities}
 
 
-def _session(context, database, vm):
-    """Return a session without a running statement at a VM, of a random workspace."""
+def _count_failure(context, request):
+    """Count a failed attempt of a request whose caller's session is at the same VM."""
+    is_ok = request.exchange.reply.status is ExchangeStatus.OK
+    if not is_ok and request.relayed_statement is None:
+        context.failed_attempts.update([request.route.name])
+
+
+def _session(context, database, vm, key):
+    """Return a session without a running statement of a workspace at a VM."""
     simulation = context.home_simulation
-    key = f"k{simulation.randomness.randrange(WORKSPACES)}"
     for index, (name, session) in enumerate(context.idle_sessions[database]):
         if name == vm and session.key_hash == key and session.call is None:
             del context.idle_sessions[database][index]
@@ -44,11 +60,12 @@
     return simulation.open_session_at(vm, database, key)
 
 
-def send_read(context, database, vm=None):
-    """Send a read on a route, at a VM or a random one, for a random workspace."""
+def send_read(context, database, vm=None, key=None):
+    """Send a read on a route, at a VM and for a workspace's key, or random ones."""
     simulation = context.home_simulation
     vm = vm or simulation.randomness.choice(list(simulation.vms))
-    session = _session(context, database, vm)
+    key = key or f"k{simulation.randomness.randrange(WORKSPACES)}"
+    session = _session(context, database, vm, key)
     calls = context.calls_by_database[database]
     statement = decode_statement(f"{database}{len(calls)}", "READ x")
     calls.append(simulation.send_statement_at(vm, session, statement))
@@ -81,6 +98,29 @@
     send_reads(context, {first: rate, second: other}, seconds)
 
 
+@when(
+    "{hot:d} reads per second of one workspace and {others:d} of the other ones "
+    'arrive on "{database:w}" for {seconds:g} s'
+)
+def step_hot_workspace(context, hot, others, database, seconds):
+    simulation = context.home_simulation
+    end = simulation.clock.now() + seconds
+    context.load_seconds = seconds
+    keys = [f"k{number}" for number in range(WORKSPACES)]
+    weights = [hot, *[others / (WORKSPACES - 1)] * (WORKSPACES - 1)]
+    while simulation.clock.now() < end:
+        simulation.run(simulation.randomness.expovariate(hot + others))
+        send_read(context, database, key=simulation.randomness.choices(keys, weights)[0])
+    simulation.run(SETTLING_S)
+
+
+@then("at least {share:g} of the reads of the other workspaces were served within {seconds:g} s")
+def step_other_workspaces(context, share, seconds):
+    calls = [call for call in _all_calls(context) if call.session.key_hash != "k0"]
+    served = sum(1 for call in calls if _is_served(context, call, seconds))
+    assert calls and served >= share * len(calls), (served, len(calls))
+
+
 @when('{count:d} reads on "{database:w}" arrive at "{vm:w}" at once')
 def step_batch(context, count, database, vm):
     for _ in range(count):
@@ -146,6 +186,21 @@
     assert median <= seconds, (median, durations[-1], len(durations))
 
 
+@then("at most {share:g} of the reads were retried, and {count:d} more")
+def step_retries(context, share, count):
+    calls, retries = len(_all_calls(context)), sum(context.retried_attempts.values())
+    assert 0 < retries <= share * calls + count, (retries, calls)
+
+
+@then('a larger share of the failed attempts was retried on "{first:w}" than on "{second:w}"')
+def step_retried_more(context, first, second):
+    shares = {
+        name: context.retried_attempts[name] / context.failed_attempts[name]
+        for name in (first, second)
+    }
+    assert shares[first] > shares[second], (shares, context.failed_attempts)
+
+
 def _relay(context, database, age_s):
     """Relay a read to a home VM, and keep the request that this VM makes of it."""
     simulation = context.home_simulation
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -13,8 +13,8 @@
 from ..blackboard.sessions import SessionExchange, SessionReply, SessionRequest
 from ..blackboard.timeline import EventKind
 from ..errors import ErrorCode, ExecutionResult, Refusal
+from ..interfaces import RetryLimit
 from ..positions import SessionToken
-from .retries import RetryBudget
 
 RETRY_BACKOFF_S = 0.01  # times the number of attempts; ten round trips to an endpoint
 OVERLOAD_RETRY_BACKOFF_S = 0.04  # times the number of attempts; a queue of 24 empties in 0.2 s
@@ -38,11 +38,11 @@
 class CompletionController:
     """Owns the `outcome` field of sessions' requests."""
 
-    __slots__ = ("board", "budget")
+    __slots__ = ("board", "retries")
 
-    def __init__(self, board: Board, budget: RetryBudget) -> None:
+    def __init__(self, board: Board, retries: RetryLimit) -> None:
         self.board = board
-        self.budget = budget
+        self.retries = retries
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -73,7 +73,7 @@
         reply = exchange.reply if exchange else None
         if not isinstance(reply, SessionReply) or request.outcome is not None:
             return
-        self.budget.refill()
+        self.retries.count(request)
         if request.relayed_statement is not None:
             self._finish_relayed(request, reply)
         elif request.kind is StatementKind.ROLLBACK:
@@ -145,12 +145,16 @@
         request.tried_endpoints.add(request.endpoint or "")
         if refusal.code in PERMANENT_CODES:
             self._refuse(request, refusal)
-        elif now + backoff < request.wait_deadline and request.attempts < MAX_ATTEMPTS:
+        elif self._may_retry(request, now + backoff):
             self._log(EventKind.REQUEST_RETRIED, request, refusal.code.value, refusal.message)
             self.board.changes.post_at(now + backoff, Topic.REQUEST_RETRIED, request)
         else:
             self._refuse(request, refusal)
 
+    def _may_retry(self, request: SessionRequest, retried_at: float) -> bool:
+        in_time = retried_at < request.wait_deadline and request.attempts < MAX_ATTEMPTS
+        return in_time and self.retries.allows(request)
+
     def _succeed(
         self, request: SessionRequest, rows: list[str], reply: SessionReply | None
     ) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/retries.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/retries.py
@@ -1,7 +1,15 @@
-"""Retry budget: limits the retries of one VM to a fraction of its requests."""
+"""Retry budgets: limit the retries of one VM to a fraction of its requests."""
 
 from __future__ import annotations
 
+from ..blackboard.sessions import SessionRequest
+
+RETRIES_PER_REQUEST = (
+    0.1  # overloaded endpoints get at most a tenth more, however many VMs there are
+)
+MAX_SAVED_RETRIES = 10.0  # a VM of a large fleet has fewer statements under way when a zone fails
+RETRIES_RESERVED_PER_PRIORITY = 2.0  # for each higher priority; a few requests that fail together
+
 
 class RetryBudget:
     """Token bucket of retries, refilled by every exchange that ends; one token is one retry."""
@@ -24,3 +32,41 @@
             return False
         self.tokens -= 1.0
         return True
+
+
+class UnlimitedRetries:
+    """Allows every retry; the wait and the number of attempts of a request still limit it."""
+
+    __slots__ = ()
+
+    def count(self, request: SessionRequest) -> None:
+        """Do nothing."""
+
+    def allows(self, request: SessionRequest) -> bool:
+        """Return true."""
+        return True
+
+
+class PriorityRetryBudget:
+    """Allows a share of the first attempts as retries; lower priorities leave some for higher ones.
+
+    Source: "Handling Overload" in "Site Reliability Engineering" (Beyer and others, 2016).
+    """
+
+    __slots__ = ("tokens",)
+
+    def __init__(self) -> None:
+        self.tokens = MAX_SAVED_RETRIES
+
+    def count(self, request: SessionRequest) -> None:
+        """Add the share for the end of a first attempt of this VM's own callers."""
+        if request.attempts == 1 and request.relayed_statement is None:
+            self.tokens = min(MAX_SAVED_RETRIES, self.tokens + RETRIES_PER_REQUEST)
+
+    def allows(self, request: SessionRequest) -> bool:
+        """Return whether the request may be retried, and if so, take one retry from the budget."""
+        reserved = RETRIES_RESERVED_PER_PRIORITY * max(0, request.route.priority)
+        if self.tokens < 1.0 + min(reserved, MAX_SAVED_RETRIES / 2):
+            return False
+        self.tokens -= 1.0
+        return True
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -28,7 +28,7 @@
 from .controllers.relays import RelayController
 from .controllers.repair import RepairController
 from .controllers.replication import ReplicationController
-from .controllers.retries import RetryBudget
+from .controllers.retries import PriorityRetryBudget, RetryBudget, UnlimitedRetries
 from .controllers.routing import RoutingController
 from .controllers.sessions import SessionController
 from .controllers.shutdown import ShutdownController
@@ -128,7 +128,10 @@
             PlacementController(
                 board, waiting=PriorityWaiting(board) if settings.schedules_by_priority else None
             ),
-            CompletionController(board, RetryBudget()),
+            CompletionController(
+                board,
+                PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
+            ),
             SessionController(board),
             RelayController(board),
             HealthController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -11,6 +11,7 @@
     LoadEstimator,
     QueuePolicy,
     ReplicaSelector,
+    RetryLimit,
     WaitingPolicy,
 )
 
@@ -24,5 +25,6 @@
     "QueuePolicy",
     "Randomness",
     "ReplicaSelector",
+    "RetryLimit",
     "WaitingPolicy",
 ]
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -87,6 +87,16 @@
         """Update the endpoint's windows after the reply to a request."""
 
 
+class RetryLimit(Protocol):
+    """Limits this VM's own retries of its callers' requests."""
+
+    def count(self, request: SessionRequest) -> None:
+        """Take the end of one of the request's attempts into account."""
+
+    def allows(self, request: SessionRequest) -> bool:
+        """Return whether a request that failed may be retried; it then counts as retried."""
+
+
 class LoadEstimator(Protocol):
     """Estimates the load of an endpoint now, from load reports that have an age."""
 
