--- a/features/overload.feature
+++ b/features/overload.feature
@@ -12,7 +12,7 @@
   Scenario: The most urgent reads are served while twice as many arrive as the slots can serve
     Guards against a reversed order of service: all reads wait in the same queues.
     When 300 reads per second arrive on all routes for 4 s
-    Then at least 0.7 of the reads on "urgent" were served within 0.25 s
+    Then at least 0.8 of the reads on "urgent" were served within 0.25 s
     And a larger share of the reads was served within 0.25 s on "urgent" than on "usual"
     And a larger share of the reads was served within 0.25 s on "usual" than on "background"
 
@@ -24,14 +24,14 @@
   Scenario: The slots serve reads in time while twice as many arrive as they can serve
     Guards against metastable overload: statements that wait at an endpoint until their VM gives up.
     When 300 reads per second arrive on all routes for 4 s
-    Then at least 0.8 of the reads that the slots can serve were answered within 0.25 s
+    Then at least 0.9 of the reads that the slots can serve were answered within 0.25 s
 
   Scenario: Reads that cannot be answered in time any more are refused at once
     Guards against requests that are kept until their deadline and refused then, with no time left
     for their callers to try another VM.
     When 90 reads per second arrive on all routes for 2 s
     And 100 reads on "usual" arrive at "h1" at once
-    Then half of the refused reads were refused within 0.2 s
+    Then half of the refused reads were refused within 0.15 s
 
   Scenario: A workspace that sends far more than the others takes no more than its share
     Guards against a noisy neighbour whose rate limit does not apply yet: workspaces take turns.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
@@ -63,9 +63,11 @@
     def adapt(self, endpoint: Endpoint, request: Request, reply: Reply) -> None:
         """Update the endpoint's window for what was relayed, or for this VM's own connections."""
         exchange, route = request.exchange, getattr(request, "route", None)
+        if isinstance(exchange, SessionExchange) and exchange.connection.home is not None:
+            self._adapt_relayed(endpoint, exchange, reply)
+            return
         is_measured = (
             isinstance(exchange, SessionExchange)
-            and exchange.connection.home is None
             and reply.status is ExchangeStatus.OK
             and route is not None
             and not exchange.connection.is_opening
@@ -82,3 +84,15 @@
             endpoint.window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
         else:
             endpoint.window.increase()
+
+    def _adapt_relayed(self, endpoint: Endpoint, exchange: SessionExchange, reply: Reply) -> None:
+        """Lower the limit of what is relayed only if a home VM or the endpoint did not answer.
+
+        A home refuses what it cannot serve, at once; waiting for it here would be without the order
+        of priority in which it serves the statements of all VMs.
+        """
+        if reply.status is ExchangeStatus.LOST:
+            now = self.board.clock.now()
+            endpoint.relay_window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
+        else:
+            endpoint.relay_window.increase()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -185,7 +185,11 @@
         waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
             return False
-        if self._costs.waiting_cost(request, candidates, waiting) < option.cost:
+        waits_at_home = option.home is not None and self.board.settings.schedules_by_priority
+        if (
+            not waits_at_home
+            and self._costs.waiting_cost(request, candidates, waiting) < option.cost
+        ):
             return False
         if option.home is not None:
             connection = self.pool.add_relayed(request, option.endpoint, option.home)
