--- a/features/overload.feature
+++ b/features/overload.feature
@@ -61,3 +61,32 @@
   Scenario: A statement of a VM that does not send its age is taken as new
     When a read on "urgent" is relayed by a VM of the previous build
     Then the home VM counts its objective from the receipt
+
+  Scenario: A read that would wait too long at every home VM is refused at its entry VM
+    Guards against relays to homes that must refuse, which take their processor time from others.
+    Given every home reports to "h1" that priority 0 waits for 0.01 s and the others for 0.5 s
+    When a read on "usual" arrives at "h1", of a workspace with another home
+    Then it was refused as not run within 0.01 s, and was not relayed
+
+  Scenario: A more urgent read is relayed although others would wait too long
+    Given every home reports to "h1" that priority 0 waits for 0.01 s and the others for 0.5 s
+    When a read on "urgent" arrives at "h1", of a workspace with another home
+    Then it was served
+
+  Scenario: A read is relayed to an endpoint with free slots while all others are overloaded
+    Guards against a refusal while an endpoint that may serve the read has free slots.
+    Given every home reports to "h1" that priority 0 waits for 0.01 s and the others for 0.5 s
+    And the homes of "b3" report to "h1" that none waits
+    When a read on "usual" arrives at "h1", of a workspace with another home
+    Then it was served by "b3"
+
+  Scenario: A read is relayed if the home VMs have reported nothing for 2 s
+    Guards against refusals because of what a failed home reported before.
+    Given every home reports to "h1" that priority 0 waits for 0.01 s and the others for 5 s
+    When 2.1 s pass without a report
+    And a read on "usual" arrives at "h1", of a workspace with another home
+    Then it was served
+
+  Scenario: A home VM reports how long a statement of each priority would wait
+    When 300 reads per second arrive on all routes for 1 s
+    Then the homes reported longer waits for priority 2 than for priority 0
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -6,8 +6,10 @@
 
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.loads import EndpointLoad
 from gentianspread_core.blackboard.relays import RelayedStatement
 from gentianspread_core.blackboard.requests import ExchangeStatus, StatementKind
+from gentianspread_core.errors import ExecutionResult
 from gentianspread_lab.fakes.session_simulation import NoOpWaiter
 from gentianspread_server.platform.wire import decode_statement
 
@@ -201,6 +203,85 @@
     assert shares[first] > shares[second], (shares, context.failed_attempts)
 
 
+def _report(context, vm, endpoints, waits):
+    board = context.home_simulation.vms[vm].board
+    for endpoint in endpoints:
+        for home in board.homes.of_endpoint(endpoint.name, endpoint.zone, endpoint.slots):
+            load = EndpointLoad(1, 10, 0.0, 0.02, board.clock.now())
+            load.waits = waits
+            board.loads.by_endpoint.setdefault(endpoint.name, {})[home.name] = load
+
+
+@given(
+    'every home reports to "{vm:w}" that priority 0 waits for {first:g} s '
+    "and the others for {others:g} s"
+)
+def step_reported_waits(context, vm, first, others):
+    endpoints = context.home_simulation.vms[vm].board.endpoints.by_name.values()
+    _report(context, vm, endpoints, {0: first, 1: others, 2: others})
+
+
+@given('the homes of "{name:w}" report to "{vm:w}" that none waits')
+def step_reported_no_wait(context, name, vm):
+    _report(context, vm, [context.home_simulation.vms[vm].board.endpoints.by_name[name]], {})
+
+
+@when("{seconds:g} s pass without a report")
+def step_no_report(context, seconds):
+    context.home_simulation.run(seconds)
+
+
+@when('a read on "{database:w}" arrives at "{vm:w}", of a workspace with another home')
+def step_one_read(context, database, vm):
+    board = context.home_simulation.vms[vm].board
+    others = [
+        number
+        for number in range(WORKSPACES)
+        if all(
+            board.homes.of_workspace(item.name, item.zone, item.slots, f"w{number}")[0].name != vm
+            for item in board.endpoints.by_name.values()
+        )
+    ]
+    context.relayed_before = context.home_simulation.relayed_count
+    send_read(context, database, vm, f"k{others[0]}")
+    context.home_simulation.run(SETTLING_S)
+    context.last_call = context.calls_by_database[database][-1]
+
+
+@then("it was refused as not run within {seconds:g} s, and was not relayed")
+def step_refused_here(context, seconds):
+    refusal = context.last_call.answer.refusal
+    assert refusal is not None and refusal.result is ExecutionResult.NOT_RUN
+    assert _duration_s(context, context.last_call) <= seconds
+    assert context.home_simulation.relayed_count == context.relayed_before
+
+
+@then("it was served")
+def step_one_served(context):
+    assert context.last_call.answer.refusal is None, context.last_call.answer.refusal
+    assert context.home_simulation.relayed_count > context.relayed_before
+
+
+@then('it was served by "{name:w}"')
+def step_served_by(context, name):
+    step_one_served(context)
+    executed = context.home_simulation.endpoints[name].executed_statements
+    assert context.last_call.statement.statement_id in {item.statement_id for item in executed}
+
+
+@then("the homes reported longer waits for priority {second:d} than for priority {first:d}")
+def step_waits_by_priority(context, second, first):
+    reports = [
+        report
+        for engine in context.home_simulation.vms.values()
+        for by_home in engine.board.loads.by_endpoint.values()
+        for report in by_home.values()
+        if first in report.waits and second in report.waits
+    ]
+    assert reports
+    assert all(report.waits[second] > report.waits[first] for report in reports)
+
+
 def _relay(context, database, age_s):
     """Relay a read to a home VM, and keep the request that this VM makes of it."""
     simulation = context.home_simulation
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 MAX_REPORT_AGE_S = 2.0  # older reports say nothing about the load at present
 RECORD_DIGITS = 4  # a tenth of a millisecond
 
@@ -15,10 +17,12 @@
 
     `running` and `waiting` count statements, `wait_s` is how long the newest dispatched one waited
     at the home, `service_s` the smoothed time that the endpoint takes for a statement, both in
-    seconds. `measured_at` is in seconds of the clock of the VM that holds the report.
+    seconds. `measured_at` is in seconds of the clock of the VM that holds the report. `waits` gives
+    the seconds that a new statement of each priority is expected to wait there; it is empty if none
+    waits.
     """
 
-    __slots__ = ("running", "waiting", "wait_s", "service_s", "measured_at")
+    __slots__ = ("running", "waiting", "wait_s", "service_s", "measured_at", "waits")
 
     def __init__(
         self, running: int, waiting: int, wait_s: float, service_s: float, measured_at: float
@@ -28,17 +32,34 @@
         self.wait_s = wait_s
         self.service_s = service_s
         self.measured_at = measured_at
+        self.waits: dict[int, float] = {}
 
     @classmethod
     def from_record(cls, record: list[float], received_at: float) -> EndpointLoad:
         """Build from the JSON form; the age of a report starts when it is received."""
-        running, waiting, wait_s, service_s = record
-        return cls(int(running), int(waiting), float(wait_s), float(service_s), received_at)
+        running, waiting, wait_s, service_s, *rest = record
+        load = cls(int(running), int(waiting), float(wait_s), float(service_s), received_at)
+        for priority, seconds in rest[0] if rest else ():
+            load.waits[int(priority)] = float(seconds)
+        return load
 
-    def to_record(self) -> list[float]:
-        """Return the JSON form, without the time of measurement."""
+    def to_record(self) -> list[Any]:
+        """Return the JSON form, without the time of measurement, and without empty waits."""
         wait_s, service_s = round(self.wait_s, RECORD_DIGITS), round(self.service_s, RECORD_DIGITS)
-        return [self.running, self.waiting, wait_s, service_s]
+        record: list[Any] = [self.running, self.waiting, wait_s, service_s]
+        if self.waits:
+            record.append([[key, round(item, RECORD_DIGITS)] for key, item in self.waits.items()])
+        return record
+
+    def expected_wait_s(self, priority: int, now: float) -> float:
+        """Return how long a new statement of a priority would wait, as far as the report says.
+
+        What waited when the report was made is served as time passes, so the age is subtracted.
+        """
+        known = [item for item in self.waits if item <= priority]
+        if not known:
+            return 0.0
+        return max(0.0, self.waits[max(known)] - (now - self.measured_at))
 
 
 class Loads:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/admission/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/admission/__init__.py
@@ -1,5 +1,6 @@
 """Admission: how much work is accepted and kept under way while endpoints lack capacity."""
 
+from .admission import AdmitAll, ReportedAdmission
 from .concurrency import LateReplyLimit, QueueingDelayLimit
 
-__all__ = ["LateReplyLimit", "QueueingDelayLimit"]
+__all__ = ["AdmitAll", "LateReplyLimit", "QueueingDelayLimit", "ReportedAdmission"]
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -24,7 +24,9 @@
     SessionTransaction,
 )
 from ...errors import ErrorCode
-from ...interfaces import EndpointFilter, EndpointSelector, WaitingPolicy
+from ...interfaces import AdmissionPolicy, EndpointFilter, EndpointSelector, WaitingPolicy
+from ..admission import AdmitAll
+from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -34,14 +36,22 @@
 from .waiting import FairWaiting, GroupQueues
 
 READ_TIMEOUT_FRACTION = 0.5  # of the objective; the other half is left for another endpoint
-RELAYED_READ_TIMEOUT_FRACTION = 0.75  # of the objective; a home that refuses early may wait longer
 MIN_READ_TIMEOUT_LATENCIES = 5.0  # times the endpoint's latency; a slow endpoint is not a dead one
 
 
 class PlacementController:
     """Owns the connections, the queues, and the `endpoint` and `exchange` fields of requests."""
 
-    __slots__ = ("board", "candidates", "pool", "queues", "selector", "waiting", "_costs")
+    __slots__ = (
+        "board",
+        "candidates",
+        "pool",
+        "queues",
+        "selector",
+        "waiting",
+        "admission",
+        "_costs",
+    )
 
     def __init__(
         self,
@@ -49,6 +59,7 @@
         filters: list[EndpointFilter] | None = None,
         selector: EndpointSelector | None = None,
         waiting: WaitingPolicy | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -56,6 +67,7 @@
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
+        self.admission = admission or AdmitAll()
         self._costs = EndpointCosts(board)
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -175,13 +187,18 @@
         return request.open_route is not None or check_key(self.board, request)
 
     def _try_place(self, request: SessionRequest) -> bool:
-        """Start the request on the cheapest endpoint; return false if it must wait.
+        """Start the request on the cheapest endpoint, or refuse it; return false if it must wait.
 
-        It waits if no endpoint has capacity, or if a connection of its workspace is expected to
-        become free sooner than any other way could serve it.
+        It is refused if every home VM would keep it too long. It waits if no endpoint has capacity,
+        or if a connection of its workspace is expected to become free sooner than any other way
+        could serve it.
         """
         candidates = self.candidates.of_request(request)
-        option = self.selector.choose(request, self._options(request, candidates))
+        options = self._options(request, candidates)
+        if candidates and not options:
+            self._refuse_overloaded([request])
+            return True
+        option = self.selector.choose(request, options)
         waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
             return False
@@ -200,10 +217,12 @@
         return True
 
     def _options(self, request: SessionRequest, candidates: list[Endpoint]) -> list[ServingOption]:
-        """Return the ways to serve a request now, each with its expected cost."""
+        """Return the ways that admission allows to serve a request now, with expected costs."""
         options = []
         for endpoint in candidates:
             home = self.candidates.relay_target(request, endpoint)
+            if not self.admission.admits(request, endpoint, home):
+                continue
             cost = self._costs.serving_cost(request, endpoint, home)
             options.append(ServingOption(endpoint, home, cost))
         return options
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
@@ -8,7 +8,7 @@
 from ...blackboard import Board
 from ...blackboard.queues import WaitingQueue
 from ...blackboard.sessions import SessionRequest
-from .throughput import starts_per_second
+from .throughput import home_starts_per_second, starts_per_second
 from .waiting import MAX_QUEUED_PER_WORKSPACE
 
 MIN_SHARE = 0.05  # of the dispatches, for each lower priority that waits; callers must not starve
@@ -160,6 +160,27 @@
         return dropped
 
 
+def waits_at_home(board: Board, endpoint_name: str) -> dict[int, float]:
+    """Return how long a new relayed statement of each waiting priority is expected to wait here.
+
+    In seconds, for a workspace of which no statement waits; empty if none waits at all.
+    """
+    queue = board.queues.pinned.get(endpoint_name)
+    endpoint = board.endpoints.by_name.get(endpoint_name)
+    if queue is None or endpoint is None:
+        return {}
+    _remove_decided(queue)
+    rate = home_starts_per_second(endpoint)
+    waits: dict[int, float] = {}
+    more_urgent = 0
+    for priority in sorted({_priority(key) for key in queue.by_workspace}):
+        same = [items for key, items in queue.by_workspace.items() if _priority(key) == priority]
+        before = len(same) + 1
+        waits[priority] = min((more_urgent + before) / rate, before / (rate * MIN_SHARE))
+        more_urgent += sum(len(items) for items in same)
+    return waits
+
+
 def _key(request: SessionRequest) -> str:
     return f"{request.route.priority} {request.workspace}"
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/throughput.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/throughput.py
@@ -16,7 +16,7 @@
     """
     if request.relayed_statement is not None:
         endpoint = board.endpoints.by_name.get(request.relayed_statement.endpoint)
-        return _rate(endpoint, endpoint.window.size) if endpoint is not None else 0.0
+        return home_starts_per_second(endpoint) if endpoint is not None else 0.0
     endpoints = board.endpoints.by_group.get(request.group, [])
     if request.min_position is None:
         group = board.configuration.groups.get(request.group)
@@ -25,5 +25,10 @@
     return sum(_rate(item, max(item.window.size, item.relay_window.size)) for item in usable)
 
 
+def home_starts_per_second(endpoint: Endpoint) -> float:
+    """Return how many statements that others relay this VM starts at an endpoint in a second."""
+    return _rate(endpoint, endpoint.window.size)
+
+
 def _rate(endpoint: Endpoint, window: float) -> float:
     return max(1, int(window)) / max(endpoint.latency, MIN_LATENCY_S)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -21,6 +21,7 @@
 )
 from ..errors import ErrorCode
 from .balancing import measure_load
+from .placement.priority import waits_at_home
 
 IDLE_CHECK_INTERVAL_S = 1.0
 IDLE_MARGIN_S = 1.0  # after the time at which the sender itself ends an idle transaction
@@ -154,7 +155,11 @@
         dispatched_at = exchange.sent_at if exchange is not None else self.board.clock.now()
         received_at = request.arrived_at + (request.relayed_statement.age_s or 0.0)
         wait_s = max(0.0, dispatched_at - received_at)
-        return measure_load(self.board, request.relayed_statement.endpoint, wait_s).to_record()
+        endpoint_name = request.relayed_statement.endpoint
+        load = measure_load(self.board, endpoint_name, wait_s)
+        if self.board.settings.schedules_by_priority:
+            load.waits = waits_at_home(self.board, endpoint_name)
+        return load.to_record()
 
     def _schedule_idle_check(self) -> None:
         if self.board.relays.transactions and not self._is_check_scheduled:
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -7,7 +7,7 @@
 from .blackboard import Board
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
-from .controllers.admission import QueueingDelayLimit
+from .controllers.admission import QueueingDelayLimit, ReportedAdmission
 from .controllers.allocator import AllocatorController
 from .controllers.balancing import LoadController
 from .controllers.completion import CompletionController
@@ -39,6 +39,15 @@
 from .settings import CoreSettings
 
 
+def _placement(board: Board) -> PlacementController:
+    """Build the placement controller with the policies that the settings ask for."""
+    if not board.settings.schedules_by_priority:
+        return PlacementController(board)
+    return PlacementController(
+        board, waiting=PriorityWaiting(board), admission=ReportedAdmission(board)
+    )
+
+
 class Engine:
     """The blackboard and its controllers.
 
@@ -125,9 +134,7 @@
                 board, QueueingDelayLimit(board) if settings.schedules_by_priority else None
             ),
             ObservationController(board),
-            PlacementController(
-                board, waiting=PriorityWaiting(board) if settings.schedules_by_priority else None
-            ),
+            _placement(board),
             CompletionController(
                 board,
                 PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -75,6 +75,13 @@
         """Return a request that could not be placed to where it was taken from."""
 
 
+class AdmissionPolicy(Protocol):
+    """Decides whether a statement may use the capacity of a home VM."""
+
+    def admits(self, request: SessionRequest, endpoint: Endpoint, home: ServingVM | None) -> bool:
+        """Return whether it may be sent to an endpoint, through a home VM if there is one."""
+
+
 class ConcurrencyLimit(Protocol):
     """Adapts how many statements this VM keeps under way at an endpoint.
 
