--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -24,7 +24,9 @@
     SessionTransaction,
 )
 from ...errors import ErrorCode
-from ...interfaces import EndpointFilter, EndpointSelector, WaitingPolicy
+from ...interfaces import AdmissionPolicy, EndpointFilter, EndpointSelector, WaitingPolicy
+from ..admission import AdmitAll
+from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -40,7 +42,16 @@
 class PlacementController:
     """Owns the connections, the queues, and the `endpoint` and `exchange` fields of requests."""
 
-    __slots__ = ("board", "candidates", "pool", "queues", "selector", "waiting", "_costs")
+    __slots__ = (
+        "board",
+        "candidates",
+        "pool",
+        "queues",
+        "selector",
+        "waiting",
+        "admission",
+        "_costs",
+    )
 
     def __init__(
         self,
@@ -48,6 +59,7 @@
         filters: list[EndpointFilter] | None = None,
         selector: EndpointSelector | None = None,
         waiting: WaitingPolicy | None = None,
+        admission: AdmissionPolicy | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -55,6 +67,7 @@
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
+        self.admission = admission or AdmitAll()
         self._costs = EndpointCosts(board)
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -103,6 +116,7 @@
         connection = exchange.connection
         request.holds_connection = False
         connection.last_used = self.board.clock.now()
+        connection.is_opening = False
         if not isinstance(reply, SessionReply) or not reply.is_reusable:
             self.pool.remove(connection)
         self._update_running(request, -1)
@@ -142,7 +156,7 @@
         for group in {*self.board.queues.reads, *self.board.queues.writes}:
             self._drain_group(group)
         for queue in self.board.queues.pinned.values():
-            self._drain_queue(queue)
+            self._drain_queues([queue])
 
     def on_homes(self, _entry: None) -> None:
         """Close idle connections to endpoints that this VM is not a home of."""
@@ -173,18 +187,26 @@
         return request.open_route is not None or check_key(self.board, request)
 
     def _try_place(self, request: SessionRequest) -> bool:
-        """Start the request on the cheapest endpoint; return false if it must wait.
+        """Start the request on the cheapest endpoint, or refuse it; return false if it must wait.
 
-        It waits if no endpoint has capacity, or if a connection of its workspace is expected to
-        become free sooner than any other way could serve it.
+        It is refused if every home VM would keep it too long. It waits if no endpoint has capacity,
+        or if a connection of its workspace is expected to become free sooner than any other way
+        could serve it.
         """
         candidates = self.candidates.of_request(request)
-        option = self.selector.choose(request, self._options(request, candidates))
-        workspace_queue = self.queues.of_request(request).by_workspace.get(request.workspace)
-        waiting = len(workspace_queue) if workspace_queue else 0
+        options = self._options(request, candidates)
+        if candidates and not options:
+            self._refuse_overloaded([request])
+            return True
+        option = self.selector.choose(request, options)
+        waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
             return False
-        if self._costs.waiting_cost(request, candidates, waiting) < option.cost:
+        waits_at_home = option.home is not None and self.board.settings.schedules_by_priority
+        if (
+            not waits_at_home
+            and self._costs.waiting_cost(request, candidates, waiting) < option.cost
+        ):
             return False
         if option.home is not None:
             connection = self.pool.add_relayed(request, option.endpoint, option.home)
@@ -195,10 +217,12 @@
         return True
 
     def _options(self, request: SessionRequest, candidates: list[Endpoint]) -> list[ServingOption]:
-        """Return the ways to serve a request now, each with its expected cost."""
+        """Return the ways that admission allows to serve a request now, with expected costs."""
         options = []
         for endpoint in candidates:
             home = self.candidates.relay_target(request, endpoint)
+            if not self.admission.admits(request, endpoint, home):
+                continue
             cost = self._costs.serving_cost(request, endpoint, home)
             options.append(ServingOption(endpoint, home, cost))
         return options
@@ -212,7 +236,7 @@
         now = self.board.clock.now()
         rounds, proves_primary = plan_rounds(request, connection)
         number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
-        timeout_s = self._exchange_timeout(request, connection.endpoint, now)
+        timeout_s = self._exchange_timeout(request, connection, now)
         exchange = SessionExchange(
             number, connection.endpoint, now, timeout_s, connection, evicted, rounds
         )
@@ -227,16 +251,20 @@
         self._update_running(request, 1)
         self.board.changes.post(Topic.EXCHANGE_SCHEDULED, request)
 
-    def _exchange_timeout(self, request: SessionRequest, name: str, now: float) -> float:
+    def _exchange_timeout(
+        self, request: SessionRequest, connection: BackendConnection, now: float
+    ) -> float:
         """Return the timeout of an exchange; that of a read leaves time for another endpoint.
 
         It ends before a planned stop does, so that the caller is answered.
         """
         remaining = min(request.deadline, self.board.shutdown.ends_at) - now
-        endpoint = self.board.endpoints.by_name.get(name)
+        endpoint = self.board.endpoints.by_name.get(connection.endpoint)
         if not request.is_standalone_read() or endpoint is None:
             return remaining
-        timeout = READ_TIMEOUT_FRACTION * request.route.objective
+        waits_in_order = self.board.settings.schedules_by_priority and connection.home is not None
+        fraction = RELAYED_READ_TIMEOUT_FRACTION if waits_in_order else READ_TIMEOUT_FRACTION
+        timeout = fraction * request.route.objective
         return min(remaining, max(timeout, MIN_READ_TIMEOUT_LATENCIES * endpoint.latency))
 
     def _bind_transaction(
@@ -275,22 +303,28 @@
             request.refuse(ErrorCode.NO_ENDPOINT, f"{request.group} has no primary at present.")
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
             return
-        rejected = self.waiting.push(self.queues.of_request(request), request)
-        if rejected is not None:
-            rejected.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
-            self.board.changes.post(Topic.REQUEST_REFUSED, rejected)
+        queue = self.queues.of_request(request)
+        self._refuse_overloaded(self.waiting.push(queue, request))
+        self._refuse_overloaded(self.waiting.drop_overdue(queue))
+
+    def _refuse_overloaded(self, requests: list[SessionRequest]) -> None:
+        for request in requests:
+            request.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
+            self.board.changes.post(Topic.REQUEST_REFUSED, request)
 
     def _drain_group(self, group: str) -> None:
         """Retry the queued requests of a group."""
-        for queue in self.queues.of_group(group):
-            self._drain_queue(queue)
+        for queues in self.waiting.merge(self.queues.of_group(group)):
+            self._drain_queues(queues)
 
-    def _drain_queue(self, queue: WaitingQueue) -> None:
+    def _drain_queues(self, queues: list[WaitingQueue]) -> None:
         """Dispatch queued requests, one of each key in turn, until none can be placed."""
-        is_placed = queue.length > 0
+        for queue in queues:
+            self._refuse_overloaded(self.waiting.drop_overdue(queue))
+        is_placed = any(queue.length > 0 for queue in queues)
         while is_placed:
             is_placed = False
-            for key in self.waiting.turns(queue):
+            for queue, key in self.waiting.turns(queues):
                 is_placed = self._dispatch_next(queue, key) or is_placed
 
     def _dispatch_next(self, queue: WaitingQueue, key: str) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -21,6 +21,7 @@
 )
 from ..errors import ErrorCode
 from .balancing import measure_load
+from .placement.priority import waits_at_home
 
 IDLE_CHECK_INTERVAL_S = 1.0
 IDLE_MARGIN_S = 1.0  # after the time at which the sender itself ends an idle transaction
@@ -59,7 +60,10 @@
             return
         session.values = relayed_statement.values
         now = self.board.clock.now()
-        call = StatementCall(session, relayed_statement.statement(), now, relayed_statement.waiter)
+        arrived_at = now - (relayed_statement.age_s or 0.0)
+        call = StatementCall(
+            session, relayed_statement.statement(), arrived_at, relayed_statement.waiter
+        )
         self._request_count += 1
         request = SessionRequest(
             self._request_count,
@@ -72,6 +76,7 @@
         request.permitted = True
         request.prepared = relayed_statement.prepared
         request.min_position = relayed_statement.min_position
+        request.deadline = now + relayed_statement.timeout_s
         request.wait_deadline = now + relayed_statement.wait_timeout_s
         self.board.changes.post(Topic.REQUEST_ARRIVED, request)
 
@@ -148,8 +153,13 @@
         """Return the load of the request's endpoint as this VM knows it after the request."""
         exchange = request.exchange
         dispatched_at = exchange.sent_at if exchange is not None else self.board.clock.now()
-        wait_s = max(0.0, dispatched_at - request.arrived_at)
-        return measure_load(self.board, request.relayed_statement.endpoint, wait_s).to_record()
+        received_at = request.arrived_at + (request.relayed_statement.age_s or 0.0)
+        wait_s = max(0.0, dispatched_at - received_at)
+        endpoint_name = request.relayed_statement.endpoint
+        load = measure_load(self.board, endpoint_name, wait_s)
+        if self.board.settings.schedules_by_priority:
+            load.waits = waits_at_home(self.board, endpoint_name)
+        return load.to_record()
 
     def _schedule_idle_check(self) -> None:
         if self.board.relays.transactions and not self._is_check_scheduled:
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -7,6 +7,7 @@
 from .blackboard import Board
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
+from .controllers.admission import QueueingDelayLimit, ReportedAdmission
 from .controllers.allocator import AllocatorController
 from .controllers.balancing import LoadController
 from .controllers.completion import CompletionController
@@ -21,12 +22,13 @@
 from .controllers.limits import LimitController
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
+from .controllers.placement.priority import PriorityWaiting
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
 from .controllers.relays import RelayController
 from .controllers.repair import RepairController
 from .controllers.replication import ReplicationController
-from .controllers.retries import RetryBudget
+from .controllers.retries import PriorityRetryBudget, RetryBudget, UnlimitedRetries
 from .controllers.routing import RoutingController
 from .controllers.sessions import SessionController
 from .controllers.shutdown import ShutdownController
@@ -37,6 +39,15 @@
 from .settings import CoreSettings
 
 
+def _placement(board: Board) -> PlacementController:
+    """Build the placement controller with the policies that the settings ask for."""
+    if not board.settings.schedules_by_priority:
+        return PlacementController(board)
+    return PlacementController(
+        board, waiting=PriorityWaiting(board), admission=ReportedAdmission(board)
+    )
+
+
 class Engine:
     """The blackboard and its controllers.
 
@@ -119,10 +130,15 @@
             AllocatorController(board),
             HomeController(board),
             LoadController(board),
-            EndpointController(board),
+            EndpointController(
+                board, QueueingDelayLimit(board) if settings.schedules_by_priority else None
+            ),
             ObservationController(board),
-            PlacementController(board),
-            CompletionController(board, RetryBudget()),
+            _placement(board),
+            CompletionController(
+                board,
+                PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
+            ),
             SessionController(board),
             RelayController(board),
             HealthController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -5,16 +5,21 @@
 from .controllers import Controller
 from .environment import Clock, Randomness
 from .policies import (
+    AdmissionPolicy,
+    ConcurrencyLimit,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
     QueuePolicy,
     ReplicaSelector,
+    RetryLimit,
     WaitingPolicy,
 )
 
 __all__ = [
+    "AdmissionPolicy",
     "Clock",
+    "ConcurrencyLimit",
     "Controller",
     "EndpointFilter",
     "EndpointSelector",
@@ -22,5 +27,6 @@
     "QueuePolicy",
     "Randomness",
     "ReplicaSelector",
+    "RetryLimit",
     "WaitingPolicy",
 ]
