--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -26,6 +26,17 @@
     And a VM without a list polls the control leader
     Then the list of that VM has "f1" and not "f2"
 
+  Scenario: The list has the sizes of the VMs only where they differ
+    Guards against extra bytes in fleets of equal VMs; older builds decode the rows by position.
+    Given a control leader whose list of serving VMs has "f1" and "f2"
+    When "f1" reports a size of 1 and "f2" a size of 1
+    Then the list has rows of 3 fields and no sizes
+    When "f1" reports a size of 1.25 and "f2" a size of 1.25
+    Then the list has rows of 3 fields and no sizes
+    When "f1" reports a size of 1.25 and "f2" a size of 1.5
+    Then the list has rows of 3 fields and the sizes 1.25 and 1.5
+    And a VM of this build takes the sizes from the list, and one of the previous build ignores them
+
   Scenario: The leader merges the control VMs' lists and keeps a partitioned zone's list for a time
     Given a control leader whose list of serving VMs has "f1" and "f2"
     When another control VM reports that "f7" serves callers
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -11,6 +11,7 @@
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.configuration import Configuration, Member, load_snapshot
 from gentianspread_core.blackboard.election import Role
+from gentianspread_core.blackboard.homes import ServingVM
 from gentianspread_core.blackboard.log import (
     FOUNDING_INCARNATION,
     LogEntry,
@@ -111,6 +112,41 @@
     _record_polls(context, (first, second))
 
 
+@when('"{first:w}" reports a size of {first_size:g} and "{second:w}" a size of {second_size:g}')
+def step_report_sizes(context, first, first_size, second, second_size):
+    for name, size in ((first, first_size), (second, second_size)):
+        record = MemberReport(name, f"{name}:1", "z1", False, 1, 0.0, serves=True, size=size)
+        sent = record.to_record()
+        assert ("size" in sent) == (size != 1.0), sent
+        received = MemberReport.from_record(sent)
+        context.registry.record_poll(received, context.session_simulation.clock.now())
+    context.fleet_list = context.registry.build_fleet_list("")
+
+
+@then("the list has rows of {count:d} fields and no sizes")
+def step_list_without_sizes(context, count):
+    assert context.fleet_list.keys() == {"version", "vms"}, context.fleet_list
+    assert all(len(row) == count for row in context.fleet_list["vms"])
+
+
+@then("the list has rows of {count:d} fields and the sizes {first:g} and {second:g}")
+def step_list_with_sizes(context, count, first, second):
+    assert context.fleet_list["sizes"] == {"f1": first, "f2": second}, context.fleet_list
+    assert all(len(row) == count for row in context.fleet_list["vms"])
+
+
+@then(
+    "a VM of this build takes the sizes from the list, and one of the previous build ignores them"
+)
+def step_sizes_taken(context):
+    poller = Poller(context)
+    poller.registry.receive_fleet_list(context.fleet_list)
+    homes = poller.engine.board.homes
+    assert {vm.size for vms in homes.by_zone.values() for vm in vms} == {1.25, 1.5}
+    assert homes.version == context.fleet_list["version"]
+    assert all(ServingVM(*row).size == 1.0 for row in context.fleet_list["vms"])
+
+
 @when("a VM without a list polls the control leader")
 def step_poll(context):
     context.poller = Poller(context)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/homes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/homes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 
 HOMES_PER_SLOT = 2  # with one statement from each, every slot is always busy
 MAX_BACKUP_ALLOCATORS = 3  # VMs; the next is used if one does not respond
@@ -15,14 +16,15 @@
 
 
 class ServingVM:
-    """A VM that serves callers, and the address at which other VMs reach it."""
+    """A VM that serves callers, the address at which other VMs reach it, and its size in cores."""
 
-    __slots__ = ("name", "address", "zone")
+    __slots__ = ("name", "address", "zone", "size")
 
-    def __init__(self, name: str, address: str, zone: str) -> None:
+    def __init__(self, name: str, address: str, zone: str, size: float = 1.0) -> None:
         self.name = name
         self.address = address
         self.zone = zone
+        self.size = size
 
     @classmethod
     def from_record(cls, record: list[str]) -> ServingVM:
@@ -30,7 +32,7 @@
         return cls(*record)
 
     def to_record(self) -> list[str]:
-        """Return the JSON form: the slots in order."""
+        """Return the JSON form, without the size: older builds decode it by position."""
         return [self.name, self.address, self.zone]
 
 
@@ -67,6 +69,16 @@
             self.ranking_cache[key] = rendezvous_order(endpoint, vms)[: HOMES_PER_SLOT * slots]
         return self.ranking_cache[key]
 
+    def differ_in_size(self) -> bool:
+        """Return whether the VMs that serve callers have different sizes."""
+        return len({vm.size for vms in self.by_zone.values() for vm in vms}) > 1
+
+    def work_share(self, homes: list[ServingVM], member: str) -> float:
+        """Return the part of the work of an endpoint's home VMs that one of them takes by size."""
+        own = next((vm.size for vm in homes if vm.name == member), None)
+        total = sum(vm.size for vm in homes)
+        return own / total if own is not None else 1.0 / max(1, len(homes))
+
     def of_workspace(self, endpoint: str, zone: str, slots: int, workspace: str) -> list[ServingVM]:
         """Return an endpoint's home VMs in a workspace's order of preference."""
         key = (endpoint, workspace)
@@ -93,9 +105,19 @@
 def rendezvous_order(subject: str, vms: list[ServingVM]) -> list[ServingVM]:
     """Return VMs by rendezvous hashing: the same order on all VMs, little changed by a new list.
 
-    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.
+    A VM is first with a probability in proportion to its size.
+
+    Sources: Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998; for
+    the sizes Schindelhauer and Schomaker, "Weighted distributed hash tables", 2005.
     """
-    return sorted(vms, key=lambda vm: _weight(subject, vm.name), reverse=True)
+    if len({vm.size for vm in vms}) < 2:
+        return sorted(vms, key=lambda vm: _weight(subject, vm.name), reverse=True)
+    return sorted(vms, key=lambda vm: _sized_weight(subject, vm), reverse=True)
+
+
+def _sized_weight(subject: str, vm: ServingVM) -> float:
+    fraction = (int.from_bytes(_weight(subject, vm.name)) + 1) / (256**HASH_BYTES + 1)
+    return vm.size / -math.log(fraction) if fraction < 1.0 else math.inf
 
 
 def _weight(subject: str, name: str) -> bytes:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -242,7 +242,8 @@
         if not homes:
             return max(MIN_CONNECTIONS, usable // max(1, self.board.members.entry_vm_count))
         if any(vm.name == self.board.settings.member for vm in homes):
-            return max(MIN_CONNECTIONS, int(HOME_CONNECTIONS_FRACTION * usable) // len(homes))
+            share = self.board.homes.work_share(homes, self.board.settings.member)
+            return max(MIN_CONNECTIONS, math.floor(HOME_CONNECTIONS_FRACTION * usable * share))
         return MIN_CONNECTIONS
 
     def _window_limit(self, registration: Registration, capacity: int) -> float:
@@ -252,7 +253,8 @@
         )
         if not homes:
             return float(capacity)
-        share = MAX_IN_FLIGHT_PER_SLOT * registration.slots / len(homes)
+        part = self.board.homes.work_share(homes, self.board.settings.member)
+        share = MAX_IN_FLIGHT_PER_SLOT * registration.slots * part
         return max(1.0, min(float(capacity), share))
 
     def _remove_unregistered(self) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -52,12 +52,21 @@
     """VMs h1 to hN in the endpoints' zones; the base class's VM leads the control log.
 
     Requests to an unreachable home VM fail at their timeout. VMs that are cut off receive no
-    configuration, and no answer from the VMs that are not.
+    configuration, and no answer from the VMs that are not. `sizes` are those of the VMs in cores,
+    in turn; `schedules_by_priority` is the setting of all VMs.
     """
 
     def __init__(
-        self, vm_count: int = 6, seed: int = 1, slots: int = 3, statement_cost_s: float = 0.005
+        self,
+        vm_count: int = 6,
+        seed: int = 1,
+        slots: int = 3,
+        statement_cost_s: float = 0.005,
+        schedules_by_priority: bool = False,
+        sizes: tuple[float, ...] = (1.0,),
     ) -> None:
+        self.schedules_by_priority = schedules_by_priority
+        self.sizes = sizes
         self.vms: dict[str, Engine] = {}
         self.unreachable_vms: set[str] = set()
         self.cut_off_vms: set[str] = set()
@@ -77,7 +86,7 @@
     def update_serving_vms(self, *excluded: str) -> None:
         """Send every VM the list of the VMs that serve callers."""
         listed = [
-            ServingVM(name, name, engine.board.settings.zone)
+            ServingVM(name, name, engine.board.settings.zone, engine.board.settings.size)
             for name, engine in self.vms.items()
             if name not in excluded
         ]
@@ -108,6 +117,8 @@
         settings = CoreSettings(name, zone, name)
         settings.zones = ["z1", "z2", "z3"]
         settings.max_configuration_age_s = 3.8
+        settings.schedules_by_priority = self.schedules_by_priority
+        settings.size = self.sizes[len(self.vms) % len(self.sizes)]
         engine = Engine.for_sessions(settings, self.clock, self.randomness, self.clock.wall_ms)
         board = engine.board
         board.members.entry_vm_count = 6
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -29,7 +29,13 @@
 from .guards import run_for_ever
 from .news import News
 from .peers import PeerAddresses, PeerClient
-from .reports import MAX_REPORT_AGE_S, POLL_RESPONSE_FIELDS, EntryVMCounter, MemberReport
+from .reports import (
+    DEFAULT_SIZE,
+    MAX_REPORT_AGE_S,
+    POLL_RESPONSE_FIELDS,
+    EntryVMCounter,
+    MemberReport,
+)
 from .serving import ServingVMRegistry
 
 log = logging.getLogger(__name__)
@@ -327,6 +333,7 @@
             and not settings.has_disk
             and not self.board.shutdown.is_requested(),
             self.board.log.incarnation,
+            DEFAULT_SIZE if settings.has_disk else settings.size,
         )
         reports = [own]
         for report in self._reports.values():
--- a/packages/gentianspread-server/src/gentianspread_server/reports.py
+++ b/packages/gentianspread-server/src/gentianspread_server/reports.py
@@ -7,6 +7,8 @@
 from gentianspread_core.blackboard.log import FOUNDING_INCARNATION
 
 MAX_REPORT_AGE_S = 2.0
+DEFAULT_SIZE = 1.0  # cores; not sent, so that fleets without sizes send no extra bytes
+MAX_SIZE = 4096.0  # cores; more than any machine has
 POLL_RESPONSE_FIELDS = frozenset(
     {
         "revision",
@@ -30,7 +32,8 @@
     """A VM's report on itself, possibly passed on by another VM; `age` is in seconds.
 
     `entries` counts the VMs without a disk that poll this one; `serves` marks a VM that accepts
-    statements of callers; `incarnation` is that of the VM's disk, none until the VM has read it.
+    statements of callers; `incarnation` is that of the VM's disk, none until the
+    VM has read it; `size` is its processor capacity in cores.
     """
 
     __slots__ = (
@@ -43,6 +46,7 @@
         "entries",
         "serves",
         "incarnation",
+        "size",
     )
 
     def __init__(
@@ -56,6 +60,7 @@
         entries: int = 0,
         serves: bool = False,
         incarnation: str | None = FOUNDING_INCARNATION,
+        size: float = DEFAULT_SIZE,
     ) -> None:
         self.name = name
         self.address = address
@@ -66,13 +71,17 @@
         self.entries = entries
         self.serves = serves
         self.incarnation = incarnation
+        self.size = size
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> MemberReport:
-        """Build from the plain form; raises a `ValueError` if the incarnation is no text."""
+        """Build from the plain form; raises a `ValueError` if the incarnation or size is none."""
         incarnation = record.get("incarnation", FOUNDING_INCARNATION)
         if not isinstance(incarnation, str | None):
             raise ValueError("the incarnation is not a text")
+        size = record.get("size", DEFAULT_SIZE)
+        if isinstance(size, bool) or not isinstance(size, int | float) or not 0 < size < MAX_SIZE:
+            raise ValueError("the size is not a number of cores")
         return cls(
             record["name"],
             record["address"],
@@ -83,6 +92,7 @@
             record["entries"],
             record["serves"],
             incarnation,
+            float(size),
         )
 
     def to_record(self) -> dict[str, Any]:
@@ -91,6 +101,8 @@
         record["lost_votes"] = False
         if self.incarnation == FOUNDING_INCARNATION:
             del record["incarnation"]
+        if self.size == DEFAULT_SIZE:
+            del record["size"]
         return record
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/serving.py
+++ b/packages/gentianspread-server/src/gentianspread_server/serving.py
@@ -15,7 +15,7 @@
 from gentianspread_core.blackboard.homes import ServingVM
 from gentianspread_core.controllers.homes import ServingVMList
 
-from .reports import MAX_REPORT_AGE_S, MemberReport
+from .reports import DEFAULT_SIZE, MAX_REPORT_AGE_S, MemberReport
 
 CONTROL_VM_LIST_TTL_S = 10.0  # keeps a partitioned zone's list until the zone usually is back
 FIRST_MERGE_DELAY_S = 2.0  # after a restart all VMs have polled control VMs, and these the leader
@@ -63,7 +63,7 @@
         if not report.serves:
             self._polling_vms.pop(report.name, None)
             return
-        vm = ServingVM(report.name, report.address, report.zone)
+        vm = ServingVM(report.name, report.address, report.zone, report.size)
         self._polling_vms[report.name] = PollingVM(vm, polled_at)
 
     def build_own_list_for(self, receiver: str) -> dict[str, Any] | None:
@@ -72,7 +72,7 @@
         version = compute_version(vms)
         if self._last_sent == (receiver, version):
             return {"version": version, "vms": None}
-        return {"version": version, "vms": [vm.to_record() for vm in vms]}
+        return build_list_record(version, vms)
 
     def mark_sent(self, receiver: str, version: str) -> None:
         """Record which version of this VM's list a receiver has."""
@@ -83,7 +83,7 @@
         now = self.board.clock.now()
         stored = self._control_vm_lists.get(sender)
         if record["vms"] is not None:
-            vms = [ServingVM.from_record(item) for item in record["vms"]]
+            vms = decode_list(record)
             self._control_vm_lists[sender] = ControlVMList(record["version"], vms, now)
         elif stored is not None and stored.version == record["version"]:
             stored.confirmed_at = now
@@ -97,14 +97,17 @@
         homes = self.board.homes
         if known_version == homes.version or not homes.version:
             return {"version": known_version, "vms": None}
-        vms = [vm.to_record() for zone_vms in homes.by_zone.values() for vm in zone_vms]
-        return {"version": homes.version, "vms": vms}
+        vms = [vm for zone_vms in homes.by_zone.values() for vm in zone_vms]
+        record = build_list_record(homes.version, vms)
+        if not homes.differ_in_size():
+            record.pop("sizes", None)
+        return record
 
     def receive_fleet_list(self, record: dict[str, Any]) -> None:
         """Apply the fleet's list from a response."""
         if record["vms"] is None or self.board.election.role is Role.LEADER:
             return
-        vms = [ServingVM.from_record(item) for item in record["vms"]]
+        vms = decode_list(record)
         self.board.post(Topic.HOMES_RECEIVED, ServingVMList(record["version"], vms))
 
     def _own_list(self) -> list[ServingVM]:
@@ -138,7 +141,27 @@
         self.board.post(Topic.HOMES_RECEIVED, ServingVMList(compute_version(vms), vms))
 
 
+def build_list_record(version: str, vms: list[ServingVM]) -> dict[str, Any]:
+    """Return the plain form of a list, with the sizes other than the default by name."""
+    record: dict[str, Any] = {"version": version, "vms": [vm.to_record() for vm in vms]}
+    sizes = {vm.name: vm.size for vm in vms if vm.size != DEFAULT_SIZE}
+    if sizes:
+        record["sizes"] = sizes
+    return record
+
+
+def decode_list(record: dict[str, Any]) -> list[ServingVM]:
+    """Return the VMs of a list, of the default size where it gives none."""
+    vms = [ServingVM.from_record(item) for item in record["vms"]]
+    sizes = record.get("sizes", {})
+    for vm in vms:
+        vm.size = float(sizes.get(vm.name, DEFAULT_SIZE))
+    return vms
+
+
 def compute_version(vms: list[ServingVM]) -> str:
     """Return the version of a list: a hash that does not depend on its order."""
     rows = sorted("\t".join(vm.to_record()) for vm in vms)
+    if any(vm.size != DEFAULT_SIZE for vm in vms):
+        rows.extend(sorted(f"{vm.name}\t{vm.size:g}" for vm in vms))
     return hashlib.blake2b("\n".join(rows).encode(), digest_size=VERSION_HASH_BYTES).hexdigest()
