--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -29,7 +29,8 @@
     `handle` identifies the sender's connection and, if `in_transaction`, the transaction bound to
     it; `begins_transaction` marks its first statement. `wait_timeout_s` is the part of `timeout_s`
     until the statement is sent. `age_s` is how long ago the caller's statement arrived, or none if
-    the sender does not say. `reply` is the endpoint's reply, for which `waiter` waits.
+    the sender does not say. `outliers` is the JSON form of the ejected endpoints that the sender
+    knows, or none. `reply` is the endpoint's reply, for which `waiter` waits.
     """
 
     __slots__ = (
@@ -51,6 +52,7 @@
         "begins_transaction",
         "in_transaction",
         "is_read_only",
+        "outliers",
         "reply",
         "waiter",
     )
@@ -87,6 +89,7 @@
         self.begins_transaction = False
         self.in_transaction = False
         self.is_read_only = False
+        self.outliers: dict[str, Any] | None = None
         self.reply: SessionReply | None = None
         self.waiter: Any = None
 
@@ -113,6 +116,7 @@
         )
         if sends_age:
             relayed.age_s = max(0.0, now - request.arrived_at)
+        relayed.outliers = exchange.outliers
         transaction = request.session.transaction
         if transaction is not None:
             relayed.in_transaction = True
@@ -148,6 +152,8 @@
         }
         if self.age_s is not None:
             record["age_s"] = round(self.age_s, TIMEOUT_DIGITS)
+        if self.outliers is not None:
+            record["outliers"] = self.outliers
         return record
 
     @classmethod
@@ -175,6 +181,7 @@
         if record["transaction"] is not None:
             relayed.in_transaction = True
             relayed.begins_transaction, relayed.is_read_only = record["transaction"]
+        relayed.outliers = record.get("outliers")
         return relayed
 
 
@@ -194,6 +201,8 @@
     }
     if reply.load is not None:
         record["load"] = reply.load
+    if reply.outliers is not None:
+        record["outliers"] = reply.outliers
     return record
 
 
@@ -208,6 +217,7 @@
     for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
         setattr(reply, name, value)
     reply.load = record.get("load")
+    reply.outliers = record.get("outliers")
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -24,7 +24,13 @@
     SessionTransaction,
 )
 from ...errors import ErrorCode
-from ...interfaces import AdmissionPolicy, EndpointFilter, EndpointSelector, WaitingPolicy
+from ...interfaces import (
+    AdmissionPolicy,
+    EndpointFilter,
+    EndpointSelector,
+    LoadEstimator,
+    WaitingPolicy,
+)
 from ..admission import AdmitAll
 from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
 from ..keys import check_key
@@ -60,6 +66,7 @@
         selector: EndpointSelector | None = None,
         waiting: WaitingPolicy | None = None,
         admission: AdmissionPolicy | None = None,
+        estimator: LoadEstimator | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -68,7 +75,7 @@
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
         self.admission = admission or AdmitAll()
-        self._costs = EndpointCosts(board)
+        self._costs = EndpointCosts(board, estimator)
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -223,8 +230,9 @@
             home = self.candidates.relay_target(request, endpoint)
             if not self.admission.admits(request, endpoint, home):
                 continue
-            cost = self._costs.serving_cost(request, endpoint, home)
-            options.append(ServingOption(endpoint, home, cost))
+            load_s = self._costs.reported_load_s(endpoint, home)
+            cost = self._costs.serving_cost(request, endpoint, home, load_s)
+            options.append(ServingOption(endpoint, home, cost, load_s or 0.0))
         return options
 
     def _start_exchange(
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -9,7 +9,12 @@
 from .controllers.acknowledgement import AcknowledgementController
 from .controllers.admission import QueueingDelayLimit, ReportedAdmission
 from .controllers.allocator import AllocatorController
-from .controllers.balancing import LoadController
+from .controllers.balancing import (
+    LoadController,
+    OutlierController,
+    SpreadOption,
+    StaleLoadEstimator,
+)
 from .controllers.completion import CompletionController
 from .controllers.configuration import ConfigurationController
 from .controllers.dispatch import DispatchController
@@ -33,18 +38,32 @@
 from .controllers.sessions import SessionController
 from .controllers.shutdown import ShutdownController
 from .controllers.transactions import TransactionController
-from .interfaces import Clock, Controller, QueuePolicy, Randomness, ReplicaSelector
+from .interfaces import (
+    Clock,
+    Controller,
+    EndpointSelector,
+    LoadEstimator,
+    QueuePolicy,
+    Randomness,
+    ReplicaSelector,
+)
 from .invariants import InvariantController
 from .invariants.session_rules import SESSION_COMPLETION_RULES, SESSION_DISPATCH_RULES
 from .settings import CoreSettings
 
 
-def _placement(board: Board) -> PlacementController:
+def _placement(
+    board: Board, selector: EndpointSelector, estimator: LoadEstimator
+) -> PlacementController:
     """Build the placement controller with the policies that the settings ask for."""
     if not board.settings.schedules_by_priority:
-        return PlacementController(board)
+        return PlacementController(board, selector=selector, estimator=estimator)
     return PlacementController(
-        board, waiting=PriorityWaiting(board), admission=ReportedAdmission(board)
+        board,
+        selector=selector,
+        estimator=estimator,
+        waiting=PriorityWaiting(board),
+        admission=ReportedAdmission(board),
     )
 
 
@@ -120,6 +139,8 @@
         board = Board(settings, clock, Timeline(settings.member, wall_clock))
         configuration = ConfigurationController(board)
         invariants = InvariantController(board, SESSION_DISPATCH_RULES, SESSION_COMPLETION_RULES)
+        estimator = StaleLoadEstimator(board)
+        selector = SpreadOption(board, estimator, randomness)
         controllers: list[Controller] = [
             ElectionController(board, randomness),
             ReplicationController(board),
@@ -130,11 +151,12 @@
             AllocatorController(board),
             HomeController(board),
             LoadController(board),
+            OutlierController(board, estimator, randomness),
             EndpointController(
                 board, QueueingDelayLimit(board) if settings.schedules_by_priority else None
             ),
             ObservationController(board),
-            _placement(board),
+            _placement(board, selector, estimator),
             CompletionController(
                 board,
                 PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
