--- /dev/null
+++ b/features/steps/balancing.py
@@ -0,0 +1,358 @@
+"""Steps about the load of endpoints, and about endpoints and VMs that differ from their peers."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from behave import given, then, when
+from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.connections import BackendConnection, ConnectionState
+from gentianspread_core.blackboard.endpoints import Endpoint
+from gentianspread_core.blackboard.homes import ServingVM, rendezvous_order
+from gentianspread_core.blackboard.loads import EndpointLoad
+from gentianspread_core.blackboard.outbox import EndpointProbe
+from gentianspread_core.blackboard.sessions import SessionState
+from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.controllers.balancing import SpreadOption, StaleLoadEstimator
+from gentianspread_core.controllers.placement.costs import CROSS_ZONE_COST_S
+from gentianspread_core.controllers.placement.selection import ServingOption
+from gentianspread_lab import loadmodel
+from gentianspread_lab.fakes.home_simulation import HomeSimulation
+from gentianspread_lab.loadmodel import ModelRequest, run_model
+from gentianspread_server.platform.wire import decode_statement
+
+SESSIONS_PER_VM = 30
+SETTLING_S = 1.0
+FAILURES = 100_000
+HERD_LOAD = 0.9
+DRAWS = 2000
+MODEL_S = 3.0
+PRODUCT_WAY = "migration; aged; own added"
+
+
+class SentStatement:
+    """A statement that a VM sent to an endpoint on its own connection."""
+
+    __slots__ = ("sent_at", "endpoint", "vm")
+
+    def __init__(self, sent_at, endpoint, vm):
+        self.sent_at = sent_at
+        self.endpoint = endpoint
+        self.vm = vm
+
+
+def _start(context, **options):
+    simulation = HomeSimulation(**options)
+    context.home_simulation = simulation
+    context.advance_clock = simulation.run
+    context.read_calls = []
+    context.sent = []
+    context.relayed = set()
+    context.probe_count = 0
+    context.load_sessions = [
+        (name, simulation.open_session_at(name, "bounded"))
+        for name in simulation.vms
+        for _ in range(SESSIONS_PER_VM)
+    ]
+    for name, engine in simulation.vms.items():
+        changes = engine.board.changes
+        changes.subscribe(Topic.EXCHANGE_SCHEDULED, lambda item, vm=name: _note(context, item, vm))
+        changes.subscribe(Topic.INTENT_POSTED, lambda intent: _count_probe(context, intent))
+    simulation.run(SETTLING_S)
+
+
+def _note(context, request, vm):
+    exchange = request.exchange
+    if exchange.connection.home is None:
+        now = context.home_simulation.clock.now()
+        context.sent.append(SentStatement(now, exchange.endpoint, vm))
+    else:
+        context.relayed.add((vm, exchange.endpoint))
+
+
+def _count_probe(context, intent):
+    if isinstance(intent, EndpointProbe):
+        context.probe_count += 1
+
+
+@given("{count:d} VMs that report loads")
+def step_reporting(context, count):
+    _start(context, vm_count=count, schedules_by_priority=True)
+
+
+@given("{count:d} VMs that do not report loads")
+def step_not_reporting(context, count):
+    _start(context, vm_count=count)
+
+
+@given("{count:d} VMs of {first:g} and {second:g} cores in turn")
+def step_sizes(context, count, first, second):
+    _start(context, vm_count=count, sizes=(first, second))
+
+
+def _read(context, rate, seconds, names=None):
+    simulation = context.home_simulation
+    calls = []
+    for _ in range(round(rate * seconds)):
+        idle = [
+            (name, session)
+            for name, session in context.load_sessions
+            if session.call is None
+            and session.state is SessionState.IDLE
+            and (names is None or name in names)
+        ]
+        if idle:
+            name, session = simulation.randomness.choice(idle)
+            statement_id = f"n{len(context.read_calls)}"
+            statement = decode_statement(statement_id, "READ x")
+            calls.append(simulation.send_statement_at(name, session, statement))
+            context.read_calls.append(calls[-1])
+        simulation.run(1.0 / rate)
+    return calls
+
+
+@when("callers send {rate:d} reads per second for {seconds:g} s")
+def step_reads(context, rate, seconds):
+    context.calls = _read(context, rate, seconds)
+
+
+@when("callers of {zone:w} send {rate:d} reads per second for {seconds:g} s")
+def step_zone_reads(context, zone, rate, seconds):
+    vms = context.home_simulation.vms.items()
+    names = {name for name, engine in vms if engine.board.settings.zone == zone}
+    context.calls = _read(context, rate, seconds, names)
+
+
+@when("statements take {cost:g} s at {endpoint:w}")
+def step_cost(context, cost, endpoint):
+    context.home_simulation.endpoints[endpoint].statement_cost_s = cost
+
+
+@when("{endpoint:w} fails each statement at once")
+def step_fast_failer(context, endpoint):
+    item = context.home_simulation.endpoints[endpoint]
+    item.statement_cost_s = 0.0005
+    item.next_statement_errors = ["FAILED"] * FAILURES
+
+
+@when("{endpoint:w} runs statements again")
+def step_recovered(context, endpoint):
+    item = context.home_simulation.endpoints[endpoint]
+    item.statement_cost_s = 0.005
+    item.next_statement_errors = []
+
+
+@when("{endpoint:w} is lost")
+def step_lost(context, endpoint):
+    context.home_simulation.endpoints[endpoint].alive = False
+
+
+def _share(context, endpoint, seconds):
+    since = context.home_simulation.clock.now() - seconds
+    counts = Counter(item.endpoint for item in context.sent if item.sent_at >= since)
+    return counts[endpoint] / max(1, sum(counts.values()))
+
+
+@then("{endpoint:w} got at most {share:g} of the statements of the last {seconds:g} s")
+def step_at_most(context, endpoint, share, seconds):
+    assert _share(context, endpoint, seconds) <= share, _share(context, endpoint, seconds)
+
+
+@then("{endpoint:w} got at least {share:g} of the statements of the last {seconds:g} s")
+def step_at_least(context, endpoint, share, seconds):
+    assert _share(context, endpoint, seconds) >= share, _share(context, endpoint, seconds)
+
+
+@then("at least {share:g} of these reads were served")
+def step_served(context, share):
+    context.home_simulation.run(SETTLING_S)
+    served = [call for call in context.calls if call.answer and call.answer.refusal is None]
+    assert len(served) >= share * len(context.calls), (len(served), len(context.calls))
+
+
+@then("{endpoint:w} is ejected at every VM")
+def step_ejected_everywhere(context, endpoint):
+    shares = {
+        name: engine.board.outliers.share_of(endpoint)
+        for name, engine in context.home_simulation.vms.items()
+    }
+    assert all(share < 1.0 for share in shares.values()), shares
+
+
+@then("{endpoint:w} is ejected at {vm:w}, which has sent it nothing")
+def step_ejected_unseen(context, endpoint, vm):
+    assert (vm, endpoint) not in context.relayed
+    assert not any((item.vm, item.endpoint) == (vm, endpoint) for item in context.sent)
+    assert context.home_simulation.vms[vm].board.outliers.share_of(endpoint) < 1.0
+
+
+@then("no endpoint is ejected")
+def step_none_ejected(context):
+    for engine in context.home_simulation.vms.values():
+        assert not engine.board.outliers.ejections, engine.board.outliers.to_record(0.0)
+
+
+@then("at most {limit:d} endpoint of the group is ejected at any VM")
+def step_bound(context, limit):
+    for name, engine in context.home_simulation.vms.items():
+        outliers = engine.board.outliers
+        ejected = [item for item in outliers.ejections if outliers.share_of(item) < 1.0]
+        assert len(ejected) <= limit, (name, ejected)
+
+
+@then("{endpoint:w} was readmitted in at least {steps:d} steps")
+def step_steps(context, endpoint, steps):
+    shares = {
+        event.details["share"]
+        for engine in context.home_simulation.vms.values()
+        for event in engine.board.timeline.events
+        if event.kind is EventKind.ENDPOINT_READMITTED and event.subject == endpoint
+    }
+    assert len(shares) >= steps, shares
+
+
+@then("ejections were logged with the age of the load information")
+def step_logged(context):
+    events = [
+        event
+        for engine in context.home_simulation.vms.values()
+        for event in engine.board.timeline.events
+        if event.kind is EventKind.ENDPOINT_EJECTED
+    ]
+    assert events and all("load_age_ms" in event.details for event in events), events
+
+
+@then("{count:d} endpoint probes were sent by the VMs")
+def step_probes(context, count):
+    assert context.probe_count == count, context.probe_count
+
+
+@then("each read was sent once to an endpoint")
+def step_sent_once(context):
+    context.home_simulation.run(SETTLING_S)
+    assert len(context.sent) == len(context.read_calls), (
+        len(context.sent),
+        len(context.read_calls),
+    )
+
+
+@then("no VM holds a load report, an ejection or statistics")
+def step_no_reports(context):
+    for engine in context.home_simulation.vms.values():
+        board = engine.board
+        assert not board.loads.is_reported and not board.loads.by_endpoint
+        assert not board.outliers.ejections and not board.outliers.endpoints
+
+
+@then("every VM reports loads")
+def step_all_report(context):
+    assert all(item.board.loads.is_reported for item in context.home_simulation.vms.values())
+
+
+@given("{count:d} VMs in the model, with load information that is {age:g} s old")
+def step_model(context, count, age):
+    context.model = (count, age)
+
+
+@when("they choose among three endpoints with {slots:d} slots under 0.9 of their capacity")
+def step_run_model(context, slots):
+    usual, loadmodel.LOAD = loadmodel.LOAD, HERD_LOAD
+    try:
+        count, age = context.model
+        context.evenness = run_model(PRODUCT_WAY, count, slots, age, MODEL_S, seed=1)
+    finally:
+        loadmodel.LOAD = usual
+
+
+@then("at most {limit:d} statements wait at an endpoint at any time")
+def step_queue(context, limit):
+    assert context.evenness.longest_queue <= limit, context.evenness.longest_queue
+
+
+@then("the statements at the endpoints differ by at most {limit:g} on average")
+def step_spread(context, limit):
+    assert context.evenness.spread <= limit, context.evenness.spread
+
+
+@given("a VM whose home VMs report {first:d} and {second:d} statements at two endpoints")
+def step_estimator(context, first, second):
+    simulation = context.home_simulation
+    board = simulation.vms["h1"].board
+    context.estimator = StaleLoadEstimator(board)
+    context.estimated = []
+    for name, count in (("x1", first), ("x2", second)):
+        endpoint = Endpoint(name, "", "zx", "x", 1)
+        endpoint.slots = 4
+        board.endpoints.by_name[name] = endpoint
+        board.endpoints.by_group.setdefault("x", []).append(endpoint)
+        board.homes.ranking_cache[(name, "")] = [ServingVM("home", "home", "zx")]
+        load = EndpointLoad(count, 0, 0.0, 0.2, simulation.clock.now())
+        board.loads.by_endpoint[name] = {"home": load}
+        context.estimated.append(endpoint)
+
+
+@when("the reports are {age:g} s old")
+def step_age(context, age):
+    now = context.home_simulation.clock.now()
+    for reports in context.estimator.board.loads.by_endpoint.values():
+        for report in reports.values():
+            report.measured_at = now - age
+
+
+@when("the VM has relayed {count:d} statements to the first endpoint since the report")
+def step_relayed_since(context, count):
+    board = context.estimator.board
+    endpoint = context.estimated[0]
+    for number in range(count):
+        connection = BackendConnection(number, endpoint.name, "", "x", "", board.clock.now())
+        connection.home = ServingVM("home", "home", "zx")
+        connection.state = ConnectionState.BUSY
+        board.connections.of(endpoint.name).append(connection)
+
+
+@then("the first endpoint is expected to have {low:g} to {high:g} statements")
+def step_expected(context, low, high):
+    statements = context.estimator.statements(context.estimated[0])
+    assert low <= statements <= high, statements
+
+
+@then("{low:g} to {high:g} of the requests are moved from the first endpoint to the second")
+def step_moved(context, low, high):
+    first, second = context.estimated
+    selector = SpreadOption(
+        context.estimator.board, context.estimator, context.home_simulation.randomness
+    )
+    context.estimator.board.loads.is_reported = True
+    load_s = context.estimator.expected_wait_s(first, None)
+    options = [
+        ServingOption(first, None, load_s, load_s),
+        ServingOption(second, None, CROSS_ZONE_COST_S, 0.0),
+    ]
+    chosen = [selector.choose(ModelRequest(), options).endpoint for _ in range(DRAWS)]
+    share = chosen.count(second) / DRAWS
+    assert low <= share <= high, share
+
+
+@then("nothing is known of the first endpoint's wait")
+def step_unknown(context):
+    assert context.estimator.expected_wait_s(context.estimated[0], None) is None
+
+
+@then("the VMs of {size:g} cores are home VMs {low:g} to {high:g} times as often as the others")
+def step_homes_by_size(context, size, low, high):
+    board = next(iter(context.home_simulation.vms.values())).board
+    vms = [vm for zone_vms in board.homes.by_zone.values() for vm in zone_vms]
+    counts = Counter(rendezvous_order(f"e{number}", vms)[0].size for number in range(3000))
+    other = sum(counts.values()) - counts[size]
+    assert low <= counts[size] / other <= high, counts
+
+
+@then("the parts of the home VMs of {endpoint:w} add up to 1, in proportion to their sizes")
+def step_parts(context, endpoint):
+    board = next(iter(context.home_simulation.vms.values())).board
+    item = board.endpoints.by_name[endpoint]
+    homes = board.homes.of_endpoint(item.name, item.zone, item.slots)
+    parts = {vm.name: board.homes.work_share(homes, vm.name) for vm in homes}
+    assert abs(sum(parts.values()) - 1.0) < 1e-9, parts
+    ratios = {round(parts[vm.name] / vm.size, 9) for vm in homes}
+    assert len(ratios) == 1, (parts, ratios)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -18,6 +18,7 @@
 from .members import Members
 from .observations import Observations
 from .outbox import Outbox
+from .outliers import Outliers
 from .queues import Queues
 from .rate_limits import RateLimits
 from .relays import Relays
@@ -57,6 +58,7 @@
         "transactions",
         "members",
         "outbox",
+        "outliers",
         "timeline",
         "started_at",
         "failing_loops",
@@ -84,6 +86,7 @@
         self.transactions = Transactions()
         self.members = Members()
         self.outbox = Outbox()
+        self.outliers = Outliers()
         self.started_at = clock.now()
         self.failing_loops: set[str] = set()
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
@@ -42,13 +42,28 @@
 
 
 class Loads:
-    """The newest reports, by endpoint and home VM; `is_reported` enables sending them."""
+    """The newest reports, by endpoint and home VM; `is_reported` enables sending them.
 
-    __slots__ = ("by_endpoint", "is_reported")
+    `migrations` counts the requests that went to another endpoint because of the load, the newest
+    one by information of the age `decided_age_s` in seconds.
+    """
+
+    __slots__ = ("by_endpoint", "is_reported", "migrations", "decided_age_s")
 
     def __init__(self) -> None:
         self.by_endpoint: dict[str, dict[str, EndpointLoad]] = {}
         self.is_reported = False
+        self.migrations = 0
+        self.decided_age_s = 0.0
+
+    def recent(self, endpoint: str, now: float) -> dict[str, EndpointLoad]:
+        """Return the recent reports on an endpoint by home VM."""
+        reports = self.by_endpoint.get(endpoint, {})
+        return {
+            name: report
+            for name, report in reports.items()
+            if now - report.measured_at <= MAX_REPORT_AGE_S
+        }
 
     def of_home(self, endpoint: str, home: str, now: float) -> EndpointLoad | None:
         """Return a home's report on an endpoint, unless it has none that is recent."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -28,7 +28,8 @@
 
     `handle` identifies the sender's connection and, if `in_transaction`, the transaction bound to
     it; `begins_transaction` marks its first statement. `wait_timeout_s` is the part of `timeout_s`
-    until the statement is sent. `reply` is the endpoint's reply, for which `waiter` waits.
+    until the statement is sent. `outliers` is the JSON form of the ejected endpoints that the
+    sender knows, or none. `reply` is the endpoint's reply, for which `waiter` waits.
     """
 
     __slots__ = (
@@ -49,6 +50,7 @@
         "begins_transaction",
         "in_transaction",
         "is_read_only",
+        "outliers",
         "reply",
         "waiter",
     )
@@ -84,6 +86,7 @@
         self.begins_transaction = False
         self.in_transaction = False
         self.is_read_only = False
+        self.outliers: dict[str, Any] | None = None
         self.reply: SessionReply | None = None
         self.waiter: Any = None
 
@@ -106,6 +109,7 @@
             exchange.timeout_s,
             wait_timeout_s,
         )
+        relayed.outliers = exchange.outliers
         transaction = request.session.transaction
         if transaction is not None:
             relayed.in_transaction = True
@@ -120,7 +124,7 @@
     def to_record(self) -> dict[str, Any]:
         """Return the JSON form."""
         prepared, position = self.prepared, self.min_position
-        return {
+        record = {
             "handle": self.handle,
             "endpoint": self.endpoint,
             "key_hash": self.key_hash,
@@ -139,6 +143,9 @@
                 [self.begins_transaction, self.is_read_only] if self.in_transaction else None
             ),
         }
+        if self.outliers is not None:
+            record["outliers"] = self.outliers
+        return record
 
     @classmethod
     def from_record(cls, record: dict[str, Any]) -> RelayedStatement:
@@ -163,6 +170,7 @@
         if record["transaction"] is not None:
             relayed.in_transaction = True
             relayed.begins_transaction, relayed.is_read_only = record["transaction"]
+        relayed.outliers = record.get("outliers")
         return relayed
 
 
@@ -182,6 +190,8 @@
     }
     if reply.load is not None:
         record["load"] = reply.load
+    if reply.outliers is not None:
+        record["outliers"] = reply.outliers
     return record
 
 
@@ -196,6 +206,7 @@
     for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
         setattr(reply, name, value)
     reply.load = record.get("load")
+    reply.outliers = record.get("outliers")
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -254,7 +254,8 @@
     the last round contains the caller's statement. `evicted` are idle connections to close first.
     `cleanup` is sent if the statement left a failed transaction. `proves_primary` is set if only
     the current primary can answer, so that the reply's position is taken as that of the primary.
-    `opens_transaction` marks the first statement of a caller's transaction.
+    `opens_transaction` marks the first statement of a caller's transaction. `outliers` is the JSON
+    form of the ejected endpoints, for a home VM, or none.
     """
 
     __slots__ = (
@@ -264,6 +265,7 @@
         "cleanup",
         "proves_primary",
         "opens_transaction",
+        "outliers",
     )
 
     def __init__(
@@ -283,6 +285,7 @@
         self.cleanup = Step(StepKind.ROLLBACK)
         self.proves_primary = False
         self.opens_transaction = False
+        self.outliers: dict[str, Any] | None = None
 
 
 class SessionReply(Reply):
@@ -292,7 +295,8 @@
     this VM's own messages before it do not count. `keeps_transaction` is set if the connection is
     still in a transaction that can continue, `is_reusable` if the connection may be used again.
     `home_failed` is set if the home VM, which holds the connection, did not respond; that says
-    nothing about the endpoint. `load` is the JSON form of the home's load report, or none.
+    nothing about the endpoint. `load` is the JSON form of the home's load report, or none;
+    `outliers` is that of the ejected endpoints that it knows.
     """
 
     __slots__ = (
@@ -302,6 +306,7 @@
         "is_reusable",
         "home_failed",
         "load",
+        "outliers",
     )
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
@@ -312,6 +317,7 @@
         self.is_reusable = False
         self.home_failed = False
         self.load: list[float] | None = None
+        self.outliers: dict[str, Any] | None = None
 
 
 class SessionRequest(Request):
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
@@ -21,7 +21,19 @@
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
-        return {Topic.EXCHANGE_ENDED: self.on_exchange_ended}
+        return {
+            Topic.EXCHANGE_ENDED: self.on_exchange_ended,
+            Topic.HOMES_CHANGED: self.on_homes,
+        }
+
+    def on_homes(self, _entry: None) -> None:
+        """Report loads where priorities are scheduled or the VMs that serve callers differ."""
+        board = self.board
+        is_uneven = board.homes.differ_in_size()
+        board.loads.is_reported = board.settings.schedules_by_priority or is_uneven
+        if not board.loads.is_reported:
+            board.loads.by_endpoint.clear()
+            board.outliers.ejections.clear()
 
     def on_exchange_ended(self, request: SessionRequest) -> None:
         """Keep the report that came with the reply of a home VM."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
@@ -52,7 +52,7 @@
         """Return the home VM to relay the request to, or none to use a connection of this VM.
 
         This VM uses its own connection if it is the first available home of the workspace, or if
-        every home is suspected.
+        every home is suspected. A home that is slower than its peers is used if no other is left.
         """
         if request.relayed_statement is not None:
             return None
@@ -60,12 +60,16 @@
         homes = self.board.homes.of_workspace(
             endpoint.name, endpoint.zone, endpoint.slots, request.workspace
         )
+        slow_home = None
         for vm in homes:
             if vm.name == self.board.settings.member:
                 return None
-            if not self.board.homes.is_suspected(vm.name, now):
+            if self.board.homes.is_suspected(vm.name, now):
+                continue
+            if not self.board.outliers.is_home_ejected(vm.name, now):
                 return vm
-        return None
+            slow_home = slow_home or vm
+        return slow_home
 
     def lacks_usable_primary(self, request: SessionRequest) -> bool:
         """Return whether only a primary may serve the request and none will be available in time.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -24,7 +24,7 @@
     SessionTransaction,
 )
 from ...errors import ErrorCode
-from ...interfaces import EndpointFilter, EndpointSelector, WaitingPolicy
+from ...interfaces import EndpointFilter, EndpointSelector, LoadEstimator, WaitingPolicy
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -48,6 +48,7 @@
         filters: list[EndpointFilter] | None = None,
         selector: EndpointSelector | None = None,
         waiting: WaitingPolicy | None = None,
+        estimator: LoadEstimator | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -55,7 +56,7 @@
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
-        self._costs = EndpointCosts(board)
+        self._costs = EndpointCosts(board, estimator)
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -199,8 +200,9 @@
         options = []
         for endpoint in candidates:
             home = self.candidates.relay_target(request, endpoint)
-            cost = self._costs.serving_cost(request, endpoint, home)
-            options.append(ServingOption(endpoint, home, cost))
+            load_s = self._costs.reported_load_s(endpoint, home)
+            cost = self._costs.serving_cost(request, endpoint, home, load_s)
+            options.append(ServingOption(endpoint, home, cost, load_s or 0.0))
         return options
 
     def _start_exchange(
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
@@ -10,6 +10,7 @@
 from ...blackboard.endpoints import Endpoint
 from ...blackboard.homes import ServingVM
 from ...blackboard.sessions import SessionRequest
+from ...interfaces import LoadEstimator
 from ...positions import Position
 
 CONNECT_COST_S = 0.04  # 12 to 27 ms of an endpoint slot that others need, plus the wait for it
@@ -25,19 +26,29 @@
 
 
 class EndpointCosts:
-    """Estimates what it costs to serve a request at an endpoint, or to wait for a connection."""
+    """Estimates what it costs to serve a request at an endpoint, or to wait for a connection.
 
-    __slots__ = ("board",)
+    Where load is reported, the estimator gives the expected wait, otherwise this VM's own
+    statements.
+    """
 
-    def __init__(self, board: Board) -> None:
+    __slots__ = ("board", "estimator")
+
+    def __init__(self, board: Board, estimator: LoadEstimator | None = None) -> None:
         self.board = board
+        self.estimator = estimator
 
     def serving_cost(
-        self, request: SessionRequest, endpoint: Endpoint, home: ServingVM | None
+        self,
+        request: SessionRequest,
+        endpoint: Endpoint,
+        home: ServingVM | None,
+        load_s: float | None = None,
     ) -> float:
         """Return the cost of serving a request, infinite if the endpoint has no capacity for it.
 
         `home` is the VM that the statement would be relayed to, or none to serve it from this VM.
+        `load_s` is the result of `reported_load_s`.
         """
         connections = self.board.connections.of(endpoint.name)
         busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
@@ -45,8 +56,9 @@
             cost = self._connection_cost(request, endpoint, connections)
         else:
             cost = self._relay_cost(endpoint, connections)
-        cost += max(endpoint.latency, MIN_LATENCY_S) * (busy + 1)
-        cost += self._zone_cost(endpoint)
+        if load_s is None:
+            load_s = max(endpoint.latency, MIN_LATENCY_S) * (busy + 1)
+        cost += load_s + self._zone_cost(endpoint)
         if endpoint.name in request.tried_endpoints:
             cost += REPEATED_ENDPOINT_COST_S
         now = self.board.clock.now()
@@ -60,6 +72,13 @@
                 cost += LAGGING_COST_S if self._is_lagging(endpoint, required) else MIN_LATENCY_S
         return cost
 
+    def reported_load_s(self, endpoint: Endpoint, home: ServingVM | None) -> float | None:
+        """Return the time that load reports make likely for a statement, none without reports."""
+        if self.estimator is None or not self.board.loads.is_reported:
+            return None
+        wait_s = self.estimator.expected_wait_s(endpoint, home)
+        return None if wait_s is None else wait_s + self.estimator.service_s(endpoint)
+
     def _is_lagging(self, endpoint: Endpoint, required: Position) -> bool:
         """Return whether a replica that was behind a moment ago most likely lacks a position."""
         now = self.board.clock.now()
@@ -105,7 +124,9 @@
         `waiting` is the number of the workspace's requests that are queued before this one.
         """
         best = float("inf")
-        for endpoint in candidates:
+        outliers = self.board.outliers
+        healthy = [item for item in candidates if outliers.share_of(item.name) >= 1.0]
+        for endpoint in healthy or candidates:
             connections = self.board.connections.of(endpoint.name)
             busy = sum(
                 1
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/selection.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/selection.py
@@ -11,14 +11,18 @@
     """One way to serve a request: at an endpoint, through a home VM or this VM's own connections.
 
     `cost` is in seconds, infinite if there is no capacity; `home` is none for an own connection.
+    `load_s` is the part of the cost that old load information gives, 0 if there is none.
     """
 
-    __slots__ = ("endpoint", "home", "cost")
+    __slots__ = ("endpoint", "home", "cost", "load_s")
 
-    def __init__(self, endpoint: Endpoint, home: ServingVM | None, cost: float) -> None:
+    def __init__(
+        self, endpoint: Endpoint, home: ServingVM | None, cost: float, load_s: float = 0.0
+    ) -> None:
         self.endpoint = endpoint
         self.home = home
         self.cost = cost
+        self.load_s = load_s
 
     def has_capacity(self) -> bool:
         """Return whether the request can be sent this way now."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -105,6 +105,7 @@
             reply = self._refusal_reply(code, refusal.message if refusal else "")
         if self.board.loads.is_reported:
             reply.load = self._load_record(request)
+            reply.outliers = self.board.outliers.to_record(self.board.clock.now())
         self._answer(relayed_statement, reply)
 
     def on_due(self, _entry: None) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -8,7 +8,12 @@
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
 from .controllers.allocator import AllocatorController
-from .controllers.balancing import LoadController
+from .controllers.balancing import (
+    LoadController,
+    OutlierController,
+    SpreadOption,
+    StaleLoadEstimator,
+)
 from .controllers.completion import CompletionController
 from .controllers.configuration import ConfigurationController
 from .controllers.dispatch import DispatchController
@@ -109,6 +114,8 @@
         board = Board(settings, clock, Timeline(settings.member, wall_clock))
         configuration = ConfigurationController(board)
         invariants = InvariantController(board, SESSION_DISPATCH_RULES, SESSION_COMPLETION_RULES)
+        estimator = StaleLoadEstimator(board)
+        selector = SpreadOption(board, estimator, randomness)
         controllers: list[Controller] = [
             ElectionController(board, randomness),
             ReplicationController(board),
@@ -119,9 +126,10 @@
             AllocatorController(board),
             HomeController(board),
             LoadController(board),
+            OutlierController(board, estimator, randomness),
             EndpointController(board),
             ObservationController(board),
-            PlacementController(board),
+            PlacementController(board, selector=selector, estimator=estimator),
             CompletionController(board, RetryBudget()),
             SessionController(board),
             RelayController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -74,3 +74,9 @@
 
         None if nothing recent is known of the endpoint through this home VM.
         """
+
+    def service_s(self, endpoint: Endpoint) -> float:
+        """Return the seconds that the endpoint takes for a statement, without any wait."""
+
+    def age_s(self, endpoint: Endpoint) -> float | None:
+        """Return the age of the newest report on an endpoint, None without a recent one."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -35,6 +35,7 @@
 from gentianspread_core.controllers import dispatch, failover, keys, steps
 from gentianspread_core.controllers.acknowledgement import AcknowledgementController
 from gentianspread_core.controllers.allocator import AllocatorController
+from gentianspread_core.controllers.balancing import StaleLoadEstimator
 from gentianspread_core.controllers.configuration import ConfigurationController
 from gentianspread_core.controllers.election import ElectionController
 from gentianspread_core.controllers.groupview import GroupView
@@ -353,6 +354,9 @@
     Mutant("stops cut transactions", Shutdown, "accepts_in_transaction", constant(True)),
     Mutant("failed set-ups keep connections", endpoints, "SETUP_KINDS", frozenset()),
     Mutant("lost writes are retried", SessionRequest, "is_standalone_read", constant(True)),
+    Mutant("age ignored", StaleLoadEstimator, "weight", constant(1.0)),
+    Mutant("age ignored when work is moved", StaleLoadEstimator, "age_s", constant(0.0)),
+    Mutant("own requests in flight ignored", StaleLoadEstimator, "unreported", constant(0)),
 )
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/plots.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/plots.py
@@ -24,3 +24,16 @@
     pyplot.tight_layout()
     pyplot.savefig(path)
     pyplot.close()
+
+
+def plot_series(series: dict[str, list[float]], labels: list[str], unit: str, path: str) -> None:
+    """Draw one line for each series over the labels of the horizontal axis."""
+    pyplot.figure(figsize=(WIDTH_IN, HEIGHT_IN))
+    for name, values in series.items():
+        pyplot.plot(labels, values, marker=".", label=name)
+    pyplot.ylabel(unit)
+    pyplot.yscale("log")
+    pyplot.legend(fontsize="x-small")
+    pyplot.tight_layout()
+    pyplot.savefig(path)
+    pyplot.close()
