--- a/packages/gentianspread-lab/src/gentianspread_lab/loadmodel.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/loadmodel.py
@@ -1,7 +1,6 @@
 """Network-free model of many VMs that choose endpoints by old load information.
 
-Compares ways to choose, with the estimator and selectors of the product. Run as
-python -m gentianspread_lab.loadmodel; prints a table and draws `out/load-model.png`.
+Runs the estimator and the selectors of the product; `loadtable` compares ways to choose with it.
 
 One group of endpoints gets `LOAD` of the statements that its slots can run. With a skew, each VM is
 in the zone of one endpoint, the others cost `CROSS_ZONE_COST_S` more, and that share of the
@@ -13,13 +12,11 @@
 from __future__ import annotations
 
 import heapq
-import os
 import random
 import statistics
 from collections import deque
 from collections.abc import Callable
 
-from absl import app, flags
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.connections import BackendConnection, ConnectionState
 from gentianspread_core.blackboard.endpoints import Endpoint
@@ -32,7 +29,6 @@
 
 from .fakes.clock import FakeClock
 from .loadways import WAYS, FixedOption
-from .plots import plot_series
 
 GROUP = "g"
 SERVICE_S = 0.02
@@ -42,15 +38,6 @@
 WARM_UP_S = 2.0
 WORKSPACES = 32
 SMOOTHING = 0.1  # as of the endpoint controller's latency
-PLOT_PATH = "out/load-model.png"
-
-flags.DEFINE_list("vms", ["30", "143", "300"], "Numbers of VMs.")
-flags.DEFINE_list("slots", ["4"], "Numbers of slots of each endpoint.")
-flags.DEFINE_list("ages", ["0", "0.1", "0.5", "1", "2"], "Intervals of load reports in seconds.")
-flags.DEFINE_list("ways", [], "Names of the ways to compare; all if empty.")
-flags.DEFINE_float("duration", 8.0, "Simulated seconds that are measured.")
-flags.DEFINE_float("skew", 0.0, "Share of the statements in the first zone; 0: no zones.")
-flags.DEFINE_integer("seed", 1, "Seed of the random numbers.")
 
 
 class ModelStatement:
@@ -340,37 +327,3 @@
     model = LoadModel(WAYS[way], vm_count, slots, interval_s, seed, skew)
     model.run(duration_s)
     return measure_evenness(model.samples, slots, model.waits)
-
-
-def main(_arguments: list[str]) -> None:
-    """Print the table and draw the plot."""
-    options = flags.FLAGS
-    print(f"{'way':<30} VMs slots  age | spread uneven   for queue |  wait   p99")
-    series: dict[str, list[float]] = {}
-    for vm_count in map(int, options.vms):
-        for slots in map(int, options.slots):
-            for age in options.ages:
-                for way in options.ways or WAYS:
-                    item = run_model(
-                        way,
-                        vm_count,
-                        slots,
-                        float(age),
-                        options.duration,
-                        options.seed,
-                        options.skew,
-                    )
-                    series.setdefault(f"{way}, {vm_count} VMs", []).append(item.late_wait_ms)
-                    print(
-                        f"{way:<30} {vm_count:>3} {slots:>5} {age:>4} | {item.spread:>6.2f} "
-                        f"{item.uneven_share:>6.3f} {item.uneven_ms:>5.0f} "
-                        f"{item.longest_queue:>5} | {item.wait_ms:>5.1f} {item.late_wait_ms:>5.0f}",
-                        flush=True,
-                    )
-    os.makedirs(os.path.dirname(PLOT_PATH), exist_ok=True)
-    labels = [f"{age} s, {slots} slots" for slots in options.slots for age in options.ages]
-    plot_series(series, labels, "99th percentile of the wait in ms", PLOT_PATH)
-
-
-if __name__ == "__main__":
-    app.run(main)
