--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -145,15 +145,15 @@
         request.tried_endpoints.add(request.endpoint or "")
         if refusal.code in PERMANENT_CODES:
             self._refuse(request, refusal)
-        elif self._may_retry(request, now + backoff):
+        elif self._may_retry(request, now + backoff, refusal.code):
             self._log(EventKind.REQUEST_RETRIED, request, refusal.code.value, refusal.message)
             self.board.changes.post_at(now + backoff, Topic.REQUEST_RETRIED, request)
         else:
             self._refuse(request, refusal)
 
-    def _may_retry(self, request: SessionRequest, retried_at: float) -> bool:
+    def _may_retry(self, request: SessionRequest, retried_at: float, code: ErrorCode) -> bool:
         in_time = retried_at < request.wait_deadline and request.attempts < MAX_ATTEMPTS
-        return in_time and self.retries.allows(request)
+        return in_time and self.retries.allows(request, code)
 
     def _succeed(
         self, request: SessionRequest, rows: list[str], reply: SessionReply | None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/retries.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/retries.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from ..blackboard.sessions import SessionRequest
+from ..errors import ErrorCode
 
-RETRIES_PER_REQUEST = (
-    0.1  # overloaded endpoints get at most a tenth more, however many VMs there are
-)
+RETRIES_PER_REQUEST = 0.1  # overloaded endpoints get at most a tenth more, however many the VMs
 MAX_SAVED_RETRIES = 10.0  # a VM of a large fleet has fewer statements under way when a zone fails
 RETRIES_RESERVED_PER_PRIORITY = 2.0  # for each higher priority; a few requests that fail together
+OVERLOAD_CODES = frozenset(
+    {ErrorCode.OVERLOADED, ErrorCode.DEADLINE_PASSED, ErrorCode.CONNECTION_LIMIT}
+)
 
 
 class RetryBudget:
@@ -42,7 +44,7 @@
     def count(self, request: SessionRequest) -> None:
         """Do nothing."""
 
-    def allows(self, request: SessionRequest) -> bool:
+    def allows(self, request: SessionRequest, code: ErrorCode) -> bool:
         """Return true."""
         return True
 
@@ -50,6 +52,8 @@
 class PriorityRetryBudget:
     """Allows a share of the first attempts as retries; lower priorities leave some for higher ones.
 
+    Only retries after a sign of overload count. A replica that lags, an endpoint that has lost the
+    lead or one that fails its statements leaves the work to others that have capacity for it.
     Source: "Handling Overload" in "Site Reliability Engineering" (Beyer and others, 2016).
     """
 
@@ -63,8 +67,10 @@
         if request.attempts == 1 and request.relayed_statement is None:
             self.tokens = min(MAX_SAVED_RETRIES, self.tokens + RETRIES_PER_REQUEST)
 
-    def allows(self, request: SessionRequest) -> bool:
-        """Return whether the request may be retried, and if so, take one retry from the budget."""
+    def allows(self, request: SessionRequest, code: ErrorCode) -> bool:
+        """Return whether to retry after a code; after an overload, take a retry from the budget."""
+        if code not in OVERLOAD_CODES:
+            return True
         reserved = RETRIES_RESERVED_PER_PRIORITY * max(0, request.route.priority)
         if self.tokens < 1.0 + min(reserved, MAX_SAVED_RETRIES / 2):
             return False
