--- a/packages/gentianspread-cli/src/gentianspread_cli/views.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/views.py
@@ -32,6 +32,10 @@
     behind = [item["name"] for item in _sorted(status["members"]) if _is_behind(status, item)]
     if behind:
         lines.append(f"Revision {status['revision']} is not yet on: {', '.join(behind)}.")
+    evacuated = [item for item in status.get("evacuations", []) if item["is_active"]]
+    if evacuated:
+        zones = ", ".join(f"{item['zone']} (revision {item['revision']})" for item in evacuated)
+        lines.append(f"Evacuated zones: {zones}.")
     lines.append("VMs:")
     lines += [_member_line(status, member) for member in _sorted(status["members"])]
     lines.append("Database groups:")
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -11,6 +11,7 @@
 from .connections import Connections
 from .election import Election
 from .endpoints import Endpoints
+from .evacuations import Evacuations
 from .groups import Groups
 from .homes import HomeVMs
 from .loads import Loads
@@ -45,6 +46,7 @@
         "log",
         "connections",
         "endpoints",
+        "evacuations",
         "groups",
         "homes",
         "loads",
@@ -72,6 +74,7 @@
         self.log = ControlLog()
         self.connections = Connections()
         self.endpoints = Endpoints()
+        self.evacuations = Evacuations()
         self.groups = Groups()
         self.homes = HomeVMs()
         self.loads = Loads()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -29,6 +29,8 @@
     CHANGE_DECLARATION = "change_declaration"
     ENDPOINT_GONE = "endpoint_gone"
     DEPARTURES_COVERED = "departures_covered"
+    BEGIN_EVACUATION = "begin_evacuation"
+    FINISH_EVACUATION = "finish_evacuation"
     UNREADABLE = "unreadable"
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -111,13 +111,28 @@
         self.revision = revision
 
 
+class Evacuation:
+    """Whether an availability zone is evacuated.
+
+    `revision` is the index of the log entry that last changed this. A finished evacuation is kept,
+    so that a command based on an earlier revision is rejected.
+    """
+
+    __slots__ = ("zone", "is_active", "revision")
+
+    def __init__(self, zone: str, is_active: bool, revision: int) -> None:
+        self.zone = zone
+        self.is_active = is_active
+        self.revision = revision
+
+
 class Configuration:
     """The replicated state at one revision of the control log.
 
     `revision` is the index of the last applied log entry; `operator_revision` counts accepted
     operator changes only. `confirmed_at` is when a quorum last confirmed the configuration, in
     seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
-    control log.
+    control log. `evacuations` is replaced, never changed in place.
     """
 
     __slots__ = (
@@ -131,6 +146,7 @@
         "groups",
         "members",
         "allocators",
+        "evacuations",
         "voters",
         "learners",
         "incarnations",
@@ -150,6 +166,7 @@
         self.groups: dict[str, Group] = {}
         self.members: dict[str, Member] = {}
         self.allocators: dict[str, Allocator] = {}
+        self.evacuations: dict[str, Evacuation] = {}
         self.voters: list[str] = []
         self.learners: list[str] = []
         self.incarnations: dict[str, str] = {}
@@ -162,6 +179,16 @@
         held = self.incarnations.get(name, FOUNDING_INCARNATION)
         return name in self.voters and held == incarnation
 
+    def is_evacuated(self, zone: str) -> bool:
+        """Return whether an evacuation of the zone is in force."""
+        evacuation = self.evacuations.get(zone)
+        return evacuation is not None and evacuation.is_active
+
+    def evacuation_revision(self, zone: str) -> int:
+        """Return the revision at which the zone was last evacuated or brought back, or 0."""
+        evacuation = self.evacuations.get(zone)
+        return evacuation.revision if evacuation is not None else 0
+
     def may_have_group(self, name: str) -> bool:
         """Return whether endpoints of a group are accepted: a declaration must name the group."""
         declaration = self.declaration
@@ -204,6 +231,11 @@
     for table, kind in SNAPSHOT_TABLES.items():
         rows = getattr(configuration, table).values()
         snapshot[table] = [[getattr(row, slot) for slot in kind.__slots__] for row in rows]
+    if configuration.evacuations:
+        snapshot["evacuations"] = [
+            [item.zone, item.is_active, item.revision]
+            for item in configuration.evacuations.values()
+        ]
     return snapshot
 
 
@@ -249,6 +281,7 @@
     outcomes = {
         name: ChangeOutcome.from_record(item) for name, item in snapshot["outcomes"].items()
     }
+    evacuations = [Evacuation(*values) for values in snapshot.get("evacuations", [])]
     declared = snapshot.get("declaration")
     fields = {
         "revision": snapshot["revision"],
@@ -260,6 +293,7 @@
         "incarnations": dict(snapshot.get("incarnations", {})),
         "declaration": Declaration.from_record(declared) if declared else None,
         "outcomes": outcomes,
+        "evacuations": {item.zone: item for item in evacuations},
         **tables,
     }
     for name, value in fields.items():
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -112,10 +112,10 @@
     """A transaction of a session, bound to a connection by its first statement for an endpoint.
 
     `route` is the one in effect when it began; changes to it apply from the next transaction.
-    `began_at` and `last_used` are in seconds of the VM's monotonic clock.
+    `began_at` and `last_used` are in seconds of the VM's clock; `is_revoked` if this VM ended it.
     """
 
-    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "has_written")
+    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "is_revoked")
 
     def __init__(self, is_read_only: bool, route: Route, now: float) -> None:
         self.is_read_only = is_read_only
@@ -123,7 +123,7 @@
         self.began_at = now
         self.last_used = now
         self.connection: BackendConnection | None = None
-        self.has_written = False
+        self.is_revoked = False
 
 
 class Session:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -6,7 +6,12 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
-from ..blackboard.configuration import load_snapshot, to_diskless_snapshot, to_snapshot
+from ..blackboard.configuration import (
+    Evacuation,
+    load_snapshot,
+    to_diskless_snapshot,
+    to_snapshot,
+)
 from ..blackboard.declarations import Declaration
 from ..blackboard.log import EntryHistory, LogEntry, Snapshot
 from ..blackboard.timeline import EventKind
@@ -87,24 +92,27 @@
     def on_committed(self, entries: list[LogEntry]) -> None:
         """Apply entries of this VM's own control log."""
         before = self.board.configuration.revision
+        evacuations = self.board.configuration.evacuations
         for entry in entries:
             self._apply(entry)
-        self._post_change(before)
+        self._post_change(before, evacuations)
 
     def on_snapshot(self, snapshot: Snapshot) -> None:
         """Load a snapshot that this VM's control log installed."""
         before = self.board.configuration.revision
+        evacuations = self.board.configuration.evacuations
         self._load(snapshot.state, snapshot.index)
-        self._post_change(before)
+        self._post_change(before, evacuations)
 
     def on_received(self, update: ConfigurationUpdate) -> None:
         """Apply an update from another VM if it is newer."""
         before = self.board.configuration.revision
+        evacuations = self.board.configuration.evacuations
         if update.snapshot is not None:
             self._load(update.snapshot, update.snapshot["revision"])
         for entry in update.entries:
             self._apply(entry)
-        self._post_change(before)
+        self._post_change(before, evacuations)
         if self.board.configuration.revision >= update.revision:
             self.on_confirmed(update.confirmed_at)
 
@@ -221,11 +229,23 @@
             EventKind.FRESHNESS_LOST, "a change does not fit the current declaration"
         )
 
-    def _post_change(self, before: int) -> None:
+    def _post_change(self, before: int, evacuations: dict[str, Evacuation]) -> None:
         revision = self.board.configuration.revision
         if revision == before:
             return
+        if _differ(self.board.configuration.evacuations, evacuations):
+            # What was acknowledged before the last confirmation was known here by then.
+            confirmed_at = self.board.configuration.confirmed_at
+            self.board.changes.post(Topic.EVACUATIONS_CHANGED, confirmed_at)
         kinds = ", ".join(dict.fromkeys(self._applied_kinds)) or "snapshot"
         self._applied_kinds.clear()
         self.board.timeline.record(EventKind.CONFIGURATION_APPLIED, f"revision {revision}", kinds)
         self.board.changes.post(Topic.CONFIGURATION_CHANGED, revision)
+
+
+def _differ(current: dict[str, Evacuation], before: dict[str, Evacuation]) -> bool:
+    """Return whether the state of any zone has changed; a snapshot replaces all of them."""
+    if current is before:
+        return False
+    changed_at = {zone: item.revision for zone, item in current.items()}
+    return changed_at != {zone: item.revision for zone, item in before.items()}
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/filter.py
@@ -0,0 +1,35 @@
+"""Which endpoints of evacuated zones may still serve a request."""
+
+from __future__ import annotations
+
+from ...blackboard import Board
+from ...blackboard.endpoints import Endpoint
+from ...blackboard.sessions import SessionRequest
+
+
+class EvacuationFilter:
+    """Excludes the endpoints of evacuated zones, at once where another endpoint can serve.
+
+    Requests that only the primary can run, and reads of a group that has no usable endpoint
+    elsewhere, are allowed until the evacuation's `requests_end_at`.
+    """
+
+    __slots__ = ("board",)
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    def allows(self, request: SessionRequest, endpoint: Endpoint) -> bool:
+        """Return whether the endpoint may serve the request."""
+        evacuation = self.board.evacuations.by_zone.get(endpoint.zone)
+        if evacuation is None:
+            return True
+        if self.board.clock.now() >= evacuation.requests_end_at:
+            return False
+        needs_primary = request.min_position is None
+        return needs_primary or not self._has_endpoint_outside(endpoint.group)
+
+    def _has_endpoint_outside(self, group: str) -> bool:
+        evacuated = self.board.evacuations.by_zone
+        endpoints = self.board.endpoints.by_group.get(group, ())
+        return any(item.zone not in evacuated and item.is_usable() for item in endpoints)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -41,6 +41,10 @@
         health = self.board.groups.health.get(name)
         return health is not None and health.probed and health.failures == 0
 
+    def is_staying(self, endpoint: Registration) -> bool:
+        """Return whether an endpoint is neither leaving nor in an evacuated zone."""
+        return not endpoint.leaving and not self.board.configuration.is_evacuated(endpoint.zone)
+
     def last_departure_at(self, group: Group) -> float | None:
         """Return when the last of the departed replicas was first seen as departed, or none.
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
@@ -43,6 +43,18 @@
     def _is_allowed(self, request: SessionRequest, endpoint: Endpoint) -> bool:
         return all(item.allows(request, endpoint) for item in self.filters)
 
+    def is_excluded_everywhere(self, request: SessionRequest) -> bool:
+        """Return whether filters exclude every endpoint that could serve the request soon.
+
+        An endpoint that they allow could serve a request for the primary after a handover.
+        """
+        if request.relayed_statement is not None:
+            pinned = self.board.endpoints.by_name.get(request.relayed_statement.endpoint)
+            return pinned is not None and not self._is_allowed(request, pinned)
+        endpoints = self.board.endpoints.by_group.get(request.group, [])
+        allowed = [item for item in endpoints if self._is_allowed(request, item)]
+        return len(allowed) < len(endpoints) and not any(item.is_usable() for item in allowed)
+
     def primary_of(self, group: str) -> Endpoint | None:
         """Return the primary of a group, if it is known."""
         configured = self.board.configuration.groups.get(group)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -14,6 +14,7 @@
 from ...blackboard import Board, Topic
 from ...blackboard.connections import BackendConnection, ConnectionState
 from ...blackboard.endpoints import Endpoint
+from ...blackboard.evacuations import ZoneEvacuation
 from ...blackboard.outbox import PoolFlush
 from ...blackboard.queues import WaitingQueue
 from ...blackboard.requests import StatementKind
@@ -69,6 +70,7 @@
             Topic.CONFIGURATION_CHANGED: self.on_configuration,
             Topic.INTENT_POSTED: self.on_intent,
             Topic.HOMES_CHANGED: self.on_homes,
+            Topic.EVACUATION_PHASE_BEGAN: self.on_evacuation_phase,
         }
 
     def on_permitted(self, request: SessionRequest) -> None:
@@ -139,10 +141,11 @@
                 should_close = is_gone or registration.leaving
                 if should_close and connection.state is ConnectionState.IDLE:
                     self.pool.close(connection)
-        for group in {*self.board.queues.reads, *self.board.queues.writes}:
-            self._drain_group(group)
-        for queue in self.board.queues.pinned.values():
-            self._drain_queue(queue)
+        self._drain_all()
+
+    def on_evacuation_phase(self, _evacuation: ZoneEvacuation) -> None:
+        """Place the queued requests elsewhere, or refuse them if no endpoint is allowed."""
+        self._drain_all()
 
     def on_homes(self, _entry: None) -> None:
         """Close idle connections to endpoints that this VM is not a home of."""
@@ -265,6 +268,8 @@
             request.timer = self.board.changes.post_at(
                 request.wait_deadline, Topic.REQUEST_EXPIRED, request
             )
+        if self._refuse_if_excluded(request):
+            return
         if request.relayed_statement is not None and not self.candidates.of_request(request):
             request.refuse(
                 ErrorCode.NO_ENDPOINT, f"{request.relayed_statement.endpoint} gives no answer."
@@ -280,6 +285,21 @@
             rejected.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
             self.board.changes.post(Topic.REQUEST_REFUSED, rejected)
 
+    def _refuse_if_excluded(self, request: SessionRequest) -> bool:
+        """Refuse a request that filters allow no endpoint for; return whether it was refused."""
+        if not self.candidates.is_excluded_everywhere(request):
+            return False
+        message = f"No endpoint of {request.group} outside the evacuated zones can serve this."
+        request.refuse(ErrorCode.ZONE_EVACUATED, message)
+        self.board.changes.post(Topic.REQUEST_REFUSED, request)
+        return True
+
+    def _drain_all(self) -> None:
+        for group in {*self.board.queues.reads, *self.board.queues.writes}:
+            self._drain_group(group)
+        for queue in self.board.queues.pinned.values():
+            self._drain_queue(queue)
+
     def _drain_group(self, group: str) -> None:
         """Retry the queued requests of a group."""
         for queue in self.queues.of_group(group):
@@ -301,7 +321,7 @@
         if not self._check_deadline_and_key(request):
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
             return True
-        if self._try_place(request):
+        if self._try_place(request) or self._refuse_if_excluded(request):
             return True
         self.waiting.put_back(queue, key, request)
         return False
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -21,8 +21,8 @@
 from ..blackboard.outbox import EndpointCommand, EndpointCommandKind
 from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
-from ..positions import Position
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
+from .successors import Successors
 
 PROMOTION_COOLDOWN_S = 1.5  # an endpoint becomes primary some hundred milliseconds after the call
 COMMAND_TIMEOUT_S = 0.5  # a command waits for a slot, which a statement may hold for 60 ms
@@ -35,11 +35,12 @@
 class PromotionController:
     """Owns the promotions of groups whose terms the database assigns."""
 
-    __slots__ = ("board", "view", "_next_attempt_at", "_failed_resumes")
+    __slots__ = ("board", "view", "successors", "_next_attempt_at", "_failed_resumes")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self.view = GroupView(board)
+        self.successors = Successors(board, self.view)
         self._next_attempt_at: dict[str, float] = {}
         self._failed_resumes: list[EndpointCommand] = []
 
@@ -148,25 +149,13 @@
         """
         if group.granted_term != group.term:
             return False
-        reported = self._reported_primary(group.name)
+        reported = self.successors.reported_primary(group.name)
         if reported is None or reported == group.primary:
             return False
         self._delay_next_attempt(group.name, RETRY_DELAY_S)
         self._propose_primary(group.name, group.term, reported)
         return True
 
-    def _reported_primary(self, group_name: str) -> str | None:
-        """Return the endpoint with the newest position that reports itself as primary, if any."""
-        best: str | None = None
-        best_position: Position | None = None
-        for endpoint in self.view.endpoints_of(group_name):
-            health = self.board.groups.health.get(endpoint.name)
-            if health is None or not health.is_primary or health.position is None:
-                continue
-            if best_position is None or health.position.reaches(best_position):
-                best, best_position = endpoint.name, health.position
-        return best
-
     def _promotion_reason(self, group: Group) -> str:
         """Return why the group needs a promotion, or an empty text."""
         if group.primary is None:
@@ -183,17 +172,7 @@
             return f"the primary {group.primary} reports that it does not lead"
         if group.granted_term != group.term:
             return "the outcome of an earlier promotion is unknown"
-        if registration.leaving and self._has_successor(group):
-            return f"the primary {group.primary} is leaving"
-        return ""
-
-    def _has_successor(self, group: Group) -> bool:
-        return any(
-            not endpoint.leaving
-            and endpoint.name != group.primary
-            and self.view.is_healthy(endpoint.name)
-            for endpoint in self.view.endpoints_of(group.name)
-        )
+        return self.successors.handover_reason(group, registration)
 
     def _start_promotion(self, group: Group, reason: str) -> None:
         fencing_token = group.granted_term + 1
@@ -213,7 +192,7 @@
         is_alive = health is not None and health.probed and health.failures == 0
         registration = self.board.configuration.endpoints.get(group.primary or "")
         if is_alive and health.is_primary and registration is not None:
-            if registration.leaving and self._has_successor(group):
+            if self.successors.handover_reason(group, registration):
                 promotion.is_planned = True
                 promotion.phase = "stepping down"
                 self._send_command(EndpointCommandKind.STEP_DOWN, registration, promotion)
@@ -232,19 +211,20 @@
 
     def _handle_step_down(self, promotion: Promotion, command: EndpointCommand) -> None:
         if not command.accepted or command.position is None:
-            self._abort(promotion, "the leaving primary did not step down")
+            self._abort(promotion, "the primary did not step down")
             return
         promotion.step_down_position = command.position
         promotion.received_positions[command.endpoint] = command.position
         self._request_positions(promotion)
 
     def _request_positions(self, promotion: Promotion) -> None:
-        """Ask the replicas that are not leaving for their positions."""
+        """Ask the replicas that stay for their positions."""
         promotion.phase = "catching up"
         promotion.due = self.board.clock.now() + CATCH_UP_POLL_INTERVAL_S
         group = self.board.configuration.groups[promotion.group]
         for replica in self.view.replicas(group):
-            if not replica.leaving and replica.name not in promotion.pending_endpoints:
+            is_pending = replica.name in promotion.pending_endpoints
+            if self.view.is_staying(replica) and not is_pending:
                 self._send_command(EndpointCommandKind.RESUME_REPLICATION, replica, promotion)
         self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
 
@@ -261,7 +241,7 @@
             elif promotion.received_positions and self._can_promote_without_missing(
                 group, promotion, missing
             ):
-                self._send_promote(promotion, self._most_advanced(promotion))
+                self._send_promote(promotion, self.successors.most_advanced(promotion))
             elif not promotion.pending_endpoints:
                 reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
                 self._abort(promotion, reason)
@@ -295,20 +275,6 @@
             self.view.can_promote_without(promotion, replica, positions) for replica in missing
         )
 
-    def _most_advanced(self, promotion: Promotion) -> str:
-        """Return the endpoint that has received most; among equals, one that is not leaving."""
-        best = next(iter(promotion.received_positions))
-        for name, position in promotion.received_positions.items():
-            is_ahead = not promotion.received_positions[best].reaches(position)
-            is_equal = promotion.received_positions[best] == position
-            if is_ahead or (is_equal and self._is_leaving(best)):
-                best = name
-        return best
-
-    def _is_leaving(self, name: str) -> bool:
-        registration = self.board.configuration.endpoints.get(name)
-        return registration is None or registration.leaving
-
     def _send_promote(self, promotion: Promotion, target: str) -> None:
         promotion.phase = "calling"
         promotion.target = target
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -59,6 +59,7 @@
             Topic.STATEMENT_ARRIVED: self.on_statement,
             Topic.REQUEST_DONE: self.on_done,
             Topic.SESSION_CHECK_DUE: self.on_due,
+            Topic.TRANSACTION_REVOKED: self.on_revoked,
         }
 
     def on_opened(self, session: Session) -> None:
@@ -131,6 +132,19 @@
         else:
             self._schedule_idle_check(session)
 
+    def on_revoked(self, session: Session) -> None:
+        """Fail an open transaction that this VM ends; its next statement is told so.
+
+        A statement under way goes on, and the transaction ends after it.
+        """
+        transaction = session.transaction
+        if transaction is None or session.closed or session.state is not SessionState.OPEN:
+            return
+        if session.call is None:
+            session.state = SessionState.FAILED
+            transaction.is_revoked = True
+            self.board.changes.post(Topic.TRANSACTION_ENDED, transaction)
+
     def _has_configuration(self) -> bool:
         return self.board.configuration.declaration is not None and self.board.is_fresh()
 
@@ -186,6 +200,10 @@
     def _answer_in_failed_transaction(self, call: StatementCall) -> None:
         """Answer a statement in a failed transaction; only a commit or rollback is accepted."""
         session, verb = call.session, call.statement.verb
+        if verb not in ENDING_VERBS and session.transaction.is_revoked:
+            session.transaction.is_revoked = False
+            self._refuse(call, ErrorCode.TRANSACTION_UNKNOWN, "The transaction was rolled back.")
+            return
         if verb not in ENDING_VERBS:
             self._refuse(call, ErrorCode.BAD_REQUEST, "The transaction failed; end it first.")
             return
@@ -247,8 +265,6 @@
             self._end_transaction(session)
         elif session.transaction is not None:
             session.transaction.last_used = self.board.clock.now()
-            if request.kind is StatementKind.WRITE:
-                session.transaction.has_written = True
 
     def _apply_refusal(self, session: Session, request: SessionRequest) -> None:
         """Fail the transaction of a refused statement; a refused commit or rollback ends it."""
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -14,6 +14,7 @@
 from .controllers.dispatch import DispatchController
 from .controllers.election import ElectionController
 from .controllers.endpoints import EndpointController
+from .controllers.evacuation import EvacuationController, EvacuationFilter
 from .controllers.failover import FailoverController
 from .controllers.health import HealthController
 from .controllers.homes import HomeController
@@ -121,7 +122,8 @@
             LoadController(board),
             EndpointController(board),
             ObservationController(board),
-            PlacementController(board),
+            EvacuationController(board),
+            PlacementController(board, [EvacuationFilter(board)]),
             CompletionController(board, RetryBudget()),
             SessionController(board),
             RelayController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/errors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/errors.py
@@ -42,6 +42,7 @@
     CONNECTION_LIMIT = "connection_limit"
     INVALID_DECLARATION = "invalid_declaration"
     UNREADABLE_ENTRY = "unreadable_entry"
+    ZONE_EVACUATED = "zone_evacuated"
 
 
 REMEDIES = {
@@ -70,6 +71,7 @@
     ErrorCode.CONNECTION_LIMIT: "Send the request again after a short pause.",
     ErrorCode.INVALID_DECLARATION: "Correct the declaration as the message says.",
     ErrorCode.UNREADABLE_ENTRY: "Correct the sender of the entry; it was ignored.",
+    ErrorCode.ZONE_EVACUATED: "Send the request again; finish the evacuation of a zone.",
     ErrorCode.STORAGE_FAILED: "Check the disk of the data folder and restart the VM.",
 }
 
--- a/packages/gentianspread-core/src/gentianspread_core/invariants/session_rules.py
+++ b/packages/gentianspread-core/src/gentianspread_core/invariants/session_rules.py
@@ -35,6 +35,15 @@
     return endpoint is not None and not endpoint.leaving
 
 
+def _zone_is_not_evacuated(board: Board, request: SessionRequest) -> bool:
+    """Return whether the endpoint's zone takes requests, or may within an evacuation's bound."""
+    endpoint = board.endpoints.by_name.get(request.endpoint or "")
+    if endpoint is None or not board.configuration.is_evacuated(endpoint.zone):
+        return True
+    evacuation = board.evacuations.by_zone.get(endpoint.zone)
+    return evacuation is not None and board.clock.now() <= evacuation.bound_ends_at
+
+
 def _transaction_keeps_connection(board: Board, request: SessionRequest) -> bool:
     transaction = request.session.transaction
     if transaction is None or transaction.connection is None:
@@ -77,6 +86,7 @@
     ),
     Rule("no workspace gets more than its rate and burst", _has_rate_limit_permit),
     Rule("a leaving endpoint gets no new work", _endpoint_accepts_request),
+    Rule("an evacuated zone gets no requests after the bound", _zone_is_not_evacuated),
     Rule("statements of transactions never mix", _transaction_keeps_connection),
     Rule("a statement runs with its session's values", _connection_has_session_values),
 )
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -14,6 +14,7 @@
 from .blackboard.configuration import (
     Allocator,
     Configuration,
+    Evacuation,
     Group,
     Key,
     Member,
@@ -274,6 +275,34 @@
     )
 
 
+def _begin_evacuation(configuration: Configuration, command: Command) -> None:
+    _set_evacuation(configuration, command, is_active=True)
+
+
+def _finish_evacuation(configuration: Configuration, command: Command) -> None:
+    _set_evacuation(configuration, command, is_active=False)
+
+
+def _set_evacuation(configuration: Configuration, command: Command, is_active: bool) -> None:
+    """Begin or finish the evacuation of a zone, unless the zone has changed since the request.
+
+    A request for what is in force already changes nothing.
+    """
+    zone, expected = command.fields["zone"], command.fields["expected_revision"]
+    if not isinstance(zone, str) or not isinstance(expected, int):
+        raise TypeError("the zone is not a text or the expected revision not a number")
+    if configuration.is_evacuated(zone) is is_active:
+        return
+    current = configuration.evacuation_revision(zone)
+    if expected != current:
+        raise ChangeRejected(
+            ErrorCode.REVISION_CONFLICT,
+            f"Zone {zone} changed at revision {current}, after revision {expected}.",
+        )
+    changed = Evacuation(zone, is_active, configuration.revision)
+    configuration.evacuations = {**configuration.evacuations, zone: changed}
+
+
 def _set_voters(configuration: Configuration, command: Command) -> None:
     configuration.voters = list(command.fields["voters"])
     configuration.learners = list(command.fields["learners"])
@@ -314,4 +343,6 @@
     CommandKind.CHANGE_DECLARATION: _apply_declaration_change,
     CommandKind.ENDPOINT_GONE: _deregister_endpoint,
     CommandKind.DEPARTURES_COVERED: _clear_departures,
+    CommandKind.BEGIN_EVACUATION: _begin_evacuation,
+    CommandKind.FINISH_EVACUATION: _finish_evacuation,
 }
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -52,7 +52,8 @@
     """VMs h1 to hN in the endpoints' zones; the base class's VM leads the control log.
 
     Requests to an unreachable home VM fail at their timeout. VMs that are cut off receive no
-    configuration, and no answer from the VMs that are not.
+    configuration, and no answer from the VMs that are not. `unpolled_vms` receive no configuration
+    either, but reach the other VMs.
     """
 
     def __init__(
@@ -61,6 +62,7 @@
         self.vms: dict[str, Engine] = {}
         self.unreachable_vms: set[str] = set()
         self.cut_off_vms: set[str] = set()
+        self.unpolled_vms: set[str] = set()
         self.relayed_count = 0
         super().__init__(seed, slots=slots, statement_cost_s=statement_cost_s)
         for number in range(1, vm_count + 1):
@@ -127,7 +129,7 @@
         now = self.clock.now()
         observation = self.board.observations.newest(GROUP)
         for name, engine in self.vms.items():
-            if name in self.cut_off_vms:
+            if name in self.cut_off_vms or name in self.unpolled_vms:
                 continue
             self.board.post(Topic.POLL_RECEIVED, name)
             revision = engine.board.configuration.revision
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -42,10 +42,10 @@
 from gentianspread_core.controllers.limits import LimitController
 from gentianspread_core.controllers.placement import controller as placement
 from gentianspread_core.controllers.placement.candidates import Candidates
-from gentianspread_core.controllers.promotion import PromotionController
 from gentianspread_core.controllers.relays import RelayController
 from gentianspread_core.controllers.repair import RepairController
 from gentianspread_core.controllers.replication import ReplicationController
+from gentianspread_core.controllers.successors import Successors
 from gentianspread_core.controllers.transactions import TransactionController
 from gentianspread_core.positions import LOG_START, SessionToken
 from gentianspread_server import driver, storage
@@ -137,7 +137,7 @@
     return [item for item in replicas if item.name in promotion.received_positions]
 
 
-def _least_advanced_paused(self: PromotionController, promotion: Any) -> str:
+def _least_advanced_paused(self: Successors, promotion: Any) -> str:
     return min(
         promotion.received_positions, key=lambda name: promotion.received_positions[name].index
     )
@@ -307,8 +307,8 @@
     Mutant("promote once any replica is paused", GroupView, "replicas", _paused_replicas),
     Mutant(
         "promote the least advanced paused replica",
-        PromotionController,
-        "_most_advanced",
+        Successors,
+        "most_advanced",
         _least_advanced_paused,
     ),
     Mutant("any unreachable replica is skipped", GroupView, "can_promote_without", constant(True)),
--- a/packages/gentianspread-server/src/gentianspread_server/operations.py
+++ b/packages/gentianspread-server/src/gentianspread_server/operations.py
@@ -87,8 +87,10 @@
     def status(self, body: bytes) -> bytes:
         """Return this VM's view of the fleet."""
         configuration = self.board.configuration
+        evacuations = [_to_record(item) for item in configuration.evacuations.values()]
         return encode_json(
             {
+                **({"evacuations": evacuations} if evacuations else {}),
                 "vm": self.board.settings.member,
                 "zone": self.board.settings.zone,
                 "role": self.board.election.role.value,
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -11,7 +11,9 @@
 from ..announcements import Announcements
 from ..control import ControlLoop
 from ..declarations import Declarations
+from ..evacuations import Evacuations
 from ..front import HttpFrontend
+from ..pauses import PauseDetector
 from ..peerroutes import add_peer_routes
 from ..proposals import Proposer
 from ..storage import ControlStorage
@@ -35,11 +37,21 @@
         announcements = Announcements(self.board, self.proposer)
         self.front = HttpFrontend(self.board, None, None, self.signer, "", None)
         self.front.fallback_application = ControlApi(
-            self.board, Declarations(self.board, self.proposer), announcements
+            self.board,
+            Declarations(self.board, self.proposer),
+            announcements,
+            self._new_evacuations(),
         )
         add_peer_routes(self.front, self.board, self.distribution, self.proposer)
         self._server = WebServer(settings.control_address, self.front)
 
+    def _new_evacuations(self) -> Evacuations | None:
+        if not self.board.settings.evacuation_timeout_s:
+            return None
+        pauses = PauseDetector(self.board.clock)
+        pauses.start()
+        return Evacuations(self.board, self.proposer, pauses)
+
     def start(self) -> None:
         """Recover the control log from disk, then start the server and the log's replication."""
         stored = self.control.recover()
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
@@ -5,10 +5,12 @@
 import logging
 
 from gentianspread_core.blackboard import Board
+from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.errors import DeclarationError, GentianspreadError
 
 from ..announcements import Announcements
 from ..declarations import Declarations
+from ..evacuations import Evacuations
 from ..wsgi import (
     DEFAULT_ERROR_STATUS,
     OK_STATUS,
@@ -26,21 +28,33 @@
 GET_CONFIGURATION_PATH = "/Config.Get"
 HEARTBEAT_PREFIX = "/Instances.Heartbeat/"
 DEREGISTER_PREFIX = "/Instances.Deregister/"
+EVACUATION_PREFIXES = {
+    "/Evacuations.Begin/": CommandKind.BEGIN_EVACUATION,
+    "/Evacuations.Finish/": CommandKind.FINISH_EVACUATION,
+}
 MAX_BODY_BYTES = 8 * 1024 * 1024  # enough for a document of 20,000 routes
 BAD_REQUEST_STATUS = "400 Bad Request"
 
 
 class ControlApi:
-    """Serves the declared configuration to operators, and announcements to endpoints."""
+    """Serves the declared configuration to operators, and announcements to endpoints.
 
-    __slots__ = ("board", "declarations", "announcements")
+    It serves evacuations too, unless `evacuations` is none.
+    """
+
+    __slots__ = ("board", "declarations", "announcements", "evacuations")
 
     def __init__(
-        self, board: Board, declarations: Declarations, announcements: Announcements
+        self,
+        board: Board,
+        declarations: Declarations,
+        announcements: Announcements,
+        evacuations: Evacuations | None = None,
     ) -> None:
         self.board = board
         self.declarations = declarations
         self.announcements = announcements
+        self.evacuations = evacuations
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> list[bytes]:
         """Handle one request."""
@@ -60,6 +74,9 @@
             return OK_STATUS, self.declarations.read().document.encode()
         if method != "POST":
             return NOT_FOUND, b"{}"
+        for prefix, kind in EVACUATION_PREFIXES.items():
+            if path.startswith(prefix):
+                return self._change_evacuation(kind, path.removeprefix(prefix))
         body = read_request_body(environ, MAX_BODY_BYTES)
         if path == REPLACE_CONFIGURATION_PATH:
             self.declarations.apply(decode_declaration(body))
@@ -70,6 +87,15 @@
             return self._deregister_endpoint(path.removeprefix(DEREGISTER_PREFIX), body)
         return NOT_FOUND, b"{}"
 
+    def _change_evacuation(self, kind: CommandKind, zone: str) -> tuple[str, bytes]:
+        if self.evacuations is None:
+            return NOT_FOUND, b"{}"
+        if not self.evacuations.knows_zone(zone):
+            log.warning("%s rejected: the settings name no zone %s", kind.value, zone[:40])
+            return BAD_REQUEST_STATUS, b"{}"
+        self.evacuations.change(kind, zone)
+        return OK_STATUS, b"{}"
+
     def _register_endpoint(self, name: str, body: bytes) -> tuple[str, bytes]:
         fields = decode_announcement(name, body)
         if fields is None:
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -117,6 +117,7 @@
         queues = [*board.queues.reads.values(), *board.queues.writes.values()]
         suspected = sum(1 for item in board.endpoints.by_name.values() if item.suspected)
         return [
+            *self._evacuation_gauges(),
             ("revision", "Revision of the configuration.", board.configuration.revision),
             ("fresh", "Whether keyed work is served.", float(board.is_fresh())),
             ("sessions", "Open sessions.", len(board.sessions.by_number)),
@@ -126,3 +127,22 @@
             ("suspected_endpoints", "Endpoints that get no new work.", suspected),
             ("promotions", "Promotions under way.", len(board.groups.promotions)),
         ]
+
+    def _evacuation_gauges(self) -> list[tuple[str, str, float]]:
+        board = self.engine.board
+        if not board.settings.evacuation_timeout_s:
+            return []
+        evacuations = board.evacuations
+        return [
+            ("evacuated_zones", "Zones whose evacuation is in force.", len(evacuations.by_zone)),
+            (
+                "evacuation_ended_transactions",
+                "Transactions that evacuations have ended.",
+                evacuations.ended_transactions,
+            ),
+            (
+                "evacuation_refused_requests",
+                "Requests refused as no endpoint outside evacuated zones can serve them.",
+                evacuations.refused_requests,
+            ),
+        ]
