--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -20,3 +20,8 @@
   Scenario: The control VMs go on after all were killed just after the first acknowledged change
     When the first start is interrupted 0 s and 0.1 s after the first acknowledged change
     Then every guarantee held
+
+  # Guards against an evacuation that is lost after its acknowledgement, or that stops the callers.
+  Scenario: An evacuation outlives a kill of all control VMs, and callers are served elsewhere
+    When the primary's zone is evacuated and all control VMs are killed at the acknowledgement
+    Then every guarantee held
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -37,6 +37,11 @@
     _run(context, "gentianspread_lab.platform.firststarts", "--delays", first, second)
 
 
+@when("the primary's zone is evacuated and all control VMs are killed at the acknowledgement")
+def step_evacuation(context):
+    _run(context, "gentianspread_lab.platform.evacuationtrial")
+
+
 @then("every guarantee held")
 def step_held(context):
     assert context.process.returncode == 0, context.process.stdout + context.process.stderr
--- a/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
@@ -13,9 +13,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
+from .evacuationhistory import ZONES, EvacuationHistory
 from .fakes import FakeVM, Simulation
 from .fakes.simulation import GROUP
 from .history import HistoryChecker, SentCommit, SentRequest, Session
+from .redundancy import is_redundant
 
 DISK_NAMES = ("v1", "v2", "v3", "s1")  # voters and a standby
 VM_NAMES = (*DISK_NAMES, "o1", "o2")
@@ -38,6 +40,7 @@
         super().__init__()
         self.simulation = self.create_simulation()
         self.history = HistoryChecker(self.simulation)
+        self.evacuations = EvacuationHistory(self.simulation)
         self.sessions = [Session(), Session()]
         self.reported_results: dict[str, str] = {}
         self.value_by_request_id: dict[str, str] = {}
@@ -174,7 +177,7 @@
     @rule(name=st.sampled_from(DISK_NAMES), restart=st.booleans())
     def lose_disk(self, name: str, restart: bool) -> None:
         """Lose a disk, whatever the other VMs do, if no other lost disk is without replacement."""
-        if self.unreplaced_disk in (None, name) or self._is_redundant():
+        if self.unreplaced_disk in (None, name) or is_redundant(self.simulation):
             self.unreplaced_disk = name
             self.simulation.vms[name].lose_disk()
             if restart:
@@ -215,6 +218,11 @@
         )
         self.workspace_outcomes[f"{name}-{len(self.workspace_outcomes)}"] = outcomes
 
+    @rule(vm=st.sampled_from(VM_NAMES), zone=st.sampled_from(ZONES), begins=st.booleans())
+    def evacuate(self, vm: str, zone: str, begins: bool) -> None:
+        """Begin or finish the evacuation of a zone, based on what a VM knows of it."""
+        self.evacuations.send(self.simulation.vms[vm], zone, begins)
+
     def withdraw_key(self) -> None:
         """Withdraw the key; it must stop working on every VM within the timeout."""
         self.withdrawal_outcomes = self.simulation.propose_change(
@@ -231,6 +239,7 @@
         ):
             self.key_withdrawn_at = self.simulation.clock.now()
         self.history.check_vms()
+        self.evacuations.observe()
         self._collect_outcomes()
 
     def teardown(self) -> None:
@@ -259,6 +268,7 @@
         configuration = leader.board.configuration
         revisions = {vm.board.configuration.revision for vm in self.simulation.vms.values()}
         assert len(revisions) == 1, f"revisions differ after the recovery: {revisions}"
+        self.evacuations.check(configuration)
         for name, outcomes in self.workspace_outcomes.items():
             if outcomes and outcomes[0] is not None:
                 assert name.partition("-")[0] in configuration.workspaces, f"{name} was lost"
@@ -280,34 +290,6 @@
         vm = self.simulation.vms[name]
         return vm if vm.is_running() else None
 
-    def _is_redundant(self) -> bool:
-        """Return whether three voters with their present disks have the whole control log."""
-        leader = self.simulation.leader()
-        if leader is None:
-            return False
-        log = leader.board.log
-        voters = [self.simulation.vms[name] for name in log.voters]
-        is_newest = all(
-            vm.board.log.commit_index <= log.commit_index for vm in self.simulation.vms.values()
-        )
-        return (
-            is_newest
-            and len(voters) == 3
-            and not log.learners
-            and log.commit_index == log.last_index()
-            and all(self._has_whole_log(vm, leader) for vm in voters)
-        )
-
-    def _has_whole_log(self, vm: FakeVM, leader: FakeVM) -> bool:
-        if vm.disk is None or vm.disk.is_blank():
-            return False
-        recovered = vm.disk.recover()
-        entries, log = recovered.entries, leader.board.log
-        last = (entries[-1].index, entries[-1].term) if entries else None
-        last = last or (recovered.snapshot.index, recovered.snapshot.term)
-        is_complete = last == (log.last_index(), log.last_term())
-        return is_complete and recovered.incarnation == log.incarnation_of(vm.name)
-
     def _new_value(self) -> str:
         self.value_count += 1
         return f"value-{self.value_count}"
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -45,7 +45,6 @@
 from gentianspread_core.controllers.relays import RelayController
 from gentianspread_core.controllers.repair import RepairController
 from gentianspread_core.controllers.replication import ReplicationController
-from gentianspread_core.controllers.successors import Successors
 from gentianspread_core.controllers.transactions import TransactionController
 from gentianspread_core.positions import LOG_START, SessionToken
 from gentianspread_server import driver, storage
@@ -54,6 +53,7 @@
 from .evacuationmutants import EVACUATION_MUTANTS
 from .foundingfuzz import FoundingMachine
 from .fuzz import FleetMachine
+from .promotionmutants import PROMOTION_MUTANTS
 from .soak import soak
 
 FUZZ_STEPS = 4000
@@ -130,20 +130,6 @@
     self._update_confirmed_at()
 
 
-def _paused_replicas(self: GroupView, group: Any) -> list[Any]:
-    promotion = self.board.groups.promotions.get(group.name)
-    replicas = [item for item in self.endpoints_of(group.name) if item.name != group.primary]
-    if promotion is None or promotion.phase != "holding" or not promotion.received_positions:
-        return replicas
-    return [item for item in replicas if item.name in promotion.received_positions]
-
-
-def _least_advanced_paused(self: Successors, promotion: Any) -> str:
-    return min(
-        promotion.received_positions, key=lambda name: promotion.received_positions[name].index
-    )
-
-
 def _assume_no_allocator(self: AllocatorController) -> bool:
     return True
 
@@ -305,14 +291,7 @@
         _build_reply_of_any_exchange,
     ),
     Mutant("checksums are not compared", storage.zlib, "crc32", constant(0)),
-    Mutant("promote once any replica is paused", GroupView, "replicas", _paused_replicas),
-    Mutant(
-        "promote the least advanced paused replica",
-        Successors,
-        "most_advanced",
-        _least_advanced_paused,
-    ),
-    Mutant("any unreachable replica is skipped", GroupView, "can_promote_without", constant(True)),
+    *(Mutant(*rule) for rule in PROMOTION_MUTANTS),
     Mutant("restarted replicas count", state_machine, "_list_departed", constant(None)),
     Mutant("positions may go back", Health, "has_lost_log", constant(False)),
     Mutant("departed endpoints are ignored", GroupView, "last_departure_at", constant(None)),
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -31,12 +31,13 @@
 
     With `traces_owners`, endpoints know which VM a connection comes from; finding it reads the
     descriptors of all processes. `slots` is how many statements each endpoint says that it runs at
-    once.
+    once. `extra_settings` are added to the settings of processes that are started after that.
     """
 
     def __init__(self, entry_count: int = 3, slots: int = 3, traces_owners: bool = False) -> None:
         self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
         self.traces_owners = traces_owners
+        self.extra_settings: dict[str, str] = {}
         self._blocks: list[PortBlock] = []
         self.control_addresses = [self.free_address() for _ in ZONES]
         self.entry_addresses = {
@@ -166,6 +167,7 @@
             "cloudApi.address": self.cloud_api_address,
         }
         settings.update({f"zones.{item}": "region" for item in ZONES})
+        settings.update(self.extra_settings)
         return settings
 
     def change_settings(self, name: str, lines: list[str], in_place: bool) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/operators.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/operators.py
@@ -26,6 +26,7 @@
 RETRY_INTERVAL_S = 0.1
 READ_INTERVAL_S = 0.25
 DECLARATION_TIMEOUT_S = 30.0
+ACKNOWLEDGEMENT_TIMEOUT_S = 6.0  # the platform's limit for evacuations
 MAX_AGE_S = {"bounded": 1.5, "own": 2.5}  # of the routes that may return older data
 FIRST_KEYS = {"w1": ["key-1"], "w2": ["key-2"], "w3": ["rotating-1"]}
 ROTATING_WORKSPACE = "w3"
@@ -154,6 +155,24 @@
         self.refused.append(f"version {configuration.version}: not in {DECLARATION_TIMEOUT_S:g} s")
         return False
 
+    def change_evacuation(self, verb: str, zone: str) -> float | None:
+        """Begin or finish an evacuation; return when it was acknowledged, or none if it was not.
+
+        `verb` is that of the path. A request that is not acknowledged is sent to another control VM
+        with increasing backoff.
+        """
+        deadline = time.monotonic() + ACKNOWLEDGEMENT_TIMEOUT_S
+        backoff_s = RETRY_INTERVAL_S
+        while time.monotonic() < deadline:
+            address = self._randomness.choice(self.addresses)
+            response = call(address, "POST", f"/Evacuations.{verb}/{zone}", timeout_s=1.0)
+            if response is not None and response.status == OK:
+                return time.monotonic()
+            gevent.sleep(backoff_s)
+            backoff_s *= 2
+        self.refused.append(f"{verb} {zone}: not in {ACKNOWLEDGEMENT_TIMEOUT_S:g} s")
+        return None
+
     def read(self) -> Reading | None:
         """Read the configuration back from a random control VM; none if it does not return it."""
         address = self._randomness.choice(self.addresses)
@@ -218,13 +237,15 @@
         return withdrawn
 
 
-def call(address: str, method: str, path: str, body: bytes = b"") -> HttpResponse | None:
+def call(
+    address: str, method: str, path: str, body: bytes = b"", timeout_s: float = CALL_TIMEOUT_S
+) -> HttpResponse | None:
     """Send a request and return its response, or none if no complete one arrived."""
     connection = Connection(address)
     head = f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: {len(body)}\r\n\r\n"
     try:
-        connection.open(CALL_TIMEOUT_S)
-        return connection.request(head.encode() + body, CALL_TIMEOUT_S)
+        connection.open(timeout_s)
+        return connection.request(head.encode() + body, timeout_s)
     except (RequestNotSentError, ResponseLostError) as error:
         log.debug("no response from %s: %s", address, error)
         return None
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -0,0 +1,38 @@
+"""Mutants of the rules of promotions: name, holder, attribute and replacement of each."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gentianspread_core.controllers.groupview import GroupView
+from gentianspread_core.controllers.successors import Successors
+
+
+def _paused_replicas(self: GroupView, group: Any) -> list[Any]:
+    promotion = self.board.groups.promotions.get(group.name)
+    replicas = [item for item in self.endpoints_of(group.name) if item.name != group.primary]
+    if promotion is None or promotion.phase != "holding" or not promotion.received_positions:
+        return replicas
+    return [item for item in replicas if item.name in promotion.received_positions]
+
+
+def _least_advanced_paused(self: Successors, promotion: Any) -> str:
+    return min(
+        promotion.received_positions, key=lambda name: promotion.received_positions[name].index
+    )
+
+
+def _yes(*_arguments: Any) -> bool:
+    return True
+
+
+PROMOTION_MUTANTS: tuple[tuple[str, Any, str, Any], ...] = (
+    ("promote once any replica is paused", GroupView, "replicas", _paused_replicas),
+    (
+        "promote the least advanced paused replica",
+        Successors,
+        "most_advanced",
+        _least_advanced_paused,
+    ),
+    ("any unreachable replica is skipped", GroupView, "can_promote_without", _yes),
+)
