--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -20,6 +20,7 @@
 from .controllers.dispatch import DispatchController
 from .controllers.election import ElectionController
 from .controllers.endpoints import EndpointController
+from .controllers.evacuation import EvacuationController, EvacuationFilter
 from .controllers.failover import FailoverController
 from .controllers.health import HealthController
 from .controllers.homes import HomeController
@@ -41,6 +42,7 @@
 from .interfaces import (
     Clock,
     Controller,
+    EndpointFilter,
     EndpointSelector,
     LoadEstimator,
     QueuePolicy,
@@ -56,10 +58,12 @@
     board: Board, selector: EndpointSelector, estimator: LoadEstimator
 ) -> PlacementController:
     """Build the placement controller with the policies that the settings ask for."""
+    filters: list[EndpointFilter] = [EvacuationFilter(board)]
     if not board.settings.schedules_by_priority:
-        return PlacementController(board, selector=selector, estimator=estimator)
+        return PlacementController(board, filters, selector=selector, estimator=estimator)
     return PlacementController(
         board,
+        filters,
         selector=selector,
         estimator=estimator,
         waiting=PriorityWaiting(board),
@@ -156,6 +160,7 @@
                 board, QueueingDelayLimit(board) if settings.schedules_by_priority else None
             ),
             ObservationController(board),
+            EvacuationController(board),
             _placement(board, selector, estimator),
             CompletionController(
                 board,
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -52,8 +52,9 @@
     """VMs h1 to hN in the endpoints' zones; the base class's VM leads the control log.
 
     Requests to an unreachable home VM fail at their timeout. VMs that are cut off receive no
-    configuration, and no answer from the VMs that are not. `sizes` are those of the VMs in cores,
-    in turn; `schedules_by_priority` is the setting of all VMs.
+    configuration, and no answer from the VMs that are not. `unpolled_vms` receive no configuration
+    either, but reach the other VMs. `sizes` are those of the VMs in cores, in turn;
+    `schedules_by_priority` is the setting of all VMs.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.vms: dict[str, Engine] = {}
         self.unreachable_vms: set[str] = set()
         self.cut_off_vms: set[str] = set()
+        self.unpolled_vms: set[str] = set()
         self.relayed_count = 0
         super().__init__(
             seed,
@@ -143,7 +145,7 @@
         now = self.clock.now()
         observation = self.board.observations.newest(GROUP)
         for name, engine in self.vms.items():
-            if name in self.cut_off_vms:
+            if name in self.cut_off_vms or name in self.unpolled_vms:
                 continue
             self.board.post(Topic.POLL_RECEIVED, name)
             revision = engine.board.configuration.revision
