--- a/features/environment.py
+++ b/features/environment.py
@@ -9,6 +9,7 @@
     caller_server,
     fleet_simulation,
     home_simulation,
+    limited_fleet,
     platform_fleet,
     session_simulation,
     soak_board,
@@ -44,6 +45,8 @@
         use_fixture(temporary_folder, context)
     if "fleet" in scenario.effective_tags:
         use_fixture(platform_fleet, context)
+    if "limited_fleet" in scenario.effective_tags:
+        use_fixture(limited_fleet, context)
     if "caller_server" in scenario.effective_tags:
         use_fixture(caller_server, context)
     if "soak_board" in scenario.effective_tags:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -19,6 +19,9 @@
 
 SETTLING_S = 5.0
 CLOSE_TIMEOUT_S = 0.2
+# An idle VM has about 40 MB, so that a hundred messages of 1 MB exceed the memory; the descriptors
+# are 200 for files outside the data folder and 200 others, fewer than the clients of a scenario.
+TEST_LIMITS = {"limits.memoryMb": "80", "limits.maxFds": "400"}
 
 
 @fixture
@@ -44,6 +47,20 @@
         context.fleet.stop(keep_logs=True)
 
 
+@fixture
+def limited_fleet(context):
+    """Three control VMs and two entry VMs as processes with little memory and few descriptors."""
+    context.fleet = PlatformFleet(entry_count=2, limits=TEST_LIMITS)
+    context.crowds = []
+    try:
+        context.fleet.start()
+        yield context.fleet
+    finally:
+        for crowd in context.crowds:
+            crowd.close()
+        context.fleet.stop(keep_logs=True)
+
+
 @fixture
 def temporary_folder(context):
     """A folder that is removed after the scenario."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -18,6 +18,7 @@
 STATEMENT_DURATION_S = 0.004
 CONNECT_DURATION_S = 0.005
 SLOW_ITEM_PREFIX = "wait"  # a statement on the item wait700 takes 700 ms
+LARGE_ITEM_PREFIX = "size"  # a read of the item size500 returns a row of 500 bytes
 VM_STATEMENT_ID = "-"
 
 
@@ -218,7 +219,8 @@
             session.writes.append(statement_id)
         elif is_write and not self.database.commit(self.name, [statement_id]):
             return StatementResult(error="TIMEOUT")
-        return StatementResult([] if is_write else [str(log_length)], f"signed-{statement_id}")
+        row = _row_of(text) or str(log_length)
+        return StatementResult([] if is_write else [row], f"signed-{statement_id}")
 
     def _commit(self, session: EndpointSession, statement_id: str) -> StatementResult:
         writes, session.writes, session.state = session.writes, [], "I"
@@ -227,6 +229,14 @@
         return StatementResult([], f"signed-{statement_id}")
 
 
+def _row_of(text: str) -> str:
+    """Return the row that a read of a large item returns, or an empty one for other items."""
+    item = text.split(" ")[1] if text.startswith("READ ") else ""
+    if not item.startswith(LARGE_ITEM_PREFIX):
+        return ""
+    return "x" * int(item.removeprefix(LARGE_ITEM_PREFIX))
+
+
 def _duration_of(text: str) -> float:
     """Return the seconds that a statement takes."""
     item = text.split(" ")[1] if " " in text else ""
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -31,11 +31,18 @@
 
     With `traces_owners`, endpoints know which VM a connection comes from; finding it reads the
     descriptors of all processes. `slots` is how many statements each endpoint says that it runs at
-    once.
+    once. `limits` are settings that every process gets besides the others.
     """
 
-    def __init__(self, entry_count: int = 3, slots: int = 3, traces_owners: bool = False) -> None:
+    def __init__(
+        self,
+        entry_count: int = 3,
+        slots: int = 3,
+        traces_owners: bool = False,
+        limits: dict[str, str] | None = None,
+    ) -> None:
         self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
+        self.limits = limits or {}
         self.traces_owners = traces_owners
         self._blocks: list[PortBlock] = []
         self.control_addresses = [self.free_address() for _ in ZONES]
@@ -44,6 +51,9 @@
         }
         self.ready_addresses = {name: self.free_address() for name in self.entry_addresses}
         self.peer_addresses = {name: self.free_address() for name in self.entry_addresses}
+        self.metrics_addresses = {
+            name: self.free_address() for name in (*self.control_names(), *self.entry_addresses)
+        }
         self.cloud_api_address = self.free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._log_offsets: dict[str, int] = {}
@@ -164,6 +174,7 @@
             "bounds.graceS": f"{GRACE_PERIOD_S:g}",
             "bounds.revokeMs": "5000",
             "cloudApi.address": self.cloud_api_address,
+            **self.limits,
         }
         settings.update({f"zones.{item}": "region" for item in ZONES})
         return settings
@@ -196,6 +207,7 @@
             **os.environ,
             "GENTIANSPREAD_BOOT": path,
             "GENTIANSPREAD_FLEET_SECRET": "a-secret-of-the-stand-in",
+            "GENTIANSPREAD_METRICS_PORT": self.metrics_addresses[name].rpartition(":")[2],
         }
         with open(self._log_path(name), "ab") as output:
             self._log_offsets[name] = output.tell()
