--- a/features/steps/session_setup.py
+++ b/features/steps/session_setup.py
@@ -6,9 +6,9 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.connections import BackendConnection
 from gentianspread_core.blackboard.declarations import Consistency, Route
+from gentianspread_core.blackboard.prepared import PreparedStatement
 from gentianspread_core.blackboard.requests import ExchangeStatus, StatementKind
 from gentianspread_core.blackboard.sessions import (
-    PreparedStatement,
     Session,
     SessionExchange,
     SessionRequest,
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -9,9 +9,9 @@
 
 from ..positions import Position
 from .declarations import Route
+from .prepared import PreparedStatement
 from .requests import ExchangeStatus, StatementKind
 from .sessions import (
-    PreparedStatement,
     Session,
     SessionReply,
     SessionRequest,
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import hashlib
 from enum import Enum
 from typing import Any
 
@@ -17,6 +16,7 @@
 from ..positions import SessionToken
 from .connections import BackendConnection
 from .declarations import Route
+from .prepared import PreparedStatement
 from .requests import Exchange, Reply, Request, StatementKind
 
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
@@ -24,8 +24,6 @@
 GUARANTEED_TOKEN_TIMEOUT_FRACTION = 0.75  # if it is known that a token will become available
 TOKEN_TIMEOUT_FRACTION = 0.3
 MAX_TOKEN_TIMEOUT_S = 0.06  # the same for most routes, so that none of them takes all tokens
-MAX_SHAPE_IN_NAME_CHARS = 64
-SHAPE_HASH_BYTES = 16
 
 
 class Verb(Enum):
@@ -74,32 +72,6 @@
         self.writes = writes
 
 
-class PreparedStatement:
-    """A prepared statement: whether it writes, and its shape.
-
-    The shape is the text after `PREPARE name READ` or `WRITE`; only endpoints interpret it.
-    """
-
-    __slots__ = ("writes", "shape")
-
-    def __init__(self, writes: bool, shape: str) -> None:
-        self.writes = writes
-        self.shape = shape
-
-    def shared_name(self) -> str:
-        """Return the name that it has at endpoints, so that sessions can share a connection.
-
-        It is derived from the content: equal statements have one name, whatever callers name them.
-        A shape that is no single short word is hashed, with a mark that no other name has.
-        """
-        kind = "w" if self.writes else "r"
-        is_word = self.shape.isascii() and self.shape.isalnum()
-        if is_word and len(self.shape) <= MAX_SHAPE_IN_NAME_CHARS:
-            return f"{kind}{self.shape}"
-        content = self.shape.encode("utf-8", "surrogateescape")
-        return f"{kind}-{hashlib.blake2b(content, digest_size=SHAPE_HASH_BYTES).hexdigest()}"
-
-
 class SessionState(Enum):
     """States of a session's transaction: no transaction, open, or failed and not yet ended."""
 
@@ -129,9 +101,10 @@
 class Session:
     """The state of one caller's connection to this VM; `BackendConnection` is one to an endpoint.
 
-    `database` names the route. `call` is the statement being executed; a session executes one at a
-    time. `is_decided` is set once the session is open or refused; `refusal` says why it was
-    refused. `waiter` wakes the front end's greenlet when that is decided.
+    `database` names the route. `state_bytes` is the memory of its values and prepared statements.
+    `call` is the statement being executed; a session executes one at a time. `is_decided` is set
+    once the session is open or refused; `refusal` says why it was refused. `waiter` wakes the front
+    end's greenlet when that is decided.
     """
 
     __slots__ = (
@@ -141,6 +114,7 @@
         "workspace",
         "values",
         "prepared",
+        "state_bytes",
         "state",
         "transaction",
         "token",
@@ -160,6 +134,7 @@
         self.workspace = ""
         self.values: dict[str, str] = {}
         self.prepared: dict[str, PreparedStatement] = {}
+        self.state_bytes = 0
         self.state = SessionState.IDLE
         self.transaction: SessionTransaction | None = None
         self.token: SessionToken | None = None
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -49,6 +49,7 @@
     TRANSACTION_DROPPED = "transaction_dropped"
     INVARIANT_VIOLATED = "invariant_broken"
     ERROR_HANDLED = "error_handled"
+    PEER_CLOSED = "peer_closed"
 
 
 class Event:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -9,9 +9,9 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.declarations import Route
+from ..blackboard.prepared import PreparedStatement, entry_bytes
 from ..blackboard.requests import Outcome, StatementKind
 from ..blackboard.sessions import (
-    PreparedStatement,
     Session,
     SessionRequest,
     SessionState,
@@ -25,6 +25,8 @@
 
 MAX_SESSION_VALUES = 64  # per session; bounds its memory
 MAX_PREPARED_STATEMENTS = 256  # per session; bounds its memory
+# Of the values and prepared statements of a session: four of the longest, or many short ones.
+MAX_STATE_BYTES = 4 * 1024 * 1024 + 64 * 1024
 MIN_IDLE_CHECK_INTERVAL_S = 0.1
 DEFAULT_IDLE_TIMEOUT_S = 10.0  # until a declaration sets one
 OPENING_TIMEOUT_S = 0.7  # leaves callers the time to try another VM
@@ -166,6 +168,9 @@
         if len(values) >= MAX_SESSION_VALUES and statement.name not in values:
             self._refuse(call, ErrorCode.OVERLOADED, "The session holds too many values.")
             return
+        replaced = values.get(statement.name)
+        if not self._take_room(call, replaced):
+            return
         values[statement.name] = statement.value
         self._answer(call, [], None)
 
@@ -174,13 +179,31 @@
         if len(prepared) >= MAX_PREPARED_STATEMENTS and statement.name not in prepared:
             self._refuse(call, ErrorCode.OVERLOADED, "The session holds too many statements.")
             return
+        replaced = prepared.get(statement.name)
+        if not self._take_room(call, replaced.shape if replaced else None):
+            return
         prepared[statement.name] = PreparedStatement(statement.writes, statement.value)
         self._answer(call, [], None)
 
+    def _take_room(self, call: StatementCall, replaced: str | None) -> bool:
+        """Count what a value or prepared statement adds; refuse the statement if it is too much."""
+        session, statement = call.session, call.statement
+        state_bytes = session.state_bytes + entry_bytes(statement.name, statement.value)
+        if replaced is not None:
+            state_bytes -= entry_bytes(statement.name, replaced)
+        if state_bytes > MAX_STATE_BYTES and state_bytes > session.state_bytes:
+            self._refuse(call, ErrorCode.OVERLOADED, "The session holds too much text.")
+            return False
+        session.state_bytes = state_bytes
+        return True
+
     def _deallocate(self, call: StatementCall) -> None:
-        if call.session.prepared.pop(call.statement.name, None) is None:
+        name = call.statement.name
+        removed = call.session.prepared.pop(name, None)
+        if removed is None:
             self._refuse(call, ErrorCode.NO_STATEMENT, "No statement of this name is prepared.")
         else:
+            call.session.state_bytes -= entry_bytes(name, removed.shape)
             self._answer(call, [], None)
 
     def _answer_in_failed_transaction(self, call: StatementCall) -> None:
