--- a/packages/gentianspread-server/src/gentianspread_server/connections.py
+++ b/packages/gentianspread-server/src/gentianspread_server/connections.py
@@ -83,7 +83,11 @@
             if not received:
                 raise ResponseLostError("the answer is short")
             self.parser.feed_data(received)
-        return HttpResponse(self.parser.get_status_code(), b"".join(self._body))
+        response = HttpResponse(self.parser.get_status_code(), b"".join(self._body))
+        # The parser refers to this object; a long body would wait for the garbage collector.
+        self.parser = None
+        self._body = []
+        return response
 
 
 class Connection:
