--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -16,6 +16,7 @@
 from gentianspread_lab.platform.ports import PortBlock
 from gentianspread_lab.platform.soakboard import SoakBoard
 from gentianspread_server.platform.callers import CallerServer
+from gentianspread_server.resources.process import ProcessResources
 
 SETTLING_S = 5.0
 CLOSE_TIMEOUT_S = 0.2
@@ -105,7 +106,10 @@
     ports = PortBlock.reserve()
     context.caller_address = ports.next_address()
     context.held_runner = HeldSessionRunner()
-    context.caller_server = CallerServer(context.caller_address, context.held_runner)
+    context.resources = ProcessResources.with_defaults()
+    context.caller_server = CallerServer(
+        context.caller_address, context.held_runner, context.resources.caller_port()
+    )
     context.caller_server.start()
     yield context.caller_server
     context.held_runner.release()
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 from behave import then
+from gentianspread_server.resources.process import ProcessResources
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.traffic import TrafficCounters
 
 
 def _exposition(context):
     simulation = context.session_simulation
-    metrics = SessionMetrics(simulation.engine, TrafficCounters())
+    metrics = SessionMetrics(simulation.engine, TrafficCounters(), ProcessResources.with_defaults())
     for calls in context.calls_by_session.values():
         for call in calls:
             metrics.count(call, simulation.clock.now())
--- a/features/steps/platform_loops.py
+++ b/features/steps/platform_loops.py
@@ -134,7 +134,7 @@
     engine = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
     engine.board.changes._handlers[Topic.STATEMENT_ARRIVED] = [fail]
     record_handler_errors(engine.board)
-    metrics = SessionMetrics(engine, None)
+    metrics = SessionMetrics(engine, None, None)
     context.runner = SessionRunner(engine.board, None, metrics)
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/front.py
+++ b/packages/gentianspread-server/src/gentianspread_server/front.py
@@ -21,6 +21,7 @@
     DEFAULT_ERROR_STATUS,
     HTTP_STATUS_BY_CODE,
     OK_STATUS,
+    SIGNED_VARIABLE,
     Application,
     Environ,
     StartResponse,
@@ -227,6 +228,7 @@
             raise Refusal(ErrorCode.BAD_REQUEST, f"The message is damaged: {error}.") from error
         if json_body is None:
             raise Refusal(ErrorCode.KEY_REFUSED, "The message was not signed by this fleet.")
+        environ[SIGNED_VARIABLE] = True
         response = route.handler(json_body)
         if terse.is_terse(body) or environ.get(terse.OFFER_VARIABLE) == terse.FORMAT:
             return terse.MARKER + terse.compress(response)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/__main__.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/__main__.py
@@ -14,6 +14,7 @@
 from gentianspread_core.errors import SettingsError, StorageError  # noqa: E402
 
 from ..logs import configure_logging  # noqa: E402
+from ..resources.allocator import return_long_blocks  # noqa: E402
 from .bootfile import PlatformSettings  # noqa: E402
 from .vm import PlatformVM  # noqa: E402
 
@@ -37,6 +38,7 @@
 def main() -> None:
     """Check the settings, start the program and serve until it is stopped."""
     configure_logging("INFO")
+    return_long_blocks()
     try:
         settings = PlatformSettings.from_environment()
     except SettingsError as error:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -38,7 +38,9 @@
             self.board, Declarations(self.board, self.proposer), announcements
         )
         add_peer_routes(self.front, self.board, self.distribution, self.proposer)
-        self._server = WebServer(settings.control_address, self.front)
+        self._server = WebServer(
+            settings.control_address, self.front, self.resources.control_port()
+        )
 
     def start(self) -> None:
         """Recover the control log from disk, then start the server and the log's replication."""
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -354,7 +354,7 @@
 
 def _is_reusable(line_socket: LineSocket) -> bool:
     """Return whether a connection is open and has received nothing that was not read."""
-    if line_socket.has_unread_bytes():
+    if line_socket.unread_bytes():
         return False
     connected = line_socket.socket
     try:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/entry.py
@@ -10,12 +10,13 @@
 from ..intents import TOKENS_PATH
 from ..peerroutes import PEER_CREDENTIAL, answer_tokens
 from ..relays import RelayingRunner, RelayServer
+from ..resources.process import READINESS_PORT
 from ..sessions import SessionRunner
 from ..webserver import WebServer
 from .bootfile import PlatformSettings
 from .callers import CallerServer
 from .health import ReadyApi
-from .vm import PlatformVM
+from .vm import MAX_PROBE_BODY_BYTES, PlatformVM
 
 LOAD_BALANCER_DELAY_S = 2.2  # two failed checks, one second apart, remove a VM
 LAST_ANSWERS_TIMEOUT_S = 0.2  # for sending them, which takes a few milliseconds
@@ -33,9 +34,20 @@
         self.relay_server.add_to(self.front)
         self.front.add(TOKENS_PATH, self._answer_tokens, PEER_CREDENTIAL)
         peer_address = settings.peer_address()
-        self._peer_server = WebServer(peer_address, self.front) if peer_address else None
-        self.caller_server = CallerServer(settings.caller_address, self.runner)
-        self._ready_server = WebServer(settings.readiness_address, ReadyApi(self.is_ready))
+        self._peer_server = (
+            WebServer(peer_address, self.front, self.resources.peer_port())
+            if peer_address
+            else None
+        )
+        self.caller_server = CallerServer(
+            settings.caller_address, self.runner, self.resources.caller_port()
+        )
+        self._ready_server = WebServer(
+            settings.readiness_address,
+            ReadyApi(self.is_ready),
+            self.resources.probe_port(READINESS_PORT),
+            MAX_PROBE_BODY_BYTES,
+        )
         self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_draining)
 
     def start(self) -> None:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/vm.py
@@ -20,6 +20,7 @@
 from ..intents import IntentRunner
 from ..logs import log_event
 from ..peers import FleetSigner, PeerAddresses, PeerClient
+from ..resources.process import METRICS_PORT, ProcessResources
 from ..session_metrics import SessionMetrics
 from ..timers import run_timer_loop
 from ..webserver import WebServer
@@ -33,6 +34,8 @@
 FLEET_SECRET_VARIABLE = "GENTIANSPREAD_FLEET_SECRET"
 METRICS_PORT_VARIABLE = "GENTIANSPREAD_METRICS_PORT"
 SETTINGS_CHECK_INTERVAL_S = 1.0
+RESOURCE_CHECK_INTERVAL_S = 1.0  # a thirtieth of the time that a message may take
+MAX_PROBE_BODY_BYTES = 1024  # of requests for metrics or readiness, which have no body
 
 
 class PlatformVM:
@@ -58,8 +61,11 @@
         )
         self.intents = IntentRunner(self.board, self.driver, addresses, client)
         self.distribution = Distribution(self.board, self.engine.configuration, addresses, client)
-        self.metrics = SessionMetrics(self.engine, client.traffic)
-        self._metrics_server = _build_metrics_server(settings, self.metrics)
+        self.resources = ProcessResources.from_settings(
+            settings.memory_bytes, settings.max_descriptors, self.board.timeline
+        )
+        self.metrics = SessionMetrics(self.engine, client.traffic, self.resources)
+        self._metrics_server = self._build_metrics_server()
         self.stopped = Event()
         self.board.changes.subscribe(Topic.SHUTDOWN_PHASE_CHANGED, self._on_shutdown_phase)
         self._timer_changed = Event()
@@ -71,6 +77,7 @@
         self.start()
         gevent.spawn(run_timer_loop, self.board, self._timer_changed)
         gevent.spawn(run_for_ever, self.board, "settings", self._check_settings)
+        gevent.spawn(run_for_ever, self.board, "resources", self._check_resources)
         self.board.timeline.record(EventKind.STARTED, self.settings.name, "start of the process")
         self.stopped.wait()
 
@@ -119,10 +126,20 @@
             self._settings_modified_at = modified
             self.reload()
 
+    def _build_metrics_server(self) -> WebServer | None:
+        port = os.environ.get(METRICS_PORT_VARIABLE, "")
+        if not port:
+            return None
+        return WebServer(
+            f"{self.settings.ip_address}:{port}",
+            MetricsApi(self.metrics.text),
+            self.resources.probe_port(METRICS_PORT),
+            MAX_PROBE_BODY_BYTES,
+        )
 
-def _build_metrics_server(settings: PlatformSettings, metrics: SessionMetrics) -> WebServer | None:
-    port = os.environ.get(METRICS_PORT_VARIABLE, "")
-    return WebServer(f"{settings.ip_address}:{port}", MetricsApi(metrics.text)) if port else None
+    def _check_resources(self) -> None:
+        gevent.sleep(RESOURCE_CHECK_INTERVAL_S)
+        self.resources.end_overdue()
 
 
 def _modification_time(path: str) -> float:
--- a/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import socket as stdlib_socket
+import time
+from collections.abc import Callable
 
 from gentianspread_core.blackboard.sessions import (
     SessionState,
@@ -20,6 +22,9 @@
 from gentianspread_core.positions import Position
 from gevent import socket
 
+from ..resources.budget import FREE_BYTES as FREE_LINE_BYTES
+from ..sockets import reset_connection
+
 MAX_MESSAGE_BYTES = 1024 * 1024  # set by the protocol
 RECEIVE_BUFFER_BYTES = 16 * 1024  # per read; most messages are below 4 KiB
 TCP_USER_TIMEOUT_MS = 3000  # without a TCP acknowledgement; endpoints use the same value
@@ -58,38 +63,79 @@
     """A message that violates the protocol."""
 
 
+class MessageTooLongError(ProtocolError):
+    """A message that is longer than the protocol allows."""
+
+
 class LineSocket:
-    """A socket that is read line by line; it buffers received bytes that were not read yet."""
+    """A socket that is read line by line; it buffers received bytes that were not read yet.
 
-    __slots__ = ("socket", "_buffer")
+    `on_growth` is called with the size of an unfinished line that exceeds `FREE_LINE_BYTES`; an
+    exception that it raises ends the reading. `unfinished_since` is when an unfinished line was
+    seen, in seconds of the monotonic clock, or 0.
+    """
+
+    __slots__ = ("socket", "on_growth", "unfinished_since", "_buffer", "_searched")
 
-    def __init__(self, connected: socket.socket) -> None:
+    def __init__(
+        self, connected: socket.socket, on_growth: Callable[[int], None] | None = None
+    ) -> None:
         self.socket = connected
+        self.on_growth = on_growth
+        self.unfinished_since = 0.0
         self._buffer = bytearray()
+        self._searched = 0
         set_socket_options(connected)
 
-    def send(self, content: bytes) -> None:
+    def send(self, content: bytes | memoryview) -> None:
         """Send all bytes."""
         self.socket.sendall(content)
 
+    def send_at_once(self, content: bytes) -> int:
+        """Send what the kernel takes without waiting; return how many bytes that were."""
+        try:
+            return self.socket.send(content, 0, 0.0)
+        except BlockingIOError:
+            return 0
+
     def read_line(self) -> str | None:
         """Return the next line without its CR LF, or none at the end of the stream."""
         while True:
-            end = self._buffer.find(LINE_END)
+            # Bytes that were searched before are not searched again: a line of 1 MiB that arrives
+            # byte by byte would take minutes of processor time.
+            end = self._buffer.find(LINE_END, self._searched)
             if end >= 0:
-                line = bytes(self._buffer[:end])
+                line = self._buffer[:end]
                 del self._buffer[: end + len(LINE_END)]
+                self._searched = 0
+                self.unfinished_since = 0.0
                 return _decode_line(line)
-            if len(self._buffer) > MAX_MESSAGE_BYTES:
-                raise ProtocolError("the message is too long")
+            if self._buffer:
+                self._note_unfinished()
             received = self.socket.recv(RECEIVE_BUFFER_BYTES)
             if not received:
                 return None
             self._buffer += received
 
-    def has_unread_bytes(self) -> bool:
-        """Return whether received bytes have not been read yet."""
-        return bool(self._buffer)
+    def _note_unfinished(self) -> None:
+        size = len(self._buffer)
+        if size > MAX_MESSAGE_BYTES:
+            raise MessageTooLongError("the message is too long")
+        self._searched = size - 1  # the last byte may be the first one of the line's end
+        if not self.unfinished_since:
+            self.unfinished_since = time.monotonic()
+        if size > FREE_LINE_BYTES and self.on_growth is not None:
+            self.on_growth(size)
+
+    def unread_bytes(self) -> int:
+        """Return how many received bytes have not been read yet."""
+        return len(self._buffer)
+
+    def abort(self) -> None:
+        """Drop unread and unsent bytes; the greenlet that reads or sends sees the end."""
+        self._buffer.clear()
+        self._searched = 0
+        reset_connection(self.socket)
 
     def close(self) -> None:
         """Close the socket."""
@@ -112,7 +158,7 @@
     )
 
 
-def _decode_line(line: bytes) -> str:
+def _decode_line(line: bytes | bytearray) -> str:
     """Decode a line; reject CR, LF and NUL, which a receiver could read as a message end."""
     if b"\n" in line or b"\r" in line or b"\0" in line:
         raise ProtocolError("the message holds a stray control character")
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -12,6 +12,7 @@
 from gentianspread_core.blackboard.sessions import StatementCall
 from gentianspread_core.engine import Engine
 
+from .resources.process import ProcessResources
 from .traffic import TrafficCounters
 
 MIN_LATENCY_US = 1  # the smallest value that the histogram can record
@@ -25,11 +26,14 @@
 class SessionMetrics:
     """Counts answered statements by code and keeps their latest latencies, in microseconds."""
 
-    __slots__ = ("engine", "traffic", "counts", "latencies")
+    __slots__ = ("engine", "traffic", "resources", "counts", "latencies")
 
-    def __init__(self, engine: Engine, traffic: TrafficCounters) -> None:
+    def __init__(
+        self, engine: Engine, traffic: TrafficCounters, resources: ProcessResources
+    ) -> None:
         self.engine = engine
         self.traffic = traffic
+        self.resources = resources
         self.counts: dict[str, int] = {}
         self.latencies: deque[int] = deque(maxlen=MAX_LATENCY_SAMPLES)
 
@@ -79,6 +83,24 @@
         for (path, zone), counters in sums.items():
             peer_bytes.labels(path, zone, "sent").inc(counters.sent)
             peer_bytes.labels(path, zone, "received").inc(counters.received)
+        closed = Counter(
+            "gentianspread_peers_closed",
+            "Connections refused or closed, and messages refused, at a limit of resources.",
+            ["reason", "activity", "port"],
+            registry=registry,
+        )
+        for labels, count in self.resources.report.counts.items():
+            closed.labels(*labels).inc(count)
+        opened = Gauge(
+            "gentianspread_port_connections",
+            "Open connections of a port.",
+            ["port", "kind"],
+            registry=registry,
+        )
+        for name, port in self.resources.ports.items():
+            opened.labels(name, "open").set(len(port.open))
+            opened.labels(name, "trusted").set(len(port.trusted))
+            opened.labels(name, "limit").set(port.max_open)
         latency = Gauge(
             "gentianspread_latency_seconds",
             "Time to the answer of the newest statements.",
@@ -125,4 +147,6 @@
             ("waiting", "Requests that wait for an endpoint.", sum(q.length for q in queues)),
             ("suspected_endpoints", "Endpoints that get no new work.", suspected),
             ("promotions", "Promotions under way.", len(board.groups.promotions)),
+            ("peer_bytes_held", "Bytes charged for peers.", self.resources.budget.charged_bytes),
+            ("peer_bytes_limit", "The memory budget.", self.resources.budget.limit_bytes),
         ]
--- a/packages/gentianspread-server/src/gentianspread_server/wsgi.py
+++ b/packages/gentianspread-server/src/gentianspread_server/wsgi.py
@@ -11,6 +11,7 @@
 from gentianspread_core.errors import ErrorCode, ExecutionResult, Refusal
 
 BODY_TIMEOUT_S = 10.0
+SIGNED_VARIABLE = "is_signed"  # set in the environment of a request that another VM has signed
 
 HTTP_STATUS_BY_CODE = {
     ErrorCode.BAD_REQUEST: "400 Bad Request",
