--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -111,13 +111,19 @@
 class Timer:
     """A change that is due at a time of the clock, in seconds; `sequence` breaks ties."""
 
-    __slots__ = ("due", "sequence", "change", "cancelled")
+    __slots__ = ("due", "sequence", "change")
 
     def __init__(self, due: float, sequence: int, change: Change) -> None:
         self.due = due
         self.sequence = sequence
-        self.change = change
-        self.cancelled = False
+        self.change: Change | None = change
+
+    def cancel(self) -> None:
+        """Prevent the delivery, and drop the change.
+
+        The timer stays in the heap until it is due; a request of up to 1 MB would stay with it.
+        """
+        self.change = None
 
     def __lt__(self, other: Timer) -> bool:
         return (self.due, self.sequence) < (other.due, other.sequence)
@@ -178,7 +184,7 @@
 
     def next_due(self) -> float | None:
         """Return the time of the earliest timer, in seconds, or none."""
-        while self._timers and self._timers[0].cancelled:
+        while self._timers and self._timers[0].change is None:
             heapq.heappop(self._timers)
         return self._timers[0].due if self._timers else None
 
@@ -214,6 +220,7 @@
         """Return whether a handler has set the next timer of its topic and entry itself."""
         return any(
             timer.sequence > timer_count
+            and timer.change is not None
             and timer.change.topic is change.topic
             and timer.change.entry is change.entry
             for timer in self._timers
@@ -222,7 +229,7 @@
     def _take_due_timers(self, now: float) -> None:
         while self._timers and self._timers[0].due <= now:
             timer = heapq.heappop(self._timers)
-            if not timer.cancelled:
+            if timer.change is not None:
                 self._pending.append(timer.change)
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
@@ -326,5 +326,5 @@
     def _complete(self, request: Request, outcome: Outcome) -> None:
         request.outcome = outcome
         if request.timer is not None:
-            request.timer.cancelled = True
+            request.timer.cancel()
         self.board.changes.post(Topic.REQUEST_DONE, request)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -206,5 +206,5 @@
     def _complete(self, request: SessionRequest, outcome: Outcome) -> None:
         request.outcome = outcome
         if request.timer is not None:
-            request.timer.cancelled = True
+            request.timer.cancel()
         self.board.changes.post(Topic.REQUEST_DONE, request)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -119,7 +119,7 @@
 
     def _schedule_probes(self) -> None:
         if self._timer is not None:
-            self._timer.cancelled = True
+            self._timer.cancel()
         due = self.board.clock.now() + self.board.settings.probe_interval_s
         self._timer = self.board.changes.post_at(due, Topic.FAILOVER_CHECK_DUE)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -126,7 +126,7 @@
 
     def _schedule_probes(self) -> None:
         if self._timer is not None:
-            self._timer.cancelled = True
+            self._timer.cancel()
         due = self.board.clock.now() + PROBE_INTERVAL_S
         self._timer = self.board.changes.post_at(due, Topic.HEALTH_CHECK_DUE)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -70,7 +70,7 @@
 
     def _schedule_repair(self) -> None:
         if self._timer is not None:
-            self._timer.cancelled = True
+            self._timer.cancel()
         due = self.board.clock.now() + REPAIR_INTERVAL_S
         self._timer = self.board.changes.post_at(due, Topic.REPAIR_CHECK_DUE)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -97,7 +97,7 @@
         self._check_quorum()
         due = self.board.clock.now() + self.board.settings.heartbeat_interval_s
         if self._heartbeat_timer is not None:
-            self._heartbeat_timer.cancelled = True
+            self._heartbeat_timer.cancel()
         self._heartbeat_timer = self.board.changes.post_at(due, Topic.HEARTBEAT_DUE)
 
     def on_proposed(self, proposal: Proposal) -> None:
