--- a/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
@@ -138,7 +138,9 @@
         reset_connection(self.socket)
 
     def close(self) -> None:
-        """Close the socket."""
+        """Close the socket and drop unread bytes."""
+        self._buffer.clear()
+        self.on_growth = None  # its owner refers to this object, and both would wait for collection
         self.socket.close()
 
 
--- a/packages/gentianspread-server/src/gentianspread_server/resources/allocator.py
+++ b/packages/gentianspread-server/src/gentianspread_server/resources/allocator.py
@@ -8,7 +8,7 @@
 log = logging.getLogger(__name__)
 
 M_MMAP_THRESHOLD = -3  # of `mallopt`
-SEPARATE_BYTES = 128 * 1024  # the C library's own first value
+SEPARATE_BYTES = 32 * 1024
 
 
 def return_long_blocks() -> None:
