--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -16,9 +16,13 @@
 from gentianspread_lab.platform.ports import PortBlock
 from gentianspread_lab.platform.soakboard import SoakBoard
 from gentianspread_server.platform.callers import CallerServer
+from gentianspread_server.resources.process import ProcessResources
 
 SETTLING_S = 5.0
 CLOSE_TIMEOUT_S = 0.2
+# An idle VM has about 40 MB, so that a hundred messages of 1 MB exceed the memory; the descriptors
+# are 200 for files outside the data folder and 200 others, fewer than the clients of a scenario.
+TEST_LIMITS = {"limits.memoryMb": "80", "limits.maxFds": "400"}
 
 
 @fixture
@@ -44,6 +48,20 @@
         context.fleet.stop(keep_logs=True)
 
 
+@fixture
+def limited_fleet(context):
+    """Three control VMs and two entry VMs as processes with little memory and few descriptors."""
+    context.fleet = PlatformFleet(entry_count=2, limits=TEST_LIMITS)
+    context.crowds = []
+    try:
+        context.fleet.start()
+        yield context.fleet
+    finally:
+        for crowd in context.crowds:
+            crowd.close()
+        context.fleet.stop(keep_logs=True)
+
+
 @fixture
 def temporary_folder(context):
     """A folder that is removed after the scenario."""
@@ -94,7 +112,10 @@
     ports = PortBlock.reserve()
     context.caller_address = ports.next_address()
     context.held_runner = HeldSessionRunner()
-    context.caller_server = CallerServer(context.caller_address, context.held_runner)
+    context.resources = ProcessResources.with_defaults()
+    context.caller_server = CallerServer(
+        context.caller_address, context.held_runner, context.resources.caller_port()
+    )
     context.caller_server.start()
     yield context.caller_server
     context.held_runner.release()
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control.py
@@ -43,7 +43,9 @@
             self._new_evacuations(),
         )
         add_peer_routes(self.front, self.board, self.distribution, self.proposer)
-        self._server = WebServer(settings.control_address, self.front)
+        self._server = WebServer(
+            settings.control_address, self.front, self.resources.control_port()
+        )
 
     def _new_evacuations(self) -> Evacuations | None:
         if not self.board.settings.evacuation_timeout_s:
