--- a/features/platform_parts.feature
+++ b/features/platform_parts.feature
@@ -18,23 +18,6 @@
     When the VM polls a control VM that has just started
     Then the list of that VM has "f1" and "f2"
 
-  Scenario: After a restart of all VMs the leader distributes a list within half a second
-    Guards against a connection storm: without a list, each VM opens connections of its own.
-    Given a control leader that was elected after a restart of all VMs
-    When "f1" and "f2" poll without a list, and 0.4 s pass
-    And a VM without a list polls the control leader
-    Then the list of that VM has "f1" and "f2"
-
-  Scenario: A leader without a list does not replace a list in use by an incomplete one
-    Guards against connections that are closed because their home VM is not listed yet.
-    Given a control leader that was elected after a restart of all VMs
-    When "f1" and "f2" poll with a list, and 0.4 s pass
-    And a VM without a list polls the control leader
-    Then that VM has no list
-    When "f1" and "f2" poll with a list, and 1.7 s pass
-    And a VM without a list polls the control leader
-    Then the list of that VM has "f1" and "f2"
-
   Scenario: A VM that stops is removed from the list, and an unchanged list is not sent again
     Given a control leader whose list of serving VMs has "f1" and "f2"
     When a VM without a list polls the control leader
@@ -117,10 +100,3 @@
     Guards against a hot spot: after a restart of all VMs, one control VM would send every snapshot.
     Given 90 VMs that know only the same 3 seeds
     Then each seed is polled first by at least 15 of them
-
-  Scenario: A VM whose upstream is not fresh yet polls the leader next
-    Guards against a second wait for the same upstream, only because its answer was the first to name
-    the leader: half of the VMs of a restarted fleet were fresh half a second later than the others.
-    Given a VM that serves callers and control VMs "c1" and "c2" of its zone, none of them fresh
-    When it polls until it is fresh, and only the leader "c9" is fresh
-    Then it polled "c1" and then "c9"
--- a/features/steps/platform_parts.py
+++ b/features/steps/platform_parts.py
@@ -112,26 +112,6 @@
     _record_polls(context, (first, second))
 
 
-@given("a control leader that was elected after a restart of all VMs")
-def step_restarted_leader(context):
-    context.registry = ServingVMRegistry(context.session_simulation.board)
-    context.registry.build_fleet_list("")
-
-
-@when('"{first:w}" and "{second:w}" poll {has_list:w} a list, and {seconds:g} s pass')
-def step_polls_pass(context, first, second, has_list, seconds):
-    known_version = "v1" if has_list == "with" else ""
-    for _ in range(2):
-        _record_polls(context, (first, second))
-        context.registry.build_fleet_list(known_version)
-        context.session_simulation.run(seconds / 2)
-
-
-@then("that VM has no list")
-def step_vm_has_no_list(context):
-    assert not context.poller.serving_vm_names(), context.poller.serving_vm_names()
-
-
 @when('"{first:w}" reports a size of {first_size:g} and "{second:w}" a size of {second_size:g}')
 def step_report_sizes(context, first, first_size, second, second_size):
     for name, size in ((first, first_size), (second, second_size)):
@@ -445,60 +425,3 @@
     after = [item for item in context.client.requests if item[0] >= context.contact_at]
     assert after and after[0][1] == leader, after
     assert after[0][0] - context.contact_at <= seconds
-
-
-class AnsweringClient:
-    """Answers polls as control VMs that name the leader; only the leader is fresh."""
-
-    def __init__(self, leader):
-        self.leader = leader
-        self.polled = []
-
-    def request(self, address, path, message, timeout_s):
-        self.polled.append(address)
-        gevent.sleep(0.01)
-        return {
-            "revision": 0,
-            "entries": [],
-            "snapshot": None,
-            "age_s": 0.0 if address == self.leader else None,
-            "waited_s": 0.0,
-            "leader": self.leader,
-            "joined": [],
-            "stamp": [0, 0],
-            "entry_vms": 1,
-            "serving_taken": True,
-            "homes": {"version": "", "vms": None},
-            "observations": [],
-        }
-
-
-@given(
-    'a VM that serves callers and control VMs "{first:w}" and "{second:w}" of its zone, '
-    "none of them fresh"
-)
-def step_unfresh_zone(context, first, second):
-    settings = CoreSettings("e1", "z1", "")
-    settings.registers_diskless_members = False
-    context.engine = Engine.for_sessions(settings, BootTimeClock(), random.Random(1), wall_ms)
-    members = {name: Member(name, name, "z1", True) for name in (first, second)}
-    members["c9"] = Member("c9", "c9", "z2", True)
-    context.engine.board.configuration.members = members
-
-
-@when('it polls until it is fresh, and only the leader "{leader:w}" is fresh')
-def step_polls_until_fresh(context, leader):
-    board = context.engine.board
-    context.client = AnsweringClient(leader)
-    addresses = PeerAddresses(board, {}, names_are_addresses=True)
-    distribution = Distribution(board, context.engine.configuration, addresses, context.client)
-    poller = gevent.spawn(distribution._run)
-    with gevent.Timeout(2.0, False):
-        while not board.is_fresh():
-            gevent.sleep(0.01)
-    poller.kill()
-
-
-@then('it polled "{first:w}" and then "{second:w}"')
-def step_polled_in_turn(context, first, second):
-    assert context.client.polled[:2] == [first, second], context.client.polled
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -250,12 +250,7 @@
             observed_at = sent_at + response["waited_s"] - observation_age
             received = ReceivedObservation(group, Position.from_pair(position), observed_at)
             self.board.post(Topic.OBSERVATION_RECEIVED, received)
-        is_upstream_fresh = age is not None and age < MAX_UPSTREAM_AGE_S
-        if not is_upstream_fresh:
-            # The next poll goes to the next upstream, also if this answer was the first to name the
-            # leader; starting over would poll this one again.
-            self._polled_leader = self.leader()
-        return is_upstream_fresh
+        return age is not None and age < MAX_UPSTREAM_AGE_S
 
     def _poll_once(
         self, name: str, wait_s: float = 0.0, asks_first_start: bool = False
--- a/packages/gentianspread-server/src/gentianspread_server/serving.py
+++ b/packages/gentianspread-server/src/gentianspread_server/serving.py
@@ -19,9 +19,6 @@
 
 CONTROL_VM_LIST_TTL_S = 10.0  # keeps a partitioned zone's list until the zone usually is back
 FIRST_MERGE_DELAY_S = 2.0  # after a restart all VMs have polled control VMs, and these the leader
-# After a restart of all VMs there is no complete list to keep, and without a list each VM opens
-# connections of its own. Most VMs have polled once within this time.
-FIRST_LIST_DELAY_S = 0.35
 VERSION_HASH_BYTES = 8
 
 
@@ -50,21 +47,9 @@
 
 
 class ServingVMRegistry:
-    """Collects, merges and distributes the list of serving VMs on one VM.
+    """Collects, merges and distributes the list of serving VMs on one VM."""
 
-    `_has_merged` is set once this VM, as the leader, has merged the lists; `_is_list_in_use` if a
-    VM that polled this one holds a list.
-    """
-
-    __slots__ = (
-        "board",
-        "_polling_vms",
-        "_control_vm_lists",
-        "_leader_since",
-        "_last_sent",
-        "_has_merged",
-        "_is_list_in_use",
-    )
+    __slots__ = ("board", "_polling_vms", "_control_vm_lists", "_leader_since", "_last_sent")
 
     def __init__(self, board: Board) -> None:
         self.board = board
@@ -72,8 +57,6 @@
         self._control_vm_lists: dict[str, ControlVMList] = {}
         self._leader_since: float | None = None
         self._last_sent: tuple[str, str] = ("", "")
-        self._has_merged = False
-        self._is_list_in_use = False
 
     def record_poll(self, report: MemberReport, polled_at: float) -> None:
         """Record a VM's poll; a VM that no longer serves callers is removed at once."""
@@ -110,8 +93,6 @@
 
     def build_fleet_list(self, known_version: str) -> dict[str, Any]:
         """Return the fleet's list, or no list if its version is the one that the receiver knows."""
-        if known_version:
-            self._is_list_in_use = True
         self._merge()
         homes = self.board.homes
         if known_version == homes.version or not homes.version:
@@ -143,12 +124,11 @@
         """On the leader, merge the lists of all control VMs."""
         if self.board.election.role is not Role.LEADER:
             self._leader_since = None
-            self._has_merged = False
             return
         now = self.board.clock.now()
         if self._leader_since is None:
             self._leader_since = now
-        if not self._has_merged and now - self._leader_since < self._first_merge_delay():
+        if now - self._leader_since < FIRST_MERGE_DELAY_S:
             return
         merged = {vm.name: vm for vm in self._own_list()}
         for sender in list(self._control_vm_lists):
@@ -158,16 +138,8 @@
                 continue
             merged.update((vm.name, vm) for vm in control_vm_list.vms)
         vms = list(merged.values())
-        if not vms and not self.board.homes.version:
-            return
-        self._has_merged = True
         self.board.post(Topic.HOMES_RECEIVED, ServingVMList(compute_version(vms), vms))
 
-    def _first_merge_delay(self) -> float:
-        """Return how long a new leader waits, in seconds, before it replaces the list in use."""
-        is_in_use = self._is_list_in_use or self.board.homes.version
-        return FIRST_MERGE_DELAY_S if is_in_use else FIRST_LIST_DELAY_S
-
 
 def build_list_record(version: str, vms: list[ServingVM]) -> dict[str, Any]:
     """Return the plain form of a list, with the sizes other than the default by name."""
