--- a/features/explain.feature
+++ b/features/explain.feature
@@ -9,3 +9,10 @@
     Given logs with malformed lines and lines of other programs
     When "r2" is explained from the logs
     Then the explanation is "Nothing is known of r2."
+
+  Scenario: The explanation of a refusal under overload says who else waited and was refused
+    Guards against overload whose victims and causes cannot be told apart from the logs.
+    Given logs of two VMs of an overloaded group, in which request "r3" was refused
+    When "r3" is explained from the logs
+    Then the explanation counts for priority "0": "answered 2, refused none, median wait 10 ms"
+    And the explanation counts for priority "2": "answered 0, refused overloaded 2, median wait 90 ms"
--- a/features/overload.feature
+++ b/features/overload.feature
@@ -91,6 +91,11 @@
     When 300 reads per second arrive on all routes for 1 s
     Then the homes reported longer waits for priority 2 than for priority 0
 
+  Scenario: The metrics say who waited and who was refused, by priority, workspace and zone
+    When 300 reads per second arrive on all routes for 1 s
+    Then the metrics of the VMs count all refused reads, most of them of priority 2
+    And the metrics of the VMs contain the waits of every priority
+
   Scenario: The order of priority holds after the busiest home VM has stopped answering
     Guards against a failed home whose reports or queue keep urgent reads from other homes.
     When 300 reads per second arrive on all routes for 2 s
--- a/features/steps/explain.py
+++ b/features/steps/explain.py
@@ -55,3 +55,40 @@
 @then('the explanation is "{text:Quoted}"')
 def step_explanation(context, text):
     assert context.lines == [text], context.lines
+
+
+def _overload_line(member, number, kind, cause, priority, queued_ms, relayed=False):
+    return _line(
+        3000,
+        member,
+        kind,
+        f"request {number}",
+        cause,
+        group="g",
+        workspace="w1",
+        zone="z1",
+        priority=priority,
+        queued_ms=queued_ms,
+        relayed=relayed,
+    )
+
+
+@given('logs of two VMs of an overloaded group, in which request "{request:w}" was refused')
+def step_overload_logs(context, request):
+    first = [
+        _overload_line("e1", "r1", "request_answered", "ok", "0", 10),
+        _overload_line("e1", request, "request_refused", "overloaded", "2", 100),
+    ]
+    second = [
+        _overload_line("e2", "r5", "request_answered", "ok", "0", 10),
+        _overload_line("e2", "r6", "request_refused", "overloaded", "2", 80),
+        _overload_line("e2", request, "request_refused", "overloaded", "2", 70, relayed=True),
+    ]
+    _write(context, "e1.log", first)
+    _write(context, "e2.log", second)
+
+
+@then('the explanation counts for priority "{priority:w}": "{text:Quoted}"')
+def step_counts(context, priority, text):
+    lines = [line for line in context.lines if f"priority {priority} " in line]
+    assert len(lines) == 1 and lines[0].endswith(text), context.lines
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -12,6 +12,8 @@
 from gentianspread_core.errors import ExecutionResult
 from gentianspread_lab.fakes.session_simulation import NoOpWaiter
 from gentianspread_server.platform.wire import decode_statement
+from gentianspread_server.session_metrics import SessionMetrics
+from gentianspread_server.traffic import TrafficCounters
 
 WORKSPACES = 8
 OBJECTIVE_S = 0.25
@@ -206,6 +208,35 @@
     assert shares[first] > shares[second], (shares, context.failed_attempts)
 
 
+def _metric_sums(context, name):
+    """Return the sums of a metric over all VMs by priority."""
+    sums = Counter()
+    for engine in context.home_simulation.vms.values():
+        text = SessionMetrics(engine, TrafficCounters()).text().decode()
+        zone = engine.board.settings.zone
+        for line in text.splitlines():
+            if line.startswith(f"{name}{{"):
+                labels, value = line.split(" ")
+                assert f'zone="{zone}"' in labels and 'workspace="w' in labels, line
+                sums[labels.split('priority="')[1][0]] += float(value)
+    return sums
+
+
+@then("the metrics of the VMs count all refused reads, most of them of priority {priority:d}")
+def step_refused_metrics(context, priority):
+    refused = sum(1 for call in _all_calls(context) if call.answer.refusal is not None)
+    sums = _metric_sums(context, "gentianspread_refused_total")
+    assert sum(sums.values()) == refused, (sums, refused)
+    assert max(sums, key=sums.get) == str(priority), sums
+
+
+@then("the metrics of the VMs contain the waits of every priority")
+def step_wait_metrics(context):
+    sums = _metric_sums(context, "gentianspread_queued_total")
+    seconds = _metric_sums(context, "gentianspread_queued_seconds_total")
+    assert set(sums) == set(seconds) == {"0", "1", "2"}, (sums, seconds)
+
+
 def _report(context, vm, endpoints, waits):
     board = context.home_simulation.vms[vm].board
     for endpoint in endpoints:
--- a/packages/gentianspread-cli/src/gentianspread_cli/commands.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/commands.py
@@ -13,6 +13,7 @@
 from .causes import explain
 from .client import OperatorClient
 from .logfiles import read_events
+from .overload import overload_lines
 from .pictures import draw_timeline
 from .views import doctor_lines, status_lines, timeline_lines
 
@@ -190,7 +191,10 @@
     chain = explain(events, f"request {arguments[0]}")
     about_request = [event for event in events if event["subject"] == f"request {arguments[0]}"]
     shown = sorted({id(event): event for event in [*chain, *about_request]}.values(), key=_wall_ms)
-    return Report(timeline_lines(shown) or [f"Nothing is known of {arguments[0]}."], shown)
+    lines = timeline_lines(shown) or [f"Nothing is known of {arguments[0]}."]
+    if about_request:
+        lines = [*lines, *overload_lines(events, about_request[-1])]
+    return Report(lines, shown)
 
 
 def _wall_ms(event: dict[str, Any]) -> int:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -18,6 +18,7 @@
 from .members import Members
 from .observations import Observations
 from .outbox import Outbox
+from .overload import Overload
 from .queues import Queues
 from .rate_limits import RateLimits
 from .relays import Relays
@@ -49,6 +50,7 @@
         "homes",
         "loads",
         "observations",
+        "overload",
         "queues",
         "relays",
         "sessions",
@@ -76,6 +78,7 @@
         self.homes = HomeVMs()
         self.loads = Loads()
         self.observations = Observations()
+        self.overload = Overload()
         self.queues = Queues()
         self.relays = Relays()
         self.sessions = Sessions()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -201,8 +201,23 @@
             min_position=f"{position.term}.{position.index}" if position else "",
             reply=reply.status.value if reply else "",
             message=message,
+            **self._schedule_details(request, now),
         )
 
+    def _schedule_details(self, request: SessionRequest, now: float) -> dict[str, Any]:
+        """Return what decided the request's turn, if requests are scheduled by priority."""
+        if not self.board.settings.schedules_by_priority:
+            return {}
+        exchange = request.exchange
+        sent_at = exchange.sent_at if exchange is not None else now
+        return {
+            "priority": str(request.route.priority),
+            "zone": self.board.settings.zone,
+            "relayed": request.relayed_statement is not None,
+            "queued_ms": round((sent_at - request.arrived_at) * 1000),
+            "time_left_ms": round((request.wait_deadline - now) * 1000),
+        }
+
     def _configuration_age_ms(self, now: float) -> int:
         confirmed_at = self.board.configuration.confirmed_at
         return round((now - confirmed_at) * 1000) if confirmed_at > float("-inf") else -1
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -196,7 +196,8 @@
         candidates = self.candidates.of_request(request)
         options = self._options(request, candidates)
         if candidates and not options:
-            self._refuse_overloaded([request])
+            reason = f"Every home VM of {request.group} reports a wait that is too long."
+            self._refuse_overloaded([request], reason)
             return True
         option = self.selector.choose(request, options)
         waiting = self.waiting.count_before(self.queues.of_request(request), request)
@@ -304,12 +305,20 @@
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
             return
         queue = self.queues.of_request(request)
-        self._refuse_overloaded(self.waiting.push(queue, request))
-        self._refuse_overloaded(self.waiting.drop_overdue(queue))
+        reason = f"Too many requests wait for {request.group}."
+        self._refuse_overloaded(self.waiting.push(queue, request), reason)
+        self._refuse_overdue(queue)
+
+    def _refuse_overdue(self, queue: WaitingQueue) -> None:
+        """Refuse what waits in a queue and cannot be served in time any more."""
+        overdue = self.waiting.drop_overdue(queue)
+        self._refuse_overloaded(
+            overdue, "More urgent or earlier requests take until it is too late."
+        )
 
-    def _refuse_overloaded(self, requests: list[SessionRequest]) -> None:
+    def _refuse_overloaded(self, requests: list[SessionRequest], reason: str) -> None:
         for request in requests:
-            request.refuse(ErrorCode.OVERLOADED, f"Too many requests wait for {request.group}.")
+            request.refuse(ErrorCode.OVERLOADED, reason)
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
 
     def _drain_group(self, group: str) -> None:
@@ -320,7 +329,7 @@
     def _drain_queues(self, queues: list[WaitingQueue]) -> None:
         """Dispatch queued requests, one of each key in turn, until none can be placed."""
         for queue in queues:
-            self._refuse_overloaded(self.waiting.drop_overdue(queue))
+            self._refuse_overdue(queue)
         is_placed = any(queue.length > 0 for queue in queues)
         while is_placed:
             is_placed = False
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -7,7 +7,7 @@
 from .blackboard import Board
 from .blackboard.timeline import Timeline
 from .controllers.acknowledgement import AcknowledgementController
-from .controllers.admission import QueueingDelayLimit, ReportedAdmission
+from .controllers.admission import AccountingController, QueueingDelayLimit, ReportedAdmission
 from .controllers.allocator import AllocatorController
 from .controllers.balancing import LoadController
 from .controllers.completion import CompletionController
@@ -140,6 +140,7 @@
                 PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
             ),
             SessionController(board),
+            AccountingController(board),
             RelayController(board),
             HealthController(board),
             PromotionController(board),
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from typing import TYPE_CHECKING
 
 from gentianspread_core.blackboard.connections import ConnectionState
 from gentianspread_core.blackboard.sessions import StatementCall
@@ -14,6 +15,9 @@
 
 from .traffic import TrafficCounters
 
+if TYPE_CHECKING:
+    from prometheus_client import CollectorRegistry
+
 MIN_LATENCY_US = 1  # the smallest value that the histogram can record
 MAX_LATENCY_US = 60_000_000  # longer than any deadline
 SIGNIFICANT_DIGITS = 2
@@ -79,6 +83,7 @@
         for (path, zone), counters in sums.items():
             peer_bytes.labels(path, zone, "sent").inc(counters.sent)
             peer_bytes.labels(path, zone, "received").inc(counters.received)
+        self._add_overload(registry)
         latency = Gauge(
             "gentianspread_latency_seconds",
             "Time to the answer of the newest statements.",
@@ -91,6 +96,35 @@
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
 
+    def _add_overload(self, registry: CollectorRegistry) -> None:
+        """Add who waited and who was refused, if requests are scheduled by priority."""
+        from prometheus_client import Counter
+
+        board = self.engine.board
+        if not board.settings.schedules_by_priority:
+            return
+        labels = ["priority", "workspace", "zone"]
+        waiting_s = Counter(
+            "gentianspread_queued_seconds",
+            "Time until callers' requests were sent, in all.",
+            labels,
+            registry=registry,
+        )
+        sent = Counter(
+            "gentianspread_queued", "Callers' requests that were sent.", labels, registry=registry
+        )
+        for (priority, workspace), counts in board.overload.waits.items():
+            waiting_s.labels(priority, workspace, board.settings.zone).inc(counts.seconds)
+            sent.labels(priority, workspace, board.settings.zone).inc(counts.requests)
+        refused = Counter(
+            "gentianspread_refused",
+            "Callers' requests that were refused.",
+            [*labels, "cause"],
+            registry=registry,
+        )
+        for (priority, workspace, cause), count in board.overload.refusals.items():
+            refused.labels(priority, workspace, board.settings.zone, cause).inc(count)
+
     def _zones_by_address(self) -> dict[str, str]:
         """Return the availability zones of the other VMs by address, as far as they are known."""
         board = self.engine.board
