--- a/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from ...blackboard import Board
-from ...blackboard.endpoints import Endpoint
+from ...blackboard.connections import ConnectionState
+from ...blackboard.endpoints import ConcurrencyWindow, Endpoint
 from ...blackboard.requests import ExchangeStatus, Reply, Request, StatementKind
 from ...blackboard.sessions import SessionExchange
 from ...errors import ErrorCode
@@ -11,7 +12,7 @@
 LAGGING_CODE = "LAGGING"
 OVERLOAD_CODES = frozenset({"BUSY", ErrorCode.OVERLOADED.value})
 LATE_REPLY_FRACTION = 0.5  # of the objective; the rest is for queueing and another endpoint
-MAX_QUEUEING_FRACTION = 0.1  # of the objective; what waits at an endpoint has no order of priority
+MAX_QUEUEING_FRACTION = 0.05  # of the objective; what waits at an endpoint has no order of priority
 WINDOW_DECREASE_FACTOR = 0.7  # usual for a gentle decrease; three in a row reduce it to a third
 
 
@@ -82,8 +83,23 @@
         fastest.observe(elapsed_s, now)
         if elapsed_s - fastest.seconds() > MAX_QUEUEING_FRACTION * route.objective:
             endpoint.window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
+        elif self._is_used_up(endpoint):
+            self._increase(endpoint.window)
+
+    def _is_used_up(self, endpoint: Endpoint) -> bool:
+        """Return whether the limit was reached; a reply says nothing about a higher one if not."""
+        connections = self.board.connections.of(endpoint.name)
+        busy = sum(
+            1 for item in connections if item.home is None and item.state is ConnectionState.BUSY
+        )
+        return busy >= int(endpoint.window.size)
+
+    def _increase(self, window: ConcurrencyWindow) -> None:
+        """Grow by one for each reply until the first decrease (slow start), then additively."""
+        if window.decreased_at == 0.0:
+            window.size = min(window.limit, window.size + 1.0)
         else:
-            endpoint.window.increase()
+            window.increase()
 
     def _adapt_relayed(self, endpoint: Endpoint, exchange: SessionExchange, reply: Reply) -> None:
         """Lower the limit of what is relayed only if a home VM or the endpoint did not answer.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
@@ -12,9 +12,7 @@
 from .waiting import MAX_QUEUED_PER_WORKSPACE
 
 MIN_SHARE = 0.05  # of the dispatches, for each lower priority that waits; callers must not starve
-OVERLOAD_WAIT_FRACTION = (
-    0.25  # of the objective; callers are promised an offer to an endpoint by then
-)
+OVERLOAD_WAIT_FRACTION = 0.25  # of the objective; by then a request should be at an endpoint
 
 
 class PriorityWaiting:
@@ -82,7 +80,7 @@
     def take(self, queue: WaitingQueue, key: str) -> SessionRequest:
         """Remove and return the next request of one key."""
         waiting = queue.by_workspace[key]
-        request = self._first(waiting)
+        request = self._in_turn(waiting)[0]
         waiting.remove(request)
         queue.length -= 1
         return request
@@ -101,7 +99,7 @@
             for key, waiting in queue.by_workspace.items():
                 if not waiting or (id(queue), key) in self._blocked:
                     continue
-                request = self._first(waiting)
+                request = self._in_turn(waiting)[0]
                 priority = request.route.priority
                 has_credit = queue.credits.get(priority, 0.0) >= 1.0
                 is_late = now > _objective_end(request)
@@ -126,16 +124,19 @@
         if remaining:
             served.by_workspace[key] = remaining
 
-    def _first(self, waiting: deque[SessionRequest]) -> SessionRequest:
-        """Return the request of one key that is served next."""
+    def _in_turn(self, waiting: deque[SessionRequest]) -> list[SessionRequest]:
+        """Return the requests of one key in the order in which they are served."""
         now = self.board.clock.now()
-        on_time = [item for item in waiting if now <= _objective_end(item)]
-        if not on_time:
-            return max(waiting, key=lambda item: item.arrived_at)
-        oldest = min(on_time, key=lambda item: item.arrived_at)
-        if now - oldest.arrived_at > OVERLOAD_WAIT_FRACTION * oldest.route.objective:
-            return max(on_time, key=lambda item: item.arrived_at)
-        return min(on_time, key=_objective_end)
+        newest_first = sorted(waiting, key=lambda item: -item.arrived_at)
+        on_time = [item for item in newest_first if now <= _objective_end(item)]
+        late = [item for item in newest_first if now > _objective_end(item)]
+        if on_time and not self._is_overloaded(on_time[-1]):
+            on_time.sort(key=_objective_end)
+        return on_time + late
+
+    def _is_overloaded(self, oldest: SessionRequest) -> bool:
+        waited = self.board.clock.now() - oldest.arrived_at
+        return waited > OVERLOAD_WAIT_FRACTION * oldest.route.objective
 
     def _drop_too_late(self, queue: WaitingQueue, rate: float) -> list[SessionRequest]:
         """Drop what is expected to start too late at a rate of starts per second."""
@@ -145,18 +146,24 @@
         dropped = []
         more_urgent = 0
         for priority in sorted({_priority(key) for key in queue.by_workspace}):
-            same = [
-                items for key, items in queue.by_workspace.items() if _priority(key) == priority
-            ]
-            for waiting in same:
-                while waiting:
-                    last = min(waiting, key=lambda item: item.wait_deadline)
-                    before = sum(min(len(waiting), len(items)) for items in same) - 1
+            same = {
+                key: items
+                for key, items in queue.by_workspace.items()
+                if _priority(key) == priority
+            }
+            for key, waiting in same.items():
+                lengths = [len(items) for other, items in same.items() if other != key]
+                own = 0
+                for request in self._in_turn(waiting):
+                    before = own + sum(min(own + 1, length) for length in lengths)
                     wait_s = min((more_urgent + before) / rate, before / (rate * MIN_SHARE))
-                    if now + wait_s <= last.wait_deadline:
-                        break
-                    dropped.append(_drop(queue, waiting))
-            more_urgent += sum(len(items) for items in same)
+                    if now + wait_s > request.wait_deadline:
+                        waiting.remove(request)
+                        queue.length -= 1
+                        dropped.append(request)
+                    else:
+                        own += 1
+            more_urgent += sum(len(items) for items in same.values())
         return dropped
 
 
