--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -20,6 +20,7 @@
 from .observations import Observations
 from .outbox import Outbox
 from .outliers import Outliers
+from .overload import Overload
 from .queues import Queues
 from .rate_limits import RateLimits
 from .relays import Relays
@@ -52,6 +53,7 @@
         "homes",
         "loads",
         "observations",
+        "overload",
         "queues",
         "relays",
         "sessions",
@@ -81,6 +83,7 @@
         self.homes = HomeVMs()
         self.loads = Loads()
         self.observations = Observations()
+        self.overload = Overload()
         self.queues = Queues()
         self.relays = Relays()
         self.sessions = Sessions()
