--- a/features/balancing.feature
+++ b/features/balancing.feature
@@ -60,6 +60,7 @@
     And b2 is ejected at every VM
     And at least 0.99 of these reads were served
     And ejections were logged with the age of the load information
+    And the metrics of h1 show 1 ejected endpoint
     When b2 runs statements again
     And callers send 300 reads per second for 8 s
     Then b2 got at least 0.2 of the statements of the last 2 s
@@ -108,6 +109,7 @@
     Given 6 VMs that report loads
     When callers of z2 send 800 reads per second for 3 s
     Then b2 got at most 0.8 of the statements of the last 1 s
+    And each VM logged at most 4 moves, with the age of the load information
     And at least 0.95 of these reads were served
 
   Scenario: The callers of a lost zone use the endpoints of both other zones
@@ -129,6 +131,12 @@
     Then 0 endpoint probes were sent by the VMs
     And each read was sent once to an endpoint
 
+  Scenario: Nothing is kept of a VM that has left
+    Guards against memory that grows with every VM that is replaced.
+    Given 12 VMs that report loads
+    When callers send 300 reads per second for 2 s
+    Then no VM keeps reports or statistics of a home VM that has left the list
+
   Scenario: An ejected endpoint gets single statements as probes and no commands
     Guards against checks by many VMs that keep a failing endpoint busy: the fleet sends it about two
     statements a second.
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/loads.py
@@ -1,5 +1,7 @@
 """Section of what other VMs report of the load of endpoints; owned by the load controller.
 
+The endpoint selector owns the fields on its decisions.
+
 A home VM knows its own part of an endpoint's load exactly and returns it with each reply to a
 relayed statement. So reports cost no message of their own, and each has an age.
 """
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
@@ -33,7 +33,16 @@
         board.loads.is_reported = board.settings.schedules_by_priority or is_uneven
         if not board.loads.is_reported:
             board.loads.by_endpoint.clear()
-            board.outliers.ejections.clear()
+        names = {vm.name for vms in board.homes.by_zone.values() for vm in vms}
+        reports_by_endpoint = board.loads.by_endpoint
+        for endpoint in [
+            item for item in reports_by_endpoint if item not in board.endpoints.by_name
+        ]:
+            del reports_by_endpoint[endpoint]
+        for endpoint, reports in reports_by_endpoint.items():
+            reports_by_endpoint[endpoint] = {
+                name: report for name, report in reports.items() if name in names
+            }
 
     def on_exchange_ended(self, request: SessionRequest) -> None:
         """Keep the report that came with the reply of a home VM."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/outliers.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/outliers.py
@@ -49,6 +49,7 @@
             Topic.EXCHANGE_SCHEDULED: self.on_exchange_scheduled,
             Topic.EXCHANGE_ENDED: self.on_exchange_ended,
             Topic.RELAY_RECEIVED: self.on_relay_received,
+            Topic.HOMES_CHANGED: self.on_homes,
         }
 
     def on_exchange_scheduled(self, request: SessionRequest) -> None:
@@ -60,6 +61,21 @@
         if ejection is not None and request.relayed_statement is None:
             self._schedule_probe(ejection)
 
+    def on_homes(self, _entry: None) -> None:
+        """Forget removed home VMs and endpoints, and everything where loads are not reported."""
+        outliers = self.board.outliers
+        is_reported = self.board.loads.is_reported
+        vms = {vm.name for listed in self.board.homes.by_zone.values() for vm in listed}
+        endpoints = set(self.board.endpoints.by_name)
+        for items, known in (
+            (outliers.homes, vms),
+            (outliers.ejected_homes, vms),
+            (outliers.endpoints, endpoints),
+            (outliers.ejections, endpoints),
+        ):
+            for name in [name for name in items if not is_reported or name not in known]:
+                del items[name]
+
     def on_relay_received(self, relayed: RelayedStatement) -> None:
         """Adopt the states that came with another VM's statement."""
         if self.board.loads.is_reported and relayed.outliers:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
@@ -142,7 +142,8 @@
                 if item.state is ConnectionState.BUSY and item.workspace == request.workspace
             )
             if busy:
-                latency = max(endpoint.latency, MIN_LATENCY_S)
+                load_s = self.reported_load_s(endpoint, None)
+                latency = max(endpoint.latency if load_s is None else load_s, MIN_LATENCY_S)
                 cost = latency * (2.0 + waiting / busy) + self._zone_cost(endpoint)
                 best = min(best, cost)
         return best
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -117,6 +117,7 @@
         queues = [*board.queues.reads.values(), *board.queues.writes.values()]
         suspected = sum(1 for item in board.endpoints.by_name.values() if item.suspected)
         return [
+            *self._balancing_gauges(),
             ("revision", "Revision of the configuration.", board.configuration.revision),
             ("fresh", "Whether keyed work is served.", float(board.is_fresh())),
             ("sessions", "Open sessions.", len(board.sessions.by_number)),
@@ -126,3 +127,22 @@
             ("suspected_endpoints", "Endpoints that get no new work.", suspected),
             ("promotions", "Promotions under way.", len(board.groups.promotions)),
         ]
+
+    def _balancing_gauges(self) -> list[tuple[str, str, float]]:
+        """Return the gauges of load balancing, none where loads are not reported."""
+        board = self.engine.board
+        if not board.loads.is_reported:
+            return []
+        outliers, now = board.outliers, board.clock.now()
+        endpoints = sum(1 for name in outliers.ejections if outliers.share_of(name) < 1.0)
+        homes = sum(1 for name in outliers.ejected_homes if outliers.is_home_ejected(name, now))
+        return [
+            ("ejected_endpoints", "Endpoints with a reduced share of new work.", endpoints),
+            ("ejected_homes", "Home VMs that others are preferred to.", homes),
+            ("load_migrations", "Requests moved because of the load.", board.loads.migrations),
+            (
+                "load_age_seconds",
+                "Age of the load information that last moved a request.",
+                board.loads.decided_age_s,
+            ),
+        ]
