--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
@@ -33,7 +33,16 @@
         board.loads.is_reported = board.settings.schedules_by_priority or is_uneven
         if not board.loads.is_reported:
             board.loads.by_endpoint.clear()
-            board.outliers.ejections.clear()
+        names = {vm.name for vms in board.homes.by_zone.values() for vm in vms}
+        reports_by_endpoint = board.loads.by_endpoint
+        for endpoint in [
+            item for item in reports_by_endpoint if item not in board.endpoints.by_name
+        ]:
+            del reports_by_endpoint[endpoint]
+        for endpoint, reports in reports_by_endpoint.items():
+            reports_by_endpoint[endpoint] = {
+                name: report for name, report in reports.items() if name in names
+            }
 
     def on_exchange_ended(self, request: SessionRequest) -> None:
         """Keep the report that came with the reply of a home VM."""
@@ -53,6 +62,6 @@
     connections = board.connections.of(endpoint_name)
     running = sum(1 for item in connections if item.state is ConnectionState.BUSY)
     queue = board.queues.pinned.get(endpoint_name)
-    endpoint = board.endpoints.by_name.get(endpoint_name)
-    service_s = endpoint.latency if endpoint is not None else 0.0
-    return EndpointLoad(running, queue.length if queue else 0, wait_s, service_s, board.clock.now())
+    now = board.clock.now()
+    service_s = board.outliers.latency_of(endpoint_name, now)
+    return EndpointLoad(running, queue.length if queue else 0, wait_s, service_s, now)
