--- a/features/steps/balancing.py
+++ b/features/steps/balancing.py
@@ -13,6 +13,7 @@
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
 from gentianspread_server.platform.wire import decode_statement
+from gentianspread_server.resources.process import ProcessResources
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.traffic import TrafficCounters
 
@@ -287,7 +288,9 @@
 @then("the metrics of {vm:w} show {count:d} ejected endpoint")
 def step_metrics(context, vm, count):
     engine = context.home_simulation.vms[vm]
-    text = SessionMetrics(engine, TrafficCounters()).text().decode()
+    text = (
+        SessionMetrics(engine, TrafficCounters(), ProcessResources.with_defaults()).text().decode()
+    )
     assert f"gentianspread_ejected_endpoints {float(count)}" in text, text
     assert "gentianspread_load_age_seconds" in text
 
--- a/features/steps/evacuation_promotions.py
+++ b/features/steps/evacuation_promotions.py
@@ -14,6 +14,7 @@
 )
 from gentianspread_lab.fakes.session_simulation import GROUP
 from gentianspread_server.operations import Operations
+from gentianspread_server.resources.process import ProcessResources
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.traffic import TrafficCounters
 from support import change_zone
@@ -84,7 +85,9 @@
 
 
 def _metrics(context):
-    metrics = SessionMetrics(context.session_simulation.engine, TrafficCounters())
+    metrics = SessionMetrics(
+        context.session_simulation.engine, TrafficCounters(), ProcessResources.with_defaults()
+    )
     return metrics.text().decode()
 
 
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -12,6 +12,7 @@
 from gentianspread_core.errors import ExecutionResult
 from gentianspread_lab.fakes.session_simulation import NoOpWaiter
 from gentianspread_server.platform.wire import decode_statement
+from gentianspread_server.resources.process import ProcessResources
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.traffic import TrafficCounters
 
@@ -212,7 +213,11 @@
     """Return the sums of a metric over all VMs by priority."""
     sums = Counter()
     for engine in context.home_simulation.vms.values():
-        text = SessionMetrics(engine, TrafficCounters()).text().decode()
+        text = (
+            SessionMetrics(engine, TrafficCounters(), ProcessResources.with_defaults())
+            .text()
+            .decode()
+        )
         zone = engine.board.settings.zone
         for line in text.splitlines():
             if line.startswith(f"{name}{{"):
