--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -222,6 +222,20 @@
     Then the outcomes are "accepted, accepted, accepted"
     And "z2" is evacuated on every VM, since the first of these commands
 
+  # Guards against a delayed request that undoes a newer one which found nothing to change.
+  @simulation
+  Scenario Outline: A delayed command is rejected after one that asked for what was in force
+    When "begin_evacuation" of "z2" is proposed with the revision of now
+    And "<newer>" of "<zone>" is proposed with the revision of now
+    And an older "<older>" of "<zone>" is proposed, with the revision before
+    Then the outcomes are "accepted, accepted, revision_conflict"
+    And "z2" is evacuated on every VM, since the first of these commands
+
+    Examples:
+      | newer             | zone | older             |
+      | begin_evacuation  | z2   | finish_evacuation |
+      | finish_evacuation | z1   | begin_evacuation  |
+
   # Guards against evacuations that are lost with a restart, a disk or an old log.
   @simulation
   Scenario Outline: Evacuations survive what a configuration survives
--- a/features/steps/evacuation_requests.py
+++ b/features/steps/evacuation_requests.py
@@ -54,7 +54,12 @@
     _propose(context, kind, zone, configuration.evacuation_revision(zone))
     if len(context.codes) == 1:
         configuration = context.simulation.leader().board.configuration
-        context.changed_at = configuration.evacuation_revision(zone)
+        context.changed_at = configuration.evacuations[zone].revision
+
+
+@when('an older "{kind:w}" of "{zone:w}" is proposed, with the revision before')
+def step_propose_older(context, kind, zone):
+    _propose(context, kind, zone, context.proposed[-1][2])
 
 
 @when("the first command is proposed once more")
@@ -88,7 +93,7 @@
 def step_evacuated(context, zone):
     for vm in context.simulation.vms.values():
         assert vm.board.configuration.is_evacuated(zone), vm.name
-        assert vm.board.configuration.evacuation_revision(zone) == context.changed_at, vm.name
+        assert vm.board.configuration.evacuations[zone].revision == context.changed_at, vm.name
 
 
 def _new_api(context, vm_name, leader_name, pauses):
@@ -151,7 +156,8 @@
 def step_request(context, method, path):
     context.status = _request(context.api, method, path)
     leader = context.simulation.leader()
-    context.first_revision = leader.board.configuration.evacuation_revision("z1") if leader else 0
+    evacuation = leader.board.configuration.evacuations.get("z1") if leader else None
+    context.first_revision = evacuation.revision if evacuation else 0
 
 
 @when('an operator sends "{method:w} {path}" to another control VM')
@@ -167,5 +173,5 @@
 
 @then('the zone "{zone:w}" has changed once')
 def step_changed_once(context, zone):
-    revision = context.simulation.leader().board.configuration.evacuation_revision(zone)
+    revision = context.simulation.leader().board.configuration.evacuations[zone].revision
     assert revision == context.first_revision > 0, (revision, context.first_revision)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -114,16 +114,18 @@
 class Evacuation:
     """Whether an availability zone is evacuated.
 
-    `revision` is the index of the log entry that last changed this. A finished evacuation is kept,
-    so that a command based on an earlier revision is rejected.
+    `revision` is the index of the log entry that last changed this, 0 if none has. `last_revision`
+    is that of the last accepted command, also of one that asked for what was in force: a command
+    based on an earlier one is rejected, so finished evacuations are kept.
     """
 
-    __slots__ = ("zone", "is_active", "revision")
+    __slots__ = ("zone", "is_active", "revision", "last_revision")
 
-    def __init__(self, zone: str, is_active: bool, revision: int) -> None:
+    def __init__(self, zone: str, is_active: bool, revision: int, last_revision: int) -> None:
         self.zone = zone
         self.is_active = is_active
         self.revision = revision
+        self.last_revision = last_revision
 
 
 class Configuration:
@@ -185,9 +187,9 @@
         return evacuation is not None and evacuation.is_active
 
     def evacuation_revision(self, zone: str) -> int:
-        """Return the revision at which the zone was last evacuated or brought back, or 0."""
+        """Return the revision of the last accepted command about a zone's evacuation, or 0."""
         evacuation = self.evacuations.get(zone)
-        return evacuation.revision if evacuation is not None else 0
+        return evacuation.last_revision if evacuation is not None else 0
 
     def may_have_group(self, name: str) -> bool:
         """Return whether endpoints of a group are accepted: a declaration must name the group."""
@@ -233,7 +235,7 @@
         snapshot[table] = [[getattr(row, slot) for slot in kind.__slots__] for row in rows]
     if configuration.evacuations:
         snapshot["evacuations"] = [
-            [item.zone, item.is_active, item.revision]
+            [getattr(item, slot) for slot in Evacuation.__slots__]
             for item in configuration.evacuations.values()
         ]
     return snapshot
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -245,7 +245,8 @@
 
 def _differ(current: dict[str, Evacuation], before: dict[str, Evacuation]) -> bool:
     """Return whether the state of any zone has changed; a snapshot replaces all of them."""
-    if current is before:
-        return False
-    changed_at = {zone: item.revision for zone, item in current.items()}
-    return changed_at != {zone: item.revision for zone, item in before.items()}
+    return current is not before and _changed_at(current) != _changed_at(before)
+
+
+def _changed_at(evacuations: dict[str, Evacuation]) -> dict[str, int]:
+    return {zone: item.revision for zone, item in evacuations.items() if item.revision}
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
@@ -124,7 +124,7 @@
             EventKind.EVACUATION_FINISHED,
             f"zone {evacuation.zone}",
             "the configuration says so",
-            revision=self.board.configuration.evacuation_revision(evacuation.zone),
+            revision=self.board.configuration.revision,
             lasted_ms=round(lasted_s * 1000),
         )
 
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -284,22 +284,24 @@
 
 
 def _set_evacuation(configuration: Configuration, command: Command, is_active: bool) -> None:
-    """Begin or finish the evacuation of a zone, unless the zone has changed since the request.
+    """Begin or finish the evacuation of a zone, unless a newer command about it was accepted.
 
-    A request for what is in force already changes nothing.
+    A command for what is in force already is accepted and changes only the zone's last revision.
     """
     zone, expected = command.fields["zone"], command.fields["expected_revision"]
     if not isinstance(zone, str) or not isinstance(expected, int):
         raise TypeError("the zone is not a text or the expected revision not a number")
+    index, current = configuration.revision, configuration.evacuation_revision(zone)
     if configuration.is_evacuated(zone) is is_active:
-        return
-    current = configuration.evacuation_revision(zone)
-    if expected != current:
+        before = configuration.evacuations.get(zone)
+        changed = Evacuation(zone, is_active, before.revision if before else 0, index)
+    elif expected == current:
+        changed = Evacuation(zone, is_active, index, index)
+    else:
         raise ChangeRejected(
             ErrorCode.REVISION_CONFLICT,
-            f"Zone {zone} changed at revision {current}, after revision {expected}.",
+            f"A command about zone {zone} was accepted at revision {current}, after {expected}.",
         )
-    changed = Evacuation(zone, is_active, configuration.revision)
     configuration.evacuations = {**configuration.evacuations, zone: changed}
 
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/evacuationhistory.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/evacuationhistory.py
@@ -8,23 +8,26 @@
 from .fakes import FakeVM, Simulation
 
 ZONES = ("z1", "z2", "z3")
+STEP_S = 0.01
+OUTCOME_S = 1.0  # by then a command has its outcome, unless the leader has failed
 
 
 class SentEvacuation:
-    """A command as it was proposed; `outcomes` gets its outcome, or none if that is unknown.
+    """A command; `outcomes` gets its outcome once it is sent, or none if that is unknown.
 
-    `resolved_at` is when the outcome was first seen, in seconds of the simulation.
+    It is based on what a VM knew at `requested_at`. Times are in seconds of the simulation;
+    `resolved_at` is when the outcome was first seen.
     """
 
-    __slots__ = ("zone", "begins", "sent_at", "outcomes", "resolved_at")
+    __slots__ = ("zone", "begins", "expected", "requested_at", "sent_at", "outcomes", "resolved_at")
 
-    def __init__(
-        self, zone: str, begins: bool, sent_at: float, outcomes: list[ChangeOutcome | None]
-    ) -> None:
+    def __init__(self, zone: str, begins: bool, expected: int, requested_at: float) -> None:
         self.zone = zone
         self.begins = begins
-        self.sent_at = sent_at
-        self.outcomes = outcomes
+        self.expected = expected
+        self.requested_at = requested_at
+        self.sent_at = float("inf")
+        self.outcomes: list[ChangeOutcome | None] = []
         self.resolved_at = float("inf")
 
     def is_known(self) -> bool:
@@ -40,7 +43,9 @@
         if self.zone != other.zone or self.begins is other.begins:
             return False
         was_rejected = self.is_known() and not self.is_accepted()
-        return not was_rejected and not self.resolved_at < other.sent_at
+        was_before = self.resolved_at < other.requested_at
+        is_delayed = self.requested_at < other.requested_at and self.sent_at > other.resolved_at
+        return not (was_rejected or was_before or is_delayed)
 
 
 class EvacuationHistory:
@@ -52,14 +57,38 @@
         self.simulation = simulation
         self.sent: list[SentEvacuation] = []
 
-    def send(self, vm: FakeVM, zone: str, begins: bool) -> None:
+    def request(self, vm: FakeVM, zone: str, begins: bool) -> None:
         """Propose a command based on what a VM knows, which may be old."""
-        kind = CommandKind.BEGIN_EVACUATION if begins else CommandKind.FINISH_EVACUATION
+        self._send(self._new_command(vm, zone, begins))
+
+    def overtake(self, vm: FakeVM, zone: str, begins: bool) -> None:
+        """Propose a command and then the opposite one, which was requested before it.
+
+        If there is a leader then, check that what it has is in force.
+        """
+        older = self._new_command(vm, zone, not begins)
+        self.simulation.run(STEP_S)
+        self.request(vm, zone, begins)
+        self.simulation.run(OUTCOME_S)
+        self.observe()
+        self.simulation.run(STEP_S)
+        self._send(older)
+        self.simulation.run(OUTCOME_S)
+        self.observe()
+        leader = self.simulation.leader()
+        if leader is not None and leader.board.is_fresh():
+            self.check(leader.board.configuration)
+
+    def _new_command(self, vm: FakeVM, zone: str, begins: bool) -> SentEvacuation:
         expected = vm.board.configuration.evacuation_revision(zone)
-        fields = {"zone": zone, "expected_revision": expected}
-        now = self.simulation.clock.now()
-        outcomes = self.simulation.propose_change(kind, fields)
-        self.sent.append(SentEvacuation(zone, begins, now, outcomes))
+        return SentEvacuation(zone, begins, expected, self.simulation.clock.now())
+
+    def _send(self, command: SentEvacuation) -> None:
+        kind = CommandKind.BEGIN_EVACUATION if command.begins else CommandKind.FINISH_EVACUATION
+        fields = {"zone": command.zone, "expected_revision": command.expected}
+        command.sent_at = self.simulation.clock.now()
+        command.outcomes = self.simulation.propose_change(kind, fields)
+        self.sent.append(command)
 
     def observe(self) -> None:
         """Record when outcomes became known."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/evacuationmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/evacuationmutants.py
@@ -14,6 +14,7 @@
 from gentianspread_server.evacuations import Evacuations
 from gentianspread_server.pauses import PauseDetector
 
+ORIGINAL_SET_EVACUATION = state_machine._set_evacuation
 ORIGINAL_ON_CHANGED = EvacuationController.on_changed
 
 
@@ -21,11 +22,18 @@
     return ChangeOutcome(True, 0, "", "")
 
 
+def _ignore_what_is_in_force(
+    configuration: Configuration, command: Command, is_active: bool
+) -> None:
+    if configuration.is_evacuated(command.fields["zone"]) is not is_active:
+        ORIGINAL_SET_EVACUATION(configuration, command, is_active)
+
+
 def _set_without_comparison(
     configuration: Configuration, command: Command, is_active: bool
 ) -> None:
     zone = command.fields["zone"]
-    changed = Evacuation(zone, is_active, configuration.revision)
+    changed = Evacuation(zone, is_active, configuration.revision, configuration.revision)
     configuration.evacuations = {**configuration.evacuations, zone: changed}
 
 
@@ -62,6 +70,12 @@
         "_set_evacuation",
         _set_without_comparison,
     ),
+    (
+        "commands for what is in force overtake no others",
+        state_machine,
+        "_set_evacuation",
+        _ignore_what_is_in_force,
+    ),
     ("requests after a pause are taken", PauseDetector, "has_just_resumed", _no),
     ("evacuated endpoints get work", EvacuationFilter, "allows", _yes),
     ("open transactions outlive evacuations", EvacuationController, "_end_transactions", _nothing),
--- a/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fuzz.py
@@ -221,7 +221,12 @@
     @rule(vm=st.sampled_from(VM_NAMES), zone=st.sampled_from(ZONES), begins=st.booleans())
     def evacuate(self, vm: str, zone: str, begins: bool) -> None:
         """Begin or finish the evacuation of a zone, based on what a VM knows of it."""
-        self.evacuations.send(self.simulation.vms[vm], zone, begins)
+        self.evacuations.request(self.simulation.vms[vm], zone, begins)
+
+    @rule(vm=st.sampled_from(VM_NAMES), zone=st.sampled_from(ZONES), begins=st.booleans())
+    def overtake_evacuation(self, vm: str, zone: str, begins: bool) -> None:
+        """Begin or finish an evacuation, and then send an older command that was held up."""
+        self.evacuations.overtake(self.simulation.vms[vm], zone, begins)
 
     def withdraw_key(self) -> None:
         """Withdraw the key; it must stop working on every VM within the timeout."""
