--- a/features/overload.feature
+++ b/features/overload.feature
@@ -21,6 +21,22 @@
     When 300 reads per second arrive on "urgent" for 4 s, and 40 on "background"
     Then at least 0.05 of the reads on "background" were served within 1 s
 
+  Scenario: Each lower priority gets its share of the dispatches while more urgent requests wait
+    Given a queue that is ordered by priority
+    When 100 requests are dispatched while requests of the priorities 0, 1 and 2 always wait
+    Then at least 88 of priority 0 were dispatched, and at least 4 of each other one
+
+  Scenario: The earliest objective is first while the load is sustainable
+    Given a queue that is ordered by priority
+    When requests that have waited for 0.01, 0.05, 0.02 s are pushed
+    Then they are dispatched in the order 0.05, 0.02, 0.01 s
+
+  Scenario: The newest request is first under overload, and late ones are last
+    Guards against serving only requests that miss their objective.
+    Given a queue that is ordered by priority
+    When requests that have waited for 0.1, 0.5, 0.02, 0.05 s are pushed
+    Then they are dispatched in the order 0.02, 0.05, 0.1, 0.5 s
+
   Scenario: The slots serve reads in time while twice as many arrive as they can serve
     Guards against metastable overload: statements that wait at an endpoint until their VM gives up.
     When 300 reads per second arrive on all routes for 4 s
@@ -134,3 +150,28 @@
     And 150 reads per second arrive on all routes for 4 s
     Then at least 0.8 of the reads on "urgent" sent after 3 s were served within 0.25 s
     And a larger share of the reads was served within 0.25 s on "urgent" than on "background"
+
+  Scenario: No read runs with a key that was withdrawn while many reads waited
+    Guards against requests that are taken from a queue without a check of their key.
+    When 300 reads per second arrive on all routes for 3 s, and the key "k0" is withdrawn after 1 s
+    Then no read with the key "k0" sent after 1.3 s ran, and others did
+
+  Scenario: No workspace gets more than its rate, also if its reads are the most urgent ones
+    When the rate and burst of each workspace are 10
+    And 300 reads per second arrive on "urgent" for 3 s, and 30 on "background"
+    Then at most 60 reads of each workspace ran
+
+  Scenario: The order of priority holds during a promotion, of which there is one
+    When 200 reads per second arrive on all routes for 1 s
+    And the primary of the VMs crashes
+    And 200 reads per second arrive on all routes for 3 s
+    Then at least 0.5 of the reads on "urgent" sent after 2 s were served within 0.25 s
+    And a larger share of the reads was served within 0.25 s on "urgent" than on "background"
+    And one endpoint was promoted
+
+  Scenario: The order of priority holds while a home VM stops as planned
+    When 300 reads per second arrive on all routes for 1 s
+    And "h1" leaves the list of VMs that serve callers
+    And 300 reads per second arrive on all routes for 2 s
+    Then at least 0.6 of the reads on "urgent" sent after 2 s were served within 0.25 s
+    And every read was answered, and no invariant was violated
--- a/features/steps/overload.py
+++ b/features/steps/overload.py
@@ -6,6 +6,8 @@
 
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.declarations import Declaration
 from gentianspread_core.blackboard.loads import EndpointLoad
 from gentianspread_core.blackboard.relays import RelayedStatement
 from gentianspread_core.blackboard.requests import ExchangeStatus, StatementKind
@@ -105,6 +107,21 @@
     send_reads(context, {first: rate, second: other}, seconds)
 
 
+@when(
+    "{rate:d} reads per second arrive on all routes for {seconds:g} s, "
+    'and the key "{key:w}" is withdrawn after {delay:g} s'
+)
+def step_withdraw(context, rate, seconds, key, delay):
+    simulation = context.home_simulation
+    record = simulation.board.configuration.declaration.to_record()
+    declaration = Declaration.from_record(record)
+    declaration.version += 1
+    declaration.workspaces = [item for item in declaration.workspaces if key not in item.key_hashes]
+    command = Command(CommandKind.DECLARE, declaration.to_record())
+    simulation.call_later(lambda: simulation.propose(command), delay)
+    step_all_routes(context, rate, seconds)
+
+
 @when(
     "{hot:d} reads per second of one workspace and {others:d} of the other ones "
     'arrive on "{database:w}" for {seconds:g} s'
--- a/features/steps/overload_faults.py
+++ b/features/steps/overload_faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import then, when
 from gentianspread_core.controllers.allocator import AllocatorController
 
@@ -52,3 +54,60 @@
         assert all(call.answer is not None for call in calls)
     for name, engine in context.home_simulation.vms.items():
         assert not engine.invariants.violations, (name, engine.invariants.violations)
+
+
+def _declare(context, version, numbers, rate=10_000.0, burst=10_000.0):
+    simulation = context.home_simulation
+    routes = simulation.board.configuration.declaration.routes
+    simulation.declare(
+        version,
+        rate=rate,
+        burst=burst,
+        keys={f"w{number}": [f"k{number}"] for number in numbers},
+        timeout_s=1.0,
+        objectives_s={route.name: route.objective for route in routes},
+        priorities={route.name: route.priority for route in routes},
+    )
+    simulation.run(0.5)
+
+
+@when("the rate and burst of each workspace are {rate:d}")
+def step_rates(context, rate):
+    _declare(context, 3, range(8), rate, rate)
+
+
+@when("the primary of the VMs crashes")
+def step_crash(context):
+    context.home_simulation.primary().alive = False
+
+
+@when('"{vm:w}" leaves the list of VMs that serve callers')
+def step_leave(context, vm):
+    context.home_simulation.update_serving_vms(vm)
+
+
+def _executed(context):
+    endpoints = context.home_simulation.endpoints.values()
+    return [item for endpoint in endpoints for item in endpoint.executed_statements]
+
+
+@then('no read with the key "{key:w}" sent after {after:g} s ran, and others did')
+def step_withdrawn(context, key, after):
+    ran = {item.statement_id for item in _executed(context)}
+    calls = [call for calls in context.calls_by_database.values() for call in calls]
+    late = [call for call in calls if call.arrived_at >= context.first_load_at + after]
+    own = [call for call in late if call.session.key_hash == key]
+    others = [call for call in late if call.session.key_hash != key]
+    assert own and not [call for call in own if call.statement.statement_id in ran]
+    assert [call for call in others if call.statement.statement_id in ran]
+
+
+@then("at most {count:d} reads of each workspace ran")
+def step_rate_kept(context, count):
+    ran = Counter(item.workspace for item in _executed(context))
+    assert ran and max(ran.values()) <= count, ran
+
+
+@then("one endpoint was promoted")
+def step_one_promotion(context):
+    assert len(context.home_simulation.promotions) == 1, context.home_simulation.promotions
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
@@ -46,14 +46,12 @@
         return [_drop_least_urgent(queue)] if queue.length > queue.limit else []
 
     def drop_overdue(self, queue: WaitingQueue) -> list[SessionRequest]:
-        """Remove and return the requests that are expected to start later than they may wait.
-
-        Of a workspace and priority, the one with the least time left is removed first.
-        """
+        """Remove and return the requests that are expected to start later than they may wait."""
         _remove_decided(queue)
-        for waiting in queue.by_workspace.values():
-            return self._drop_too_late(queue, starts_per_second(self.board, waiting[0]))
-        return []
+        if not queue.by_workspace:
+            return []
+        any_request = next(iter(queue.by_workspace.values()))[0]
+        return self._drop_too_late(queue, starts_per_second(self.board, any_request))
 
     def count_before(self, queue: WaitingQueue, request: SessionRequest) -> int:
         """Return how many requests of the same workspace and priority wait."""
