--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -25,6 +25,7 @@
 from .shutdown import Shutdown
 from .timeline import Timeline
 from .transactions import Transactions
+from .warmups import Warmups
 
 CONTROL_CONTACT_TIMEOUT_S = 0.8  # confirmations are 0.3 s apart, or 0.6 s after a lost poll
 
@@ -55,6 +56,7 @@
         "shutdown",
         "rate_limits",
         "transactions",
+        "warmups",
         "members",
         "outbox",
         "timeline",
@@ -82,6 +84,7 @@
         self.shutdown = Shutdown()
         self.rate_limits = RateLimits()
         self.transactions = Transactions()
+        self.warmups = Warmups()
         self.members = Members()
         self.outbox = Outbox()
         self.started_at = clock.now()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -29,6 +29,7 @@
     CHANGE_DECLARATION = "change_declaration"
     ENDPOINT_GONE = "endpoint_gone"
     DEPARTURES_COVERED = "departures_covered"
+    ENDPOINT_WARMUP = "endpoint_warmup"
     UNREADABLE = "unreadable"
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -5,9 +5,11 @@
 from typing import Any
 
 from .commands import ChangeOutcome, Preset
-from .declarations import Declaration
+from .declarations import Declaration, DeclaredGroup
+from .evacuations import Evacuation
 from .log import FOUNDING_INCARNATION
 from .registrations import Registration, find_fault
+from .warmups import Warmup
 
 MAX_STORED_OUTCOMES = 4096
 
@@ -117,7 +119,9 @@
     `revision` is the index of the last applied log entry; `operator_revision` counts accepted
     operator changes only. `confirmed_at` is when a quorum last confirmed the configuration, in
     seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
-    control log.
+    control log. `evacuations` are by zone; `warmups`, by endpoint, are of those that announced to
+    be cold. `cold_groups` are the declared groups whose cold endpoints have a limit, and
+    `workspace_regions` the regions to which workspaces are restricted.
     """
 
     __slots__ = (
@@ -137,6 +141,10 @@
         "outcomes",
         "confirmed_at",
         "declaration",
+        "evacuations",
+        "warmups",
+        "cold_groups",
+        "workspace_regions",
     )
 
     def __init__(self) -> None:
@@ -156,6 +164,15 @@
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.confirmed_at = float("-inf")
         self.declaration: Declaration | None = None
+        self.evacuations: dict[str, Evacuation] = {}
+        self.warmups: dict[str, Warmup] = {}
+        self.cold_groups: dict[str, DeclaredGroup] = {}
+        self.workspace_regions: dict[str, frozenset[str]] = {}
+
+    def cold_rate_of(self, group: str) -> float:
+        """Return the requests per second that a group's cold endpoints take, 0 for no limit."""
+        declared = self.cold_groups.get(group)
+        return declared.cold_rate if declared is not None else 0.0
 
     def is_voter(self, name: str, incarnation: str | None) -> bool:
         """Return whether a VM with a disk of this incarnation is a voter."""
@@ -202,11 +219,16 @@
     if configuration.declaration is not None:
         snapshot["declaration"] = configuration.declaration.to_record()
     for table, kind in SNAPSHOT_TABLES.items():
-        rows = getattr(configuration, table).values()
-        snapshot[table] = [[getattr(row, slot) for slot in kind.__slots__] for row in rows]
+        snapshot[table] = _to_rows(getattr(configuration, table), kind)
+    if configuration.warmups:
+        snapshot["warmups"] = _to_rows(configuration.warmups, Warmup)
     return snapshot
 
 
+def _to_rows(table: dict[str, Any], kind: type) -> list[list[Any]]:
+    return [[getattr(row, slot) for slot in kind.__slots__] for row in table.values()]
+
+
 def to_diskless_snapshot(configuration: Configuration) -> dict[str, Any]:
     """Return what a VM without a disk needs: no outcomes, no document, no derived rows."""
     snapshot = to_snapshot(configuration)
@@ -220,7 +242,7 @@
 
 def apply_declaration(configuration: Configuration, declaration: Declaration) -> None:
     """Apply a declaration: its workspaces, keys and open routes replace all others."""
-    configuration.declaration = declaration
+    _set_declaration(configuration, declaration)
     configuration.workspaces = {
         item.name: Workspace(item.name, item.rate, item.burst) for item in declaration.workspaces
     }
@@ -234,6 +256,17 @@
     }
 
 
+def _set_declaration(configuration: Configuration, declaration: Declaration | None) -> None:
+    """Set the declaration, and what is looked up in it for each request."""
+    configuration.declaration = declaration
+    groups = declaration.groups if declaration else []
+    workspaces = declaration.workspaces if declaration else []
+    configuration.cold_groups = {item.name: item for item in groups if item.cold_rate > 0}
+    configuration.workspace_regions = {
+        item.name: frozenset(item.allowed_regions) for item in workspaces if item.allowed_regions
+    }
+
+
 def load_snapshot(configuration: Configuration, snapshot: dict[str, Any]) -> list[str]:
     """Replace the whole state with a snapshot; return why endpoints in it were left out.
 
@@ -258,12 +291,14 @@
         "voters": list(snapshot["voters"]),
         "learners": list(snapshot["learners"]),
         "incarnations": dict(snapshot.get("incarnations", {})),
-        "declaration": Declaration.from_record(declared) if declared else None,
         "outcomes": outcomes,
+        "warmups": {row[0]: Warmup(*row) for row in snapshot.get("warmups", [])},
         **tables,
     }
+    declaration = Declaration.from_record(declared) if declared else None
     for name, value in fields.items():
         setattr(configuration, name, value)
+    _set_declaration(configuration, declaration)
     if configuration.declaration is not None and not configuration.workspaces:
         apply_declaration(configuration, configuration.declaration)
     return faults
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/queues.py
@@ -26,12 +26,14 @@
 class Queues:
     """Waiting queues: of each group for reads and for writes, and of each endpoint.
 
-    `pinned` holds requests that only one endpoint may serve, by its name.
+    `pinned` holds requests that only one endpoint may serve, by its name. `excluded` counts, by
+    reason, the requests that were refused because filters excluded every endpoint.
     """
 
-    __slots__ = ("reads", "writes", "pinned")
+    __slots__ = ("reads", "writes", "pinned", "excluded")
 
     def __init__(self) -> None:
         self.reads: dict[str, WaitingQueue] = {}
         self.writes: dict[str, WaitingQueue] = {}
         self.pinned: dict[str, WaitingQueue] = {}
+        self.excluded: dict[str, int] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -182,6 +182,8 @@
     }
     if reply.load is not None:
         record["load"] = reply.load
+    if reply.cold_s is not None:
+        record["cold_s"] = reply.cold_s
     return record
 
 
@@ -196,6 +198,7 @@
     for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
         setattr(reply, name, value)
     reply.load = record.get("load")
+    reply.cold_s = record.get("cold_s")
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -112,10 +112,19 @@
     """A transaction of a session, bound to a connection by its first statement for an endpoint.
 
     `route` is the one in effect when it began; changes to it apply from the next transaction.
-    `began_at` and `last_used` are in seconds of the VM's monotonic clock.
+    `began_at` and `last_used` are in seconds of the VM's monotonic clock. `workspace_regions` are
+    the regions to which its workspace was restricted when it began, none if empty.
     """
 
-    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "has_written")
+    __slots__ = (
+        "is_read_only",
+        "route",
+        "began_at",
+        "last_used",
+        "connection",
+        "has_written",
+        "workspace_regions",
+    )
 
     def __init__(self, is_read_only: bool, route: Route, now: float) -> None:
         self.is_read_only = is_read_only
@@ -124,6 +133,7 @@
         self.last_used = now
         self.connection: BackendConnection | None = None
         self.has_written = False
+        self.workspace_regions: frozenset[str] = frozenset()
 
 
 class Session:
@@ -293,6 +303,8 @@
     still in a transaction that can continue, `is_reusable` if the connection may be used again.
     `home_failed` is set if the home VM, which holds the connection, did not respond; that says
     nothing about the endpoint. `load` is the JSON form of the home's load report, or none.
+    `connection_lost` is set if the endpoint had closed the connection, or its end was reset.
+    `cold_s` is set if the home had no token for the cold endpoint: the seconds until the next.
     """
 
     __slots__ = (
@@ -302,6 +314,8 @@
         "is_reusable",
         "home_failed",
         "load",
+        "connection_lost",
+        "cold_s",
     )
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
@@ -312,6 +326,8 @@
         self.is_reusable = False
         self.home_failed = False
         self.load: list[float] | None = None
+        self.connection_lost = False
+        self.cold_s: float | None = None
 
 
 class SessionRequest(Request):
@@ -323,7 +339,8 @@
     endpoints at which an attempt failed. Until `wait_deadline`, in seconds of the VM's clock, it
     may wait or be retried: an answer after the latency objective is worth little, and waiting for
     it delays others. `relayed_statement` is the message of the VM that relayed the statement here,
-    or none; it names the one endpoint that may serve it, and is not retried here.
+    or none; it names the one endpoint that may serve it, and is not retried here. `cold_s` is set
+    if it was refused because a cold endpoint had no token: the seconds until the next.
     """
 
     __slots__ = (
@@ -335,6 +352,7 @@
         "tried_endpoints",
         "wait_deadline",
         "relayed_statement",
+        "cold_s",
     )
 
     def __init__(
@@ -366,6 +384,7 @@
         self.wait_deadline = call.arrived_at + min(timeout_s, route.objective)
         self.waiter = call.waiter
         self.relayed_statement: Any = None
+        self.cold_s: float | None = None
 
     def has_bound_transaction(self) -> bool:
         """Return whether the session's transaction is already bound to a connection."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -35,6 +35,8 @@
     ENDPOINT_SUSPECTED = "endpoint_suspected"
     HOME_SUSPECTED = "home_suspected"
     ENDPOINT_RECOVERED = "endpoint_recovered"
+    ENDPOINT_COLD = "endpoint_cold"
+    ENDPOINT_WARM = "endpoint_warm"
     POOL_FLUSHED = "pool_flushed"
     LOG_LOST = "log_lost"
     FAILOVER_STARTED = "failover_started"
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -22,8 +22,11 @@
 )
 from .blackboard.declarations import Declaration
 from .blackboard.registrations import Registration, find_fault
+from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
 
+MAX_UNREGISTERED_REVISIONS = 1000  # an endpoint registers with the announcement of its warm-up
+
 
 def apply_command(configuration: Configuration, index: int, command: Command) -> ChangeOutcome:
     """Apply the command at a log index and return its outcome.
@@ -166,6 +169,7 @@
 def _remove_endpoint(configuration: Configuration, endpoint: Registration) -> None:
     """Remove an endpoint's registration; an incarnation that does not run holds no commits."""
     del configuration.endpoints[endpoint.name]
+    configuration.warmups.pop(endpoint.name, None)
     _list_departed(configuration, endpoint)
 
 
@@ -251,6 +255,33 @@
     group.granted_term = term
 
 
+def _set_warmup(configuration: Configuration, command: Command) -> None:
+    """Store what an endpoint announced of its warm-up; it may register only after this."""
+    fields = command.fields
+    warmup = Warmup(
+        fields["name"],
+        fields["incarnation"],
+        fields["sequence"],
+        fields["remaining_s"],
+        configuration.revision,
+    )
+    if not warmup.is_valid():
+        raise ChangeRejected(ErrorCode.UNREADABLE_ENTRY, "The warm-up is invalid.")
+    current = configuration.warmups.get(warmup.name)
+    if current is not None and not warmup.is_newer_than(current):
+        raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer announcement is known.")
+    _remove_unused_warmups(configuration)
+    configuration.warmups[warmup.name] = warmup
+
+
+def _remove_unused_warmups(configuration: Configuration) -> None:
+    """Remove the warm-ups of endpoints that have not registered for many revisions."""
+    oldest = configuration.revision - MAX_UNREGISTERED_REVISIONS
+    for name, warmup in list(configuration.warmups.items()):
+        if name not in configuration.endpoints and warmup.revision < oldest:
+            del configuration.warmups[name]
+
+
 def _set_primary(configuration: Configuration, command: Command) -> None:
     group = _require_group(configuration, command.fields["group"])
     term = command.fields["term"]
@@ -314,4 +345,5 @@
     CommandKind.CHANGE_DECLARATION: _apply_declaration_change,
     CommandKind.ENDPOINT_GONE: _deregister_endpoint,
     CommandKind.DEPARTURES_COVERED: _clear_departures,
+    CommandKind.ENDPOINT_WARMUP: _set_warmup,
 }
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -14,6 +14,7 @@
     Route,
 )
 from gentianspread_core.blackboard.registrations import find_fault, is_integer
+from gentianspread_core.blackboard.warmups import MAX_COLD_S
 from gentianspread_core.errors import DeclarationError, ErrorCode
 
 from ..clocks import wall_ms
@@ -60,9 +61,12 @@
 
 def _decode_group(item: dict[str, Any]) -> DeclaredGroup:
     confirms = _require_integer(item.get("syncReplicas", 0)) > 0
-    return DeclaredGroup(
+    group = DeclaredGroup(
         _require_string(item["name"]), _require_integer(item["maxConns"]), confirms
     )
+    group.cold_rate = _decode_amount(item.get("coldPerS"))
+    group.cold_start_s = _decode_amount(item.get("coldStartS"))
+    return group
 
 
 def _decode_route(item: dict[str, Any]) -> Route:
@@ -73,7 +77,7 @@
     if not timeout_ms > 0:
         raise _declaration_error(f"The route {_shorten(item['name'])} has no time limit.")
     max_age_ms = item.get("maxStalenessMs")
-    return Route(
+    route = Route(
         _require_string(item["name"]),
         _require_string(item["host"]),
         _require_string(item["service"]),
@@ -84,12 +88,22 @@
         _require_integer(item.get("priority", 0)),
         bool(item.get("authExempt", False)),
     )
+    route.allowed_regions = _decode_regions(item)
+    return route
 
 
 def _decode_workspace(item: dict[str, Any]) -> DeclaredWorkspace:
     hashes = [hash_key(_require_string(key)) for key in _require_list(item["apiKeys"])]
     rate, burst = _require_number(item["ratePerS"]), _require_number(item["burstSize"])
-    return DeclaredWorkspace(_require_string(item["name"]), rate, burst, hashes)
+    workspace = DeclaredWorkspace(_require_string(item["name"]), rate, burst, hashes)
+    workspace.allowed_regions = _decode_regions(item)
+    return workspace
+
+
+def _decode_regions(item: dict[str, Any]) -> list[str]:
+    """Return the regions that a route or workspace is restricted to; empty for no restriction."""
+    regions = item.get("allowedRegions")
+    return [] if regions is None else [_require_string(name) for name in _require_list(regions)]
 
 
 def _check_routes(routes: list[dict[str, Any]], groups: set[str]) -> None:
@@ -128,6 +142,14 @@
     return float(value)
 
 
+def _decode_amount(value: Any) -> float:
+    """Return a number that is not negative, 0 if there is none."""
+    amount = 0.0 if value is None else _require_number(value)
+    if amount < 0:
+        raise ValueError(f"{_shorten(value)} is less than 0")
+    return amount
+
+
 def _require_list(value: Any) -> list[Any]:
     if not isinstance(value, list):
         raise ValueError(f"{_shorten(value)} is not a list")
@@ -180,6 +202,18 @@
     return None if has_separator or not _is_start_time(fields["incarnation"]) else fields
 
 
+def decode_cold_time(body: bytes) -> float | None:
+    """Return how much longer an endpoint stays cold, in seconds, by its valid announcement.
+
+    None if it does not say, or nothing that can be meant: the endpoint is usable all the same.
+    """
+    remaining_ms = orjson.loads(body).get("coldRemainingMs")
+    if not (is_integer(remaining_ms) or isinstance(remaining_ms, float)):
+        return None
+    remaining_s = remaining_ms / MS_PER_S
+    return remaining_s if 0 <= remaining_s <= MAX_COLD_S else None
+
+
 def decode_deregistration(body: bytes) -> int | None:
     """Return the incarnation of an endpoint that deregisters: 0 if not given, none if invalid."""
     if not body:
