--- a/features/environment.py
+++ b/features/environment.py
@@ -7,6 +7,7 @@
 from behave import register_type, use_fixture
 from fixtures import (
     caller_server,
+    cold_simulation,
     fleet_simulation,
     home_simulation,
     platform_fleet,
@@ -38,6 +39,8 @@
         use_fixture(fleet_simulation, context)
     if "homes" in scenario.effective_tags:
         use_fixture(home_simulation, context)
+    if "cold" in scenario.effective_tags:
+        use_fixture(cold_simulation, context)
     if "sessions" in scenario.effective_tags:
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -8,6 +8,7 @@
 from behave import fixture
 from gentianspread_core.blackboard import Topic
 from gentianspread_lab.fakes import Simulation
+from gentianspread_lab.fakes.cold_simulation import ColdSimulation
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
 from gentianspread_lab.fakes.session_runner import HeldSessionRunner
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
@@ -82,6 +83,23 @@
     yield context.home_simulation
 
 
+@fixture
+def cold_simulation(context):
+    """Twelve VMs that serve callers, and one group of three endpoints, which may be cold."""
+    context.cold_simulation = ColdSimulation()
+    context.advance_clock = context.cold_simulation.run
+    context.statement_calls = []
+    context.answered_at = {}
+    for engine in context.cold_simulation.vms.values():
+        engine.board.changes.subscribe(
+            Topic.STATEMENT_ANSWERED,
+            lambda call: context.answered_at.setdefault(
+                call.statement.statement_id, context.cold_simulation.clock.now()
+            ),
+        )
+    yield context.cold_simulation
+
+
 @fixture
 def caller_server(context):
     """A server for callers on loopback whose statements a test can hold."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -141,6 +141,8 @@
     def _retry_or_refuse(self, request: SessionRequest, refusal: Refusal) -> None:
         now = self.board.clock.now()
         base = OVERLOAD_RETRY_BACKOFF_S if refusal.code is ErrorCode.OVERLOADED else RETRY_BACKOFF_S
+        if request.exchange.reply.cold_s is not None:
+            base = 0.0  # another endpoint serves it now, or none does
         backoff = min(base * request.attempts, MAX_RETRY_BACKOFF_S)
         request.tried_endpoints.add(request.endpoint or "")
         if refusal.code in PERMANENT_CODES:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -135,6 +135,8 @@
         exchange, route = request.exchange, getattr(request, "route", None)
         if exchange is None or route is None or reply.code == LAGGING_CODE:
             return
+        if getattr(reply, "cold_s", None) is not None:
+            return
         now = self.board.clock.now()
         window = endpoint.relay_window if _is_relayed(exchange) else endpoint.window
         is_late = now - exchange.sent_at > LATE_REPLY_FRACTION * route.objective
@@ -158,6 +160,8 @@
     def _update_from_refusal(self, endpoint: Endpoint, reply: Reply) -> None:
         """Update lag, connection limit and overload of the endpoint from the code of a refusal."""
         now = self.board.clock.now()
+        if getattr(reply, "cold_s", None) is not None:
+            return
         if reply.code == LAGGING_CODE:
             endpoint.lagging_until = now + LAG_RECHECK_INTERVAL_S
             if reply.position is None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
@@ -10,6 +10,7 @@
 from ...blackboard.sessions import SessionRequest
 from ...interfaces import EndpointFilter
 from ...positions import Position, max_position
+from .regions import is_zone_allowed
 
 DISPATCH_DELAY_MARGIN_S = 0.05  # from choosing the endpoint until the request reaches it
 MIN_FAILOVER_S = 0.7  # two failed probes, a round of commands to replicas, and the promotion call
@@ -40,6 +41,17 @@
         endpoints = self.board.endpoints.by_group.get(request.group, [])
         return [item for item in endpoints if item.is_usable()]
 
+    def exclusion_reasons(self, request: SessionRequest) -> list[str]:
+        """Return why filters exclude every usable endpoint; none if one is left or none usable."""
+        usable = self._usable(request)
+        if any(self._is_allowed(request, item) for item in usable):
+            return []
+        return [
+            getattr(item, "reason", type(item).__name__)
+            for item in self.filters
+            if not all(item.allows(request, endpoint) for endpoint in usable)
+        ]
+
     def _is_allowed(self, request: SessionRequest, endpoint: Endpoint) -> bool:
         return all(item.allows(request, endpoint) for item in self.filters)
 
@@ -52,7 +64,7 @@
         """Return the home VM to relay the request to, or none to use a connection of this VM.
 
         This VM uses its own connection if it is the first available home of the workspace, or if
-        every home is suspected.
+        every home is suspected or outside the regions to which the request is restricted.
         """
         if request.relayed_statement is not None:
             return None
@@ -63,6 +75,8 @@
         for vm in homes:
             if vm.name == self.board.settings.member:
                 return None
+            if not is_zone_allowed(self.board, request, vm.zone):
+                continue
             if not self.board.homes.is_suspected(vm.name, now):
                 return vm
         return None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -24,7 +24,7 @@
     SessionTransaction,
 )
 from ...errors import ErrorCode
-from ...interfaces import EndpointFilter, EndpointSelector, WaitingPolicy
+from ...interfaces import DispatchGate, EndpointFilter, EndpointSelector, WaitingPolicy
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -40,7 +40,7 @@
 class PlacementController:
     """Owns the connections, the queues, and the `endpoint` and `exchange` fields of requests."""
 
-    __slots__ = ("board", "candidates", "pool", "queues", "selector", "waiting", "_costs")
+    __slots__ = ("board", "candidates", "gate", "pool", "queues", "selector", "waiting", "_costs")
 
     def __init__(
         self,
@@ -48,6 +48,7 @@
         filters: list[EndpointFilter] | None = None,
         selector: EndpointSelector | None = None,
         waiting: WaitingPolicy | None = None,
+        gate: DispatchGate | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -55,6 +56,7 @@
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
+        self.gate = gate
         self._costs = EndpointCosts(board)
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -80,7 +82,9 @@
             return
         transaction = request.session.transaction
         if transaction is not None and transaction.connection is not None:
-            self._start_exchange(request, transaction.connection, [])
+            bound = transaction.connection
+            if bound.home is not None or self._may_send(request, bound.endpoint):
+                self._start_exchange(request, bound, [])
         elif request.kind is StatementKind.ROLLBACK:
             self.board.changes.post(Topic.REQUEST_NEEDS_NO_ENDPOINT, request)
         elif not self._try_place(request):
@@ -175,6 +179,8 @@
     def _try_place(self, request: SessionRequest) -> bool:
         """Start the request on the cheapest endpoint; return false if it must wait.
 
+        It is left to the gate if that does not let it pass, and refused if filters exclude all.
+
         It waits if no endpoint has capacity, or if a connection of its workspace is expected to
         become free sooner than any other way could serve it.
         """
@@ -183,17 +189,34 @@
         workspace_queue = self.queues.of_request(request).by_workspace.get(request.workspace)
         waiting = len(workspace_queue) if workspace_queue else 0
         if option is None:
-            return False
+            return self._refuse_excluded(request)
         if self._costs.waiting_cost(request, candidates, waiting) < option.cost:
             return False
         if option.home is not None:
             connection = self.pool.add_relayed(request, option.endpoint, option.home)
             self._start_exchange(request, connection, [])
             return True
+        if not self._may_send(request, option.endpoint.name):
+            return True
         connection, evicted = self.pool.acquire(request, option.endpoint)
         self._start_exchange(request, connection, evicted)
         return True
 
+    def _refuse_excluded(self, request: SessionRequest) -> bool:
+        """Refuse a request if filters exclude every usable endpoint; return whether they do."""
+        reason = ", ".join(self.candidates.exclusion_reasons(request))
+        if not reason:
+            return False
+        excluded = self.board.queues.excluded
+        excluded[reason] = excluded.get(reason, 0) + 1
+        message = f"All endpoints of {request.group} are excluded at present: {reason}."
+        request.refuse(ErrorCode.NO_ENDPOINT, message)
+        self.board.changes.post(Topic.REQUEST_REFUSED, request)
+        return True
+
+    def _may_send(self, request: SessionRequest, endpoint: str) -> bool:
+        return self.gate is None or self.gate.try_pass(request, endpoint)
+
     def _options(self, request: SessionRequest, candidates: list[Endpoint]) -> list[ServingOption]:
         """Return the ways to serve a request now, each with its expected cost."""
         options = []
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/relays.py
@@ -103,6 +103,7 @@
             refusal = request.outcome.refusal if request.outcome else None
             code = refusal.code.value if refusal else ErrorCode.OVERLOADED.value
             reply = self._refusal_reply(code, refusal.message if refusal else "")
+            reply.cold_s = request.cold_s
         if self.board.loads.is_reported:
             reply.load = self._load_record(request)
         self._answer(relayed_statement, reply)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -241,6 +241,8 @@
             session.transaction = SessionTransaction(
                 is_read_only, request.route, self.board.clock.now()
             )
+            regions = self.board.configuration.workspace_regions
+            session.transaction.workspace_regions = regions.get(request.workspace, frozenset())
             session.state = SessionState.OPEN
             self._schedule_idle_check(session)
         elif request.kind in (StatementKind.COMMIT, StatementKind.ROLLBACK):
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -21,6 +21,7 @@
 from .controllers.limits import LimitController
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
+from .controllers.placement.regions import RegionFilter
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
 from .controllers.relays import RelayController
@@ -31,6 +32,12 @@
 from .controllers.sessions import SessionController
 from .controllers.shutdown import ShutdownController
 from .controllers.transactions import TransactionController
+from .controllers.warmup import (
+    WarmupAllocatorController,
+    WarmupController,
+    WarmupFilter,
+    WarmupGate,
+)
 from .interfaces import Clock, Controller, QueuePolicy, Randomness, ReplicaSelector
 from .invariants import InvariantController
 from .invariants.session_rules import SESSION_COMPLETION_RULES, SESSION_DISPATCH_RULES
@@ -109,6 +116,7 @@
         board = Board(settings, clock, Timeline(settings.member, wall_clock))
         configuration = ConfigurationController(board)
         invariants = InvariantController(board, SESSION_DISPATCH_RULES, SESSION_COMPLETION_RULES)
+        gate = WarmupGate(board)
         controllers: list[Controller] = [
             ElectionController(board, randomness),
             ReplicationController(board),
@@ -121,7 +129,11 @@
             LoadController(board),
             EndpointController(board),
             ObservationController(board),
-            PlacementController(board),
+            WarmupAllocatorController(board),
+            WarmupController(board, gate),
+            PlacementController(
+                board, filters=[RegionFilter(board), WarmupFilter(board)], gate=gate
+            ),
             CompletionController(board, RetryBudget()),
             SessionController(board),
             RelayController(board),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -5,6 +5,7 @@
 from .controllers import Controller
 from .environment import Clock, Randomness
 from .policies import (
+    DispatchGate,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
@@ -16,6 +17,7 @@
 __all__ = [
     "Clock",
     "Controller",
+    "DispatchGate",
     "EndpointFilter",
     "EndpointSelector",
     "LoadEstimator",
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/policies.py
@@ -34,12 +34,24 @@
 
 
 class EndpointFilter(Protocol):
-    """Excludes endpoints that must not serve a request of a session, whatever their load."""
+    """Excludes endpoints that must not serve a request of a session, whatever their load.
+
+    `reason` tells callers and operators why, for example "outside the allowed regions".
+    """
+
+    reason: str
 
     def allows(self, request: SessionRequest, endpoint: Endpoint) -> bool:
         """Return whether the endpoint may serve the request."""
 
 
+class DispatchGate(Protocol):
+    """Limits the exchanges that this VM sends to endpoints itself, whatever their load."""
+
+    def try_pass(self, request: SessionRequest, endpoint: str) -> bool:
+        """Return whether an exchange may be sent now; otherwise take charge of the request."""
+
+
 class EndpointSelector(Protocol):
     """Selects among the ways to serve a session's request that are open now."""
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -32,6 +32,7 @@
 from gentianspread_core.blackboard.requests import Request
 from gentianspread_core.blackboard.sessions import SessionRequest
 from gentianspread_core.blackboard.shutdown import Shutdown
+from gentianspread_core.blackboard.warmups import EndpointTokenRequest
 from gentianspread_core.controllers import dispatch, failover, keys, steps
 from gentianspread_core.controllers.acknowledgement import AcknowledgementController
 from gentianspread_core.controllers.allocator import AllocatorController
@@ -40,6 +41,7 @@
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.keys import KeyController
 from gentianspread_core.controllers.limits import LimitController
+from gentianspread_core.controllers.placement import candidates
 from gentianspread_core.controllers.placement import controller as placement
 from gentianspread_core.controllers.placement.candidates import Candidates
 from gentianspread_core.controllers.promotion import PromotionController
@@ -47,6 +49,8 @@
 from gentianspread_core.controllers.repair import RepairController
 from gentianspread_core.controllers.replication import ReplicationController
 from gentianspread_core.controllers.transactions import TransactionController
+from gentianspread_core.controllers.warmup import WarmupAllocatorController, WarmupGate
+from gentianspread_core.controllers.warmup.allocation import WarmupQuota
 from gentianspread_core.positions import LOG_START, SessionToken
 from gentianspread_server import driver, storage
 from gentianspread_server.platform import endpoints
@@ -214,6 +218,21 @@
     return ORIGINAL_BUILD_REPLY({**response, "exchange": exchange_number}, exchange_number)
 
 
+def _warm_up_alone(self: WarmupGate, endpoint: str, tokens: Any) -> None:
+    """Take the tokens from a bucket of this VM, which has the whole rate of the endpoint."""
+    board, now = self.board, self.board.clock.now()
+    rate = board.configuration.cold_rate_of(board.configuration.endpoints[endpoint].group)
+    settings = board.settings
+    quota = WarmupQuota.from_rate(rate, settings.warmup_tolerance, settings.token_ttl_s)
+    new_bucket = TokenBucket(quota.rate, quota.capacity, now - 1.0, 0)
+    bucket = board.warmups.buckets.setdefault(endpoint, new_bucket)
+    request = EndpointTokenRequest(endpoint, "", "", len(tokens.waiting), now)
+    request.granted, request.answered = bucket.take(request.wanted, now), True
+    request.next_token_delay = bucket.next_token_delay()
+    tokens.requested_at = now
+    board.changes.post(Topic.ENDPOINT_TOKENS_RECEIVED, request)
+
+
 FOUNDER = HardState(0, None, FOUNDING_INCARNATION)
 ORIGINAL_BUILD_REPLY = driver._build_reply
 ORIGINAL_HANDLERS = dict(state_machine._HANDLERS)
@@ -352,6 +371,14 @@
     ),
     Mutant("stops cut transactions", Shutdown, "accepts_in_transaction", constant(True)),
     Mutant("failed set-ups keep connections", endpoints, "SETUP_KINDS", frozenset()),
+    Mutant("each VM warms up by itself", WarmupGate, "_ask", _warm_up_alone),
+    Mutant(
+        "a new allocator of cold endpoints grants immediately",
+        WarmupAllocatorController,
+        "_first_grant_time",
+        constant(0.0),
+    ),
+    Mutant("regions restrict no relays", candidates, "is_zone_allowed", constant(True)),
     Mutant("lost writes are retried", SessionRequest, "is_standalone_read", constant(True)),
 )
 
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -16,6 +16,7 @@
     Registration,
     find_fault,
 )
+from gentianspread_core.controllers.warmup import announced_warmup
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
 from .proposals import Proposer
@@ -78,15 +79,23 @@
             self._pending.add(message["name"])
             gevent.spawn(self._propose_announcement, message)
 
-    def register(self, fields: dict[str, Any]) -> bool:
+    def register(self, fields: dict[str, Any], cold_s: float | None = None) -> bool:
         """Propose an endpoint's registration; return whether it is certainly in the log.
 
         A registration that changes nothing, or is older than the one in the log, counts as in it.
-        One of a group that is not declared is not proposed.
+        One of a group that is not declared is not proposed. `cold_s` is how much longer the
+        endpoint stays cold, in seconds, none if it does not say. This is proposed first, so that no
+        VM knows the endpoint without it.
         """
         if not self.board.configuration.may_have_group(fields["group"]):
             log.warning("announcement of %s ignored: its group is not declared", fields["name"])
             return False
+        warmup = announced_warmup(self.board, fields, cold_s)
+        has_warmup = warmup is None or self._try_to_propose(warmup, fields["name"])
+        # A control leader of an older build takes no warm-up, but the registration.
+        return self._register(fields) and has_warmup
+
+    def _register(self, fields: dict[str, Any]) -> bool:
         registered = self.board.configuration.endpoints.get(fields["name"])
         registration = Registration(**fields)
         if registered is not None and not registration.is_newer_than(registered):
--- a/packages/gentianspread-server/src/gentianspread_server/intents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/intents.py
@@ -15,9 +15,11 @@
     TransactionRelease,
 )
 from gentianspread_core.blackboard.rate_limits import TokenRequest
+from gentianspread_core.blackboard.warmups import EndpointTokenRequest
 from gevent.pool import Pool
 
 from .connections import RequestNotSentError, ResponseLostError
+from .endpoint_tokens import encode_endpoint_request, load_endpoint_response
 from .peers import PeerAddresses, PeerClient
 
 if TYPE_CHECKING:
@@ -48,6 +50,7 @@
             ReplicaWatch: driver.watch,
             EndpointCommand: driver.send_command,
             TokenRequest: self._request_tokens,
+            EndpointTokenRequest: self._request_endpoint_tokens,
         }
         board.changes.subscribe(Topic.INTENT_POSTED, self._on_intent_posted)
 
@@ -90,3 +93,16 @@
                 token_request.reached = token_request.answered = False
                 token_request.granted = 0
         self.board.post(Topic.TOKENS_RECEIVED, token_request)
+
+    def _request_endpoint_tokens(self, token_request: EndpointTokenRequest) -> None:
+        address = self.addresses.resolve(token_request.member)
+        if address is not None:
+            try:
+                message = encode_endpoint_request(token_request)
+                response = self.client.request(address, TOKENS_PATH, message, TOKENS_TIMEOUT_S)
+                load_endpoint_response(token_request, response)
+            except (RequestNotSentError, ResponseLostError) as error:
+                log.warning("token request to %s failed: %s", token_request.member, error)
+            except (KeyError, TypeError, ValueError) as error:
+                self.board.timeline.record_error("endpoint token request", error)
+        self.board.post(Topic.ENDPOINT_TOKENS_RECEIVED, token_request)
--- a/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
+++ b/packages/gentianspread-server/src/gentianspread_server/peerroutes.py
@@ -7,6 +7,7 @@
 from gentianspread_core.blackboard.rate_limits import TokenRequest
 
 from .distribution import POLL_PATH, Distribution
+from .endpoint_tokens import answer_endpoint_request
 from .front import HttpFrontend
 from .intents import TOKENS_PATH
 from .peers import MESSAGES_PATH
@@ -65,8 +66,10 @@
 
 
 def answer_tokens(board: Board, body: bytes) -> bytes:
-    """Answer a request for tokens of a workspace's rate limit."""
+    """Answer a request for tokens of a workspace's rate limit, or of a cold endpoint."""
     message = decode_json_object(body)
+    if message.get("endpoint"):
+        return encode_json(answer_endpoint_request(board, message))
     settings = board.settings
     token_request = TokenRequest(
         message["workspace"],
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
@@ -17,7 +17,12 @@
     encode_json,
     read_request_body,
 )
-from .documents import decode_announcement, decode_declaration, decode_deregistration
+from .documents import (
+    decode_announcement,
+    decode_cold_time,
+    decode_declaration,
+    decode_deregistration,
+)
 from .health import NOT_FOUND, respond
 
 log = logging.getLogger(__name__)
@@ -75,7 +80,8 @@
         if fields is None:
             log.warning("announcement of %s ignored: it is invalid", name[:40])
             return BAD_REQUEST_STATUS, b"{}"
-        return self._build_response(self.announcements.register(fields))
+        cold_s = decode_cold_time(body)
+        return self._build_response(self.announcements.register(fields, cold_s))
 
     def _deregister_endpoint(self, name: str, body: bytes) -> tuple[str, bytes]:
         incarnation = decode_deregistration(body)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -68,6 +68,10 @@
         )
 
 
+class ConnectionClosedError(ConnectionNotOpenedError):
+    """The endpoint had closed a connection that this VM kept."""
+
+
 class LineProtocolDriver:
     """Carries out the exchanges, probes and commands that one VM's controllers send to endpoints.
 
@@ -96,6 +100,7 @@
             reply.message = "no answer in time"
         except (OSError, ProtocolError) as error:
             reply.message = str(error)
+            reply.connection_lost = True
         except Exception as error:
             self.board.timeline.record_error("statement", error)
             reply.message = "the exchange failed"
@@ -163,6 +168,7 @@
         except ConnectionNotOpenedError as error:
             reply.status = ExchangeStatus.REFUSED if error.code else ExchangeStatus.NOT_SENT
             reply.code, reply.message = error.code, str(error)
+            reply.connection_lost = isinstance(error, ConnectionClosedError)
             return
         *earlier, last = exchange.rounds
         for steps in earlier:
@@ -238,7 +244,7 @@
             if _is_reusable(line_socket):
                 return line_socket
             self.close(ConnectionClose(connection.number))
-            raise ConnectionNotOpenedError("BUSY", "the endpoint had closed the connection")
+            raise ConnectionClosedError("BUSY", "the endpoint had closed the connection")
         line_socket = self._open_socket(
             connection.address, connection.group, connection.workspace, connection.endpoint
         )
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -87,6 +87,22 @@
         )
         for quantile, seconds in self._quantiles():
             latency.labels(f"{quantile / 100:g}").set(seconds)
+        cold = Counter(
+            "gentianspread_cold_requests",
+            "Requests to cold endpoints: sent with a token, or not sent for want of one.",
+            ["decision"],
+            registry=registry,
+        )
+        cold.labels("passed").inc(self.engine.board.warmups.passed)
+        cold.labels("refused").inc(self.engine.board.warmups.refused)
+        excluded = Counter(
+            "gentianspread_excluded_requests",
+            "Requests that were refused because every endpoint was excluded.",
+            ["reason"],
+            registry=registry,
+        )
+        for reason, count in self.engine.board.queues.excluded.items():
+            excluded.labels(reason).inc(count)
         for name, text, value in self._gauges():
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
@@ -110,6 +126,11 @@
             for quantile in QUANTILES
         ]
 
+    def _cold_count(self) -> float:
+        board = self.engine.board
+        now = board.clock.now()
+        return sum(1 for name in board.warmups.states if board.warmups.is_cold(name, now))
+
     def _gauges(self) -> list[tuple[str, str, float]]:
         board = self.engine.board
         connections = [item for held in board.connections.by_endpoint.values() for item in held]
@@ -124,5 +145,6 @@
             ("busy_connections", "Connections with a statement under way.", busy),
             ("waiting", "Requests that wait for an endpoint.", sum(q.length for q in queues)),
             ("suspected_endpoints", "Endpoints that get no new work.", suspected),
+            ("cold_endpoints", "Cold endpoints with a limit of requests.", self._cold_count()),
             ("promotions", "Promotions under way.", len(board.groups.promotions)),
         ]
