--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -415,6 +415,23 @@
     simulation.run(0.1)
 
 
+@when('connections of "{first:w}" and "{second:w}" to "{name:w}" are lost')
+def step_connections_lost(context, first, second, name):
+    step_connection_lost(context, first, name)
+    step_connection_lost(context, second, name)
+
+
+@then("the control log has one entry about the loss")
+def step_one_doubt(context):
+    assert len(context.cold_simulation.doubts) == 1
+    assert context.cold_simulation.board.configuration.warmups["b1"].is_doubted
+
+
+@when('"{name:w}" announces itself and says nothing of its warm-up')
+def step_announce_nothing(context, name):
+    context.command = context.cold_simulation.announce_warmup(name, None)
+
+
 @when('a statement of "{vm:w}" to "{name:w}" gets no answer')
 def step_no_answer(context, vm, name):
     simulation = context.cold_simulation
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -156,8 +156,25 @@
     And "b1" is warm at "h2"
     When "b1" starts again and announces that it stays cold for 0 s
     Then "b1" is warm at "h1"
+
+  Scenario: An announcement of an endpoint that did not start again ends the doubt after a loss
+    Guards against endpoints that stay limited for long after a fault of the network.
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    When connections of "h1" and "h2" to "b1" are lost
+    And 2 s pass
+    Then "b1" is cold at "h1"
+    And the control log has one entry about the loss
+    When "b1" announces itself and says nothing of its warm-up
+    Then "b1" is warm at every VM
+    When "b1" announces itself and says nothing of its warm-up
+    Then that announcement was not written to the control log
+
+  Scenario: Without an announcement an endpoint is warm after the time for which it may be cold
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     When a connection of "h1" to "b1" is lost
-    And 31 s pass
+    And 29 s pass
+    Then "b1" is cold at "h1"
+    When 2 s pass
     Then "b1" is warm at "h1"
 
   Scenario: A statement that timed out does not make its endpoint cold
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -85,6 +85,7 @@
     SHUTDOWN_PHASE_DUE = auto()
     SHUTDOWN_PHASE_CHANGED = auto()
     INTENT_POSTED = auto()
+    ENDPOINTS_DOUBTED = auto()
     ENDPOINT_TOKENS_REQUESTED = auto()
     ENDPOINT_TOKENS_RECEIVED = auto()
     ENDPOINT_TOKENS_DUE = auto()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -30,6 +30,7 @@
     ENDPOINT_GONE = "endpoint_gone"
     DEPARTURES_COVERED = "departures_covered"
     ENDPOINT_WARMUP = "endpoint_warmup"
+    ENDPOINT_DOUBTED = "endpoint_doubted"
     UNREADABLE = "unreadable"
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
@@ -17,19 +17,27 @@
 
     `remaining_s` is how much longer it stays cold, from the time at which the entry was applied; 0
     if it said that it is warm. `incarnation` and `sequence` are those of the announcement,
-    `revision` is the index of the log entry.
+    `revision` is the index of the log entry. `is_doubted` is set once a VM has lost connections to
+    the endpoint since: its next announcement is then news, whatever it says.
     """
 
-    __slots__ = ("name", "incarnation", "sequence", "remaining_s", "revision")
+    __slots__ = ("name", "incarnation", "sequence", "remaining_s", "revision", "is_doubted")
 
     def __init__(
-        self, name: str, incarnation: int, sequence: int, remaining_s: float, revision: int
+        self,
+        name: str,
+        incarnation: int,
+        sequence: int,
+        remaining_s: float,
+        revision: int,
+        is_doubted: bool = False,
     ) -> None:
         self.name = name
         self.incarnation = incarnation
         self.sequence = sequence
         self.remaining_s = remaining_s
         self.revision = revision
+        self.is_doubted = is_doubted
 
     def is_newer_than(self, other: Warmup) -> bool:
         """Return whether this announcement was sent after another of the same endpoint."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -189,7 +189,7 @@
         workspace_queue = self.queues.of_request(request).by_workspace.get(request.workspace)
         waiting = len(workspace_queue) if workspace_queue else 0
         if option is None:
-            return self._refuse_excluded(request)
+            return not candidates and self._refuse_excluded(request)
         if self._costs.waiting_cost(request, candidates, waiting) < option.cost:
             return False
         if option.home is not None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/__init__.py
@@ -1,7 +1,7 @@
 """Cold endpoints: which are cold, and the fleet-wide limit of the requests that reach them."""
 
 from .allocation import WarmupAllocatorController
-from .announcements import announced_warmup
+from .announcements import announced_warmup, doubt_command, endpoints_to_doubt
 from .controller import WarmupController, WarmupGate
 from .filter import WarmupFilter
 
@@ -11,4 +11,6 @@
     "WarmupFilter",
     "WarmupGate",
     "announced_warmup",
+    "doubt_command",
+    "endpoints_to_doubt",
 ]
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/announcements.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/announcements.py
@@ -21,6 +21,9 @@
     or none if the announcement does not say. A countdown to the known end is not new.
     """
     configuration = board.configuration
+    known = configuration.warmups.get(fields["name"])
+    if remaining_s is None and known is not None and known.is_doubted:
+        remaining_s = 0.0
     if remaining_s is None or not configuration.cold_rate_of(fields["group"]):
         return None
     registration = Registration(**fields)
@@ -29,7 +32,6 @@
     registered = configuration.endpoints.get(name)
     if registered is not None and registered.is_newer_than(registration):
         return None
-    known = configuration.warmups.get(name)
     if known is not None and not warmup.is_newer_than(known):
         return None
     if not _says_something_new(board, warmup, known, registration.zone):
@@ -43,12 +45,40 @@
     return Command(CommandKind.ENDPOINT_WARMUP, values)
 
 
+def endpoints_to_doubt(board: Board) -> dict[str, int]:
+    """Return the incarnations of endpoints that count as cold until they announce themselves anew.
+
+    Those that the control log has as doubted already are left out.
+    """
+    configuration, now = board.configuration, board.clock.now()
+    lost = {name: state for name, state in board.warmups.states.items() if now < state.lost_until}
+    return {
+        name: state.lost_incarnation
+        for name, state in lost.items()
+        if name not in configuration.warmups or not configuration.warmups[name].is_doubted
+    }
+
+
+def doubt_command(board: Board, name: str, incarnation: int) -> Command | None:
+    """Return the command for an endpoint that another VM doubts, or none if it is not needed."""
+    configuration = board.configuration
+    registered = configuration.endpoints.get(name)
+    known = configuration.warmups.get(name)
+    if registered is None or registered.incarnation != incarnation:
+        return None
+    if not configuration.cold_rate_of(registered.group) or (known and known.is_doubted):
+        return None
+    return Command(CommandKind.ENDPOINT_DOUBTED, {"name": name, "incarnation": incarnation})
+
+
 def _says_something_new(board: Board, warmup: Warmup, known: Warmup | None, zone: str) -> bool:
     evacuation = board.configuration.evacuations.get(zone)
     known_revision = known.revision if known is not None else 0
     is_over = evacuation is not None and not evacuation.is_active
     if is_over and evacuation.revision > known_revision:
         return True
+    if known is not None and known.is_doubted:
+        return True
     if known is None or known.incarnation < warmup.incarnation:
         return warmup.remaining_s > 0 or (known is not None and known.remaining_s > 0)
     if warmup.remaining_s == 0 or known.remaining_s == 0:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
@@ -23,7 +23,7 @@
 MAX_EMPTY_S = 1.0  # an allocator that restarts, or a new one, is asked again within this time
 NO_ALLOCATOR_DELAY_S = 0.3  # after an allocator did not grant or did not respond
 REQUEST_TIMEOUT_S = 0.5  # after it, a request for tokens whose end was not posted counts as lost
-MIN_LOST_S = 5.0  # how long an endpoint counts as cold after a lost connection, at least
+MIN_LOST_S = 5.0  # how long an endpoint counts as cold after a lost connection without news of it
 WAITING_PER_ENDPOINT = 64  # requests; more than the slots of an endpoint use in a second
 ANNOUNCED = "announced"
 EVACUATED = "evacuated"
@@ -90,10 +90,12 @@
 
     def on_check_due(self, endpoint: str) -> None:
         """Log that an endpoint is warm, and retry the requests that waited for a token."""
-        state = self.board.warmups.states.get(endpoint)
+        state, now = self.board.warmups.states.get(endpoint), self.board.clock.now()
         if state is None or not state.is_reported:
             return
-        if self.board.clock.now() < state.until():
+        if state.lost_until >= state.announced_until and not self.board.has_control_contact():
+            state.lost_until = max(state.lost_until, now + MIN_LOST_S)
+        if now < state.until():
             self.board.changes.post_at(state.until(), Topic.WARMUP_CHECK_DUE, endpoint)
         else:
             self._report(endpoint, state, "the time is over")
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -274,6 +274,15 @@
     configuration.warmups[warmup.name] = warmup
 
 
+def _doubt_endpoint(configuration: Configuration, command: Command) -> None:
+    """Mark an endpoint to which a VM lost connections, so that its next announcement is news."""
+    endpoint = configuration.endpoints.get(command.fields["name"])
+    if endpoint is None or endpoint.incarnation != command.fields["incarnation"]:
+        raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "The endpoint has started again or left.")
+    announced = Warmup(endpoint.name, endpoint.incarnation, endpoint.sequence, 0.0, 0)
+    configuration.warmups.setdefault(endpoint.name, announced).is_doubted = True
+
+
 def _remove_unused_warmups(configuration: Configuration) -> None:
     """Remove the warm-ups of endpoints that have not registered for many revisions."""
     oldest = configuration.revision - MAX_UNREGISTERED_REVISIONS
@@ -346,4 +355,5 @@
     CommandKind.ENDPOINT_GONE: _deregister_endpoint,
     CommandKind.DEPARTURES_COVERED: _clear_departures,
     CommandKind.ENDPOINT_WARMUP: _set_warmup,
+    CommandKind.ENDPOINT_DOUBTED: _doubt_endpoint,
 }
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
@@ -18,7 +18,11 @@
     SessionRequest,
 )
 from gentianspread_core.blackboard.warmups import EndpointTokenRequest
-from gentianspread_core.controllers.warmup import announced_warmup
+from gentianspread_core.controllers.warmup import (
+    announced_warmup,
+    doubt_command,
+    endpoints_to_doubt,
+)
 from gentianspread_core.settings import WarmupTolerance
 
 from .home_simulation import TOKENS_TIMEOUT_S, HomeSimulation
@@ -55,6 +59,7 @@
         self.sent: list[SentRequest] = []
         self.relayed_to: list[tuple[str, str]] = []
         self.token_requests: list[EndpointTokenRequest] = []
+        self.doubts: list[Command] = []
         self.allocator_is_silent = False
         self.loses_tokens = False
         self.announcement_count = 1
@@ -155,6 +160,15 @@
         exchange.reply = reply
         board.post(Topic.EXCHANGE_ENDED, request)
 
+    def _poll(self) -> None:
+        for engine in self.vms.values():
+            for name, incarnation in endpoints_to_doubt(engine.board).items():
+                command = doubt_command(self.board, name, incarnation)
+                if command is not None:
+                    self.doubts.append(command)
+                    self.propose(command)
+        super()._poll()
+
     def _on_intent(self, board: Board, intent: Any) -> None:
         if isinstance(intent, EndpointTokenRequest):
             self.token_requests.append(intent)
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -7,7 +7,7 @@
 
 import fastjsonschema
 import gevent
-from gentianspread_core.blackboard import Board
+from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.registrations import (
     MAX_COUNT,
@@ -16,7 +16,7 @@
     Registration,
     find_fault,
 )
-from gentianspread_core.controllers.warmup import announced_warmup
+from gentianspread_core.controllers.warmup import announced_warmup, doubt_command
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
 from .proposals import Proposer
@@ -58,13 +58,15 @@
 class Announcements:
     """Proposes to register and deregister endpoints to the control log."""
 
-    __slots__ = ("board", "proposer", "_pending", "_deregistering")
+    __slots__ = ("board", "proposer", "_pending", "_deregistering", "_doubted")
 
     def __init__(self, board: Board, proposer: Proposer) -> None:
         self.board = board
         self.proposer = proposer
         self._pending: set[str] = set()
         self._deregistering: set[str] = set()
+        self._doubted: set[str] = set()
+        board.changes.subscribe(Topic.ENDPOINTS_DOUBTED, self._on_doubted)
 
     def accept(self, message: dict[str, Any]) -> None:
         """Validate an announcement, and propose it in the background if it changes anything."""
@@ -128,6 +130,20 @@
                 break
         self._deregistering.discard(name)
 
+    def _on_doubted(self, incarnations: dict[str, int]) -> None:
+        """Propose in the background that endpoints are doubted to which a VM lost connections."""
+        for name, incarnation in incarnations.items():
+            command = doubt_command(self.board, name, incarnation)
+            if command is not None and name not in self._doubted:
+                self._doubted.add(name)
+                gevent.spawn(self._propose_doubt, command, name)
+
+    def _propose_doubt(self, command: Command, name: str) -> None:
+        try:
+            self._try_to_propose(command, name)
+        finally:
+            self._doubted.discard(name)
+
     def _try_to_propose(self, command: Command, name: str) -> bool:
         try:
             self.proposer.propose(command, REGISTRATION_TIMEOUT_S)
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -22,6 +22,7 @@
     ConfigurationUpdate,
 )
 from gentianspread_core.controllers.observations import ReceivedObservation
+from gentianspread_core.controllers.warmup import endpoints_to_doubt
 from gentianspread_core.positions import Position
 
 from .connections import RequestNotSentError, ResponseLostError
@@ -126,6 +127,8 @@
         is_list_stored = serving_list is not None and self.serving_vms.receive_control_vm_list(
             sender, serving_list
         )
+        if message.get("lost"):
+            self.board.post(Topic.ENDPOINTS_DOUBTED, message["lost"])
         sender_revision = message["revision"]
         deadline = started + min(message["wait_s"], LONG_POLL_WAIT_S)
         self._news.wait_for(sender_revision, sender_report["has_disk"], deadline)
@@ -263,6 +266,9 @@
         }
         if asks_first_start:
             message["asks_first_start"] = True
+        lost = endpoints_to_doubt(self.board)
+        if lost:
+            message["lost"] = lost
         serving_list = self.serving_vms.build_own_list_for(name) if settings.has_disk else None
         if serving_list is not None:
             message["serving"] = serving_list
