--- a/features/steps/platform_loops.py
+++ b/features/steps/platform_loops.py
@@ -21,10 +21,9 @@
     SessionRequest,
     SessionStatement,
     StatementCall,
-    Step,
-    StepKind,
     Verb,
 )
+from gentianspread_core.blackboard.steps import Step, StepKind
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import ExecutionResult, Refusal
 from gentianspread_core.settings import CoreSettings
--- a/features/steps/platform_odd_entries.py
+++ b/features/steps/platform_odd_entries.py
@@ -23,10 +23,9 @@
     SessionRequest,
     SessionStatement,
     StatementCall,
-    Step,
-    StepKind,
     Verb,
 )
+from gentianspread_core.blackboard.steps import Step, StepKind
 from gentianspread_core.blackboard.timeline import Timeline
 from gentianspread_core.settings import CoreSettings
 from gentianspread_lab.fakes import FakeClock
--- a/features/steps/platform_wire.py
+++ b/features/steps/platform_wire.py
@@ -6,7 +6,8 @@
 import json
 
 from behave import then, when
-from gentianspread_core.blackboard.sessions import PreparedStatement, Step, StepKind
+from gentianspread_core.blackboard.sessions import PreparedStatement
+from gentianspread_core.blackboard.steps import Step, StepKind
 from gentianspread_core.errors import DeclarationError, ErrorCode, ExecutionResult, Refusal
 from gentianspread_core.positions import Position
 from gentianspread_server.platform import wire
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -18,6 +18,7 @@
 from .connections import BackendConnection
 from .declarations import Route
 from .requests import Exchange, Reply, Request, StatementKind
+from .steps import Step, StepKind
 
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
 # objective; a statement usually takes a tenth of the objective.
@@ -213,50 +214,6 @@
         self.waiter = waiter
 
 
-class StepKind(Enum):
-    """Kinds of messages to an endpoint; `STATEMENT` is a caller's, the others are this VM's own."""
-
-    RESET = "reset"
-    SET = "set"
-    PREPARE = "prepare"
-    BEGIN = "begin"
-    BEGIN_READ = "begin read"
-    ROLLBACK = "rollback"
-    STATEMENT = "statement"
-
-
-SETUP_KINDS = frozenset({StepKind.RESET, StepKind.SET, StepKind.PREPARE})
-
-
-class Step:
-    """One message to an endpoint.
-
-    `statement_id` is the caller's id of a statement, empty for this VM's own messages. `text` is
-    the statement, `name` and `value` are those of a session value or prepared statement. `position`
-    is the log position that the endpoint must have reached, or none if any will do.
-    """
-
-    __slots__ = ("kind", "statement_id", "text", "name", "value", "writes", "position")
-
-    def __init__(
-        self,
-        kind: StepKind,
-        statement_id: str = "",
-        text: str = "",
-        name: str = "",
-        value: str = "",
-        writes: bool = False,
-        position: Any = None,
-    ) -> None:
-        self.kind = kind
-        self.statement_id = statement_id
-        self.text = text
-        self.name = name
-        self.value = value
-        self.writes = writes
-        self.position = position
-
-
 class SessionExchange(Exchange):
     """An exchange on a connection that the placement controller chose.
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
@@ -4,7 +4,8 @@
 
 from ..blackboard.connections import BackendConnection
 from ..blackboard.requests import StatementKind
-from ..blackboard.sessions import SessionRequest, Step, StepKind
+from ..blackboard.sessions import SessionRequest
+from ..blackboard.steps import Step, StepKind
 
 
 def plan_rounds(
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -9,13 +9,8 @@
 from collections.abc import Callable
 
 from gentianspread_core.blackboard.requests import ExchangeStatus
-from gentianspread_core.blackboard.sessions import (
-    SETUP_KINDS,
-    SessionExchange,
-    SessionReply,
-    Step,
-    StepKind,
-)
+from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply
+from gentianspread_core.blackboard.steps import SETUP_KINDS, Step, StepKind
 from gentianspread_core.positions import Position
 
 ENDPOINT_PORT = 5432
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -18,13 +18,8 @@
     UnreachableReason,
 )
 from gentianspread_core.blackboard.requests import ExchangeStatus
-from gentianspread_core.blackboard.sessions import (
-    SETUP_KINDS,
-    SessionExchange,
-    SessionReply,
-    SessionRequest,
-    Step,
-)
+from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.blackboard.steps import SETUP_KINDS, Step
 from gentianspread_core.controllers.endpoints import PROBE_PURPOSE
 from gevent import socket
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/wire.py
@@ -12,10 +12,9 @@
     SessionState,
     SessionStatement,
     StatementAnswer,
-    Step,
-    StepKind,
     Verb,
 )
+from gentianspread_core.blackboard.steps import Step, StepKind
 from gentianspread_core.errors import ErrorCode, ExecutionResult, Refusal
 from gentianspread_core.positions import Position
 from gevent import socket
