--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -114,7 +114,15 @@
 
 @when('each VM sends {rate:d} {kind:w}/s on "{database:w}" for {seconds:g} s')
 def step_load(context, rate, kind, database, seconds):
-    sessions = context.cold_simulation.open_sessions(database, rate)
+    step_load_of_workspaces(context, rate, kind, 1, database, seconds)
+
+
+@when(
+    'each VM sends {rate:d} {kind:w}/s of {workspaces:d} workspaces on "{database:w}" '
+    "for {seconds:g} s"
+)
+def step_load_of_workspaces(context, rate, kind, workspaces, database, seconds):
+    sessions = context.cold_simulation.open_sessions(database, rate, workspaces)
     context.cold_simulation.sent.clear()
     _load(context, sessions, "WRITE x 1" if kind == "writes" else "READ x", seconds, 1.0)
 
@@ -122,7 +130,7 @@
 @when("each open transaction writes 3 times and commits, while each VM sends {rate:d} writes/s")
 def step_transactions_load(context, rate):
     simulation = context.cold_simulation
-    sessions = simulation.open_sessions("latest", rate)
+    sessions = simulation.open_sessions("latest", rate, 6)
     context.commits = []
     for number, text in enumerate(("WRITE x 2", "WRITE x 3", "WRITE x 4", "COMMIT")):
 
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -11,7 +11,7 @@
     primary that takes 10 of them.
     Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
-    When each VM sends 20 writes/s on "latest" for 5 s
+    When each VM sends 20 writes/s of 6 workspaces on "latest" for 5 s
     Then "b1" got at most 20 requests in any second
     And "b1" got at least 10 requests/s
     And the others were refused within 0.05 s as not run
@@ -20,7 +20,7 @@
     Guards against an equal split of the limit, of which no VM would have a whole request.
     Given cold endpoints take 2 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
-    When each VM sends 2 writes/s on "latest" for 10 s
+    When each VM sends 2 writes/s of 6 workspaces on "latest" for 10 s
     Then "b1" got at most 8 requests in any second
     And "b1" got at least 2 requests/s
 
@@ -29,7 +29,7 @@
     Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
     And no VM has a list of VMs that serve callers
-    When each VM sends 10 writes/s on "latest" for 5 s
+    When each VM sends 10 writes/s of 6 workspaces on "latest" for 5 s
     Then "b1" got at most 20 requests in any second
     And "b1" got at least 10 requests/s
     And the others were refused within 0.05 s as not run
@@ -38,7 +38,7 @@
     Guards against reads that are refused while a warm endpoint could serve them.
     Given cold endpoints take 4 requests/s, and are cold for 30 s after an evacuation
     And "b2" announces that it stays cold for 60 s
-    When each VM sends 10 reads/s on "bounded" for 5 s
+    When each VM sends 10 reads/s of 6 workspaces on "bounded" for 5 s
     Then "b2" got at most 11 requests in any second
     And "b2" got at least 1 requests/s
     And all statements were served
@@ -47,7 +47,7 @@
     Guards against requests that wait in queues for endpoints that cannot run them in time.
     Given cold endpoints take 4 requests/s, and are cold for 30 s after an evacuation
     And every endpoint announces that it stays cold for 60 s
-    When each VM sends 20 reads/s on "bounded" for 5 s
+    When each VM sends 20 reads/s of 6 workspaces on "bounded" for 5 s
     Then each endpoint got at most 11 requests in any second
     And the endpoints together got at least 12 requests/s
     And the others were refused within 0.05 s as not run
@@ -65,7 +65,7 @@
     Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
     And the allocator does not answer
-    When each VM sends 5 writes/s on "latest" for 3 s
+    When each VM sends 5 writes/s of 6 workspaces on "latest" for 3 s
     Then "b1" got no requests
     And the others were refused within 0.25 s as not run
 
@@ -74,7 +74,7 @@
     Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
     And the answers of the allocator are lost
-    When each VM sends 5 writes/s on "latest" for 3 s
+    When each VM sends 5 writes/s of 6 workspaces on "latest" for 3 s
     Then "b1" got no requests
     And the allocator granted at most 20 tokens for "b1" in any second
 
@@ -194,7 +194,7 @@
     Given cold endpoints take 0 requests/s, and are cold for 30 s after an evacuation
     When "b1" announces that it stays cold for 60 s
     Then that announcement was not written to the control log
-    When each VM sends 5 writes/s on "latest" for 2 s
+    When each VM sends 5 writes/s of 6 workspaces on "latest" for 2 s
     Then all statements were served
     And no VM asked for tokens of an endpoint
     And a declaration without limits and regions is stored as by the previous build
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
@@ -30,6 +30,7 @@
 from .session_simulation import GROUP, LATENCY_S
 
 COLD_TOLERANCE = WarmupTolerance(1.5, 5.0)
+WORKSPACE_COUNT = 6  # as many as an endpoint has homes, of which there are two for each slot
 SUBSTITUTE_SETTLING_S = 11.0  # the endpoints of z2 and z3 have an allocator of another zone
 
 
@@ -66,6 +67,7 @@
         super().__init__(vm_count, seed)
         for board in self.boards:
             board.settings.warmup_tolerance = COLD_TOLERANCE
+        self.declare(2, keys={f"w{n}": [f"k{n}"] for n in range(1, WORKSPACE_COUNT + 1)})
         self.run(SUBSTITUTE_SETTLING_S)
 
     def redeclare(self, change: Callable[[Declaration], None]) -> None:
@@ -120,10 +122,14 @@
             board.configuration.evacuations[zone] = Evacuation(zone, is_active, revision)
             board.post(Topic.CONFIGURATION_CHANGED, revision)
 
-    def open_sessions(self, database: str, count: int) -> list[tuple[str, Session]]:
-        """Open sessions at each VM that serves callers."""
+    def open_sessions(
+        self, database: str, count: int, workspaces: int = 1
+    ) -> list[tuple[str, Session]]:
+        """Open sessions at each VM that serves callers, of some workspaces in turn."""
         return [
-            (name, self.open_session_at(name, database)) for name in self.vms for _ in range(count)
+            (name, self.open_session_at(name, database, f"k{number % workspaces + 1}"))
+            for name in self.vms
+            for number in range(count)
         ]
 
     def max_in_any_second(self, endpoint: str) -> int:
