--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -7,10 +7,10 @@
 
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.configuration import (
     Allocator,
     Configuration,
-    Member,
     load_snapshot,
     to_diskless_snapshot,
 )
@@ -27,6 +27,7 @@
 from gentianspread_core.settings import CoreSettings, WarmupTolerance
 from gentianspread_lab.fakes.clock import FakeClock
 from gentianspread_lab.fakes.cold_simulation import COLD_TOLERANCE
+from gentianspread_lab.fakes.simulation import GROUP
 from gentianspread_server.endpoint_tokens import encode_endpoint_request
 from gentianspread_server.platform.wire import decode_statement
 
@@ -229,20 +230,16 @@
     declaration.groups[0].cold_rate = context.token_rate
     configuration.declaration = declaration
     configuration.cold_groups = {"g": declaration.groups[0]}
-    for number, own_zone in enumerate(("z1", "z2", "z3"), 1):
+    for number, own_zone in enumerate(("z1", "z2"), 1):
         configuration.endpoints[f"b{number}"] = Registration(
             f"b{number}", f"10.0.0.{number}:1", own_zone, "g", False, 1, 3, 0
         )
-    configuration.members = {
-        "c1": Member("c1", "c1", "z1", True),
-        "c2": Member("c2", "c2", "z2", True),
-    }
     return engine
 
 
 def _name_allocator(context, member, epoch):
     board = context.allocator.board
-    board.configuration.allocators["z1"] = Allocator("z1", member, epoch, 5)
+    board.configuration.warmup_allocators["z1"] = Allocator("z1", member, epoch, 5)
     board.post(Topic.CONFIGURATION_CHANGED, 5)
 
 
@@ -311,18 +308,58 @@
     assert _tokens(context) == 0
 
 
-@then("it grants nothing for endpoints of a zone whose control VM is not its allocator yet")
+@then("it grants nothing for endpoints of another zone")
 def step_other_zone(context):
     _advance(context, 100.0)
+    assert _tokens(context) > 0
     assert _tokens(context, "b2") == 0
 
 
-@then("it grants nothing for {seconds:g} s for endpoints of a zone that has no control VM")
-def step_zone_without_control(context, seconds):
-    context.allocator = _allocator(context)
-    context.allocator.board.log.recovered_index = 5
-    _name_allocator(context, "c1", 1)
-    _assert_nothing_until(context, "b3", seconds)
+@then("it grants nothing with a configuration that is not fresh")
+def step_not_fresh(context):
+    _advance(context, 100.0)
+    request = EndpointTokenRequest("b1", "z1", "c1", 1, context.token_clock.now())
+    context.allocator.board.post(Topic.ENDPOINT_TOKENS_REQUESTED, request)
+    assert request.granted == 0 and not request.answered
+
+
+@when("cold endpoints are declared to take {rate:g} requests/s")
+def step_fleet_limit(context, rate):
+    declared = [DeclaredGroup(GROUP, 46, True)]
+    declared[0].cold_rate = rate
+    declaration = Declaration(1, [], declared, [], 3.0, "document")
+    context.simulation.propose_change(CommandKind.DECLARE, declaration.to_record())
+    context.simulation.run(5.0)
+
+
+def _named_allocators(context):
+    return context.simulation.leader().board.configuration.warmup_allocators
+
+
+def _zone_of(context, allocator):
+    return context.simulation.vms[allocator.member].settings.zone
+
+
+@then(
+    'the endpoints of "{first:w}", "{second:w}" and "{third:w}" have allocators of their own zones'
+)
+def step_own_allocators(context, first, second, third):
+    named = _named_allocators(context)
+    assert set(named) == {first, second, third}
+    for zone, allocator in named.items():
+        assert _zone_of(context, allocator) == zone and allocator.epoch == 1
+
+
+@then('the endpoints of "{zone:w}" have an allocator of another zone, of epoch {epoch:d}')
+def step_substitute(context, zone, epoch):
+    allocator = _named_allocators(context)[zone]
+    assert allocator.epoch == epoch and _zone_of(context, allocator) != zone
+    assert context.simulation.vms[allocator.member].is_running()
+
+
+@then("no allocator of cold endpoints is named")
+def step_no_allocator(context):
+    assert not _named_allocators(context)
 
 
 @then(
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -92,11 +92,11 @@
     When that allocator starts again
     Then it grants nothing for 0.09 s
 
-  Scenario: An allocator of another zone grants only for zones that have no control VM
-    Guards against two allocators for one endpoint.
+  Scenario: An allocator grants for its endpoints only, and only while its configuration is fresh
+    Guards against two allocators for one endpoint, and one that a partition has cut off.
     Given an allocator for endpoints that take 10 requests/s
-    Then it grants nothing for endpoints of a zone whose control VM is not its allocator yet
-    And it grants nothing for 9.9 s for endpoints of a zone that has no control VM
+    Then it grants nothing for endpoints of another zone
+    And it grants nothing with a configuration that is not fresh
 
   Scenario Outline: The limit is what the settings and the declared rate allow
     Then a cold endpoint with <rate> requests/s, <factor> times it and <slack> more, gets <count>
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -31,6 +31,7 @@
     DEPARTURES_COVERED = "departures_covered"
     ENDPOINT_WARMUP = "endpoint_warmup"
     ENDPOINT_DOUBTED = "endpoint_doubted"
+    NAME_WARMUP_ALLOCATOR = "name_warmup_allocator"
     UNREADABLE = "unreadable"
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -120,7 +120,8 @@
     operator changes only. `confirmed_at` is when a quorum last confirmed the configuration, in
     seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
     control log. `evacuations` are by zone; `warmups`, by endpoint, are of those that announced to
-    be cold. `cold_groups` are the declared groups whose cold endpoints have a limit, and
+    be cold, and `warmup_allocators`, by zone of the endpoints, grant the tokens that cold ones
+    need. `cold_groups` are the declared groups whose cold endpoints have a limit, and
     `workspace_regions` the regions to which workspaces are restricted.
     """
 
@@ -143,6 +144,7 @@
         "declaration",
         "evacuations",
         "warmups",
+        "warmup_allocators",
         "cold_groups",
         "workspace_regions",
     )
@@ -166,6 +168,7 @@
         self.declaration: Declaration | None = None
         self.evacuations: dict[str, Evacuation] = {}
         self.warmups: dict[str, Warmup] = {}
+        self.warmup_allocators: dict[str, Allocator] = {}
         self.cold_groups: dict[str, DeclaredGroup] = {}
         self.workspace_regions: dict[str, frozenset[str]] = {}
 
@@ -202,6 +205,11 @@
     "allocators": Allocator,
 }
 
+OPTIONAL_TABLES: dict[str, type] = {  # not in snapshots of older builds, and left out if empty
+    "warmups": Warmup,
+    "warmup_allocators": Allocator,
+}
+
 
 def to_snapshot(configuration: Configuration) -> dict[str, Any]:
     """Return the whole state in JSON types."""
@@ -220,8 +228,9 @@
         snapshot["declaration"] = configuration.declaration.to_record()
     for table, kind in SNAPSHOT_TABLES.items():
         snapshot[table] = _to_rows(getattr(configuration, table), kind)
-    if configuration.warmups:
-        snapshot["warmups"] = _to_rows(configuration.warmups, Warmup)
+    for table, kind in OPTIONAL_TABLES.items():
+        if getattr(configuration, table):
+            snapshot[table] = _to_rows(getattr(configuration, table), kind)
     return snapshot
 
 
@@ -292,7 +301,10 @@
         "learners": list(snapshot["learners"]),
         "incarnations": dict(snapshot.get("incarnations", {})),
         "outcomes": outcomes,
-        "warmups": {row[0]: Warmup(*row) for row in snapshot.get("warmups", [])},
+        **{
+            table: {row[0]: kind(*row) for row in snapshot.get(table, [])}
+            for table, kind in OPTIONAL_TABLES.items()
+        },
         **tables,
     }
     declaration = Declaration.from_record(declared) if declared else None
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
@@ -58,8 +58,9 @@
 class EndpointTokenRequest:
     """A VM's request for tokens of a cold endpoint, and the response of the zone's allocator.
 
-    `zone` is that of the allocator, `member` its VM. `next_token_delay` is the seconds until it has
-    another token. `is_local` is set if this VM is the allocator, `answered` if it may grant.
+    `zone` is that of the endpoint, `member` the VM that grants for it. `next_token_delay` is the
+    seconds until it has another token. `is_local` is set if this VM is the allocator, `answered`
+    if it may grant.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -63,6 +63,7 @@
         if self.board.is_fresh() and not self._is_change_pending:
             self._repair_allocators()
             self._repair_voters()
+            self._repair_warmup_allocators()
         self._schedule_repair()
 
     def _is_leader(self) -> bool:
@@ -110,6 +111,33 @@
             self._propose(CommandKind.NAME_ALLOCATOR, {"zone": zone, "member": candidate})
             return
 
+    def _repair_warmup_allocators(self) -> None:
+        """Name a VM that grants tokens for the cold endpoints of each zone, if one may need them.
+
+        It is of the endpoints' zone if possible, and stays until it is lost: each change costs the
+        time until the predecessor can no longer be fresh, in which nobody grants.
+        """
+        configuration = self.board.configuration
+        endpoints = configuration.endpoints.values()
+        zones = {item.zone for item in endpoints if item.group in configuration.cold_groups}
+        for zone in () if self._is_change_pending else sorted(zones):
+            allocator = configuration.warmup_allocators.get(zone)
+            if allocator is not None and self._can_allocate(allocator.member):
+                continue
+            nearby = [zone, *self.board.settings.zones, self.board.settings.zone]
+            candidate = next(filter(None, map(self._allocator_candidate, nearby)), None)
+            if candidate is None:
+                return
+            self.board.timeline.record(
+                EventKind.ALLOCATOR_NAMED,
+                f"cold endpoints of zone {zone}",
+                "the allocator is lost or draining" if allocator else "the zone has no allocator",
+                member=candidate,
+            )
+            fields = {"zone": zone, "member": candidate}
+            self._propose(CommandKind.NAME_WARMUP_ALLOCATOR, fields)
+            return
+
     def _can_allocate(self, name: str) -> bool:
         member = self.board.configuration.members.get(name)
         if member is None or member.draining:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/allocation.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/allocation.py
@@ -1,8 +1,7 @@
 """Warm-up allocator controller: grants the tokens without which no cold endpoint gets a request.
 
-One VM at a time grants them for an endpoint: the allocator of the endpoint's zone, or, if that zone
-never had one, the allocator of the first zone that has. It grants only with a fresh configuration,
-and only after its predecessor can no longer be fresh.
+The control leader names one VM for the endpoints of each zone, and another one once that is lost. A
+VM grants only with a fresh configuration, and only after its predecessor can no longer be fresh.
 """
 
 from __future__ import annotations
@@ -11,7 +10,7 @@
 from typing import Any
 
 from ...blackboard import Board, Topic
-from ...blackboard.configuration import Configuration
+from ...blackboard.configuration import Allocator
 from ...blackboard.rate_limits import TokenBucket
 from ...blackboard.warmups import EndpointTokenRequest
 from ...settings import WarmupTolerance
@@ -21,7 +20,6 @@
 MIN_CAPACITY_TOKENS = 1.0
 ROUNDING_MARGIN_TOKENS = 0.01  # keeps a sum of fractions under the next whole request
 MAX_SPENDING_S = 2.0  # the window of the limit, and twice the time for which a token may be spent
-SUBSTITUTE_DELAY_S = 10.0  # by then each zone of a fleet that starts has its own allocator
 
 
 class WarmupQuota:
@@ -50,26 +48,17 @@
         return cls(rate, bound - rate * window_s)
 
 
-def allocator_zone(configuration: Configuration, zone: str) -> str | None:
-    """Return the zone whose allocator grants the tokens of a zone's endpoints, or none."""
-    if zone in configuration.allocators:
-        return zone
-    if any(member.zone == zone for member in configuration.members.values()):
-        return None
-    return min(configuration.allocators, default=None)
-
-
 class WarmupAllocatorController:
     """Owns the buckets of the warm-ups section.
 
-    `_first_grant_at` is by zone of the endpoints, in seconds, for the zones that this VM serves.
+    `_epochs` and `_first_grant_at`, in seconds, are by zone, for the zones that this VM serves.
     """
 
-    __slots__ = ("board", "_epoch", "_first_grant_at")
+    __slots__ = ("board", "_epochs", "_first_grant_at")
 
     def __init__(self, board: Board) -> None:
         self.board = board
-        self._epoch = 0
+        self._epochs: dict[str, int] = {}
         self._first_grant_at: dict[str, float] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -81,20 +70,19 @@
 
     def on_configuration(self, _revision: int) -> None:
         """Determine for which zones this VM grants, and from when on."""
-        configuration, own_zone = self.board.configuration, self.board.settings.zone
-        allocator = configuration.allocators.get(own_zone)
-        if allocator is None or allocator.member != self.board.settings.member:
-            self._reset(0)
-            return
-        if allocator.epoch != self._epoch:
-            self._reset(allocator.epoch)
-        zones = {item.zone for item in configuration.endpoints.values()}
-        served = {zone for zone in zones if allocator_zone(configuration, zone) == own_zone}
-        for zone in [zone for zone in self._first_grant_at if zone not in served]:
+        own_epochs = {}
+        for zone, allocator in self.board.configuration.warmup_allocators.items():
+            if allocator.member != self.board.settings.member:
+                continue
+            own_epochs[zone] = allocator.epoch
+            if self._epochs.get(zone) != allocator.epoch:
+                self._remove_buckets_of(zone)
+                self._first_grant_at[zone] = self._first_grant_time(allocator)
+        for zone in self._epochs.keys() - own_epochs.keys():
+            self._remove_buckets_of(zone)
             del self._first_grant_at[zone]
-        for zone in served - self._first_grant_at.keys():
-            self._first_grant_at[zone] = self._first_grant_time(zone)
-        self._remove_buckets()
+        self._epochs = own_epochs
+        self._remove_unused_buckets()
 
     def on_requested(self, token_request: EndpointTokenRequest) -> None:
         """Grant what the bucket holds, or leave the request unanswered if this VM may not grant."""
@@ -108,33 +96,18 @@
         if token_request.is_local:
             self.board.changes.post(Topic.ENDPOINT_TOKENS_RECEIVED, token_request)
 
-    def _reset(self, epoch: int) -> None:
-        self._epoch = epoch
-        self._first_grant_at.clear()
-        self.board.warmups.buckets.clear()
-
-    def _first_grant_time(self, zone: str) -> float:
-        """Return when every earlier grant for a zone's endpoints has expired."""
-        settings = self.board.settings
-        predecessor_s = settings.max_configuration_age_s + settings.token_ttl_s
-        now = self.board.clock.now()
-        if zone != settings.zone:
-            return now + max(predecessor_s, SUBSTITUTE_DELAY_S)
-        return now + (settings.token_ttl_s if self._follows_itself(now) else predecessor_s)
-
-    def _follows_itself(self, now: float) -> bool:
-        """Return whether no other VM can have granted for the own zone lately.
+    def _first_grant_time(self, allocator: Allocator) -> float:
+        """Return when every earlier grant for a zone's endpoints has expired.
 
-        That is so for an allocator that was named before this VM restarted, and for one that is
-        named while a new fleet starts: a substitute of another zone waits for longer.
+        The first allocator of a zone, and one that was named before this VM restarted, has no
+        predecessor but itself.
         """
-        allocator = self.board.configuration.allocators[self.board.settings.zone]
-        recovered_index = self.board.log.recovered_index
-        if allocator.revision <= recovered_index:
-            return True
-        is_founder = bool(self.board.settings.initial_voters) and recovered_index == 0
-        is_starting = now - self.board.started_at < SUBSTITUTE_DELAY_S
-        return allocator.epoch == 1 and is_founder and is_starting
+        settings = self.board.settings
+        was_named_before = allocator.revision <= self.board.log.recovered_index
+        first_grant_at = self.board.clock.now() + settings.token_ttl_s
+        if allocator.epoch > 1 and not was_named_before:
+            first_grant_at += settings.max_configuration_age_s
+        return first_grant_at
 
     def _bucket(self, endpoint: str) -> TokenBucket | None:
         """Return an endpoint's bucket, or none if this VM does not grant for it."""
@@ -149,21 +122,22 @@
         bucket = self.board.warmups.buckets.get(endpoint)
         if bucket is None:
             first_grant_at = self._first_grant_at[registration.zone]
-            bucket = TokenBucket(quota.rate, quota.capacity, first_grant_at, self._epoch)
+            epoch = self._epochs[registration.zone]
+            bucket = TokenBucket(quota.rate, quota.capacity, first_grant_at, epoch)
             self.board.warmups.buckets[endpoint] = bucket
         bucket.rate, bucket.capacity = quota.rate, quota.capacity
         return bucket
 
-    def _remove_buckets(self) -> None:
-        """Remove the buckets of endpoints that are gone or whose zone another VM serves.
+    def _remove_buckets_of(self, zone: str) -> None:
+        endpoints, buckets = self.board.configuration.endpoints, self.board.warmups.buckets
+        for name in list(buckets):
+            if name in endpoints and endpoints[name].zone == zone:
+                del buckets[name]
 
-        The bucket of one that is gone is kept for as long as its grants count: it may come back.
-        """
+    def _remove_unused_buckets(self) -> None:
+        """Remove the buckets of endpoints that are gone, once none of their grants counts."""
         endpoints, buckets = self.board.configuration.endpoints, self.board.warmups.buckets
         unused_since = self.board.clock.now() - MAX_SPENDING_S
         for name, bucket in list(buckets.items()):
-            registration = endpoints.get(name)
-            is_served = registration is not None and registration.zone in self._first_grant_at
-            is_gone = registration is None and bucket.refilled_at < unused_since
-            if is_gone or (registration is not None and not is_served):
+            if name not in endpoints and bucket.refilled_at < unused_since:
                 del buckets[name]
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
@@ -17,7 +17,6 @@
 from ...blackboard.timeline import EventKind
 from ...blackboard.warmups import ColdState, EndpointTokenRequest, EndpointTokens
 from ...errors import ErrorCode
-from .allocation import allocator_zone
 
 MIN_EMPTY_S = 0.02  # bounds the token requests of a VM to 50 a second for each endpoint
 MAX_EMPTY_S = 1.0  # an allocator that restarts, or a new one, is asked again within this time
@@ -135,6 +134,8 @@
         )
         if registration is None or declared is None:
             return
+        if registration.zone not in self.board.configuration.warmup_allocators:
+            return  # a control leader of an older build names none, and there would be no token
         now = self.board.clock.now()
         state = self.board.warmups.states.setdefault(endpoint, ColdState())
         was_cold = now < state.until()
@@ -264,13 +265,12 @@
         if tokens.requested_at is not None and now - tokens.requested_at < REQUEST_TIMEOUT_S:
             return
         registration = self.board.configuration.endpoints.get(endpoint)
-        configuration = self.board.configuration
-        zone = allocator_zone(configuration, registration.zone) if registration else None
-        allocator = configuration.allocators.get(zone or "")
+        zone = registration.zone if registration is not None else ""
+        allocator = self.board.configuration.warmup_allocators.get(zone)
         tokens.requested_at = now
         token_request = EndpointTokenRequest(
             endpoint,
-            zone or "",
+            zone,
             allocator.member if allocator is not None else "",
             len(tokens.waiting),
             now,
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -314,6 +314,17 @@
     )
 
 
+def _set_warmup_allocator(configuration: Configuration, command: Command) -> None:
+    zone = command.fields["zone"]
+    previous = configuration.warmup_allocators.get(zone)
+    configuration.warmup_allocators[zone] = Allocator(
+        zone,
+        command.fields["member"],
+        previous.epoch + 1 if previous else 1,
+        configuration.revision,
+    )
+
+
 def _set_voters(configuration: Configuration, command: Command) -> None:
     configuration.voters = list(command.fields["voters"])
     configuration.learners = list(command.fields["learners"])
@@ -356,4 +367,5 @@
     CommandKind.DEPARTURES_COVERED: _clear_departures,
     CommandKind.ENDPOINT_WARMUP: _set_warmup,
     CommandKind.ENDPOINT_DOUBTED: _doubt_endpoint,
+    CommandKind.NAME_WARMUP_ALLOCATOR: _set_warmup_allocator,
 }
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/cold_simulation.py
@@ -31,7 +31,7 @@
 
 COLD_TOLERANCE = WarmupTolerance(1.5, 5.0)
 WORKSPACE_COUNT = 6  # as many as an endpoint has homes, of which there are two for each slot
-SUBSTITUTE_SETTLING_S = 11.0  # the endpoints of z2 and z3 have an allocator of another zone
+NAMING_S = 4.0  # until the control leader has named an allocator for each zone in turn
 
 
 class SentRequest:
@@ -68,7 +68,6 @@
         for board in self.boards:
             board.settings.warmup_tolerance = COLD_TOLERANCE
         self.declare(2, keys={f"w{n}": [f"k{n}"] for n in range(1, WORKSPACE_COUNT + 1)})
-        self.run(SUBSTITUTE_SETTLING_S)
 
     def redeclare(self, change: Callable[[Declaration], None]) -> None:
         """Declare a changed copy of the declaration under the next version."""
@@ -87,6 +86,7 @@
                 group.cold_rate, group.cold_start_s = rate, cold_start_s
 
         self.redeclare(change)
+        self.run(NAMING_S)
 
     def announce_warmup(
         self, name: str, remaining_s: float | None, incarnation: int = 1
--- a/packages/gentianspread-server/src/gentianspread_server/endpoint_tokens.py
+++ b/packages/gentianspread-server/src/gentianspread_server/endpoint_tokens.py
@@ -40,8 +40,7 @@
         message["wanted"],
         board.clock.now(),
     )
-    if message["zone"] == board.settings.zone:
-        board.post(Topic.ENDPOINT_TOKENS_REQUESTED, token_request)
+    board.post(Topic.ENDPOINT_TOKENS_REQUESTED, token_request)
     return {
         "granted": token_request.granted,
         "answered": token_request.answered,
