--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -202,3 +202,33 @@
   Scenario: A reply of a home VM of the previous build is read
     Then a reply without "cold_s" is read, and one with it tells when the next token comes
     And a message for tokens is one that the previous build does not answer
+
+  Scenario: The warm-up of an endpoint is proposed before its registration
+    Guards against VMs that know an endpoint before they know that it is cold.
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    When a new endpoint announces over the API that it stays cold for 5 s
+    Then its warm-up and then its registration are proposed, and it is acknowledged
+
+  Scenario: An endpoint registers while a leader of the previous build takes no warm-ups
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    And the control leader takes no warm-ups
+    When a new endpoint announces over the API that it stays cold for 5 s
+    Then its warm-up and then its registration are proposed, and it is not acknowledged
+
+  Scenario: Without a limit only the registration is proposed
+    When a new endpoint announces over the API that it stays cold for 5 s
+    Then only its registration is proposed, and it is acknowledged
+
+  Scenario: Tokens are asked for and granted in messages between VMs
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    Then the allocator answers a message for 3 tokens of "b1" with 3, and one of "b9" with none
+    And a response without "granted" leaves a request for tokens unanswered
+
+  Scenario: A doubt that another VM reports is proposed once, and only if it is about a known start
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    When a VM reports twice that it lost connections to "b1", and to an endpoint that is not known
+    Then one doubt about "b1" is proposed
+
+  Scenario: A connection that the endpoint had closed counts as lost
+    Guards against a flood after a restart that was noticed only by connections that had been idle.
+    Then an exchange on a connection that the endpoint had closed was not sent, and reports the loss
