--- a/features/callers.feature
+++ b/features/callers.feature
@@ -210,6 +210,19 @@
     Then the endpoints hold no open transaction
     And the endpoints committed 0 writes
 
+  Scenario: A statement of a transaction does not run outside it after its caller left
+    Guards against writes that nobody committed: a statement that waited for a connection while its
+    caller disconnected ran as one of its own, and was committed.
+    Given the VM has one connection to each endpoint, which needs 0.3 s for each statement
+    And a session "a" on "latest"
+    And a session "b" on "latest"
+    When "b" sends "READ x" and waits 0.05 s
+    And "a" sends "BEGIN" and waits 0.01 s
+    And "a" sends "WRITE x 1" and waits 0.05 s
+    And "a" disconnects
+    And 1 s pass
+    Then the endpoints committed 0 writes
+
   Scenario: A request that waits for a connection is refused when its key is removed
     Given the VM has one connection to each endpoint, which needs 0.3 s for each statement
     And a session "a" on "latest"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -167,6 +167,10 @@
     def _check_deadline_and_key(self, request: SessionRequest) -> bool:
         if request.kind is StatementKind.ROLLBACK:
             return True
+        if request.session.closed:
+            # Its transaction has ended, and outside it a write would be committed.
+            request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "The caller has left.")
+            return False
         now = self.board.clock.now()
         is_late = now >= (
             request.deadline if request.has_bound_transaction() else request.wait_deadline
