--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -20,7 +20,7 @@
 from gentianspread_core.blackboard.requests import ExchangeStatus
 from gentianspread_core.blackboard.sessions import SessionReply, SessionState
 from gentianspread_core.blackboard.timeline import EventKind
-from gentianspread_core.blackboard.warmups import EndpointTokenRequest
+from gentianspread_core.blackboard.warmups import ColdState, EndpointTokenRequest
 from gentianspread_core.controllers.warmup.allocation import WarmupQuota
 from gentianspread_core.engine import Engine
 from gentianspread_core.errors import ExecutionResult
@@ -145,6 +145,45 @@
     _load(context, sessions, "WRITE x 1", 6.0, 1.0)
 
 
+@when("each open transaction writes once more, and its caller leaves while the write waits")
+def step_leave(context):
+    simulation = context.cold_simulation
+    for vm, session in context.transactions:
+        _send(context, vm, session, "WRITE x 9")
+    simulation.run(0.05)
+    for vm, session in context.transactions:
+        handle = f"{vm}/{session.transaction.connection.number}"
+        simulation.vms[vm].board.post(Topic.SESSION_CLOSED, session)
+        for engine in simulation.vms.values():
+            engine.board.post(Topic.RELAY_RELEASED, handle)
+
+
+@then('at most {count:d} of these writes reached "{name:w}", and none was committed')
+def step_left(context, count, name):
+    simulation = context.cold_simulation
+    assert len([item for item in simulation.sent if item.endpoint == name]) <= count
+    assert all(item.in_transaction for item in simulation.sent)
+    assert not simulation.endpoints[name].log
+    for endpoint in simulation.endpoints.values():
+        assert not any(item.in_transaction for item in endpoint.sessions.values())
+
+
+@given('"{name:w}" is cold at all VMs of "{zone:w}" alone')
+def step_cold_in_zone(context, name, zone):
+    simulation = context.cold_simulation
+    for engine in simulation.vms.values():
+        board = engine.board
+        if board.settings.zone == zone:
+            state = board.warmups.states.setdefault(name, ColdState())
+            state.lost_until, state.lost_incarnation = simulation.clock.now() + 60.0, 1
+
+
+@then("at most {count:d} statements were relayed for each write")
+def step_relayed_count(context, count):
+    relayed = len(context.cold_simulation.relayed_to)
+    assert relayed <= count * len(context.load_calls), f"{relayed} of {len(context.load_calls)}"
+
+
 @then('"{name:w}" got at most {count:d} requests in any second')
 def step_at_most(context, name, count):
     most = context.cold_simulation.max_in_any_second(name)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -61,6 +61,24 @@
     Then "b1" got at most 20 requests in any second
     And at least 6 of the transactions committed
 
+  Scenario: A statement whose transaction ends while it waits for a token does not run
+    Guards against writes outside their transaction, which nothing would roll back.
+    Given cold endpoints take 0.2 requests/s, and are cold for 30 s after an evacuation
+    And 8 open transactions on "latest"
+    And "b1" announces that it stays cold for 60 s
+    When each open transaction writes once more, and its caller leaves while the write waits
+    And "b1" announces that it stays cold for 0 s
+    Then at most 5 of these writes reached "b1", and none was committed
+
+  Scenario: A sender believes a home VM that has no token, also if it does not know of the warm-up
+    Guards against a statement that is relayed again and again within its time.
+    Given cold endpoints take 0.2 requests/s, and are cold for 30 s after an evacuation
+    And "b1" is cold at all VMs of "z1" alone
+    When each VM sends 5 writes/s on "latest" for 2 s
+    Then "b1" got at most 5 requests in any second
+    And the others were refused within 0.05 s as not run
+    And at most 3 statements were relayed for each write
+
   Scenario: Without a token there is no request while the allocator does not answer
     Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
     And "b1" announces that it stays cold for 60 s
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/warmups.py
@@ -90,19 +90,32 @@
 class EndpointTokens:
     """Tokens that this VM holds for a cold endpoint, and the requests that wait for one.
 
+    `in_transactions` are those of transactions that were bound to a connection to the endpoint.
     `empty_until` is the time until which the allocator is known to have none; `requested_at` is
     when the request under way was sent, or none. Times in seconds of this VM's clock.
     """
 
-    __slots__ = ("count", "expires_at", "empty_until", "requested_at", "waiting")
+    __slots__ = (
+        "count",
+        "expires_at",
+        "empty_until",
+        "requested_at",
+        "in_transactions",
+        "waiting",
+    )
 
     def __init__(self) -> None:
         self.count = 0
         self.expires_at = 0.0
         self.empty_until = 0.0
         self.requested_at: float | None = None
+        self.in_transactions: list[SessionRequest] = []
         self.waiting: list[SessionRequest] = []
 
+    def waiting_count(self) -> int:
+        """Return how many requests wait for a token."""
+        return len(self.in_transactions) + len(self.waiting)
+
 
 class ColdState:
     """Why this VM counts an endpoint as cold; times in seconds of its clock.
@@ -159,6 +172,9 @@
         return state is not None and now < state.until()
 
     def is_exhausted(self, endpoint: str, now: float) -> bool:
-        """Return whether an endpoint is cold and known to have no token at present."""
+        """Return whether an endpoint is known to have no token at present.
+
+        A home VM may say so of an endpoint that only it counts as cold.
+        """
         tokens = self.tokens.get(endpoint)
-        return tokens is not None and now < tokens.empty_until and self.is_cold(endpoint, now)
+        return tokens is not None and now < tokens.empty_until
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
@@ -23,7 +23,7 @@
 NO_ALLOCATOR_DELAY_S = 0.3  # after an allocator did not grant or did not respond
 REQUEST_TIMEOUT_S = 0.5  # after it, a request for tokens whose end was not posted counts as lost
 MIN_LOST_S = 5.0  # how long an endpoint counts as cold after a lost connection without news of it
-WAITING_PER_ENDPOINT = 64  # requests; more than the slots of an endpoint use in a second
+MAX_WAITING_PER_ENDPOINT = 64  # requests; more than the slots of an endpoint use in a second
 ANNOUNCED = "announced"
 EVACUATED = "evacuated"
 
@@ -60,9 +60,7 @@
         }
         for name in [name for name in warmups.states if name not in limited]:
             del warmups.states[name]
-            tokens = warmups.tokens.pop(name, None)
-            if tokens is not None:
-                self.gate.retry(tokens.waiting)
+            self.gate.release(name)
         for registration in limited.values():
             self._update_state(registration)
 
@@ -162,8 +160,7 @@
                 refused=warmups.refused,
             )
         if not is_cold:
-            tokens = warmups.tokens.pop(endpoint, None)
-            self.gate.retry(tokens.waiting if tokens is not None else [])
+            self.gate.release(endpoint)
 
 
 class WarmupGate:
@@ -190,7 +187,7 @@
             return True
         if now < tokens.empty_until and not request.has_bound_transaction():
             self._give_back(request, endpoint)
-        elif len(tokens.waiting) >= WAITING_PER_ENDPOINT:
+        elif tokens.waiting_count() >= MAX_WAITING_PER_ENDPOINT:
             self._refuse(request, endpoint)
         else:
             self._wait(request, endpoint, tokens)
@@ -202,27 +199,23 @@
         if tokens is None or tokens.requested_at != token_request.sent_at:
             return
         tokens.requested_at = None
-        now = self.board.clock.now()
-        expires_at = token_request.sent_at + self.board.settings.token_ttl_s
-        if token_request.granted and now < expires_at:
-            held = tokens.count if now < tokens.expires_at else 0
-            tokens.expires_at = min(tokens.expires_at, expires_at) if held else expires_at
-            tokens.count = held + token_request.granted
-        waiting = [item for item in tokens.waiting if self._is_open(item)]
-        waiting.sort(key=lambda item: not item.has_bound_transaction())
-        count = tokens.count if now < tokens.expires_at else 0
-        self.retry(waiting[:count])
-        if len(waiting) <= count:
-            tokens.waiting = []
+        self._credit(tokens, token_request)
+        self._remove_ended(tokens)
+        count = tokens.count if self.board.clock.now() < tokens.expires_at else 0
+        passing = [*tokens.in_transactions, *tokens.waiting][:count]
+        is_empty = tokens.waiting_count() > count
+        tokens.in_transactions = tokens.in_transactions[count:]
+        others = [item for item in tokens.waiting if item not in passing]
+        tokens.waiting = []
+        self._place(passing)
+        if not is_empty:
             return
         answered = token_request.answered
         delay_s = token_request.next_token_delay if answered else NO_ALLOCATOR_DELAY_S
         self.set_empty(token_request.endpoint, delay_s)
-        tokens.waiting = [item for item in waiting[count:] if item.has_bound_transaction()]
-        for request in waiting[count:]:
-            if not request.has_bound_transaction():
-                self._give_back(request, token_request.endpoint)
-        if tokens.waiting:
+        for request in others:
+            self._give_back(request, token_request.endpoint)
+        if tokens.in_transactions:
             self.board.changes.post_at(
                 tokens.empty_until, Topic.ENDPOINT_TOKENS_DUE, token_request.endpoint
             )
@@ -232,28 +225,58 @@
         tokens = self.board.warmups.tokens.get(endpoint)
         if tokens is None:
             return
-        tokens.waiting = [item for item in tokens.waiting if self._is_open(item)]
-        if tokens.waiting:
+        self._remove_ended(tokens)
+        if tokens.waiting_count():
             self._ask(endpoint, tokens)
 
+    def release(self, endpoint: str) -> None:
+        """Have the requests that wait for a token of an endpoint placed again, as it is warm."""
+        tokens = self.board.warmups.tokens.pop(endpoint, None)
+        if tokens is not None:
+            self._remove_ended(tokens)
+            self._place([*tokens.in_transactions, *tokens.waiting])
+
     def set_empty(self, endpoint: str, delay_s: float) -> None:
         """Note that there is no token for an endpoint for some time, in seconds."""
         tokens = self.board.warmups.tokens.setdefault(endpoint, EndpointTokens())
         bounded_s = min(MAX_EMPTY_S, max(MIN_EMPTY_S, delay_s))
         tokens.empty_until = self.board.clock.now() + bounded_s
 
-    def retry(self, requests: list[SessionRequest]) -> None:
-        """Have requests placed again."""
+    def _place(self, requests: list[SessionRequest]) -> None:
         for request in requests:
-            if self._is_open(request):
-                self.board.changes.post(Topic.REQUEST_RETRIED, request)
+            self.board.changes.post(Topic.REQUEST_RETRIED, request)
+
+    def _credit(self, tokens: EndpointTokens, token_request: EndpointTokenRequest) -> None:
+        now = self.board.clock.now()
+        expires_at = token_request.sent_at + self.board.settings.token_ttl_s
+        if token_request.granted and now < expires_at:
+            held = tokens.count if now < tokens.expires_at else 0
+            tokens.expires_at = min(tokens.expires_at, expires_at) if held else expires_at
+            tokens.count = held + token_request.granted
+
+    def _remove_ended(self, tokens: EndpointTokens) -> None:
+        """Remove the requests that need no token any more; refuse those that must not run.
+
+        A statement whose transaction or session ended while it waited would otherwise run outside
+        the transaction.
+        """
+        for request in [*tokens.in_transactions, *tokens.waiting]:
+            has_ended = request.session.closed or (
+                request in tokens.in_transactions and not request.has_bound_transaction()
+            )
+            if has_ended and self._is_open(request):
+                request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "The transaction was rolled back.")
+                self.board.changes.post(Topic.REQUEST_REFUSED, request)
+        tokens.in_transactions = [item for item in tokens.in_transactions if self._is_open(item)]
+        tokens.waiting = [item for item in tokens.waiting if self._is_open(item)]
 
     def _wait(self, request: SessionRequest, endpoint: str, tokens: EndpointTokens) -> None:
         if request.timer is None:
             request.timer = self.board.changes.post_at(
                 request.wait_deadline, Topic.REQUEST_EXPIRED, request
             )
-        tokens.waiting.append(request)
+        is_bound = request.has_bound_transaction()
+        (tokens.in_transactions if is_bound else tokens.waiting).append(request)
         if self.board.clock.now() < tokens.empty_until:
             self.board.changes.post_at(tokens.empty_until, Topic.ENDPOINT_TOKENS_DUE, endpoint)
         else:
@@ -272,7 +295,7 @@
             endpoint,
             zone,
             allocator.member if allocator is not None else "",
-            len(tokens.waiting),
+            tokens.waiting_count(),
             now,
         )
         if allocator is None:
