--- a/features/steps/warm_up.py
+++ b/features/steps/warm_up.py
@@ -113,6 +113,17 @@
     simulation.run(SETTLING_S)
 
 
+@when('{count:d} callers of "{vm:w}" write on "{database:w}" {delay_s:g} s after each other')
+def step_burst(context, count, vm, database, delay_s):
+    simulation = context.cold_simulation
+    sessions = [simulation.open_session_at(vm, database) for _ in range(count)]
+    context.load_calls = []
+    for session in sessions:
+        context.load_calls.append(_send(context, vm, session, "WRITE x 1"))
+        simulation.run(delay_s)
+    simulation.run(SETTLING_S)
+
+
 @when('each VM sends {rate:d} {kind:w}/s on "{database:w}" for {seconds:g} s')
 def step_load(context, rate, kind, database, seconds):
     step_load_of_workspaces(context, rate, kind, 1, database, seconds)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -61,6 +61,14 @@
     Then "b1" got at most 20 requests in any second
     And at least 6 of the transactions committed
 
+  Scenario: Requests that arrive while tokens are on their way get tokens of their own
+    Guards against refusals while the limit still permits requests.
+    Given cold endpoints take 50 requests/s, and are cold for 30 s after an evacuation
+    And "b1" announces that it stays cold for 60 s
+    And no VM has a list of VMs that serve callers
+    When 5 callers of "h1" write on "latest" 0.0005 s after each other
+    Then all statements were served
+
   Scenario: A statement whose transaction ends while it waits for a token does not run
     Guards against writes outside their transaction, which nothing would roll back.
     Given cold endpoints take 0.2 requests/s, and are cold for 30 s after an evacuation
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
@@ -210,6 +210,10 @@
         self._place(passing)
         if not is_empty:
             return
+        if token_request.granted >= token_request.wanted:
+            tokens.waiting = others  # they arrived while the request was under way
+            self._ask(token_request.endpoint, tokens)
+            return
         answered = token_request.answered
         delay_s = token_request.next_token_delay if answered else NO_ALLOCATOR_DELAY_S
         self.set_empty(token_request.endpoint, delay_s)
