--- a/features/support.py
+++ b/features/support.py
@@ -13,6 +13,7 @@
 from gentianspread_lab.fakes import FakeDisk
 from gentianspread_lab.fakes.simulation import GROUP
 from gentianspread_server.clocks import BootTimeClock, wall_ms
+from gentianspread_server.platform.wire import decode_statement
 
 GUARD_S = 5.0  # for what happens at once unless it fails
 
@@ -104,3 +105,13 @@
     while is_waiting():
         assert time.monotonic() < deadline, "it did not happen in time"
         gevent.sleep(0.02)
+
+
+def send_to_vm(context, vm, session, text):
+    """Send a statement to a VM of the simulation of cold endpoints; return its call."""
+    statement_id = f"n{len(context.statement_calls)}"
+    call = context.cold_simulation.send_statement_at(
+        vm, session, decode_statement(statement_id, text)
+    )
+    context.statement_calls.append(call)
+    return call
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -118,9 +118,11 @@
         time until the predecessor can no longer be fresh, in which nobody grants.
         """
         configuration = self.board.configuration
+        if self._is_change_pending or not configuration.cold_groups:
+            return
         endpoints = configuration.endpoints.values()
         zones = {item.zone for item in endpoints if item.group in configuration.cold_groups}
-        for zone in () if self._is_change_pending else sorted(zones):
+        for zone in sorted(zones):
             allocator = configuration.warmup_allocators.get(zone)
             if allocator is not None and self._can_allocate(allocator.member):
                 continue
