--- a/features/regions.feature
+++ b/features/regions.feature
@@ -41,6 +41,7 @@
     Then no request reached an endpoint
     And the others were refused within 0.05 s as not run
     And the refusals say "outside the allowed regions"
+    And the metrics of "h3" count the refusals with this reason
 
   Scenario: Restrictions without a common region refuse every request
     Given the route "bounded" is restricted to ["east"]
--- a/features/steps/warm_up_messages.py
+++ b/features/steps/warm_up_messages.py
@@ -30,6 +30,8 @@
 from gentianspread_server.peerroutes import answer_tokens
 from gentianspread_server.platform.control_api import ControlApi
 from gentianspread_server.platform.endpoints import LineProtocolDriver
+from gentianspread_server.session_metrics import SessionMetrics
+from gentianspread_server.traffic import TrafficCounters
 
 ANNOUNCEMENT = {
     "service": "g",
@@ -206,3 +208,26 @@
     reply = request.exchange.reply
     assert reply.status is ExchangeStatus.REFUSED and not reply.was_sent
     assert reply.connection_lost
+
+
+def _metrics(engine):
+    text = SessionMetrics(engine, TrafficCounters()).text().decode()
+    samples = (line.rsplit(" ", 1) for line in text.splitlines() if not line.startswith("#"))
+    return {name: float(value) for name, value in samples}
+
+
+@then("the metrics tell how many requests home VMs sent and refused, and of one cold endpoint")
+def step_metrics(context):
+    simulation = context.cold_simulation
+    metrics = [_metrics(engine) for engine in simulation.vms.values()]
+    passed = sum(item['gentianspread_cold_requests_total{decision="passed"}'] for item in metrics)
+    refused = sum(item['gentianspread_cold_requests_total{decision="refused"}'] for item in metrics)
+    assert passed == len(simulation.sent) and refused > 0
+    assert {item["gentianspread_cold_endpoints"] for item in metrics} == {1.0}
+
+
+@then('the metrics of "{vm:w}" count the refusals with this reason')
+def step_excluded_metrics(context, vm):
+    metrics = _metrics(context.cold_simulation.vms[vm])
+    name = 'gentianspread_excluded_requests_total{reason="outside the allowed regions"}'
+    assert metrics[name] == 10.0, metrics.get(name)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -15,6 +15,7 @@
     Then "b1" got at most 20 requests in any second
     And "b1" got at least 10 requests/s
     And the others were refused within 0.05 s as not run
+    And the metrics tell how many requests home VMs sent and refused, and of one cold endpoint
 
   Scenario: Less than one token for each VM is still used
     Guards against an equal split of the limit, of which no VM would have a whole request.
