--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -198,7 +198,8 @@
     for name, value in zip(REPLY_FLAGS, record["flags"], strict=True):
         setattr(reply, name, value)
     reply.load = record.get("load")
-    reply.cold_s = record.get("cold_s")
+    cold_s = record.get("cold_s")
+    reply.cold_s = None if cold_s is None else float(cold_s)
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
@@ -38,6 +38,7 @@
 from gentianspread_server.platform.bootfile import PlatformSettings
 from gentianspread_server.platform.documents import (
     decode_announcement,
+    decode_cold_time,
     decode_declaration,
     decode_deregistration,
 )
@@ -89,9 +90,17 @@
     record = Command(CommandKind.REGISTER_ENDPOINT, fields).to_record()
     command = Command.from_record(orjson.loads(orjson.dumps(record)))
     assert apply_command(configuration, 1, command).accepted
+    remaining_s = decode_cold_time(body)
+    if remaining_s is not None:
+        warmup = {key: fields[key] for key in ("name", "incarnation", "sequence")}
+        warmup["remaining_s"] = remaining_s
+        assert apply_command(
+            configuration, 2, Command(CommandKind.ENDPOINT_WARMUP, warmup)
+        ).accepted
     loaded = Configuration()
     assert not load_snapshot(loaded, orjson.loads(orjson.dumps(to_snapshot(configuration))))
     assert list(loaded.endpoints) == [name]
+    assert {item.remaining_s for item in loaded.warmups.values()} <= {remaining_s}
 
 
 def check_deregistration(body: bytes) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/wiresamples.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/wiresamples.py
@@ -16,7 +16,7 @@
     "version": "v1",
     "slots": 2,
     "state": "ready",
-    "coldRemainingMs": 0,
+    "coldRemainingMs": 1500,
     "dbRole": "replica",
     "sequence": 4,
     "born": 1_700_000_000_000,
@@ -27,6 +27,7 @@
         {
             "name": "r1",
             "host": "a",
+            "allowedRegions": ["north"],
             "pathPrefix": "/",
             "routeType": "bounded_stale",
             "timeoutMs": 800,
@@ -37,9 +38,19 @@
             "authExempt": False,
         }
     ],
-    "services": [{"name": "s", "maxConns": 46, "syncReplicas": 1}],
+    "services": [
+        {"name": "s", "maxConns": 46, "syncReplicas": 1, "coldPerS": 10, "coldStartS": 30.5}
+    ],
     "limits": {"txIdleMs": 3000},
-    "tenants": [{"name": "w1", "apiKeys": ["key-1"], "ratePerS": 60, "burstSize": 60}],
+    "tenants": [
+        {
+            "name": "w1",
+            "apiKeys": ["key-1"],
+            "ratePerS": 60,
+            "burstSize": 60,
+            "allowedRegions": ["north", "south"],
+        }
+    ],
 }
 MESSAGE = Message(MessageKind.APPEND, "c1", "c2", 3, 5, 2).to_record()
 RELAYED_STATEMENT = {
