--- a/features/support.py
+++ b/features/support.py
@@ -140,3 +140,13 @@
             if is_free and (vms is None or vm in vms):
                 send_at(context, vm, session, text)
         simulation.run(SEND_INTERVAL_S)
+
+
+def send_to_vm(context, vm, session, text):
+    """Send a statement to a VM of the simulation of cold endpoints; return its call."""
+    statement_id = f"n{len(context.statement_calls)}"
+    call = context.cold_simulation.send_statement_at(
+        vm, session, decode_statement(statement_id, text)
+    )
+    context.statement_calls.append(call)
+    return call
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -28,6 +28,7 @@
 from .shutdown import Shutdown
 from .timeline import Timeline
 from .transactions import Transactions
+from .warmups import Warmups
 
 CONTROL_CONTACT_TIMEOUT_S = 0.8  # confirmations are 0.3 s apart, or 0.6 s after a lost poll
 
@@ -60,6 +61,7 @@
         "shutdown",
         "rate_limits",
         "transactions",
+        "warmups",
         "members",
         "outbox",
         "outliers",
@@ -90,6 +92,7 @@
         self.shutdown = Shutdown()
         self.rate_limits = RateLimits()
         self.transactions = Transactions()
+        self.warmups = Warmups()
         self.members = Members()
         self.outbox = Outbox()
         self.outliers = Outliers()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/commands.py
@@ -31,6 +31,9 @@
     DEPARTURES_COVERED = "departures_covered"
     BEGIN_EVACUATION = "begin_evacuation"
     FINISH_EVACUATION = "finish_evacuation"
+    ENDPOINT_WARMUP = "endpoint_warmup"
+    ENDPOINT_DOUBTED = "endpoint_doubted"
+    NAME_WARMUP_ALLOCATOR = "name_warmup_allocator"
     UNREADABLE = "unreadable"
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -203,6 +203,8 @@
         record["load"] = reply.load
     if reply.outliers is not None:
         record["outliers"] = reply.outliers
+    if reply.cold_s is not None:
+        record["cold_s"] = reply.cold_s
     return record
 
 
@@ -218,6 +220,8 @@
         setattr(reply, name, value)
     reply.load = record.get("load")
     reply.outliers = record.get("outliers")
+    cold_s = record.get("cold_s")
+    reply.cold_s = None if cold_s is None else float(cold_s)
 
 
 class RelayedTransaction:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -18,6 +18,7 @@
 from .declarations import Route
 from .prepared import PreparedStatement
 from .requests import Exchange, Reply, Request, StatementKind
+from .steps import Step, StepKind
 
 # The longest waits for a token of the workspace's rate limit, as fractions of the route's latency
 # objective; a statement usually takes a tenth of the objective.
@@ -85,9 +86,19 @@
 
     `route` is the one in effect when it began; changes to it apply from the next transaction.
     `began_at` and `last_used` are in seconds of the VM's clock; `is_revoked` if this VM ended it.
+    `workspace_regions` are the regions to which its workspace was restricted when it began, none if
+    empty.
     """
 
-    __slots__ = ("is_read_only", "route", "began_at", "last_used", "connection", "is_revoked")
+    __slots__ = (
+        "is_read_only",
+        "route",
+        "began_at",
+        "last_used",
+        "connection",
+        "is_revoked",
+        "workspace_regions",
+    )
 
     def __init__(self, is_read_only: bool, route: Route, now: float) -> None:
         self.is_read_only = is_read_only
@@ -96,6 +107,7 @@
         self.last_used = now
         self.connection: BackendConnection | None = None
         self.is_revoked = False
+        self.workspace_regions: frozenset[str] = frozenset()
 
 
 class Session:
@@ -178,50 +190,6 @@
         self.waiter = waiter
 
 
-class StepKind(Enum):
-    """Kinds of messages to an endpoint; `STATEMENT` is a caller's, the others are this VM's own."""
-
-    RESET = "reset"
-    SET = "set"
-    PREPARE = "prepare"
-    BEGIN = "begin"
-    BEGIN_READ = "begin read"
-    ROLLBACK = "rollback"
-    STATEMENT = "statement"
-
-
-SETUP_KINDS = frozenset({StepKind.RESET, StepKind.SET, StepKind.PREPARE})
-
-
-class Step:
-    """One message to an endpoint.
-
-    `statement_id` is the caller's id of a statement, empty for this VM's own messages. `text` is
-    the statement, `name` and `value` are those of a session value or prepared statement. `position`
-    is the log position that the endpoint must have reached, or none if any will do.
-    """
-
-    __slots__ = ("kind", "statement_id", "text", "name", "value", "writes", "position")
-
-    def __init__(
-        self,
-        kind: StepKind,
-        statement_id: str = "",
-        text: str = "",
-        name: str = "",
-        value: str = "",
-        writes: bool = False,
-        position: Any = None,
-    ) -> None:
-        self.kind = kind
-        self.statement_id = statement_id
-        self.text = text
-        self.name = name
-        self.value = value
-        self.writes = writes
-        self.position = position
-
-
 class SessionExchange(Exchange):
     """An exchange on a connection that the placement controller chose.
 
@@ -272,6 +240,8 @@
     `home_failed` is set if the home VM, which holds the connection, did not respond; that says
     nothing about the endpoint. `load` is the JSON form of the home's load report, or none;
     `outliers` is that of the ejected endpoints that it knows.
+    `connection_lost` is set if the endpoint had closed the connection, or its end was reset.
+    `cold_s` is set if the home had no token for the cold endpoint: the seconds until the next.
     """
 
     __slots__ = (
@@ -282,6 +252,8 @@
         "home_failed",
         "load",
         "outliers",
+        "connection_lost",
+        "cold_s",
     )
 
     def __init__(self, *arguments: Any, **named: Any) -> None:
@@ -293,6 +265,8 @@
         self.home_failed = False
         self.load: list[float] | None = None
         self.outliers: dict[str, Any] | None = None
+        self.connection_lost = False
+        self.cold_s: float | None = None
 
 
 class SessionRequest(Request):
@@ -304,7 +278,8 @@
     endpoints at which an attempt failed. Until `wait_deadline`, in seconds of the VM's clock, it
     may wait or be retried: an answer after the latency objective is worth little, and waiting for
     it delays others. `relayed_statement` is the message of the VM that relayed the statement here,
-    or none; it names the one endpoint that may serve it, and is not retried here.
+    or none; it names the one endpoint that may serve it, and is not retried here. `cold_s` is set
+    if it was refused because a cold endpoint had no token: the seconds until the next.
     """
 
     __slots__ = (
@@ -316,6 +291,7 @@
         "tried_endpoints",
         "wait_deadline",
         "relayed_statement",
+        "cold_s",
     )
 
     def __init__(
@@ -347,6 +323,7 @@
         self.wait_deadline = call.arrived_at + min(timeout_s, route.objective)
         self.waiter = call.waiter
         self.relayed_statement: Any = None
+        self.cold_s: float | None = None
 
     def has_bound_transaction(self) -> bool:
         """Return whether the session's transaction is already bound to a connection."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -39,6 +39,8 @@
     ENDPOINT_READMITTED = "endpoint_readmitted"
     HOME_EJECTED = "home_ejected"
     LOAD_SPREAD = "load_spread"
+    ENDPOINT_COLD = "endpoint_cold"
+    ENDPOINT_WARM = "endpoint_warm"
     POOL_FLUSHED = "pool_flushed"
     LOG_LOST = "log_lost"
     FAILOVER_STARTED = "failover_started"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -141,6 +141,8 @@
     def _update_from_refusal(self, endpoint: Endpoint, reply: Reply) -> None:
         """Update lag, connection limit and overload of the endpoint from the code of a refusal."""
         now = self.board.clock.now()
+        if getattr(reply, "cold_s", None) is not None:
+            return
         if reply.code == LAGGING_CODE:
             endpoint.lagging_until = now + LAG_RECHECK_INTERVAL_S
             if reply.position is None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/filter.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/filter.py
@@ -16,6 +16,8 @@
 
     __slots__ = ("board",)
 
+    reason = "in an evacuated zone"
+
     def __init__(self, board: Board) -> None:
         self.board = board
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -27,6 +27,7 @@
 from ...errors import ErrorCode
 from ...interfaces import (
     AdmissionPolicy,
+    DispatchGate,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
@@ -34,6 +35,7 @@
 )
 from ..admission import AdmitAll
 from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
+from ..evacuation import EvacuationFilter
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -52,6 +54,7 @@
     __slots__ = (
         "board",
         "candidates",
+        "gate",
         "pool",
         "queues",
         "selector",
@@ -68,6 +71,7 @@
         waiting: WaitingPolicy | None = None,
         admission: AdmissionPolicy | None = None,
         estimator: LoadEstimator | None = None,
+        gate: DispatchGate | None = None,
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
@@ -75,6 +79,7 @@
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
         self.waiting = waiting or FairWaiting(board)
+        self.gate = gate
         self.admission = admission or AdmitAll()
         self._costs = EndpointCosts(board, estimator)
 
@@ -102,7 +107,9 @@
             return
         transaction = request.session.transaction
         if transaction is not None and transaction.connection is not None:
-            self._start_exchange(request, transaction.connection, [])
+            bound = transaction.connection
+            if bound.home is not None or self._may_send(request, bound.endpoint):
+                self._start_exchange(request, bound, [])
         elif request.kind is StatementKind.ROLLBACK:
             self.board.changes.post(Topic.REQUEST_NEEDS_NO_ENDPOINT, request)
         elif not self._try_place(request):
@@ -187,6 +194,10 @@
     def _check_deadline_and_key(self, request: SessionRequest) -> bool:
         if request.kind is StatementKind.ROLLBACK:
             return True
+        if request.session.closed:
+            # Its transaction has ended, and outside it a write would be committed.
+            request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "The caller has left.")
+            return False
         now = self.board.clock.now()
         is_late = now >= (
             request.deadline if request.has_bound_transaction() else request.wait_deadline
@@ -199,7 +210,8 @@
     def _try_place(self, request: SessionRequest) -> bool:
         """Start the request on the cheapest endpoint, or refuse it; return false if it must wait.
 
-        It is refused if every home VM would keep it too long. It waits if no endpoint has capacity,
+        It is left to the gate if that does not let it pass. It is refused if filters exclude all
+        endpoints, or if every home VM would keep it too long. It waits if no endpoint has capacity,
         or if a connection of its workspace is expected to become free sooner than any other way
         could serve it.
         """
@@ -212,7 +224,7 @@
         option = self.selector.choose(request, options)
         waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
-            return False
+            return not candidates and self._refuse_excluded(request)
         waits_at_home = option.home is not None and self.board.settings.schedules_by_priority
         if (
             not waits_at_home
@@ -223,10 +235,28 @@
             connection = self.pool.add_relayed(request, option.endpoint, option.home)
             self._start_exchange(request, connection, [])
             return True
+        if not self._may_send(request, option.endpoint.name):
+            return True
         connection, evicted = self.pool.acquire(request, option.endpoint)
         self._start_exchange(request, connection, evicted)
         return True
 
+    def _refuse_excluded(self, request: SessionRequest) -> bool:
+        """Refuse a request if filters exclude every usable endpoint; return whether they do."""
+        reasons = self.candidates.exclusion_reasons(request)
+        if not reasons or reasons == [EvacuationFilter.reason]:
+            return False  # a primary in an evacuated zone may hand over in time
+        reason = ", ".join(reasons)
+        excluded = self.board.queues.excluded
+        excluded[reason] = excluded.get(reason, 0) + 1
+        message = f"All endpoints of {request.group} are excluded at present: {reason}."
+        request.refuse(ErrorCode.NO_ENDPOINT, message)
+        self.board.changes.post(Topic.REQUEST_REFUSED, request)
+        return True
+
+    def _may_send(self, request: SessionRequest, endpoint: str) -> bool:
+        return self.gate is None or self.gate.try_pass(request, endpoint)
+
     def _options(self, request: SessionRequest, candidates: list[Endpoint]) -> list[ServingOption]:
         """Return the ways that admission allows to serve a request now, with expected costs."""
         options = []
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -29,6 +29,7 @@
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
 from .controllers.placement.priority import PriorityWaiting
+from .controllers.placement.regions import RegionFilter
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
 from .controllers.relays import RelayController
@@ -39,9 +40,16 @@
 from .controllers.sessions import SessionController
 from .controllers.shutdown import ShutdownController
 from .controllers.transactions import TransactionController
+from .controllers.warmup import (
+    WarmupAllocatorController,
+    WarmupController,
+    WarmupFilter,
+    WarmupGate,
+)
 from .interfaces import (
     Clock,
     Controller,
+    DispatchGate,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
@@ -55,12 +63,18 @@
 
 
 def _placement(
-    board: Board, selector: EndpointSelector, estimator: LoadEstimator
+    board: Board, selector: EndpointSelector, estimator: LoadEstimator, gate: DispatchGate
 ) -> PlacementController:
     """Build the placement controller with the policies that the settings ask for."""
-    filters: list[EndpointFilter] = [EvacuationFilter(board)]
+    filters: list[EndpointFilter] = [
+        EvacuationFilter(board),
+        RegionFilter(board),
+        WarmupFilter(board),
+    ]
     if not board.settings.schedules_by_priority:
-        return PlacementController(board, filters, selector=selector, estimator=estimator)
+        return PlacementController(
+            board, filters, selector=selector, estimator=estimator, gate=gate
+        )
     return PlacementController(
         board,
         filters,
@@ -68,6 +82,7 @@
         estimator=estimator,
         waiting=PriorityWaiting(board),
         admission=ReportedAdmission(board),
+        gate=gate,
     )
 
 
@@ -145,6 +160,7 @@
         invariants = InvariantController(board, SESSION_DISPATCH_RULES, SESSION_COMPLETION_RULES)
         estimator = StaleLoadEstimator(board)
         selector = SpreadOption(board, estimator, randomness)
+        gate = WarmupGate(board)
         controllers: list[Controller] = [
             ElectionController(board, randomness),
             ReplicationController(board),
@@ -161,7 +177,9 @@
             ),
             ObservationController(board),
             EvacuationController(board),
-            _placement(board, selector, estimator),
+            WarmupAllocatorController(board),
+            WarmupController(board, gate),
+            _placement(board, selector, estimator, gate),
             CompletionController(
                 board,
                 PriorityRetryBudget() if settings.schedules_by_priority else UnlimitedRetries(),
--- a/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
+++ b/packages/gentianspread-core/src/gentianspread_core/interfaces/__init__.py
@@ -7,6 +7,7 @@
 from .policies import (
     AdmissionPolicy,
     ConcurrencyLimit,
+    DispatchGate,
     EndpointFilter,
     EndpointSelector,
     LoadEstimator,
@@ -21,6 +22,7 @@
     "Clock",
     "ConcurrencyLimit",
     "Controller",
+    "DispatchGate",
     "EndpointFilter",
     "EndpointSelector",
     "LoadEstimator",
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -7,7 +7,7 @@
 
 import fastjsonschema
 import gevent
-from gentianspread_core.blackboard import Board
+from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.registrations import (
     MAX_COUNT,
@@ -16,6 +16,7 @@
     Registration,
     find_fault,
 )
+from gentianspread_core.controllers.warmup import announced_warmup, doubt_command
 from gentianspread_core.errors import ErrorCode, GentianspreadError, Refusal
 
 from .proposals import Proposer
@@ -57,13 +58,15 @@
 class Announcements:
     """Proposes to register and deregister endpoints to the control log."""
 
-    __slots__ = ("board", "proposer", "_pending", "_deregistering")
+    __slots__ = ("board", "proposer", "_pending", "_deregistering", "_doubted")
 
     def __init__(self, board: Board, proposer: Proposer) -> None:
         self.board = board
         self.proposer = proposer
         self._pending: set[str] = set()
         self._deregistering: set[str] = set()
+        self._doubted: set[str] = set()
+        board.changes.subscribe(Topic.ENDPOINTS_DOUBTED, self._on_doubted)
 
     def accept(self, message: dict[str, Any]) -> None:
         """Validate an announcement, and propose it in the background if it changes anything."""
@@ -78,15 +81,23 @@
             self._pending.add(message["name"])
             gevent.spawn(self._propose_announcement, message)
 
-    def register(self, fields: dict[str, Any]) -> bool:
+    def register(self, fields: dict[str, Any], cold_s: float | None = None) -> bool:
         """Propose an endpoint's registration; return whether it is certainly in the log.
 
         A registration that changes nothing, or is older than the one in the log, counts as in it.
-        One of a group that is not declared is not proposed.
+        One of a group that is not declared is not proposed. `cold_s` is how much longer the
+        endpoint stays cold, in seconds, none if it does not say. This is proposed first, so that no
+        VM knows the endpoint without it.
         """
         if not self.board.configuration.may_have_group(fields["group"]):
             log.warning("announcement of %s ignored: its group is not declared", fields["name"])
             return False
+        warmup = announced_warmup(self.board, fields, cold_s)
+        has_warmup = warmup is None or self._try_to_propose(warmup, fields["name"])
+        # A control leader of an older build takes no warm-up, but the registration.
+        return self._register(fields) and has_warmup
+
+    def _register(self, fields: dict[str, Any]) -> bool:
         registered = self.board.configuration.endpoints.get(fields["name"])
         registration = Registration(**fields)
         if registered is not None and not registration.is_newer_than(registered):
@@ -119,6 +130,20 @@
                 break
         self._deregistering.discard(name)
 
+    def _on_doubted(self, incarnations: dict[str, int]) -> None:
+        """Propose in the background that endpoints are doubted to which a VM lost connections."""
+        for name, incarnation in incarnations.items():
+            command = doubt_command(self.board, name, incarnation)
+            if command is not None and name not in self._doubted:
+                self._doubted.add(name)
+                gevent.spawn(self._propose_doubt, command, name)
+
+    def _propose_doubt(self, command: Command, name: str) -> None:
+        try:
+            self._try_to_propose(command, name)
+        finally:
+            self._doubted.discard(name)
+
     def _try_to_propose(self, command: Command, name: str) -> bool:
         try:
             self.proposer.propose(command, REGISTRATION_TIMEOUT_S)
