--- a/features/resources.feature
+++ b/features/resources.feature
@@ -67,10 +67,23 @@
     Then the connection is admitted
     And the first 2 connections are closed
 
-  Scenario: A connection is refused while all others have sessions
-    Guards against idle sessions, which may last long, that are closed for new connections.
+  Scenario: An idle session is closed for a new connection only if no other connection can be
+    Guards against clients with sessions that keep all others out for ever, and against idle sessions, which may
+    last long, that are closed before connections without one.
     Given a port for 32 connections
-    And 32 connections are open that are "idle"
+    And 31 connections are open that are "idle"
+    And 1 connections are open that are "unfinished"
+    When another connection arrives
+    Then the connection is admitted
+    And the connections closed so far are "unfinished"
+    When another connection arrives
+    Then the connection is admitted
+    And the connections closed so far are "idle unfinished"
+
+  Scenario: A connection is refused while all others have work in progress
+    Guards against statements and transactions that are cut off for new connections.
+    Given a port for 32 connections
+    And 32 connections are open that are "working"
     When another connection arrives
     Then the connection is refused
     And no connection is closed
@@ -84,6 +97,14 @@
     Then the connection is admitted
     And no connection is closed
 
+  Scenario: Callers give way to a connection of a reserved port
+    Guards against callers that take the descriptors that are reserved for other VMs and for probes.
+    Given a port for 32 connections
+    And 32 connections are open that are "idle"
+    When a connection arrives at a reserved port
+    Then the connection is admitted
+    And the first 1 connections are closed
+
   Scenario Outline: The time that a message or an answer may take
     Guards against peers that send or read a byte now and then, for ever.
     Given a connection that is "<activity>" since <seconds> s with <kilobytes> KB
@@ -108,8 +129,8 @@
 
     Examples:
       | memory | descriptors | callers | control |
-      | 152    | 1570        | 500     | 300     |
-      | 256    | 1570        | 600     | 500     |
+      | 152    | 1570        | 800     | 300     |
+      | 256    | 1570        | 800     | 500     |
       | 1024   | 10989       | 4000    | 2000    |
       | 0      | 0           | 1200    | 1000    |
       | 80     | 400         | 100     | 80      |
--- a/features/steps/resources.py
+++ b/features/steps/resources.py
@@ -11,7 +11,7 @@
 from gentianspread_server.clocks import wall_ms
 from gentianspread_server.resources import limits as sizes
 from gentianspread_server.resources.budget import MemoryBudget
-from gentianspread_server.resources.connections import ConnectionLimits
+from gentianspread_server.resources.connections import AcceptedConnections, ConnectionLimits
 from gentianspread_server.resources.limits import ResourceLimits
 from gentianspread_server.resources.peers import PeerActivity
 from gentianspread_server.resources.policies import MinimumPace, UnfinishedFirst
@@ -158,16 +158,22 @@
 def _add_port(context, count, trusted):
     report = _report(context)
     budget = MemoryBudget(LARGEST_BUDGET_KB, UnfinishedFirst(), report)
+    accepted = AcceptedConnections(count + trusted)
     context.port = ConnectionLimits(
         "test",
+        False,
         count,
         trusted,
-        PeerActivity.UNREAD,
+        PeerActivity.IDLE,
         budget,
+        accepted,
         UnfinishedFirst(),
         MinimumPace(),
         report,
     )
+    accepted.ports["test"] = context.port
+    context.budget = budget
+    context.accepted = accepted
     context.connections = []
 
 
@@ -180,9 +186,27 @@
         assert context.port.admit(connection)
 
 
+@when("a connection arrives at a reserved port")
+def step_reserved(context):
+    context.reserved = ConnectionLimits(
+        "reserved",
+        True,
+        1,
+        0,
+        PeerActivity.IDLE,
+        context.budget,
+        context.accepted,
+        UnfinishedFirst(),
+        MinimumPace(),
+        context.report,
+    )
+    context.accepted.ports["reserved"] = context.reserved
+    context.is_admitted = context.reserved.admit(DescribedConnection("unopened"))
+
+
 @when("another connection arrives")
 def step_another(context):
-    context.is_admitted = context.port.admit(DescribedConnection("unopened", time.monotonic()))
+    context.is_admitted = context.port.admit(DescribedConnection("working", time.monotonic()))
 
 
 @when("{count:d} connections send a signed message")
@@ -191,6 +215,11 @@
         context.port.trust(connection)
 
 
+@then('the connections closed so far are "{closed:Quoted}"')
+def step_closed_so_far(context, closed):
+    assert [item.name for item in _closed(context)] == closed.split()
+
+
 @then("the connection is admitted")
 def step_admitted(context):
     assert context.is_admitted
@@ -228,7 +257,7 @@
 @then("all its connections together need at most its descriptors and its memory")
 def step_limits_fit(context):
     limits = context.limits
-    entry = limits.max_callers + limits.max_entry_peers + limits.max_entry_trusted
+    entry = limits.max_accepted
     control = limits.max_control + limits.max_control_trusted
     assert max(entry, control) + 2 * limits.max_probes < limits.descriptors
     entry_bytes = limits.max_callers * sizes.CALLER_BYTES
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/untrusted.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/untrusted.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 import time
 from collections.abc import Callable
@@ -58,6 +59,7 @@
             count = self.socket.send(view[:RECEIVE_BUFFER_BYTES])
             self.sent += count
             view = view[count:]
+            gevent.sleep(0)  # other clients have their turn, also while the kernel takes all
 
     def send_in_pieces(self, content: bytes, size: int) -> None:
         """Send all bytes in pieces of a size."""
@@ -139,25 +141,25 @@
 
 def leave_opening_unfinished(client: Client) -> None:
     """Send the first message without its end, in one piece."""
-    client.send(b"OPEN latest " + b"k" * UNFINISHED_BYTES)
+    client.send(_message(b"OPEN latest ", UNFINISHED_BYTES))
 
 
 def leave_message_unfinished(client: Client) -> None:
     """Open a session and send a statement without its end, in one piece."""
     client.open_session()
-    client.send(b"QUERY id1 WRITE a " + b"x" * UNFINISHED_BYTES)
+    client.send(_message(b"QUERY id1 WRITE a ", UNFINISHED_BYTES))
 
 
 def leave_pieces_unfinished(client: Client) -> None:
     """Open a session and send a statement without its end, in small pieces."""
     client.open_session()
-    client.send_in_pieces(b"QUERY id1 WRITE a " + b"x" * UNFINISHED_BYTES, PIECE_BYTES)
+    client.send_in_pieces(_message(b"QUERY id1 WRITE a ", UNFINISHED_BYTES), PIECE_BYTES)
 
 
 def send_oversized_message(client: Client) -> None:
     """Open a session and send a message far over the limit."""
     client.open_session()
-    client.send(b"QUERY id1 WRITE a " + b"x" * OVERSIZED_BYTES)
+    client.send(_message(b"QUERY id1 WRITE a ", OVERSIZED_BYTES))
 
 
 def pipeline_statements(client: Client) -> None:
@@ -218,7 +220,7 @@
 
 def leave_head_unfinished(client: Client) -> None:
     """Send the head of an HTTP request without its end."""
-    client.send(b"POST /Config.Replace HTTP/1.1\r\nX-Long: " + b"x" * HEAD_BYTES)
+    client.send(_message(b"POST /Config.Replace HTTP/1.1\r\nX-Long: ", HEAD_BYTES))
 
 
 def leave_body_unfinished(client: Client) -> None:
@@ -235,6 +237,13 @@
     client.read_until(b"}")
 
 
+@functools.cache
+def _message(start: bytes, size: int) -> bytes:
+    """Return a long message that all clients of a crowd share."""
+    return start + b"x" * size
+
+
+@functools.cache
 def _http_request() -> bytes:
     start, end = b'{"version":1,"padding":"', b'"}'
     body = start + b"x" * (BODY_BYTES - len(start) - len(end)) + end
--- a/packages/gentianspread-lab/src/gentianspread_lab/sweep.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/sweep.py
@@ -116,10 +116,12 @@
     return "\n".join(lines).rstrip() + "\n\n"
 
 
-def replace_section(page: str, section: str) -> str:
-    """Return the page with the section in front of the last one, instead of an earlier version."""
-    start = page.find(SECTION_TITLE)
-    end = page.index(NEXT_SECTION)
+def replace_section(
+    page: str, section: str, title: str = SECTION_TITLE, following: str = NEXT_SECTION
+) -> str:
+    """Return the page with the section in front of another one, instead of an earlier version."""
+    start = page.find(title)
+    end = page.index(following)
     if start < 0:
         start = end
     return page[:start] + section + page[end:]
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -101,10 +101,10 @@
             return PeerActivity.UNOPENED
         if self.line_socket.unfinished_since:
             return PeerActivity.UNFINISHED
-        return PeerActivity.IDLE
+        return PeerActivity.WORKING if self.is_in_transaction() else PeerActivity.IDLE
 
     def since(self) -> float:
-        """Return when that began, or for sessions when the connection did."""
+        """Return when that began, or for idle sessions when the last answer was sent."""
         return self._unsent_since or self.line_socket.unfinished_since or self._began_at
 
     def expected_bytes(self) -> int:
@@ -138,6 +138,7 @@
 
     def send(self, content: bytes) -> None:
         """Send an answer; the bytes that its caller does not read at once are charged."""
+        self._began_at = time.monotonic()
         sent = self.line_socket.send_at_once(content)
         if sent == len(content):
             return
--- a/packages/gentianspread-server/src/gentianspread_server/resources/limits.py
+++ b/packages/gentianspread-server/src/gentianspread_server/resources/limits.py
@@ -9,19 +9,19 @@
 OUTSIDE_FILES = 200  # descriptors for files outside the data folder
 MIN_DESCRIPTORS = 64  # for peers, however few the settings leave
 
-# Shares of the descriptors. What is left is for endpoints, other VMs that this one calls, files of
-# the data folder and the platform's service.
-CALLER_SHARE = 0.5  # on an entry VM: five times the callers of an ordinary day on the smallest VM
+# Shares of the descriptors. What accepted connections leave is for endpoints, other VMs that this
+# one calls, files of the data folder and the platform's service.
+ACCEPTED_SHARE = 0.85  # all accepted connections; on the smallest VM 1,164, as many as ever
 ENTRY_PEER_SHARE = 0.1  # on an entry VM: VMs that have sent nothing signed yet
-ENTRY_TRUSTED_SHARE = 0.2  # on an entry VM: VMs that relay statements
-CONTROL_SHARE = 0.4  # on a control VM: endpoints, operators, VMs that have sent nothing signed yet
+ENTRY_TRUSTED_SHARE = 0.3  # on an entry VM: VMs that relay statements
+CONTROL_SHARE = 0.45  # on a control VM: endpoints, operators, VMs that have sent nothing signed yet
 CONTROL_TRUSTED_SHARE = 0.35  # on a control VM: VMs that poll it
 PROBE_SHARE = 0.02  # readiness and metrics, each; they need one or two
 MIN_PROBE_CONNECTIONS = 8
 
 # Shares of the memory. What is left is for the process itself, its configuration and its endpoints.
 BUDGET_SHARE = 0.25  # for the contents of messages and answers
-CALLER_MEMORY_SHARE = 0.3  # for the callers' connections
+CALLER_MEMORY_SHARE = 0.4  # for the callers' connections
 HTTP_MEMORY_SHARE = 0.25  # for connections of HTTP ports that are not trusted
 MIN_BUDGET_BYTES = 8 * 1024 * 1024  # one statement of legal size with its copies, and some more
 
@@ -41,6 +41,7 @@
         "memory_bytes",
         "descriptors",
         "budget_bytes",
+        "max_accepted",
         "max_callers",
         "max_entry_peers",
         "max_entry_trusted",
@@ -55,7 +56,8 @@
         self.budget_bytes = max(MIN_BUDGET_BYTES, int(memory_bytes * BUDGET_SHARE))
         callers = int(memory_bytes * CALLER_MEMORY_SHARE) // CALLER_BYTES
         others = int(memory_bytes * HTTP_MEMORY_SHARE) // HTTP_BYTES
-        self.max_callers = min(self._share(CALLER_SHARE), callers)
+        self.max_accepted = self._share(ACCEPTED_SHARE)
+        self.max_callers = min(self.max_accepted, callers)
         self.max_entry_peers = min(self._share(ENTRY_PEER_SHARE), others)
         self.max_entry_trusted = self._share(ENTRY_TRUSTED_SHARE)
         self.max_control = min(self._share(CONTROL_SHARE), others)
--- a/packages/gentianspread-server/src/gentianspread_server/resources/process.py
+++ b/packages/gentianspread-server/src/gentianspread_server/resources/process.py
@@ -6,7 +6,7 @@
 
 from ..clocks import wall_ms
 from .budget import MemoryBudget
-from .connections import ConnectionLimits
+from .connections import AcceptedConnections, ConnectionLimits
 from .limits import ResourceLimits
 from .peers import PeerActivity
 from .policies import MinimumPace, UnfinishedFirst
@@ -23,13 +23,13 @@
 class ProcessResources:
     """The budget and the ports that one process shares; all its servers use the same one."""
 
-    __slots__ = ("limits", "report", "budget", "ports")
+    __slots__ = ("limits", "report", "budget", "accepted")
 
     def __init__(self, limits: ResourceLimits, timeline: Timeline) -> None:
         self.limits = limits
         self.report = ResourceReport(timeline)
         self.budget = MemoryBudget(limits.budget_bytes, UnfinishedFirst(), self.report)
-        self.ports: dict[str, ConnectionLimits] = {}
+        self.accepted = AcceptedConnections(limits.max_accepted)
 
     @classmethod
     def from_settings(
@@ -44,8 +44,8 @@
         return cls.from_settings(0, 0, Timeline("", wall_ms))
 
     def caller_port(self) -> ConnectionLimits:
-        """Return the limits of the callers' port; sessions may be idle and stay open."""
-        return self._add(CALLER_PORT, self.limits.max_callers, 0, PeerActivity.UNREAD)
+        """Return the limits of the callers' port; sessions in a transaction are never closed."""
+        return self._add(CALLER_PORT, self.limits.max_callers, 0, PeerActivity.IDLE)
 
     def peer_port(self) -> ConnectionLimits:
         """Return the limits of an entry VM's port for other VMs."""
@@ -71,7 +71,7 @@
 
     def end_overdue(self) -> None:
         """Close the connections of all ports whose message or answer has taken too long."""
-        for port in self.ports.values():
+        for port in self.accepted.ports.values():
             port.end_overdue()
 
     def _add(
@@ -79,13 +79,15 @@
     ) -> ConnectionLimits:
         port = ConnectionLimits(
             name,
+            name != CALLER_PORT,
             max_open,
             max_trusted,
             last_evicted,
             self.budget,
+            self.accepted,
             UnfinishedFirst(),
             MinimumPace(),
             self.report,
         )
-        self.ports[name] = port
+        self.accepted.ports[name] = port
         return port
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -97,7 +97,7 @@
             ["port", "kind"],
             registry=registry,
         )
-        for name, port in self.resources.ports.items():
+        for name, port in self.resources.accepted.ports.items():
             opened.labels(name, "open").set(len(port.open))
             opened.labels(name, "trusted").set(len(port.trusted))
             opened.labels(name, "limit").set(port.max_open)
