--- a/features/resources.feature
+++ b/features/resources.feature
@@ -142,6 +142,30 @@
     Then 968 of them were counted as closed
     And at most 2 log lines were written
 
+  @sessions
+  Scenario: A session keeps a bounded amount of text
+    Guards against sessions that fill the memory with few, long names, below the limits of their number.
+    Given a session "a" on "own"
+    When "a" sets 4 values of 900 KB
+    Then the last answer of "a" is a success
+    When "a" sets 6 values of 900 KB
+    Then the last answer of "a" is refused as "overloaded"
+    When "a" sets 1 values of 1 KB
+    Then the last answer of "a" is a success
+
+  @sessions
+  Scenario Outline: A connection to an endpoint is kept unless it has long session values
+    Guards against values that stay in memory, for each connection to an endpoint, after their sessions.
+    Given a session "a" on "own"
+    When "a" sets a value of <size> KB and reads
+    Then the last answer of "a" has rows
+    And <count> connections to endpoints are kept
+
+    Examples:
+      | size | count |
+      | 1    | 1     |
+      | 900  | 0     |
+
   Scenario: A cancelled timer keeps nothing of its request
     Guards against long statements that stay in memory for their timeout after they were answered.
     When a timer with a long statement is cancelled
--- a/features/steps/resources.py
+++ b/features/steps/resources.py
@@ -277,6 +277,27 @@
     assert 0 < len(context.lines) <= count, len(context.lines)
 
 
+@when('"{name:w}" sets a value of {size:d} KB and reads')
+def step_long_value(context, name, size):
+    context.execute_steps(f"""
+        When "{name}" sends "SET long {"x" * size * KB}"
+        And "{name}" sends "READ x"
+    """)
+
+
+@when('"{name:w}" sets {count:d} values of {size:d} KB')
+def step_values(context, name, count, size):
+    for number in range(count):
+        context.execute_steps(f'When "{name}" sends "SET n{number} {"x" * size * KB}"')
+
+
+@then("{count:d} connections to endpoints are kept")
+def step_kept(context, count):
+    held = context.session_simulation.board.connections.by_endpoint.values()
+    kept = [item for connections in held for item in connections]
+    assert len(kept) == count, len(kept)
+
+
 @when("a timer with a long statement is cancelled")
 def step_timer(context):
     board = new_board()
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/pool.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/pool.py
@@ -7,8 +7,11 @@
 from ...blackboard.endpoints import Endpoint
 from ...blackboard.homes import ServingVM
 from ...blackboard.outbox import ConnectionClose
+from ...blackboard.prepared import entry_bytes
 from ...blackboard.sessions import SessionRequest
 
+MAX_IDLE_VALUE_BYTES = 64 * 1024  # of a connection that is kept; values are below 1 KiB as a rule
+
 
 class ConnectionPool:
     """Changes the connections section on behalf of the placement controller."""
@@ -52,13 +55,14 @@
         """Return a connection to the pool, or remove it if it stands for a home's connection.
 
         It is closed if this VM is not a home of the endpoint, to leave the endpoint's connection
-        slot to the homes.
+        slot to the homes. It is also closed if it keeps long session values: they would stay in
+        memory after their sessions, here and at the endpoint.
         """
         if connection.home is not None:
             self.remove(connection)
         elif connection.state is not ConnectionState.CLOSED:
             connection.state = ConnectionState.IDLE
-            if not self.is_home(connection):
+            if not self.is_home(connection) or _holds_long_values(connection):
                 self.close(connection)
 
     def is_home(self, connection: BackendConnection) -> bool:
@@ -93,6 +97,11 @@
         )
 
 
+def _holds_long_values(connection: BackendConnection) -> bool:
+    size = sum(entry_bytes(name, value) for name, value in connection.values.items())
+    return size > MAX_IDLE_VALUE_BYTES
+
+
 def _setup_message_count(connection: BackendConnection, request: SessionRequest) -> int:
     """Return how many messages set a connection to the session's values."""
     required, current = request.session.values, connection.values
