--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/wirefuzz.py
@@ -50,8 +50,8 @@
     read_reply,
 )
 from gentianspread_server.relays import UNREADABLE, escape, unescape
+from gentianspread_server.requestreader import RequestReader
 from gentianspread_server.tokens import TokenCodec
-from gentianspread_server.webserver import RequestReader
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -42,6 +42,9 @@
 OPEN_TIMEOUT_S = 10.0  # for a caller's first message
 QUIET_PERIOD_S = 0.1  # after the last answer, until a connection is closed for a planned stop
 ACCEPT_BACKLOG = 512
+# Pipelined statements that one caller gets answered in a row. 1,100 callers that pipeline
+# statements of 50 us then delay others by 0.2 s; without turns, by a buffer of 600 statements each.
+STATEMENTS_PER_TURN = 4
 STATE_VERBS = frozenset({Verb.SET, Verb.PREPARE})
 
 
@@ -49,7 +52,8 @@
     """One caller's connection, as the resource limits see it too.
 
     `statement` is the one that was read and is not answered yet; `is_answering` is set while its
-    answer is being sent, `is_opening` while its session is being opened.
+    answer is being sent, `is_opening` while its session is being opened. `statements_in_turn`
+    counts the pipelined statements since other connections had their turn.
     """
 
     is_trusted = False
@@ -61,6 +65,7 @@
         "is_answering",
         "is_opening",
         "is_ended",
+        "statements_in_turn",
         "charged_bytes",
         "_budget",
         "_state_bytes",
@@ -76,6 +81,7 @@
         self.is_answering = False
         self.is_opening = False
         self.is_ended = False
+        self.statements_in_turn = 0
         self.charged_bytes = 0
         self._budget = budget
         self._state_bytes = 0
@@ -285,8 +291,19 @@
             if self.runner.board.shutdown.is_requested() and connection.is_idle():
                 line = self._read_last_line(connection.line_socket)
             else:
+                self._let_others_run(connection)
                 line = connection.line_socket.read_line()
 
+    def _let_others_run(self, connection: CallerConnection) -> None:
+        """Switch to other greenlets now and then while statements are read without waiting."""
+        if not connection.line_socket.unread_bytes():
+            connection.statements_in_turn = 0
+            return
+        connection.statements_in_turn += 1
+        if connection.statements_in_turn >= STATEMENTS_PER_TURN:
+            connection.statements_in_turn = 0
+            gevent.sleep(0)
+
     def _has_room(
         self,
         connection: CallerConnection,
