--- a/features/resources.feature
+++ b/features/resources.feature
@@ -67,10 +67,23 @@
     Then the connection is admitted
     And the first 2 connections are closed
 
-  Scenario: A connection is refused while all others have sessions
-    Guards against idle sessions, which may last long, that are closed for new connections.
+  Scenario: An idle session is closed for a new connection only if no other connection can be
+    Guards against clients with sessions that keep all others out for ever, and against idle sessions, which may
+    last long, that are closed before connections without one.
     Given a port for 32 connections
-    And 32 connections are open that are "idle"
+    And 31 connections are open that are "idle"
+    And 1 connections are open that are "unfinished"
+    When another connection arrives
+    Then the connection is admitted
+    And the connections closed so far are "unfinished"
+    When another connection arrives
+    Then the connection is admitted
+    And the connections closed so far are "idle unfinished"
+
+  Scenario: A connection is refused while all others have work in progress
+    Guards against statements and transactions that are cut off for new connections.
+    Given a port for 32 connections
+    And 32 connections are open that are "working"
     When another connection arrives
     Then the connection is refused
     And no connection is closed
@@ -84,6 +97,14 @@
     Then the connection is admitted
     And no connection is closed
 
+  Scenario: Callers give way to a connection of a reserved port
+    Guards against callers that take the descriptors that are reserved for other VMs and for probes.
+    Given a port for 32 connections
+    And 32 connections are open that are "idle"
+    When a connection arrives at a reserved port
+    Then the connection is admitted
+    And the first 1 connections are closed
+
   Scenario Outline: The time that a message or an answer may take
     Guards against peers that send or read a byte now and then, for ever.
     Given a connection that is "<activity>" since <seconds> s with <kilobytes> KB
@@ -108,8 +129,8 @@
 
     Examples:
       | memory | descriptors | callers | control |
-      | 152    | 1570        | 500     | 300     |
-      | 256    | 1570        | 600     | 500     |
+      | 152    | 1570        | 800     | 300     |
+      | 256    | 1570        | 800     | 500     |
       | 1024   | 10989       | 4000    | 2000    |
       | 0      | 0           | 1200    | 1000    |
       | 80     | 400         | 100     | 80      |
@@ -121,6 +142,30 @@
     Then 968 of them were counted as closed
     And at most 2 log lines were written
 
+  @sessions
+  Scenario: A session keeps a bounded amount of text
+    Guards against sessions that fill the memory with few, long names, below the limits of their number.
+    Given a session "a" on "own"
+    When "a" sets 4 values of 900 KB
+    Then the last answer of "a" is a success
+    When "a" sets 6 values of 900 KB
+    Then the last answer of "a" is refused as "overloaded"
+    When "a" sets 1 values of 1 KB
+    Then the last answer of "a" is a success
+
+  @sessions
+  Scenario Outline: A connection to an endpoint is kept unless it has long session values
+    Guards against values that stay in memory, for each connection to an endpoint, after their sessions.
+    Given a session "a" on "own"
+    When "a" sets a value of <size> KB and reads
+    Then the last answer of "a" has rows
+    And <count> connections to endpoints are kept
+
+    Examples:
+      | size | count |
+      | 1    | 1     |
+      | 900  | 0     |
+
   Scenario: A cancelled timer keeps nothing of its request
     Guards against long statements that stay in memory for their timeout after they were answered.
     When a timer with a long statement is cancelled
