--- a/packages/gentianspread-lab/src/gentianspread_lab/plots.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/plots.py
@@ -29,6 +29,7 @@
 def plot_series(series: dict[str, list[float]], labels: list[str], unit: str, path: str) -> None:
     """Draw one line for each series over the labels of the horizontal axis."""
     pyplot.figure(figsize=(WIDTH_IN, HEIGHT_IN))
+    pyplot.gca().set_prop_cycle(color=pyplot.colormaps["tab20"].colors)
     for name, values in series.items():
         pyplot.plot(labels, values, marker=".", label=name)
     pyplot.ylabel(unit)
