--- a/features/load.feature
+++ b/features/load.feature
@@ -111,3 +111,14 @@
     When every session sends a read every 0.1 s for 4 s
     Then at least 30 reads on "latest" were served within 0.7 s
     And reads on "latest" sent after 0 s were answered within 1.1 s
+
+  Scenario: A read that lagging replicas refused is not sent to them again while the primary serves
+    Guards against reads that go to and fro between lagging replicas while the primary is busy: on a
+    large deployment each tried them up to ten times, and was refused for their lag in the end.
+    Given endpoint loads are reported here
+    And 18 sessions on "bounded" and 0 on "latest"
+    When the replicas receive no commits
+    And the primary makes commits for 3 s that are not replicated
+    And statements take 0.07 s at the primary
+    And every session sends a read every 0.1 s for 2 s
+    Then no read was refused twice by the same replica for its lag
--- a/features/steps/load.py
+++ b/features/steps/load.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.sessions import SessionState
@@ -237,3 +239,29 @@
     calls = [call for name, call in context.load_calls if name == database]
     took = [_duration_s(context, call) for call in calls if call.arrived_at >= since]
     assert took and max(took) <= seconds, max(took)
+
+
+@given("endpoint loads are reported here")
+def step_loads_reported_here(context):
+    board = context.session_simulation.board
+    board.loads.is_reported = True
+    context.lag_refusals = Counter()
+    board.changes.subscribe(
+        Topic.EXCHANGE_ENDED, lambda request: _count_lag_refusal(context, request)
+    )
+
+
+def _count_lag_refusal(context, request):
+    if request.exchange.reply.code == "LAGGING":
+        context.lag_refusals[request.number, request.exchange.endpoint] += 1
+
+
+@when("statements take {cost:g} s at the primary")
+def step_primary_cost(context, cost):
+    context.session_simulation.primary().statement_cost_s = cost
+
+
+@then("no read was refused twice by the same replica for its lag")
+def step_no_second_lag_refusal(context):
+    assert context.lag_refusals
+    assert max(context.lag_refusals.values()) == 1, context.lag_refusals.most_common(3)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -216,6 +216,8 @@
         could serve it.
         """
         candidates = self.candidates.of_request(request)
+        if self.board.loads.is_reported:
+            candidates = self._costs.without_lagging(request, candidates)
         options = self._options(request, candidates)
         if candidates and not options:
             reason = f"Every home VM of {request.group} reports a wait that is too long."
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
@@ -87,6 +87,26 @@
         busy = sum(1 for item in connections if item.state is ConnectionState.BUSY)
         return service_s * (busy + 1)
 
+    def without_lagging(
+        self, request: SessionRequest, candidates: list[Endpoint]
+    ) -> list[Endpoint]:
+        """Leave out the replicas that refused this read for their lag and have not caught up.
+
+        None is left out if there is no other candidate. A busy primary may otherwise cost more than
+        a replica, and the read goes to and fro between replicas until its time has passed.
+        """
+        if request.min_position is None or not request.tried_endpoints:
+            return candidates
+        others = [item for item in candidates if not self._refused_for_lag(request, item)]
+        return others or candidates
+
+    def _refused_for_lag(self, request: SessionRequest, endpoint: Endpoint) -> bool:
+        return (
+            endpoint.name in request.tried_endpoints
+            and endpoint.name != self._primary(request.group)
+            and not endpoint.position.reaches(request.min_position)
+        )
+
     def _is_lagging(self, endpoint: Endpoint, required: Position) -> bool:
         """Return whether a replica that was behind a moment ago most likely lacks a position."""
         now = self.board.clock.now()
