--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/untrustedpage.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/untrustedpage.py
@@ -23,7 +23,8 @@
 
 _READING = """The memory stays within the settings. Each session of an ordinary caller had 2 s, on a
 machine that other work kept busy (load about 20 on 7 cores); why some were not served in that time
-is not traced."""
+is not traced. In the first row the ordinary callers had a process of their own; in the others they
+shared that of the clients, where 0 of 4 were served in place of the first row's figure."""
 
 
 def render_untrusted(table: str) -> str:
