--- a/features/limits.feature
+++ b/features/limits.feature
@@ -135,3 +135,49 @@
     And a network partition isolates an allocator and a VM of another zone from all other VMs
     And every VM sends 40 reads of "small" at once, 40 times, 0.1 s apart
     Then in no window were more requests of "small" permitted than its rate and burst allow
+
+  Scenario: A workspace that stays above its rate gets what rate and burst permit in each window
+    Guards against refusals inside the limit: a bucket that fills at the rate alone gives a workspace
+    that asks for more its rate, though rate and burst permit a fifth more in 5 s.
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    And 0.6 of every burst is granted evenly over the window
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 100 and o2 sends 100 reads of "small" per second for 12 s
+    Then at least 45 reads of "small" ran per second in the last 6 s
+    And in no window of 5 s were rate and burst of "small" exceeded by more than this tolerance
+
+  Scenario: The rate limit holds over restarts while bursts are granted evenly
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    And 0.6 of every burst is granted evenly over the window
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.5 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.5 s
+    And all VMs are killed and start again
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    Then in no window of 5 s were rate and burst of "small" exceeded by more than this tolerance
+
+  Scenario: The rate limit holds over backup allocators while bursts are granted evenly
+    Given rate and burst may be exceeded by a fraction of 0.02 plus 4 requests in 5 s, and 2 VMs serve callers
+    And the VMs that serve callers are in one zone and know each other
+    And 0.6 of every burst is granted evenly over the window
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 12 s
+    And the VMs that serve callers reach no allocator
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.8 s
+    And all network partitions heal
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    Then in no window of 5 s were rate and burst of "small" exceeded by more than this tolerance
+
+  Scenario: The rate limit holds without an allocator while bursts are granted evenly
+    Given rate and burst may be exceeded by a fraction of 0.1 plus 20 requests in 5 s, and 2 VMs serve callers
+    And 0.6 of every burst is granted evenly over the window
+    When a workspace "small" with rate 40 and burst 40 exists
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 12 s
+    And the VMs that serve callers reach no allocator
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 1.8 s
+    And all network partitions heal
+    And o1 sends 200 and o2 sends 200 reads of "small" per second for 6 s
+    Then in no window of 5 s were rate and burst of "small" exceeded by more than this tolerance
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -221,3 +221,19 @@
             context.simulation.send(vm, StatementKind.READ, key_hash=key_hash, timeout_s=0.3)
         context.simulation.run(1.0)
     context.simulation.token_response_delay_s = 0.0
+
+
+@given("{fraction:g} of every burst is granted evenly over the window")
+def step_steady(context, fraction):
+    context.rate_tolerance.steady_fraction = fraction
+
+
+@then('at least {rate:g} reads of "{name:w}" ran per second in the last {seconds:g} s')
+def step_ran_per_second(context, rate, name, seconds):
+    since = context.simulation.clock.now() - seconds
+    ran = [
+        item
+        for item in context.sent_requests
+        if item.arrived_at >= since and item.outcome and item.outcome.refusal is None
+    ]
+    assert len(ran) / seconds >= rate, len(ran) / seconds
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/allocator.py
@@ -53,9 +53,8 @@
         Granted but unspent tokens count against the burst, so `rate * token_ttl_s` is subtracted
         from it. Only as many zones get a quota as can have a capacity of one whole token each.
         """
-        rate, burst = rate_tolerance.allocatable_rate(
-            workspace.rate
-        ), rate_tolerance.allocatable_burst(workspace.burst)
+        rate = rate_tolerance.allocatable_rate(workspace.rate, workspace.burst)
+        burst = rate_tolerance.allocatable_burst(workspace.burst)
         usable = burst - rate * token_ttl_s
         zone_count = max(1, min(len(zones), int(usable / MIN_CAPACITY_TOKENS)))
         if zone not in sorted(zones)[:zone_count]:
--- a/packages/gentianspread-core/src/gentianspread_core/settings.py
+++ b/packages/gentianspread-core/src/gentianspread_core/settings.py
@@ -46,31 +46,39 @@
     Allowed are `overage_fraction` of the requests that rate and burst permit in a window, plus
     `slack_requests`. Half of this compensates for what is lost by dividing a rate over availability
     zones, a quarter is for times in which no allocator answers, and a quarter for restarts.
+    `steady_fraction` of a burst is granted evenly over the window instead of at once: what a window
+    permits is the same, and a workspace that stays above its rate gets more of it.
     """
 
-    __slots__ = ("window_s", "overage_fraction", "slack_requests")
+    __slots__ = ("window_s", "overage_fraction", "slack_requests", "steady_fraction")
 
     def __init__(
         self,
         window_s: float = 0.0,
         overage_fraction: float = 0.0,
         slack_requests: float = 0.0,
+        steady_fraction: float = 0.0,
     ) -> None:
         self.window_s = window_s
         self.overage_fraction = overage_fraction
         self.slack_requests = slack_requests
+        self.steady_fraction = steady_fraction
 
-    def allocatable_rate(self, rate: float) -> float:
+    def allocatable_rate(self, rate: float, burst: float) -> float:
         """Return the rate to divide over the zones, in requests per second."""
         if not self.window_s:
             return rate
-        return rate * (1.0 + self.overage_fraction / 2) + self.slack_requests / (4 * self.window_s)
+        steady = rate + self.steady_fraction * burst / self.window_s
+        return steady * (1.0 + self.overage_fraction / 2) + self.slack_requests / (
+            4 * self.window_s
+        )
 
     def allocatable_burst(self, burst: float) -> float:
         """Return the burst to divide over the zones, in requests."""
         if not self.window_s:
             return burst
-        return burst * (1.0 + self.overage_fraction / 2) + self.slack_requests / 4
+        at_once = (1.0 - self.steady_fraction) * burst
+        return at_once * (1.0 + self.overage_fraction / 2) + self.slack_requests / 4
 
     def reserve(self, rate: float, burst: float) -> float:
         """Return the requests per window that are reserved for times without an allocator.
--- a/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/bootfile.py
@@ -14,6 +14,9 @@
 ELECTION_TIMEOUT_S = 0.6  # six heartbeat intervals
 TRUE = "true"
 PRIORITY_CONTRACT = "pressure"
+# Where callers compete for capacity, an even flow serves them better than bursts; the rest of the
+# burst covers the chance arrivals of a workspace within its rate.
+STEADY_BURST_FRACTION = 0.6
 BYTES_PER_MB = 1024 * 1024
 
 
@@ -81,10 +84,12 @@
             values.get("bounds.revokeMs", DEFAULT_KEY_WITHDRAWAL_LIMIT_MS)
         )
         self.max_configuration_age_s = CONFIGURATION_AGE_FRACTION * key_withdrawal_limit_ms / 1000
+        self.schedules_by_priority = PRIORITY_CONTRACT in _split_list(values.get("contracts", ""))
         self.rate_tolerance = RateTolerance(
             float(values.get("bounds.quotaWindowS", "0")),
             float(values.get("bounds.quotaOverage", "0")),
             float(values.get("bounds.quotaSlack", "0")),
+            STEADY_BURST_FRACTION if self.schedules_by_priority else 0.0,
         )
         self.platform_service_address = values.get("cloudApi.address", "")
         self.first_port = int(values.get("portRange", "0,0").partition(",")[0])
@@ -92,7 +97,6 @@
         self.warmup_tolerance = WarmupTolerance(
             float(values.get("bounds.coldOverage", "1")), float(values.get("bounds.coldSlack", "0"))
         )
-        self.schedules_by_priority = PRIORITY_CONTRACT in _split_list(values.get("contracts", ""))
         cores = float(values.get("limits.cores", "1"))
         self.size = cores * float(values.get("limits.cpuShare", "1"))
         self.memory_bytes = int(float(values.get("limits.memoryMb", "0")) * BYTES_PER_MB)
