--- a/features/balancing.feature
+++ b/features/balancing.feature
@@ -124,6 +124,16 @@
     And b3 got at least 0.25 of the statements of the last 2 s
     And at least 0.95 of these reads were served
 
+  Scenario: A lost endpoint's reads are spread over the other two
+    Guards against the callers of a lost zone overloading the next one.
+    Given 6 VMs that report loads
+    When callers send 900 reads per second for 2 s
+    And b2 is lost
+    And callers send 900 reads per second for 3 s
+    Then b1 got at most 0.65 of the statements of the last 2 s
+    And b3 got at most 0.65 of the statements of the last 2 s
+    And at least 0.95 of these reads were served
+
   Scenario: Load reports cost no probes and no statements
     Guards against load on endpoints for finding out their load.
     Given 6 VMs that report loads
--- a/features/steps/balancing.py
+++ b/features/steps/balancing.py
@@ -137,6 +137,11 @@
     item.next_statement_errors = []
 
 
+@when("{endpoint:w} is lost")
+def step_lost(context, endpoint):
+    context.home_simulation.endpoints[endpoint].alive = False
+
+
 @when("the zone {zone:w} is lost")
 def step_lost(context, zone):
     simulation = context.home_simulation
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/endpoints.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import deque
+
 from ..positions import LOG_START, Position
 
+RECENT_REPLIES = 3  # few enough to notice a queue within a tenth of a second under load
 FASTEST_REPLY_PERIOD_S = 30.0  # longer than most bursts, in which no reply comes without a queue
 MAX_RELAYED_STATEMENTS = 16.0  # as many as a VM's callers send in half a second
 
@@ -39,14 +42,19 @@
 
 
 class FastestReply:
-    """The shortest time to a reply in the last one to two periods, in seconds."""
+    """The shortest time to a reply in the last one to two periods, and the newest; in seconds.
+
+    Service times vary, so one slow reply shows no queue. If even the fastest of the newest replies
+    took longer, they waited.
+    """
 
-    __slots__ = ("_current", "_previous", "_period_ends_at")
+    __slots__ = ("_current", "_previous", "_period_ends_at", "_recent")
 
     def __init__(self) -> None:
         self._current = float("inf")
         self._previous = float("inf")
         self._period_ends_at = 0.0
+        self._recent: deque[float] = deque(maxlen=RECENT_REPLIES)
 
     def observe(self, elapsed_s: float, now: float) -> None:
         """Take the time to one reply into account."""
@@ -54,10 +62,11 @@
             self._previous, self._current = self._current, float("inf")
             self._period_ends_at = now + FASTEST_REPLY_PERIOD_S
         self._current = min(self._current, elapsed_s)
+        self._recent.append(elapsed_s)
 
-    def seconds(self) -> float:
-        """Return the shortest time, infinite if there was no reply."""
-        return min(self._current, self._previous)
+    def queueing_s(self) -> float:
+        """Return how much longer than the fastest reply even the fastest of the newest took."""
+        return min(self._recent) - min(self._current, self._previous)
 
 
 class Endpoint:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/admission/concurrency.py
@@ -81,7 +81,7 @@
         is_read = request.kind is StatementKind.READ
         fastest = endpoint.fastest_read if is_read else endpoint.fastest_write
         fastest.observe(elapsed_s, now)
-        if elapsed_s - fastest.seconds() > MAX_QUEUEING_FRACTION * route.objective:
+        if fastest.queueing_s() > MAX_QUEUEING_FRACTION * route.objective:
             endpoint.window.decrease(WINDOW_DECREASE_FACTOR, exchange.sent_at, now)
         elif self._is_used_up(endpoint):
             self._increase(endpoint.window)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/estimates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/estimates.py
@@ -35,8 +35,10 @@
         """
         if not self._reports(endpoint) and not self._own_part(endpoint):
             return None
-        excess = self.statements(endpoint) + 1.0 - endpoint.slots
-        wait_s = max(0.0, excess) / max(1, endpoint.slots) * self.service_s(endpoint)
+        statements = self.statements(endpoint)
+        excess = statements + 1.0 - endpoint.slots
+        service_s = self.service_s(endpoint, statements)
+        wait_s = max(0.0, excess) / max(1, endpoint.slots) * service_s
         return max(wait_s, self._home_wait_s(endpoint, home))
 
     def statements(self, endpoint: Endpoint) -> float:
@@ -70,18 +72,19 @@
         """Return how much a report of this age says about the present, from 1 down to 0."""
         return math.exp(-max(0.0, age_s) / RELAXATION_S)
 
-    def service_s(self, endpoint: Endpoint) -> float:
+    def service_s(self, endpoint: Endpoint, statements: float | None = None) -> float:
         """Return the seconds that the endpoint takes for a statement, without waiting for a slot.
 
         Reports give the time with the wait; by Little's law it grows with the statements per slot.
+        `statements` is the result of the method of this name, if the caller has it.
         """
         times = [item.service_s for item in self._reports(endpoint).values() if item.service_s]
         if times:
             mean_s = sum(times) / len(times)
         else:
             mean_s = self.board.outliers.latency_of(endpoint.name, self.board.clock.now())
-        per_slot = self.statements(endpoint) / max(1, endpoint.slots)
-        return max(MIN_SERVICE_S, mean_s / max(1.0, per_slot))
+        count = self.statements(endpoint) if statements is None else statements
+        return max(MIN_SERVICE_S, mean_s / max(1.0, count / max(1, endpoint.slots)))
 
     def age_s(self, endpoint: Endpoint) -> float | None:
         """Return the age of the newest report on an endpoint, none without a recent one."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/balancing/loads.py
@@ -52,7 +52,12 @@
         reply = exchange.reply
         if not isinstance(reply, SessionReply) or reply.load is None:
             return
-        report = EndpointLoad.from_record(reply.load, self.board.clock.now())
+        try:
+            report = EndpointLoad.from_record(reply.load, self.board.clock.now())
+        except (TypeError, ValueError) as error:
+            self.board.timeline.record_error("load report", error)
+            reply.load = None
+            return
         reports = self.board.loads.by_endpoint.setdefault(exchange.endpoint, {})
         reports[exchange.connection.home.name] = report
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/endpoints.py
@@ -243,6 +243,9 @@
             return float(capacity)
         part = self.board.homes.work_share(homes, self.board.settings.member)
         share = MAX_IN_FLIGHT_PER_SLOT * registration.slots * part
+        if self.limit.starts_low:
+            # The limit adapts to the endpoint's queue, so one busy home may fill all slots.
+            share = max(share, float(registration.slots))
         return max(1.0, min(float(capacity), share))
 
     def _remove_unregistered(self) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -266,7 +266,7 @@
             home = self.candidates.relay_target(request, endpoint)
             if not self.admission.admits(request, endpoint, home):
                 continue
-            load_s = self._costs.reported_load_s(endpoint, home)
+            load_s = self._costs.reported_load_s(request, endpoint, home)
             cost = self._costs.serving_cost(request, endpoint, home, load_s)
             options.append(ServingOption(endpoint, home, cost, load_s or 0.0))
         return options
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/costs.py
@@ -72,13 +72,18 @@
                 cost += LAGGING_COST_S if self._is_lagging(endpoint, required) else MIN_LATENCY_S
         return cost
 
-    def reported_load_s(self, endpoint: Endpoint, home: ServingVM | None) -> float | None:
+    def reported_load_s(
+        self, request: SessionRequest, endpoint: Endpoint, home: ServingVM | None
+    ) -> float | None:
         """Return the expected time for a statement, none where loads are not reported.
 
-        Without a recent report it follows from this VM's own statements.
+        Without a recent report it follows from this VM's own statements. A relayed statement has no
+        other endpoint to go to, and the load includes the queue that it waits in.
         """
         if self.estimator is None or not self.board.loads.is_reported:
             return None
+        if request.relayed_statement is not None:
+            return None
         wait_s = self.estimator.expected_wait_s(endpoint, home)
         service_s = self.estimator.service_s(endpoint)
         if wait_s is not None:
@@ -162,7 +167,7 @@
                 if item.state is ConnectionState.BUSY and item.workspace == request.workspace
             )
             if busy:
-                load_s = self.reported_load_s(endpoint, None)
+                load_s = self.reported_load_s(request, endpoint, None)
                 latency = max(endpoint.latency if load_s is None else load_s, MIN_LATENCY_S)
                 cost = latency * (2.0 + waiting / busy) + self._zone_cost(endpoint)
                 best = min(best, cost)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/priority.py
@@ -115,7 +115,7 @@
             waiting = {_priority(name) for name, items in queue.by_workspace.items() if items}
             for other in waiting:
                 if other != priority:
-                    queue.credits[other] = queue.credits.get(other, 0.0) + MIN_SHARE
+                    queue.credits[other] = min(1.0, queue.credits.get(other, 0.0) + MIN_SHARE)
             for other in [item for item in queue.credits if item not in waiting]:
                 del queue.credits[other]
         remaining = served.by_workspace.pop(key)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/throughput.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/throughput.py
@@ -31,4 +31,4 @@
 
 
 def _rate(endpoint: Endpoint, window: float) -> float:
-    return max(1, int(window)) / max(endpoint.latency, MIN_LATENCY_S)
+    return max(1.0, window) / max(endpoint.latency, MIN_LATENCY_S)
--- a/packages/gentianspread-server/src/gentianspread_server/serving.py
+++ b/packages/gentianspread-server/src/gentianspread_server/serving.py
@@ -108,7 +108,8 @@
         if record["vms"] is None or self.board.election.role is Role.LEADER:
             return
         vms = decode_list(record)
-        self.board.post(Topic.HOMES_RECEIVED, ServingVMList(record["version"], vms))
+        # A control VM of the previous build passes a list on without sizes, under its old version.
+        self.board.post(Topic.HOMES_RECEIVED, ServingVMList(compute_version(vms), vms))
 
     def _own_list(self) -> list[ServingVM]:
         now = self.board.clock.now()
@@ -162,6 +163,6 @@
 def compute_version(vms: list[ServingVM]) -> str:
     """Return the version of a list: a hash that does not depend on its order."""
     rows = sorted("\t".join(vm.to_record()) for vm in vms)
-    if any(vm.size != DEFAULT_SIZE for vm in vms):
+    if len({vm.size for vm in vms}) > 1:
         rows.extend(sorted(f"{vm.name}\t{vm.size:g}" for vm in vms))
     return hashlib.blake2b("\n".join(rows).encode(), digest_size=VERSION_HASH_BYTES).hexdigest()
