--- a/features/steps/webserver.py
+++ b/features/steps/webserver.py
@@ -4,6 +4,7 @@
 
 import socket as stdlib_socket
 import time
+import weakref
 
 import gevent
 from behave import given, then, when
@@ -16,6 +17,16 @@
 READ_TIMEOUT_S = 0.3
 
 
+def _post_and_keep(context):
+    """Return an application that answers as `_echo` does and notes a reference to the body."""
+
+    def serve(environ, start_response):
+        context.body = weakref.ref(environ["wsgi.input"])
+        return _echo(environ, start_response)
+
+    return serve
+
+
 def _echo(environ, start_response):
     body = environ["wsgi.input"].read().decode()
     text = f"{environ['REQUEST_METHOD']} {environ['PATH_INFO']} {body}".encode()
@@ -52,6 +63,40 @@
     step_bytes(context, "GET /" + "a" * length, "")
 
 
+@when("the bytes of a trailer of {length:d} characters arrive")
+def step_long_trailer(context, length):
+    step_bytes(context, "POST / HTTP/1.1|Transfer-Encoding: chunked||", "0|X: " + "a" * length)
+
+
+@given("the server accepts bodies of at most {size:d} bytes")
+def step_body_limit(context, size):
+    context.server.max_body_bytes = size
+
+
+@then("{count:d} connections were counted as closed for their size")
+def step_count_of_size(context, count):
+    counts = context.server._limits._report.counts
+    assert sum(n for labels, n in counts.items() if labels[0] == "size") == count, counts
+
+
+@when("a body of {size:d} KB is posted and answered on a connection that stays open")
+def step_post(context, size):
+    context.server.application = _post_and_keep(context)
+    client = socket.create_connection(("127.0.0.1", context.server._server.server_port))
+    context.add_cleanup(client.close)
+    length = size * 1024
+    client.sendall(b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % length + b"x" * length)
+    received = 0
+    while received < length:
+        received += len(client.recv(65536))
+    gevent.sleep(SEND_PAUSE_S)
+
+
+@then("nothing refers to the body any more")
+def step_body_dropped(context):
+    assert context.body() is None
+
+
 @then('the response bodies are "{expected:Quoted}"')
 def step_response_bodies(context, expected):
     responses = context.received.split(b"HTTP/1.1 200 OK\r\n")[1:]
--- a/features/webserver.feature
+++ b/features/webserver.feature
@@ -19,6 +19,11 @@
     When the bytes of a URL of 9000 characters arrive
     Then the status is 400 and the connection is closed
 
+  Scenario: The body of an answered request is not kept
+    Guards against bodies that stay in memory, uncharged, while their connections are idle.
+    When a body of 1024 KB is posted and answered on a connection that stays open
+    Then nothing refers to the body any more
+
   Scenario: A request that expects 100 Continue and has a chunked body is answered
     When the bytes "POST /c HTTP/1.1|Expect: 100-continue|Transfer-Encoding: chunked||" arrive, and "2|hi|0||" a little later
     Then the response bodies are "POST /c hi"
--- a/packages/gentianspread-server/src/gentianspread_server/webserver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/webserver.py
@@ -233,10 +233,12 @@
             connection.is_serving = True
             environ = connection.reader.completed_environs.popleft()
             connection.send(self._build_response(environ))
+            is_signed, keeps_open = environ.get(SIGNED_VARIABLE), environ["keeps_open"]
+            del environ  # its body is not charged any more once the request is complete
             connection.complete()
-            if environ.get(SIGNED_VARIABLE) and not connection.is_trusted:
+            if is_signed and not connection.is_trusted:
                 self._limits.trust(connection)
-            if not environ["keeps_open"]:
+            if not keeps_open:
                 return
             if self._is_draining:
                 stop_receiving(connection.socket)
