--- a/features/webserver.feature
+++ b/features/webserver.feature
@@ -19,6 +19,11 @@
     When the bytes of a URL of 9000 characters arrive
     Then the status is 400 and the connection is closed
 
+  Scenario: Trailers that do not end are refused
+    Guards against memory and processor time that grow with the trailers of a chunked body.
+    When the bytes of a trailer of 49200 characters arrive
+    Then the status is 400 and the connection is closed
+
   Scenario: The body of an answered request is not kept
     Guards against bodies that stay in memory, uncharged, while their connections are idle.
     When a body of 1024 KB is posted and answered on a connection that stays open
--- a/packages/gentianspread-server/src/gentianspread_server/resources/requestreader.py
+++ b/packages/gentianspread-server/src/gentianspread_server/resources/requestreader.py
@@ -40,6 +40,7 @@
         "_body",
         "_head_bytes",
         "_has_head",
+        "_framing_bytes",
     )
 
     def __init__(self, max_body_bytes: int = MAX_BODY_BYTES) -> None:
@@ -56,6 +57,7 @@
         self._body = bytearray()
         self._head_bytes = 0
         self._has_head = False
+        self._framing_bytes = 0  # received since the last part of the body: chunk heads, trailers
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; raises `RequestTooLargeError` or an error of the parser."""
@@ -63,6 +65,11 @@
             self._head_bytes += len(received)
             if self._head_bytes > MAX_HEAD_BYTES + RECEIVE_BUFFER_BYTES:
                 raise RequestTooLargeError(f"the head is larger than {MAX_HEAD_BYTES} bytes")
+        else:
+            # The parser copies an unfinished trailer for each part of it that arrives.
+            self._framing_bytes += len(received)
+            if self._framing_bytes > MAX_HEAD_BYTES + RECEIVE_BUFFER_BYTES:
+                raise RequestTooLargeError(f"the trailers exceed {MAX_HEAD_BYTES} bytes")
         self.parser.feed_data(received)
 
     def on_url(self, part: bytes) -> None:
@@ -89,6 +96,7 @@
         if len(self._body) + len(body) > self.max_body_bytes:
             raise RequestTooLargeError(f"the body is larger than {self.max_body_bytes} bytes")
         self._body += body
+        self._framing_bytes = 0
 
     def on_message_complete(self) -> None:
         """Queue the completed request."""
@@ -108,7 +116,7 @@
 
     def unfinished_bytes(self) -> int:
         """Return how many bytes of an unfinished request have been received, about."""
-        return self._head_bytes + len(self._body)
+        return self._head_bytes + self._framing_bytes + len(self._body)
 
     def discard(self) -> None:
         """Drop all that was received; nothing can be parsed any more.
@@ -122,7 +130,7 @@
 
     def held_bytes(self) -> int:
         """Return what the requests that have been received take."""
-        held = BODY_COPIES * len(self._body) + self._head_bytes
+        held = BODY_COPIES * len(self._body) + self._head_bytes + self._framing_bytes
         for environ in self.completed_environs:
             held += ENVIRON_BYTES + BODY_COPIES * int(environ["CONTENT_LENGTH"])
         return held
