--- a/features/webserver.feature
+++ b/features/webserver.feature
@@ -29,6 +29,18 @@
     When a body of 1024 KB is posted and answered on a connection that stays open
     Then nothing refers to the body any more
 
+  Scenario: A request to change the protocol is refused
+    Guards against an unhandled error of the parser.
+    When the bytes "GET / HTTP/1.1|Connection: Upgrade|Upgrade: x||" arrive, and "" a little later
+    Then the status is 400 and the connection is closed
+
+  Scenario: A body over the limit is counted as such
+    Guards against connections closed for the size of their message that no metric shows.
+    Given the server accepts bodies of at most 10 bytes
+    When the bytes "POST / HTTP/1.1|Content-Length: 11||" arrive, and "12345678901" a little later
+    Then the status is 400 and the connection is closed
+    And 1 connections were counted as closed for their size
+
   Scenario: A request that expects 100 Continue and has a chunked body is answered
     When the bytes "POST /c HTTP/1.1|Expect: 100-continue|Transfer-Encoding: chunked||" arrive, and "2|hi|0||" a little later
     Then the response bodies are "POST /c hi"
--- a/packages/gentianspread-server/src/gentianspread_server/webserver.py
+++ b/packages/gentianspread-server/src/gentianspread_server/webserver.py
@@ -260,8 +260,13 @@
                 log.debug("refused a request: %s", error)
                 connection.send(NO_ROOM_RESPONSE)
                 return False
-            except (httptools.HttpParserError, RequestTooLargeError) as error:
-                if isinstance(error, RequestTooLargeError):
+            except (
+                httptools.HttpParserError,
+                httptools.HttpParserUpgrade,
+                RequestTooLargeError,
+            ) as error:
+                # The parser wraps the errors of its callbacks.
+                if isinstance(error.__context__ or error, RequestTooLargeError):
                     self._limits.count_oversized(connection.activity())
                 log.warning("rejected an invalid HTTP request: %s", error)
                 connection.send(BAD_REQUEST_RESPONSE)
