--- a/features/resources.feature
+++ b/features/resources.feature
@@ -170,3 +170,17 @@
     Guards against long statements that stay in memory for their timeout after they were answered.
     When a timer with a long statement is cancelled
     Then nothing refers to the statement any more
+
+  Scenario Outline: Bodies at the control port that would take much memory are refused
+    Guards against a process that runs out of memory when it decodes one body of legal size.
+    When <content> is posted to "<path>" at the control port
+    Then the answer's status is <status>, and it <outcome> applied
+
+    Examples:
+      | content                                                  | path                     | status | outcome |
+      | a document of 20000 routes and services and 2000 tenants | /Config.Replace          | 200    | is      |
+      | a document with 2000000 empty objects                    | /Config.Replace          | 400    | is not  |
+      | a document with 1500000 short texts                      | /Config.Replace          | 400    | is not  |
+      | an announcement of 60 KB                                 | /Instances.Heartbeat/e1  | 200    | is      |
+      | an announcement of 65 KB                                 | /Instances.Heartbeat/e1  | 400    | is not  |
+      | an announcement of 65 KB                                 | /Instances.Deregister/e1 | 400    | is not  |
--- a/features/steps/resources.py
+++ b/features/steps/resources.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import io
 import time
 import weakref
 
+import orjson
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.timeline import Timeline
 from gentianspread_server.clocks import wall_ms
+from gentianspread_server.platform.control_api import ControlApi
 from gentianspread_server.resources import limits as sizes
 from gentianspread_server.resources.budget import MemoryBudget
 from gentianspread_server.resources.connections import AcceptedConnections, ConnectionLimits
@@ -311,3 +314,109 @@
 @then("nothing refers to the statement any more")
 def step_unreferenced(context):
     assert context.statement() is None
+
+
+class AppliedChanges:
+    """Takes declarations and announcements without a control log, as a fresh board."""
+
+    def __init__(self):
+        self.applied = []
+
+    def is_fresh(self):
+        return True
+
+    def apply(self, declaration):
+        self.applied.append(declaration)
+
+    def register(self, fields, _cold_s):
+        self.applied.append(fields)
+        return True
+
+    def deregister(self, name, _incarnation):
+        self.applied.append(name)
+        return True
+
+
+def _large_document(routes, tenants):
+    return {
+        "version": 1,
+        "services": [{"name": f"db{n}", "maxConns": 100} for n in range(routes)],
+        "routes": [
+            {
+                "name": f"route{n}",
+                "host": f"host{n}.example",
+                "service": f"db{n}",
+                "routeType": "bounded_stale",
+                "timeoutMs": 1000,
+                "maxStalenessMs": 500,
+                "allowedRegions": ["region1"],
+            }
+            for n in range(routes)
+        ],
+        "tenants": [
+            {
+                "name": f"tenant{n}",
+                "ratePerS": 10,
+                "burstSize": 20,
+                "apiKeys": [f"key{n}"],
+                "allowedRegions": ["region1"],
+            }
+            for n in range(tenants)
+        ],
+    }
+
+
+def _post(context, path, body):
+    context.changes = AppliedChanges()
+    environ = {
+        "PATH_INFO": path,
+        "REQUEST_METHOD": "POST",
+        "CONTENT_LENGTH": str(len(body)),
+        "wsgi.input": io.BytesIO(body),
+    }
+
+    def start_response(status, _headers):
+        context.status = status
+
+    api = ControlApi(context.changes, context.changes, context.changes)
+    context.answer = b"".join(api(environ, start_response))
+
+
+@when(
+    "a document of {routes:d} routes and services and {tenants:d} tenants "
+    'is posted to "{path:Quoted}" at the control port'
+)
+def step_post_document(context, routes, tenants, path):
+    _post(context, path, orjson.dumps(_large_document(routes, tenants)))
+
+
+@when('a document with {count:d} empty objects is posted to "{path:Quoted}" at the control port')
+def step_post_objects(context, count, path):
+    _post(context, path, b'{"version":1,"services":[],"routes":[],"x":[%s{}]}' % (b"{}," * count))
+
+
+@when('a document with {count:d} short texts is posted to "{path:Quoted}" at the control port')
+def step_post_texts(context, count, path):
+    _post(context, path, b'{"version":1,"services":[],"routes":[],"x":[%s""]}' % (b'"ab",' * count))
+
+
+@when('an announcement of {size:d} KB is posted to "{path:Quoted}" at the control port')
+def step_post_announcement(context, size, path):
+    fields = {
+        "service": "db1",
+        "address": "127.0.0.1:1",
+        "zone": "z1",
+        "slots": 2,
+        "state": "ready",
+        "dbRole": "replica",
+        "sequence": 1,
+        "version": "v" * size * KB,
+    }
+    _post(context, path, orjson.dumps(fields))
+
+
+@then("the answer's status is {status:d}, and it {outcome:Quoted} applied")
+def step_post_answer(context, status, outcome):
+    assert context.status.startswith(str(status)), (context.status, context.answer)
+    assert len(context.changes.applied) == (1 if outcome == "is" else 0)
+    assert status == 200 or b"message" in context.answer, context.answer
--- a/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/control_api.py
@@ -6,7 +6,7 @@
 
 from gentianspread_core.blackboard import Board
 from gentianspread_core.blackboard.commands import CommandKind
-from gentianspread_core.errors import DeclarationError, GentianspreadError
+from gentianspread_core.errors import DeclarationError, ErrorCode, GentianspreadError
 
 from ..announcements import Announcements
 from ..declarations import Declarations
@@ -38,6 +38,7 @@
     "/Evacuations.Finish/": CommandKind.FINISH_EVACUATION,
 }
 MAX_BODY_BYTES = 8 * 1024 * 1024  # enough for a document of 20,000 routes
+MAX_ANNOUNCEMENT_BYTES = 64 * 1024  # those of endpoints have below 1 KiB
 BAD_REQUEST_STATUS = "400 Bad Request"
 
 
@@ -70,7 +71,9 @@
             log.warning("declaration rejected: %s", error.message)
             status, body = BAD_REQUEST_STATUS, _encode_error(error)
         except GentianspreadError as error:
-            status, body = DEFAULT_ERROR_STATUS, _encode_error(error)
+            is_invalid = error.code is ErrorCode.BAD_REQUEST
+            status = BAD_REQUEST_STATUS if is_invalid else DEFAULT_ERROR_STATUS
+            body = _encode_error(error)
         return respond(start_response, status, body)
 
     def _serve(self, path: str, environ: Environ) -> tuple[str, bytes]:
@@ -82,10 +85,10 @@
         for prefix, kind in EVACUATION_PREFIXES.items():
             if path.startswith(prefix):
                 return self._change_evacuation(kind, path.removeprefix(prefix))
-        body = read_request_body(environ, MAX_BODY_BYTES)
         if path == REPLACE_CONFIGURATION_PATH:
-            self.declarations.apply(decode_declaration(body))
+            self.declarations.apply(decode_declaration(read_request_body(environ, MAX_BODY_BYTES)))
             return OK_STATUS, b"{}"
+        body = read_request_body(environ, MAX_ANNOUNCEMENT_BYTES)
         if path.startswith(HEARTBEAT_PREFIX):
             return self._register_endpoint(path.removeprefix(HEARTBEAT_PREFIX), body)
         if path.startswith(DEREGISTER_PREFIX):
--- a/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/documents.py
@@ -21,6 +21,10 @@
 
 MS_PER_S = 1000
 MAX_CLOCK_DIFFERENCE_MS = 86_400_000  # of two machines' times of day
+# 20,000 routes have a list of regions each, and may have as many services, and tenants with two
+# lists. Without these bounds a document of 8 MiB takes 235 MB when it is decoded.
+MAX_CONTAINERS = 150_000
+MAX_VALUES = 600_000  # 12 fields for each of these routes, 5 for each service, 8 for each tenant
 MAX_SHOWN_CHARS = 100  # of a value in an error message
 SEPARATOR = " "  # of the fields of a message to an endpoint
 CONSISTENCY_BY_ROUTE_TYPE = {
@@ -40,6 +44,7 @@
 
 def decode_declaration(body: bytes) -> Declaration:
     """Decode a configuration document; raise `DeclarationError` for an invalid one."""
+    _check_size(body)
     try:
         message = orjson.loads(body)
         return _build_declaration(message, body.decode())
@@ -47,6 +52,14 @@
         raise _declaration_error(f"The configuration cannot be read: {_shorten(error)}.") from error
 
 
+def _check_size(body: bytes) -> None:
+    """Bound the objects, lists and values; characters in texts that look like them count too."""
+    if body.count(b"{") + body.count(b"[") > MAX_CONTAINERS:
+        raise _declaration_error(f"It has more than {MAX_CONTAINERS} objects and lists.")
+    if body.count(b",") > MAX_VALUES:
+        raise _declaration_error(f"It has more than {MAX_VALUES} values.")
+
+
 def _build_declaration(message: dict[str, Any], document: str) -> Declaration:
     version = _require_integer(message["version"])
     groups = [_decode_group(item) for item in _require_list(message["services"])]
