--- a/features/resources.feature
+++ b/features/resources.feature
@@ -184,3 +184,11 @@
       | an announcement of 60 KB                                 | /Instances.Heartbeat/e1  | 200    | is      |
       | an announcement of 65 KB                                 | /Instances.Heartbeat/e1  | 400    | is not  |
       | an announcement of 65 KB                                 | /Instances.Deregister/e1 | 400    | is not  |
+
+  Scenario: A planned stop does not cut off a caller whose statements have not been read yet
+    Guards against pipelined statements that stay unanswered in a planned stop.
+    Given a caller's session over a socket
+    When two statements arrive and the first one is read
+    And the idle connections are closed for a planned stop
+    And another statement arrives
+    Then the caller's other 2 statements are read
--- a/features/steps/resources.py
+++ b/features/steps/resources.py
@@ -6,11 +6,14 @@
 import time
 import weakref
 
+import gevent
 import orjson
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
+from gentianspread_core.blackboard.sessions import Session, SessionState
 from gentianspread_core.blackboard.timeline import Timeline
 from gentianspread_server.clocks import wall_ms
+from gentianspread_server.platform.callers import CallerConnection, CallerServer
 from gentianspread_server.platform.control_api import ControlApi
 from gentianspread_server.resources import limits as sizes
 from gentianspread_server.resources.budget import MemoryBudget
@@ -19,11 +22,13 @@
 from gentianspread_server.resources.peers import PeerActivity
 from gentianspread_server.resources.policies import MinimumPace, UnfinishedFirst
 from gentianspread_server.resources.report import ResourceReport
+from gevent import socket
 from support import new_board
 
 KB = 1024
 MB = 1024 * 1024
 TRUSTED_PREFIX = "trusted-"
+READ_TIMEOUT_S = 5.0
 LARGEST_BUDGET_KB = 10**9
 
 
@@ -420,3 +425,60 @@
     assert context.status.startswith(str(status)), (context.status, context.answer)
     assert len(context.changes.applied) == (1 if outcome == "is" else 0)
     assert status == 200 or b"message" in context.answer, context.answer
+
+
+@given("a caller's session over a socket")
+def step_caller(context):
+    _add_port(context, 10, 0)
+    server = CallerServer("127.0.0.1:0", None, context.port)
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    context.client = socket.create_connection(listener.getsockname())
+    context.caller = CallerConnection(listener.accept()[0], context.budget)
+    context.caller.session = Session(1, "db", "")
+    server.connections.add(context.caller)
+    context.caller_server = server
+    for opened in (listener, context.client, context.caller.line_socket):
+        context.add_cleanup(opened.close)
+
+
+@when("two statements arrive and the first one is read")
+def step_two_statements(context):
+    context.client.sendall(b"QUERY 1 READ a\r\nQUERY 2 READ b\r\n")
+    assert context.caller.line_socket.read_line() == "QUERY 1 READ a"
+
+
+@when("the idle connections are closed for a planned stop")
+def step_close_idle(context):
+    context.caller_server.close_idle()
+
+
+@when("another statement arrives")
+def step_another_statement(context):
+    assert context.caller.line_socket.read_line() == "QUERY 2 READ b"
+    reader = gevent.spawn(context.caller.line_socket.read_line)
+    gevent.sleep(0)
+    context.client.sendall(b"QUERY 3 READ c\r\n")
+    context.last_line = reader.get(timeout=READ_TIMEOUT_S)
+
+
+@then("the caller's other 2 statements are read")
+def step_statements_read(context):
+    assert context.last_line == "QUERY 3 READ c", context.last_line
+
+
+@when("its transaction is {state:w} and a part of a message arrives")
+def step_part(context, state):
+    context.caller.session.state = SessionState[state.upper()]
+    reader = gevent.spawn(context.caller.line_socket.read_line)
+    context.add_cleanup(reader.kill)
+    context.client.sendall(b"QUERY 1 REA")
+    with gevent.Timeout(READ_TIMEOUT_S):
+        while not context.caller.line_socket.unfinished_since:
+            gevent.sleep(0.001)
+
+
+@then("the caller is {activity:w}")
+def step_caller_activity(context, activity):
+    assert context.caller.activity().name.lower() == activity, context.caller.activity()
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -90,8 +90,10 @@
         self._unsent_bytes = 0
 
     def is_idle(self) -> bool:
-        """Return whether no statement is running and no transaction is open."""
-        return self.statement is None and not self.is_in_transaction()
+        """Return whether no statement is running or unread, and no transaction is open."""
+        if self.statement is not None or self.line_socket.unread_bytes():
+            return False
+        return not self.is_in_transaction()
 
     def is_in_transaction(self) -> bool:
         """Return whether the session has a transaction that has not ended."""
@@ -288,7 +290,7 @@
             del content
             if session.closed:
                 return
-            if self.runner.board.shutdown.is_requested() and connection.is_idle():
+            if self.runner.board.shutdown.is_requested() and not connection.is_in_transaction():
                 line = self._read_last_line(connection.line_socket)
             else:
                 self._let_others_run(connection)
