--- a/features/resources.feature
+++ b/features/resources.feature
@@ -192,3 +192,16 @@
     And the idle connections are closed for a planned stop
     And another statement arrives
     Then the caller's other 2 statements are read
+
+  Scenario Outline: A session in a transaction is working also in the middle of a message
+    Guards against transactions that are cut off to make room for others. Once the idle timeout has failed the
+    transaction, the message has its usual limit of time.
+    Given a caller's session over a socket
+    When its transaction is <state> and a part of a message arrives
+    Then the caller is <activity>
+
+    Examples:
+      | state  | activity   |
+      | open   | working    |
+      | failed | unfinished |
+      | idle   | unfinished |
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -107,7 +107,9 @@
             return PeerActivity.WORKING
         if self.session is None:
             return PeerActivity.UNOPENED
-        if self.line_socket.unfinished_since:
+        # A message that stalls in an open transaction has the transaction's idle timeout.
+        is_open = self.session.state is SessionState.OPEN
+        if self.line_socket.unfinished_since and not is_open:
             return PeerActivity.UNFINISHED
         return PeerActivity.WORKING if self.is_in_transaction() else PeerActivity.IDLE
 
