--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
-from behave import then
+from behave import then, when
 from gentianspread_server.resources.process import ProcessResources
 from gentianspread_server.session_metrics import SessionMetrics
 from gentianspread_server.traffic import TrafficCounters
 
 
+def _new_metrics(context):
+    engine = context.session_simulation.engine
+    return SessionMetrics(engine, TrafficCounters(), ProcessResources.with_defaults())
+
+
 def _exposition(context):
     simulation = context.session_simulation
-    metrics = SessionMetrics(simulation.engine, TrafficCounters(), ProcessResources.with_defaults())
+    metrics = _new_metrics(context)
     for calls in context.calls_by_session.values():
         for call in calls:
             metrics.count(call, simulation.clock.now())
@@ -31,3 +36,27 @@
     assert "gentianspread_sessions 1.0" in text
     assert "gentianspread_connections 1.0" in text
     assert 'gentianspread_events_total{kind="request_answered"} 1.0' in text
+
+
+@when('the metrics are read before and after "{name:w}" sends "{text:Quoted}"')
+def step_read_twice(context, name, text):
+    context.metrics = _new_metrics(context)
+    context.texts = [context.metrics.text()]
+    context.execute_steps(f'When "{name}" sends "{text}"')
+    context.texts.append(context.metrics.text())
+
+
+@when("the metrics are read a second later")
+def step_read_later(context):
+    context.session_simulation.run(1.1)
+    context.texts.append(context.metrics.text())
+
+
+@then("the metrics read are the same")
+def step_same(context):
+    assert context.texts[-1] is context.texts[-2]
+
+
+@then("the metrics read are new")
+def step_new(context):
+    assert context.texts[-1] != context.texts[-2]
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -24,13 +24,14 @@
 SIGNIFICANT_DIGITS = 2
 US_PER_S = 1_000_000
 MAX_LATENCY_SAMPLES = 2048  # about the last minute of one VM's statements
+MIN_BUILD_INTERVAL_S = 1.0  # building takes milliseconds; collectors read every few seconds
 QUANTILES = (50.0, 90.0, 99.0, 99.9)
 
 
 class SessionMetrics:
     """Counts answered statements by code and keeps their latest latencies, in microseconds."""
 
-    __slots__ = ("engine", "traffic", "resources", "counts", "latencies")
+    __slots__ = ("engine", "traffic", "resources", "counts", "latencies", "_text", "_built_at")
 
     def __init__(
         self, engine: Engine, traffic: TrafficCounters, resources: ProcessResources
@@ -40,6 +41,8 @@
         self.resources = resources
         self.counts: dict[str, int] = {}
         self.latencies: deque[int] = deque(maxlen=MAX_LATENCY_SAMPLES)
+        self._text = b""
+        self._built_at = 0.0
 
     def count(self, call: StatementCall, now: float) -> None:
         """Count an answered statement; `now` is the VM's clock in seconds."""
@@ -50,7 +53,14 @@
         self.latencies.append(max(MIN_LATENCY_US, int((now - call.arrived_at) * US_PER_S)))
 
     def text(self) -> bytes:
-        """Return all metrics in the Prometheus text format."""
+        """Return all metrics in the Prometheus text format, at most a second old."""
+        now = self.engine.board.clock.now()
+        if not self._text or now - self._built_at >= MIN_BUILD_INTERVAL_S:
+            self._text = self._build_text()
+            self._built_at = now
+        return self._text
+
+    def _build_text(self) -> bytes:
         from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
 
         registry = CollectorRegistry()
