--- a/features/resources.feature
+++ b/features/resources.feature
@@ -205,3 +205,16 @@
       | open   | working    |
       | failed | unfinished |
       | idle   | unfinished |
+
+  @sessions
+  Scenario: Events show a part of a statement's id
+    Guards against ids of up to 1 MB that fill the log.
+    Given a session "a" on "own"
+    When "a" sends a read with an id of 1000 KB
+    Then the event of its answer has a subject of at most 108 characters
+
+  Scenario: Log lines show a part of a statement's id
+    Guards against log lines of 1 MB.
+    Given a caller's session over a socket
+    When a statement with an id of 1000 KB is still running at the end
+    Then each log line has at most 200 characters
--- a/features/steps/resources.py
+++ b/features/steps/resources.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import logging
 import time
 import weakref
 
@@ -11,10 +12,11 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.sessions import Session, SessionState
-from gentianspread_core.blackboard.timeline import Timeline
+from gentianspread_core.blackboard.timeline import EventKind, Timeline
 from gentianspread_server.clocks import wall_ms
 from gentianspread_server.platform.callers import CallerConnection, CallerServer
 from gentianspread_server.platform.control_api import ControlApi
+from gentianspread_server.platform.wire import decode_statement
 from gentianspread_server.resources import limits as sizes
 from gentianspread_server.resources.budget import MemoryBudget
 from gentianspread_server.resources.connections import AcceptedConnections, ConnectionLimits
@@ -482,3 +484,36 @@
 @then("the caller is {activity:w}")
 def step_caller_activity(context, activity):
     assert context.caller.activity().name.lower() == activity, context.caller.activity()
+
+
+@when('"{name:w}" sends a read with an id of {size:d} KB')
+def step_long_id(context, name, size):
+    context.events = []
+    simulation = context.session_simulation
+    simulation.board.timeline.sink = context.events.append
+    simulation.send(context.sessions[name], decode_statement("i" * size * KB, "READ x"))
+    simulation.run(1.0)
+
+
+@then("the event of its answer has a subject of at most {count:d} characters")
+def step_short_subject(context, count):
+    subjects = [e.subject for e in context.events if e.kind is EventKind.REQUEST_ANSWERED]
+    assert [len(item) <= count for item in subjects] == [True], [len(item) for item in subjects]
+
+
+@when("a statement with an id of {size:d} KB is still running at the end")
+def step_running_at_end(context, size):
+    context.caller.statement = decode_statement("i" * size * KB, "READ x")
+    context.log_lines = []
+    handler = logging.Handler()
+    handler.emit = lambda record: context.log_lines.append(record.getMessage())
+    logger = logging.getLogger("gentianspread_server.platform.callers")
+    logger.addHandler(handler)
+    context.add_cleanup(logger.removeHandler, handler)
+    context.caller_server._answer_at_end(context.caller)
+
+
+@then("each log line has at most {count:d} characters")
+def step_short_lines(context, count):
+    lengths = [len(line) for line in context.log_lines]
+    assert lengths and max(lengths) <= count, lengths
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -11,6 +11,12 @@
 ERROR_LOG_INTERVAL_MS = 1000
 MAX_ERROR_CHARS = 300
 MAX_STACK_FRAMES = 4
+MAX_ID_CHARS = 100  # shown of a request's id; callers may send up to 1 MB
+
+
+def request_label(request_id: str | int | None) -> str:
+    """Return how events and log lines name a request: by the start of its id."""
+    return f"request {str(request_id)[:MAX_ID_CHARS]}"
 
 
 class EventKind(Enum):
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
@@ -20,7 +20,7 @@
     Request,
     StatementKind,
 )
-from ..blackboard.timeline import EventKind
+from ..blackboard.timeline import EventKind, request_label
 from ..errors import ErrorCode, ExecutionResult, Refusal
 from ..positions import Position, SessionToken
 from .retries import RetryBudget
@@ -315,7 +315,7 @@
             kind = EventKind.REQUEST_UNKNOWN
         self.board.timeline.record(
             kind,
-            f"request {request.request_id or request.number}",
+            request_label(request.request_id or request.number),
             refusal.code.value,
             workspace=request.workspace,
             group=request.group,
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -11,7 +11,7 @@
 from ..blackboard import Board, Topic
 from ..blackboard.requests import ExchangeStatus, Outcome, StatementKind
 from ..blackboard.sessions import SessionExchange, SessionReply, SessionRequest
-from ..blackboard.timeline import EventKind
+from ..blackboard.timeline import EventKind, request_label
 from ..errors import ErrorCode, ExecutionResult, Refusal
 from ..interfaces import RetryLimit
 from ..positions import SessionToken
@@ -188,7 +188,7 @@
         position = request.min_position
         self.board.timeline.log_only(
             kind,
-            f"request {request.request_id}",
+            request_label(request.request_id),
             cause,
             workspace=request.workspace,
             group=request.group,
--- a/packages/gentianspread-core/src/gentianspread_core/invariants/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/invariants/controller.py
@@ -6,7 +6,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.requests import Request
-from ..blackboard.timeline import EventKind
+from ..blackboard.timeline import EventKind, request_label
 from .rules import COMPLETION_RULES, DISPATCH_RULES, LastSeenState, Rule
 
 
@@ -54,7 +54,7 @@
     def _check(self, rules: tuple[Rule, ...], request: Request) -> None:
         for rule in rules:
             if not rule.holds(self.board, request):
-                self._record(rule.name, f"request {request.request_id or request.number}")
+                self._record(rule.name, request_label(request.request_id or request.number))
 
     def _record(self, rule: str, subject: str) -> None:
         self.violations[rule] = self.violations.get(rule, 0) + 1
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -14,7 +14,7 @@
     StatementAnswer,
     Verb,
 )
-from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.blackboard.timeline import EventKind, request_label
 from gentianspread_core.controllers.shutdown import answer_at_end
 from gentianspread_core.errors import ErrorCode, Refusal
 from gevent import socket
@@ -358,7 +358,7 @@
         session, statement = connection.session, connection.statement
         if session is None or statement is None or connection.is_answering:
             return
-        log.warning("request %s was still running at the end", statement.statement_id)
+        log.warning("%s was still running at the end", request_label(statement.statement_id))
         try:
             self._send_answer(connection, encode_answer(answer_at_end(session)))
         except OSError as error:
@@ -373,7 +373,7 @@
             return
         self.runner.board.timeline.log_only(
             EventKind.STATEMENT_UNANSWERED,
-            f"request {statement.statement_id}",
+            request_label(statement.statement_id),
             cause,
             statement=statement.verb.value,
             session=session.number,
--- a/packages/gentianspread-server/src/gentianspread_server/sessions.py
+++ b/packages/gentianspread-server/src/gentianspread_server/sessions.py
@@ -13,6 +13,7 @@
     StatementAnswer,
     StatementCall,
 )
+from gentianspread_core.blackboard.timeline import request_label
 from gentianspread_core.errors import ErrorCode, ExecutionResult, Refusal
 
 from .session_metrics import SessionMetrics
@@ -94,7 +95,7 @@
 
     def _give_up(self, call: StatementCall) -> None:
         """Answer a statement that the controllers lost, and end its session on the board."""
-        log.error("no controller answered %s in time", call.statement.statement_id)
+        log.error("no controller answered %s in time", request_label(call.statement.statement_id))
         message = "No answer came in time, after an error of this VM."
         refusal = Refusal(ErrorCode.DEADLINE_PASSED, message, ExecutionResult.UNKNOWN)
         call.answer = StatementAnswer([], "", refusal, call.session.state)
