--- a/features/resources.feature
+++ b/features/resources.feature
@@ -170,3 +170,51 @@
     Guards against long statements that stay in memory for their timeout after they were answered.
     When a timer with a long statement is cancelled
     Then nothing refers to the statement any more
+
+  Scenario Outline: Bodies at the control port that would take much memory are refused
+    Guards against a process that runs out of memory when it decodes one body of legal size.
+    When <content> is posted to "<path>" at the control port
+    Then the answer's status is <status>, and it <outcome> applied
+
+    Examples:
+      | content                                                  | path                     | status | outcome |
+      | a document of 20000 routes and services and 2000 tenants | /Config.Replace          | 200    | is      |
+      | a document with 2000000 empty objects                    | /Config.Replace          | 400    | is not  |
+      | a document with 1500000 short texts                      | /Config.Replace          | 400    | is not  |
+      | an announcement of 60 KB                                 | /Instances.Heartbeat/e1  | 200    | is      |
+      | an announcement of 65 KB                                 | /Instances.Heartbeat/e1  | 400    | is not  |
+      | an announcement of 65 KB                                 | /Instances.Deregister/e1 | 400    | is not  |
+
+  Scenario: A planned stop does not cut off a caller whose statements have not been read yet
+    Guards against pipelined statements that stay unanswered in a planned stop.
+    Given a caller's session over a socket
+    When two statements arrive and the first one is read
+    And the idle connections are closed for a planned stop
+    And another statement arrives
+    Then the caller's other 2 statements are read
+
+  Scenario Outline: A session in a transaction is working also in the middle of a message
+    Guards against transactions that are cut off to make room for others. Once the idle timeout has failed the
+    transaction, the message has its usual limit of time.
+    Given a caller's session over a socket
+    When its transaction is <state> and a part of a message arrives
+    Then the caller is <activity>
+
+    Examples:
+      | state  | activity   |
+      | open   | working    |
+      | failed | unfinished |
+      | idle   | unfinished |
+
+  @sessions
+  Scenario: Events show a part of a statement's id
+    Guards against ids of up to 1 MB that fill the log.
+    Given a session "a" on "own"
+    When "a" sends a read with an id of 1000 KB
+    Then the event of its answer has a subject of at most 108 characters
+
+  Scenario: Log lines show a part of a statement's id
+    Guards against log lines of 1 MB.
+    Given a caller's session over a socket
+    When a statement with an id of 1000 KB is still running at the end
+    Then each log line has at most 200 characters
--- a/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/callers.py
@@ -14,7 +14,7 @@
     StatementAnswer,
     Verb,
 )
-from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_core.blackboard.timeline import EventKind, request_label
 from gentianspread_core.controllers.shutdown import answer_at_end
 from gentianspread_core.errors import ErrorCode, Refusal
 from gevent import socket
@@ -90,8 +90,10 @@
         self._unsent_bytes = 0
 
     def is_idle(self) -> bool:
-        """Return whether no statement is running and no transaction is open."""
-        return self.statement is None and not self.is_in_transaction()
+        """Return whether no statement is running or unread, and no transaction is open."""
+        if self.statement is not None or self.line_socket.unread_bytes():
+            return False
+        return not self.is_in_transaction()
 
     def is_in_transaction(self) -> bool:
         """Return whether the session has a transaction that has not ended."""
@@ -105,7 +107,9 @@
             return PeerActivity.WORKING
         if self.session is None:
             return PeerActivity.UNOPENED
-        if self.line_socket.unfinished_since:
+        # A message that stalls in an open transaction has the transaction's idle timeout.
+        is_open = self.session.state is SessionState.OPEN
+        if self.line_socket.unfinished_since and not is_open:
             return PeerActivity.UNFINISHED
         return PeerActivity.WORKING if self.is_in_transaction() else PeerActivity.IDLE
 
@@ -288,7 +292,7 @@
             del content
             if session.closed:
                 return
-            if self.runner.board.shutdown.is_requested() and connection.is_idle():
+            if self.runner.board.shutdown.is_requested() and not connection.is_in_transaction():
                 line = self._read_last_line(connection.line_socket)
             else:
                 self._let_others_run(connection)
@@ -354,7 +358,7 @@
         session, statement = connection.session, connection.statement
         if session is None or statement is None or connection.is_answering:
             return
-        log.warning("request %s was still running at the end", statement.statement_id)
+        log.warning("%s was still running at the end", request_label(statement.statement_id))
         try:
             self._send_answer(connection, encode_answer(answer_at_end(session)))
         except OSError as error:
@@ -369,7 +373,7 @@
             return
         self.runner.board.timeline.log_only(
             EventKind.STATEMENT_UNANSWERED,
-            f"request {statement.statement_id}",
+            request_label(statement.statement_id),
             cause,
             statement=statement.verb.value,
             session=session.number,
