--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -208,6 +208,32 @@
     Then "b1" is the primary
     And no endpoint was promoted
 
+  # Guards against a primary that steps down again and again for replicas that cannot catch up.
+  @sessions
+  Scenario: A primary of an evacuated zone stays primary while the replicas outside are behind
+    When the primary has commits that "b2" and "b3" lack
+    And the evacuation of the zone of "b1" has begun
+    Then "b1" stays the primary for 8 s
+    When "b2" has received all commits of the primary
+    And 3 s pass
+    Then "b2" is the primary
+
+  # Guards against a group without a primary although the former one has every write.
+  @sessions
+  Scenario: A primary that stepped down is promoted again if the last replica to follow crashes
+    When the primary has commits that "b3" lacks
+    And the evacuation of the zone of "b1" has begun
+    And "b2" crashes as soon as the primary has stepped down
+    And 4 s pass
+    Then "b1" is the primary
+
+  # Guards against a log that fills with attempts while an endpoint refuses to step down.
+  @sessions
+  Scenario: Failed handovers are retried with growing delays
+    When the endpoints refuse all commands
+    And the evacuation of the zone of "b1" has begun
+    Then at most 12 log entries are written in 30 s
+
   # Guards against a request that takes effect after a newer one, as from a frozen control VM.
   @simulation
   Scenario: A delayed command is rejected after a newer one, and a repeated one changes nothing
--- a/features/steps/evacuation_promotions.py
+++ b/features/steps/evacuation_promotions.py
@@ -5,6 +5,7 @@
 import orjson
 from behave import given, then, when
 from gentianspread_cli.views import status_lines
+from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import CommandKind
 from gentianspread_core.blackboard.configuration import (
     Configuration,
@@ -108,3 +109,63 @@
 @then("the metrics have no line about evacuations")
 def step_no_metrics(context):
     assert "evacuat" not in _metrics(context)
+
+
+def _fall_behind(context, names):
+    simulation = context.session_simulation
+    for name in names:
+        simulation.endpoints[name].ignores_replication = True
+    simulation.primary()._append([f"c{number}" for number in range(5)])
+    simulation.run(2.0)
+
+
+@when('the primary has commits that "{first:w}" and "{second:w}" lack')
+def step_both_behind(context, first, second):
+    _fall_behind(context, (first, second))
+
+
+@when('the primary has commits that "{name:w}" lacks')
+def step_one_behind(context, name):
+    _fall_behind(context, (name,))
+
+
+@when('"{name:w}" has received all commits of the primary')
+def step_caught_up(context, name):
+    simulation = context.session_simulation
+    simulation.endpoints[name].applied = len(simulation.primary().log)
+
+
+@then('"{name:w}" stays the primary for {seconds:g} s')
+def step_stays_primary(context, name, seconds):
+    simulation = context.session_simulation
+    end = simulation.clock.now() + seconds
+    while simulation.clock.now() < end:
+        simulation.run(0.05)
+        assert simulation.endpoints[name].is_primary, simulation.clock.now()
+
+
+@when('"{name:w}" crashes as soon as the primary has stepped down')
+def step_crash_after_step_down(context, name):
+    simulation = context.session_simulation
+    end = simulation.clock.now() + 5.0
+    while any(item.is_primary for item in simulation.endpoints.values()):
+        assert simulation.clock.now() < end, "the primary did not step down"
+        simulation.run(0.0005)
+    simulation.endpoints[name].alive = False
+
+
+@when("the endpoints refuse all commands")
+def step_refuse_commands(context):
+    board = context.session_simulation.board
+    context.session_simulation._execute_command = lambda command: board.post(
+        Topic.ENDPOINT_COMMAND_ENDED, command
+    )
+
+
+@then("at most {count:d} log entries are written in {seconds:g} s")
+def step_few_entries(context, count, seconds):
+    simulation = context.session_simulation
+    before = simulation.board.configuration.revision
+    simulation.run(seconds)
+    written = simulation.board.configuration.revision - before
+    assert 0 < written <= count, written
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -45,6 +45,21 @@
         """Return whether an endpoint is neither leaving nor in an evacuated zone."""
         return not endpoint.leaving and not self.board.configuration.is_evacuated(endpoint.zone)
 
+    def next_term(self, group_name: str) -> int:
+        """Return a term above every term that the group's endpoints have reported."""
+        newest = 0
+        for endpoint in self.endpoints_of(group_name):
+            health = self.board.groups.health.get(endpoint.name)
+            if health is not None and health.position is not None:
+                newest = max(newest, health.position.term)
+        return newest + 1
+
+    def has_primary_recovered(self, group: Group, promotion: Promotion) -> bool:
+        """Return whether the primary works again, without having been paused."""
+        health = self.board.groups.health.get(group.primary or "")
+        is_paused = group.primary in promotion.received_positions
+        return not is_paused and health is not None and health.failures == 0 and health.is_primary
+
     def last_departure_at(self, group: Group) -> float | None:
         """Return when the last of the departed replicas was first seen as departed, or none.
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -59,6 +59,7 @@
         self.board.groups.promotions.clear()
         self._next_attempt_at.clear()
         self._failed_resumes.clear()
+        self.successors.reset()
 
     def on_failover_due(self, _entry: None) -> None:
         """Start, continue or abort the promotion of every group."""
@@ -130,7 +131,7 @@
         now = self.board.clock.now()
         if promotion is not None:
             if now - promotion.began_at > ATTEMPT_TIMEOUT_S:
-                self._abort(promotion, "the attempt timed out")
+                self._end_attempt(promotion, group)
             elif promotion.phase == "catching up" and now >= promotion.due:
                 self._request_positions(promotion)
             return
@@ -142,6 +143,17 @@
         if reason:
             self._start_promotion(group, reason)
 
+    def _end_attempt(self, promotion: Promotion, group: Group) -> None:
+        """Abort an attempt that timed out; reinstate a primary that stepped down for it.
+
+        It stepped down under this fencing token, so no other endpoint was promoted since.
+        """
+        if promotion.phase != "catching up":
+            self._abort(promotion, "the attempt timed out")
+            return
+        promotion.began_at = self.board.clock.now()
+        self._send_promote(promotion, group.primary or "")
+
     def _adopt_reported_primary(self, group: Group) -> bool:
         """Propose the endpoint that reports itself as primary if the log has another or none.
 
@@ -170,6 +182,8 @@
             return f"the primary {group.primary} did not answer {health.failures} probes"
         if health.failures == 0 and health.not_primary_answers >= PROBE_FAILURE_THRESHOLD:
             return f"the primary {group.primary} reports that it does not lead"
+        if self.successors.is_delayed(registration):
+            return ""
         if group.granted_term != group.term:
             return "the outcome of an earlier promotion is unknown"
         return self.successors.handover_reason(group, registration)
@@ -236,7 +250,7 @@
                 for replica in self.view.replicas(group)
                 if replica.name not in promotion.received_positions
             ]
-            if self._has_primary_recovered(group, promotion):
+            if self.view.has_primary_recovered(group, promotion):
                 self._abort(promotion, f"the primary {group.primary} answers again")
             elif promotion.received_positions and self._can_promote_without_missing(
                 group, promotion, missing
@@ -251,11 +265,6 @@
                     self._send_promote(promotion, name)
                     return
 
-    def _has_primary_recovered(self, group: Group, promotion: Promotion) -> bool:
-        health = self.board.groups.health.get(group.primary or "")
-        is_paused = group.primary in promotion.received_positions
-        return not is_paused and health is not None and health.failures == 0 and health.is_primary
-
     def _can_promote_without_missing(
         self, group: Group, promotion: Promotion, missing: list[Registration]
     ) -> bool:
@@ -299,6 +308,9 @@
             self._abort(promotion, "the promote call was refused or got no answer")
             return
         del self.board.groups.promotions[promotion.group]
+        if promotion.is_planned:
+            is_done = promotion.target != self.board.configuration.groups[promotion.group].primary
+            self.successors.note_handover(promotion.group, is_done)
         self._delay_next_attempt(promotion.group, PROMOTION_COOLDOWN_S)
         self.board.changes.post(Topic.PROMOTION_ENDED, promotion.group)
         if promotion.only_supersedes:
@@ -308,7 +320,7 @@
         self.board.timeline.record(
             EventKind.PRIMARY_PROMOTED,
             f"group {promotion.group}",
-            "the most advanced replica" if not promotion.only_supersedes else "already the primary",
+            "already the primary" if promotion.only_supersedes else "the most advanced endpoint",
             endpoint=command.endpoint,
             fence=promotion.fencing_token,
             decision_ms=round(elapsed * 1000),
@@ -343,6 +355,8 @@
     def _abort(self, promotion: Promotion, reason: str) -> None:
         """End an attempt; the next one has a higher fencing token and supersedes its calls."""
         self.board.groups.promotions.pop(promotion.group, None)
+        if promotion.is_planned or promotion.only_supersedes:
+            self.successors.note_handover(promotion.group, is_done=False)
         self._delay_next_attempt(promotion.group, RETRY_DELAY_S)
         self.board.timeline.record(
             EventKind.FENCE_FAILED,
@@ -360,22 +374,13 @@
             registration.name,
             registration.address,
             registration.group,
-            self._next_term(registration.group),
+            self.view.next_term(registration.group),
             "",
             COMMAND_TIMEOUT_S,
             promotion.fencing_token,
         )
         self.board.changes.post(Topic.INTENT_POSTED, command)
 
-    def _next_term(self, group_name: str) -> int:
-        """Return a term above every term that the group's endpoints have reported."""
-        newest = 0
-        for endpoint in self.view.endpoints_of(group_name):
-            health = self.board.groups.health.get(endpoint.name)
-            if health is not None and health.position is not None:
-                newest = max(newest, health.position.term)
-        return newest + 1
-
     def _delay_next_attempt(self, group_name: str, delay_s: float) -> None:
         self._next_attempt_at[group_name] = self.board.clock.now() + delay_s
 
