--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -43,6 +43,37 @@
     And callers send for 5 s
     Then every caller's statement of the last 3 s was served
 
+  # Guards against writes that wait for their whole objective for a handover that fails.
+  @homes
+  Scenario: From the end of the bound on, writes are refused at once while no handover succeeds
+    Given evacuations take 5 s, and every entry VM has callers that read and write
+    And the endpoints refuse the commands of handovers
+    When the evacuation of "z1" is acknowledged
+    And callers send for 9 s
+    Then every write of the last 3 s was refused within 0.05 s as not run
+    And every read of the last 3 s was served
+
+  # Guards against refusals that name an evacuation where there is none.
+  @homes
+  Scenario: A request that its regions leave no usable endpoint is not refused for an evacuation
+    Given evacuations take 5 s, and every entry VM has callers that read and write
+    And the zone "z1" is in the region "east", and the routes are restricted to "east"
+    When "h2" suspects "b1", and a session sends there "WRITE x 1"
+    Then that statement was refused with "no_endpoint" for "outside the allowed regions"
+    And "h2" counts it as excluded, and no request as refused for an evacuation
+
+  # Guards against reads that no endpoint elsewhere may serve, and that are refused from the start.
+  @homes
+  Scenario: Reads restricted to the region of an evacuated zone are served there within the bound
+    Given evacuations take 5 s, and every entry VM has callers that read and write
+    And the zone "z2" is in the region "east", and the routes are restricted to "east"
+    When the evacuation of "z2" is acknowledged
+    And a session sends at "h2" "READ x"
+    Then that statement was served
+    When 5 s pass
+    And a session sends at "h2" "READ x"
+    Then that statement was refused with "no_endpoint" for "in an evacuated zone"
+
   # Guards against the timers of an evacuation that was withdrawn.
   @homes
   Scenario: Begin and finish in quick succession end no transaction and refuse nothing
--- a/features/steps/evacuations.py
+++ b/features/steps/evacuations.py
@@ -160,9 +160,7 @@
     _assert_served([item for item in context.load_calls if abs(item[1].arrived_at - at) < 0.5])
 
 
-@then("every statement of the last {seconds:g} s was refused within {limit:g} s as not run")
-def step_refused(context, seconds, limit):
-    calls = [call for _, call in _calls_of_last(context, seconds)]
+def _assert_refused(context, calls, limit):
     assert calls
     for call in calls:
         refusal = call.answer.refusal
@@ -172,6 +170,27 @@
         assert took_s <= limit, took_s
 
 
+@then("every statement of the last {seconds:g} s was refused within {limit:g} s as not run")
+def step_refused(context, seconds, limit):
+    _assert_refused(context, [call for _, call in _calls_of_last(context, seconds)], limit)
+
+
+def _of_kind(context, seconds, kind):
+    calls = _calls_of_last(context, seconds)
+    return [item for item in calls if item[1].statement.text.startswith(kind)]
+
+
+@then("every write of the last {seconds:g} s was refused within {limit:g} s as not run")
+def step_writes_refused(context, seconds, limit):
+    calls = _of_kind(context, seconds, "WRITE")
+    _assert_refused(context, [call for _, call in calls], limit)
+
+
+@then("every read of the last {seconds:g} s was served")
+def step_reads_served(context, seconds):
+    _assert_served(_of_kind(context, seconds, "READ"))
+
+
 @then("no acknowledged write was lost")
 def step_no_write_lost(context):
     log = set(context.home_simulation.primary().log)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
@@ -65,7 +65,7 @@
         self.board.timeline.record(
             EventKind.EVACUATION_ENFORCED,
             f"zone {evacuation.zone}",
-            "the time for requests ended" if is_over else "the time for transactions ended",
+            _ended_phase(evacuation, now),
             transactions=ended_count,
             since_learned_ms=round((now - evacuation.learned_at) * 1000),
             revision=evacuation.revision,
@@ -112,7 +112,11 @@
             revision=configured.revision,
             confirmed_before_ms=round((now - confirmed_at) * 1000) if has_confirmation else -1,
         )
-        for due in {evacuation.transactions_end_at, evacuation.requests_end_at}:
+        for due in {
+            evacuation.transactions_end_at,
+            evacuation.requests_end_at,
+            evacuation.bound_ends_at,
+        }:
             if due > now:
                 self.board.changes.post_at(due, Topic.EVACUATION_PHASE_DUE, evacuation)
         if evacuation.transactions_end_at <= now:
@@ -171,3 +175,11 @@
 def _is_idle(connection: BackendConnection) -> bool:
     """Return whether a transaction's connection has no statement under way."""
     return connection.state is ConnectionState.IN_TRANSACTION
+
+
+def _ended_phase(evacuation: ZoneEvacuation, now: float) -> str:
+    if now >= evacuation.bound_ends_at:
+        return "the bound ended"
+    if now >= evacuation.requests_end_at:
+        return "the time for requests ended"
+    return "the time for transactions ended"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
@@ -46,10 +46,20 @@
         usable = self._usable(request)
         if any(self._is_allowed(request, item) for item in usable):
             return []
+        return self._reasons(request, usable)
+
+    def reasons_in_group(self, request: SessionRequest) -> list[str]:
+        """Return why filters exclude endpoints of the request's group, or its only endpoint."""
+        if request.relayed_statement is not None:
+            pinned = self.board.endpoints.by_name.get(request.relayed_statement.endpoint)
+            return self._reasons(request, [pinned] if pinned is not None else [])
+        return self._reasons(request, self.board.endpoints.by_group.get(request.group, []))
+
+    def _reasons(self, request: SessionRequest, endpoints: list[Endpoint]) -> list[str]:
         return [
             getattr(item, "reason", type(item).__name__)
             for item in self.filters
-            if not all(item.allows(request, endpoint) for endpoint in usable)
+            if not all(item.allows(request, endpoint) for endpoint in endpoints)
         ]
 
     def _is_allowed(self, request: SessionRequest, endpoint: Endpoint) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -35,11 +35,11 @@
 )
 from ..admission import AdmitAll
 from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
-from ..evacuation import EvacuationFilter
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
 from .costs import EndpointCosts
+from .exclusions import Exclusions
 from .pool import ConnectionPool
 from .selection import CheapestOption, ServingOption
 from .waiting import FairWaiting, GroupQueues
@@ -54,6 +54,7 @@
     __slots__ = (
         "board",
         "candidates",
+        "exclusions",
         "gate",
         "pool",
         "queues",
@@ -75,6 +76,7 @@
     ) -> None:
         self.board = board
         self.candidates = Candidates(board, filters or [])
+        self.exclusions = Exclusions(board, self.candidates)
         self.pool = ConnectionPool(board)
         self.queues = GroupQueues(board)
         self.selector = selector or CheapestOption()
@@ -226,7 +228,7 @@
         option = self.selector.choose(request, options)
         waiting = self.waiting.count_before(self.queues.of_request(request), request)
         if option is None:
-            return not candidates and self._refuse_excluded(request)
+            return not candidates and self.exclusions.refuse_unusable(request)
         waits_at_home = option.home is not None and self.board.settings.schedules_by_priority
         if (
             not waits_at_home
@@ -243,19 +245,6 @@
         self._start_exchange(request, connection, evicted)
         return True
 
-    def _refuse_excluded(self, request: SessionRequest) -> bool:
-        """Refuse a request if filters exclude every usable endpoint; return whether they do."""
-        reasons = self.candidates.exclusion_reasons(request)
-        if not reasons or reasons == [EvacuationFilter.reason]:
-            return False  # a primary in an evacuated zone may hand over in time
-        reason = ", ".join(reasons)
-        excluded = self.board.queues.excluded
-        excluded[reason] = excluded.get(reason, 0) + 1
-        message = f"All endpoints of {request.group} are excluded at present: {reason}."
-        request.refuse(ErrorCode.NO_ENDPOINT, message)
-        self.board.changes.post(Topic.REQUEST_REFUSED, request)
-        return True
-
     def _may_send(self, request: SessionRequest, endpoint: str) -> bool:
         return self.gate is None or self.gate.try_pass(request, endpoint)
 
@@ -337,7 +326,7 @@
             request.timer = self.board.changes.post_at(
                 request.wait_deadline, Topic.REQUEST_EXPIRED, request
             )
-        if self._refuse_if_excluded(request):
+        if self.exclusions.refuse_hopeless(request):
             return
         if request.relayed_statement is not None and not self.candidates.of_request(request):
             request.refuse(
@@ -366,15 +355,6 @@
             request.refuse(ErrorCode.OVERLOADED, reason)
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
 
-    def _refuse_if_excluded(self, request: SessionRequest) -> bool:
-        """Refuse a request that filters allow no endpoint for; return whether it was refused."""
-        if not self.candidates.is_excluded_everywhere(request):
-            return False
-        message = f"No endpoint of {request.group} outside the evacuated zones can serve this."
-        request.refuse(ErrorCode.ZONE_EVACUATED, message)
-        self.board.changes.post(Topic.REQUEST_REFUSED, request)
-        return True
-
     def _drain_all(self) -> None:
         for group in {*self.board.queues.reads, *self.board.queues.writes}:
             self._drain_group(group)
@@ -404,7 +384,7 @@
         if not self._check_deadline_and_key(request):
             self.board.changes.post(Topic.REQUEST_REFUSED, request)
             return True
-        if self._try_place(request) or self._refuse_if_excluded(request):
+        if self._try_place(request) or self.exclusions.refuse_hopeless(request):
             return True
         self.waiting.put_back(queue, key, request)
         return False
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -66,8 +66,12 @@
     board: Board, selector: EndpointSelector, estimator: LoadEstimator, gate: DispatchGate
 ) -> PlacementController:
     """Build the placement controller with the policies that the settings ask for."""
+    others: list[EndpointFilter] = [
+        RegionFilter(board, checks_relayed=True),
+        WarmupFilter(board, checks_relayed=True),
+    ]
     filters: list[EndpointFilter] = [
-        EvacuationFilter(board),
+        EvacuationFilter(board, others),
         RegionFilter(board),
         WarmupFilter(board),
     ]
