--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -79,6 +79,35 @@
     And "b1" announces that it stays cold for 0 s
     Then at most 5 of these writes reached "b1", and none was committed
 
+  Scenario Outline: A statement that waits for a token does not run once its zone is evacuated
+    Guards against statements that reach an evacuated zone after the bound.
+    Given cold endpoints take 10 requests/s, and are cold for 30 s after an evacuation
+    And evacuations take 5 s, and requests may wait for 4 s
+    And <homes> at which a transaction has written to "b1"
+    When the zone of "b1" is evacuated, and no endpoint takes over
+    And its next statement waits for a token from <start> s after that on
+    And the allocator answers again 3 s after that, and 4 s pass
+    Then this statement was refused as "transaction_unknown", and did not run
+    And the VMs count 1 ended transaction, and no connection is in a transaction
+
+    Examples:
+      | homes                     | start |
+      | a VM without home VMs     | 1.5   |
+      | a VM that relays          | 1.5   |
+
+  Scenario Outline: A statement that is permitted after the time for requests is not sent
+    Guards against a statement that waited elsewhere, as for its rate limit, while others ended.
+    Given evacuations take 5 s, and requests may wait for 4 s
+    And <homes> at which a transaction has written to "b1"
+    When the zone of "b1" is evacuated, and no endpoint takes over
+    And the time for requests ends unnoticed, and its next statement is permitted
+    Then this statement was refused as "transaction_unknown", and did not run
+
+    Examples:
+      | homes                     |
+      | a VM without home VMs     |
+      | a VM that relays          |
+
   Scenario: A sender believes a home VM that has no token, also if it does not know of the warm-up
     Guards against a statement that is relayed again and again within its time.
     Given cold endpoints take 0.2 requests/s, and are cold for 30 s after an evacuation
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/evacuation/controller.py
@@ -147,6 +147,8 @@
 
     def _sessions_in(self, evacuation: ZoneEvacuation) -> Iterator[Session]:
         for session in self.board.sessions.by_number.values():
+            if session.call is not None:
+                continue  # a statement under way, or one that waits for a token
             transaction = session.transaction
             if self._evacuation_of(transaction) is evacuation and _is_idle(transaction.connection):
                 yield session
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -110,6 +110,8 @@
         transaction = request.session.transaction
         if transaction is not None and transaction.connection is not None:
             bound = transaction.connection
+            if self.exclusions.refuse_overdue_transaction(request, bound.endpoint):
+                return
             if bound.home is not None or self._may_send(request, bound.endpoint):
                 self._start_exchange(request, bound, [])
         elif request.kind is StatementKind.ROLLBACK:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/exclusions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/exclusions.py
@@ -44,6 +44,16 @@
             self._refuse_for(request, reasons)
         return True
 
+    def refuse_overdue_transaction(self, request: SessionRequest, endpoint_name: str) -> bool:
+        """Refuse a statement of a transaction at an endpoint that gets no more requests."""
+        endpoint = self.board.endpoints.by_name.get(endpoint_name)
+        evacuation = self.board.evacuations.by_zone.get(endpoint.zone) if endpoint else None
+        if evacuation is None or self.board.clock.now() < evacuation.requests_end_at:
+            return False
+        request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "The transaction was rolled back.")
+        self.board.changes.post(Topic.REQUEST_REFUSED, request)
+        return True
+
     def _refuse_for(self, request: SessionRequest, reasons: list[str]) -> None:
         reason = ", ".join(reasons)
         excluded = self.board.queues.excluded
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/controller.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 from ...blackboard import Board, Topic
+from ...blackboard.evacuations import ZoneEvacuation
 from ...blackboard.outbox import EndpointProbe
 from ...blackboard.registrations import Registration
 from ...blackboard.requests import ExchangeStatus, StatementKind
@@ -46,6 +47,7 @@
             Topic.ENDPOINT_TOKENS_RECEIVED: self.gate.on_tokens,
             Topic.ENDPOINT_TOKENS_DUE: self.gate.on_due,
             Topic.WARMUP_CHECK_DUE: self.on_check_due,
+            Topic.EVACUATION_PHASE_BEGAN: self.gate.on_evacuation_phase,
         }
 
     def on_configuration(self, _revision: int) -> None:
@@ -233,6 +235,20 @@
         if tokens.waiting_count():
             self._ask(endpoint, tokens)
 
+    def on_evacuation_phase(self, evacuation: ZoneEvacuation) -> None:
+        """Refuse the waiting statements of open transactions at the endpoints of the zone.
+
+        They are ended without a statement under way, which these would be after the bound.
+        """
+        for name, tokens in self.board.warmups.tokens.items():
+            registration = self.board.configuration.endpoints.get(name)
+            if registration is None or registration.zone != evacuation.zone:
+                continue
+            for request in filter(self._is_open, tokens.in_transactions):
+                request.refuse(ErrorCode.TRANSACTION_UNKNOWN, "The transaction was rolled back.")
+                self.board.changes.post(Topic.REQUEST_REFUSED, request)
+            tokens.in_transactions = []
+
     def release(self, endpoint: str) -> None:
         """Have the requests that wait for a token of an endpoint placed again, as it is warm."""
         tokens = self.board.warmups.tokens.pop(endpoint, None)
