--- a/features/session_setup.feature
+++ b/features/session_setup.feature
@@ -20,6 +20,21 @@
       | RESET   | a later one of a transaction |
       | PREPARE | a later one of a transaction |
 
+  # Guards against statements that reach an evacuated zone since earlier messages took long.
+  Scenario Outline: A statement is not sent after the bound of an evacuation
+    Given a scripted endpoint that fails the next NOTHING
+    And the bound of an evacuation of its zone ends while it answers <message>
+    When <request> of a session with a value and a prepared statement is run there
+    Then the endpoint did not receive the statement
+    And the reply says that it was not sent, and the connection is closed
+    And the reply has the code "<code>"
+
+    Examples:
+      | message | request                      | code                |
+      | PREPARE | a single write               | zone_evacuated      |
+      | BEGIN   | the first of a transaction   | zone_evacuated      |
+      | PREPARE | a later one of a transaction | transaction_unknown |
+
   # Guards against a connection that counts as having a prepared statement that it lacks.
   Scenario: A connection that lacks a prepared statement is closed
     Given a scripted endpoint that fails the next EXECUTE
--- a/features/steps/session_setup.py
+++ b/features/steps/session_setup.py
@@ -6,7 +6,9 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.connections import BackendConnection
 from gentianspread_core.blackboard.declarations import Consistency, Route
+from gentianspread_core.blackboard.evacuations import ZoneEvacuation
 from gentianspread_core.blackboard.prepared import PreparedStatement
+from gentianspread_core.blackboard.registrations import Registration
 from gentianspread_core.blackboard.requests import ExchangeStatus, StatementKind
 from gentianspread_core.blackboard.sessions import (
     Session,
@@ -27,6 +29,7 @@
 
 STATEMENT_ID = "id-1"
 TIMEOUT_S = 2.0
+BOUND_S = 5.0
 ROUTE = Route("r", "latest", "g", Consistency.LATEST, None, 1.0, 1.0, 1, False)
 
 
@@ -40,6 +43,8 @@
         text = line.split(" ", 2)[2]
         keyword = text.removeprefix("WAITPOS 1.1 ").partition(" ")[0]
         context.received.append(line)
+        if keyword == getattr(context, "last_in_time", ""):
+            context.setup_clock.time += BOUND_S
         if keyword == context.failing_keyword:
             context.failing_keyword = ""
             code = "NOSTMT" if keyword == "EXECUTE" else "FAILED"
@@ -63,6 +68,21 @@
     context.endpoint_address = f"127.0.0.1:{server.server_port}"
 
 
+@given("the bound of an evacuation of its zone ends while it answers {keyword:w}")
+def step_bound_ends(context, keyword):
+    context.last_in_time = keyword
+
+
+def _evacuate(board):
+    now = board.clock.now()
+    board.configuration.endpoints["b1"] = Registration(
+        "b1", "127.0.0.1:1", "z1", "g", False, 1, 3, 0
+    )
+    board.evacuations.by_zone["z1"] = ZoneEvacuation(
+        "z1", 1, now, now, now, now + BOUND_S, now + BOUND_S
+    )
+
+
 def _build_request(kind, transaction):
     session = Session(1, "latest", "k1")
     session.values = {"tz": "utc"}
@@ -78,6 +98,9 @@
 def step_run(context, request):
     clock = FakeClock()
     board = Board(CoreSettings("vm", "z1", "vm"), clock, Timeline("vm", clock.wall_ms))
+    context.setup_clock = clock
+    if getattr(context, "last_in_time", ""):
+        _evacuate(board)
     context.ended = []
     board.changes.subscribe(Topic.EXCHANGE_ENDED, context.ended.append)
     connection = BackendConnection(1, "b1", context.endpoint_address, "g", "w", 0.0)
@@ -122,3 +145,8 @@
 @when("the primary fails the next message of a set-up")
 def step_fail_setup(context):
     context.session_simulation.primary().next_setup_errors.append("FAILED")
+
+
+@then('the reply has the code "{code:w}"')
+def step_code(context, code):
+    assert context.reply.code == code, context.reply.code
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/evacuations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/evacuations.py
@@ -55,3 +55,8 @@
         self.by_zone: dict[str, ZoneEvacuation] = {}
         self.ended_transactions = 0
         self.refused_requests = 0
+
+    def is_past_bound(self, zone: str, now: float) -> bool:
+        """Return whether no request may reach the zone's endpoints any more."""
+        evacuation = self.by_zone.get(zone)
+        return evacuation is not None and now >= evacuation.bound_ends_at
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/exclusions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/exclusions.py
@@ -66,5 +66,5 @@
         if request.min_position is not None or request.relayed_statement is not None:
             return False
         primary = self.candidates.primary_of(request.group)
-        evacuation = self.board.evacuations.by_zone.get(primary.zone) if primary else None
-        return evacuation is not None and self.board.clock.now() >= evacuation.bound_ends_at
+        now = self.board.clock.now()
+        return primary is not None and self.board.evacuations.is_past_bound(primary.zone, now)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -21,6 +21,7 @@
 from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
 from gentianspread_core.blackboard.steps import SETUP_KINDS, Step
 from gentianspread_core.controllers.endpoints import PROBE_PURPOSE
+from gentianspread_core.errors import ErrorCode
 from gevent import socket
 
 from ..connections import connect
@@ -167,6 +168,8 @@
             return
         *earlier, last = exchange.rounds
         for steps in earlier:
+            if self._fill_evacuated(request, exchange, reply):
+                return
             for step, step_reply in zip(steps, self._send_round(line_socket, steps), strict=True):
                 if step_reply.error and step.kind in SETUP_KINDS:
                     self._fill_setup_error(reply, step_reply)
@@ -174,6 +177,8 @@
                 if step_reply.error:
                     self._fill_error_reply(line_socket, exchange, reply, step_reply)
                     return
+        if self._fill_evacuated(request, exchange, reply):
+            return
         reply.was_sent = True
         self._fill_reply(line_socket, exchange, reply, last, self._send_round(line_socket, last))
 
@@ -182,6 +187,24 @@
         line_socket.send(b"".join([encode_step(step) for step in steps]))
         return [read_reply(line_socket) for _ in steps]
 
+    def _fill_evacuated(
+        self, request: SessionRequest, exchange: SessionExchange, reply: SessionReply
+    ) -> bool:
+        """Fill the reply of an exchange that may not go on; return whether it may not.
+
+        Its earlier messages may have waited for a slot until the bound of an evacuation ended.
+        """
+        registration = self.board.configuration.endpoints.get(exchange.endpoint)
+        zone = registration.zone if registration else ""
+        if not self.board.evacuations.is_past_bound(zone, self.board.clock.now()):
+            return False
+        is_lost = request.has_bound_transaction()
+        code = ErrorCode.TRANSACTION_UNKNOWN if is_lost else ErrorCode.ZONE_EVACUATED
+        reply.status, reply.code = ExchangeStatus.REFUSED, code.value
+        reply.message = f"The zone {zone} was evacuated before the statement was sent."
+        log.info("%s gets no more messages: its zone %s is evacuated", exchange.endpoint, zone)
+        return True
+
     def _fill_reply(
         self,
         line_socket: LineSocket,
