--- a/features/steps/warm_up_allocators.py
+++ b/features/steps/warm_up_allocators.py
@@ -79,6 +79,13 @@
     _name_allocator(context, "c1", 2)
 
 
+@when("another VM becomes the allocator of its zone, and starts again")
+def step_next_restarts(context):
+    context.allocator = _allocator(context)
+    context.allocator.board.log.recovered_index = 5
+    _name_allocator(context, "c1", 2)
+
+
 @when("the first one becomes the allocator again")
 def step_first_again(context):
     _name_allocator(context, "c2", 3)
--- a/features/warm_up.feature
+++ b/features/warm_up.feature
@@ -148,6 +148,12 @@
     When that allocator starts again
     Then it grants nothing for 0.09 s
 
+  Scenario: An allocator that was just named and restarts waits for its predecessor
+    Guards against two allocators that grant at the same time, if the second one starts again.
+    Given an allocator for endpoints that take 10 requests/s
+    When another VM becomes the allocator of its zone, and starts again
+    Then the new one grants nothing for 3.9 s
+
   Scenario: An allocator grants for its endpoints only, and only while its configuration is fresh
     Guards against two allocators for one endpoint, and one that a partition has cut off.
     Given an allocator for endpoints that take 10 requests/s
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/allocation.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/warmup/allocation.py
@@ -99,13 +99,13 @@
     def _first_grant_time(self, allocator: Allocator) -> float:
         """Return when every earlier grant for a zone's endpoints has expired.
 
-        The first allocator of a zone, and one that was named before this VM restarted, has no
-        predecessor but itself.
+        The first allocator of a zone has no predecessor but itself. Any other one waits also if it
+        was named before this VM restarted: that may have been a moment ago, and its predecessor may
+        still have a fresh configuration.
         """
         settings = self.board.settings
-        was_named_before = allocator.revision <= self.board.log.recovered_index
         first_grant_at = self.board.clock.now() + settings.token_ttl_s
-        if allocator.epoch > 1 and not was_named_before:
+        if allocator.epoch > 1:
             first_grant_at += settings.max_configuration_age_s
         return first_grant_at
 
