--- a/packages/gentianspread-lab/src/gentianspread_lab/evacuationmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/evacuationmutants.py
@@ -7,10 +7,12 @@
 from gentianspread_core import state_machine
 from gentianspread_core.blackboard.commands import ChangeOutcome, Command
 from gentianspread_core.blackboard.configuration import Configuration, Evacuation
+from gentianspread_core.blackboard.evacuations import Evacuations as EvacuationSection
 from gentianspread_core.blackboard.registrations import Registration
 from gentianspread_core.controllers.evacuation import EvacuationController, EvacuationFilter
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.placement.candidates import Candidates
+from gentianspread_core.controllers.successors import Successors
 from gentianspread_server.evacuations import Evacuations
 from gentianspread_server.pauses import PauseDetector
 
@@ -87,5 +89,7 @@
         _count_bound_from_now,
     ),
     ("excluded requests wait", Candidates, "is_excluded_everywhere", _no),
+    ("primaries step down for any replica", Successors, "has_close_successor", _yes),
+    ("requests go on after the bound", EvacuationSection, "is_past_bound", _no),
     ("evacuated endpoints lead", GroupView, "is_staying", _stays_in_evacuated_zone),
 )
