--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -25,3 +25,7 @@
   Scenario: An evacuation outlives a kill of all control VMs, and callers are served elsewhere
     When the primary's zone is evacuated and all control VMs are killed at the acknowledgement
     Then every guarantee held
+
+  Scenario: Nine in ten statements are served elsewhere in the last seconds of an evacuation
+    When the primary's zone is evacuated and 0.9 of the last statements have to be served
+    Then every guarantee held
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -42,6 +42,11 @@
     _run(context, "gentianspread_lab.platform.evacuationtrial")
 
 
+@when("the primary's zone is evacuated and {share} of the last statements have to be served")
+def step_evacuation_served(context, share):
+    _run(context, "gentianspread_lab.platform.evacuationtrial", "--min-served-share", share)
+
+
 @then("every guarantee held")
 def step_held(context):
     assert context.process.returncode == 0, context.process.stdout + context.process.stderr
