Log each step of a promotion, joins and departures, and what a VM knew at each commit

They named neither the paused replicas with positions and terms, nor the calls and how they ended, nor who led when, nor who joined, left or started again; the line of an answered commit had neither its position nor what the VM knew of a promotion. Change: replication_paused, promote_called, promote_ended, primary_observed and the four endpoint_* lines on the control leader; position, primary, fence_granted and fence_ended on the lines of writes and commits. They are a few lines for each promotion or registration, and no further line for each commit. Ruled out: a line of its own for each commit; the existing one has room.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -32,6 +32,7 @@
     "MALFORMED": ErrorCode.BAD_REQUEST,
 }
 VM_ERRORS = {code.value: code for code in ErrorCode}
+COMMITTING_KINDS = frozenset({StatementKind.WRITE, StatementKind.COMMIT})
 PERMANENT_CODES = frozenset({ErrorCode.BAD_REQUEST, ErrorCode.KEY_REFUSED})
 
 
@@ -203,9 +204,22 @@
             min_position=f"{position.term}.{position.index}" if position else "",
             reply=reply.status.value if reply else "",
             message=message,
+            **self._commit_details(request, reply),
             **self._schedule_details(request, now),
         )
 
+    def _commit_details(self, request: SessionRequest, reply: Any) -> dict[str, Any]:
+        """Return where a commit stands in the log, and what this VM knows of a promotion."""
+        group = self.board.configuration.groups.get(request.group)
+        if request.kind not in COMMITTING_KINDS or reply is None or group is None:
+            return {}
+        return {
+            "position": str(reply.position) if reply.position else "",
+            "primary": group.primary or "",
+            "fence_granted": group.granted_term,
+            "fence_ended": group.term,
+        }
+
     def _schedule_details(self, request: SessionRequest, now: float) -> dict[str, Any]:
         """Return what decided the request's turn, if requests are scheduled by priority."""
         if not self.board.settings.schedules_by_priority:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -79,6 +79,8 @@
             health.failures = 0
             if health.has_lost_log(probe.position):
                 self._record_lost_log(health, probe, registration)
+            if probe.is_primary and not health.is_primary:
+                self._record_primary(probe, registration)
             health.position = probe.position
             health.is_primary = probe.is_primary
             health.not_primary_answers = 0 if probe.is_primary else health.not_primary_answers + 1
@@ -97,6 +99,18 @@
                 health.probed = False
                 health.not_primary_answers = 0
 
+    def _record_primary(self, probe: EndpointProbe, registration: Registration) -> None:
+        group = self.board.configuration.groups[registration.group]
+        self.board.timeline.record(
+            EventKind.PRIMARY_OBSERVED,
+            f"endpoint {registration.name}",
+            "it answers a probe as primary",
+            group=registration.group,
+            position=str(probe.position),
+            fence=group.granted_term,
+            registered_primary=group.primary or "",
+        )
+
     def _record_lost_log(
         self, health: Health, probe: EndpointProbe, registration: Registration
     ) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion.py
@@ -105,6 +105,7 @@
     def _handle_position(self, promotion: Promotion, command: EndpointCommand) -> None:
         """Record a replica's position, or that it has terminated."""
         health = self.board.groups.health.get(command.endpoint)
+        self._record_position(promotion, command)
         if command.accepted and health is not None and health.has_lost_log(command.position):
             self._abort(promotion, f"{command.endpoint} has lost its log")
             return
@@ -116,6 +117,19 @@
             return
         self._try_promote(promotion)
 
+    def _record_position(self, promotion: Promotion, command: EndpointCommand) -> None:
+        if command.kind is not EndpointCommandKind.PAUSE_REPLICATION:
+            return
+        self.board.timeline.record(
+            EventKind.REPLICATION_PAUSED,
+            f"endpoint {command.endpoint}",
+            "" if command.accepted else "it did not answer or refused",
+            group=command.group,
+            fence=promotion.fencing_token,
+            term=command.term,
+            position=str(command.position) if command.position is not None else "",
+        )
+
     def _has_terminated(self, command: EndpointCommand) -> bool:
         registration = self.board.configuration.endpoints.get(command.endpoint)
         return registration is None or has_terminated(registration, command.unreachable_reason)
@@ -301,9 +315,25 @@
             PROMOTE_TIMEOUT_S,
             promotion.fencing_token,
         )
+        position = promotion.received_positions.get(target)
+        self.board.timeline.record(
+            EventKind.PROMOTE_CALLED,
+            f"group {promotion.group}",
+            "supersedes earlier calls" if promotion.only_supersedes else "",
+            endpoint=target,
+            fence=promotion.fencing_token,
+            position=str(position) if position is not None else "",
+        )
         self.board.changes.post(Topic.INTENT_POSTED, command)
 
     def _handle_promote_result(self, promotion: Promotion, command: EndpointCommand) -> None:
+        self.board.timeline.record(
+            EventKind.PROMOTE_ENDED,
+            f"group {promotion.group}",
+            "accepted" if command.accepted else "refused, or no answer",
+            endpoint=command.endpoint,
+            fence=promotion.fencing_token,
+        )
         if not command.accepted:
             self._abort(promotion, "the promote call was refused or got no answer")
             return
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/registrationlog.py
@@ -0,0 +1,85 @@
+"""Registration log: records on the control leader which endpoints join, leave or start again."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..blackboard import Board, Topic
+from ..blackboard.commands import CommandKind
+from ..blackboard.election import Role
+from ..blackboard.registrations import Registration
+from ..blackboard.timeline import EventKind
+from .configuration import AppliedCommand
+
+
+class RegistrationLogController:
+    """Records events; owns no section.
+
+    `_known` has the registrations before the last command, `_by_address` the name at each address.
+    """
+
+    __slots__ = ("board", "_known", "_by_address")
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self._known: dict[str, Registration] = {}
+        self._by_address: dict[str, str] = {}
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.COMMAND_APPLIED: self.on_applied,
+            Topic.LEADERSHIP_CHANGED: self.on_leadership,
+        }
+
+    def on_leadership(self, _entry: None) -> None:
+        """Start from the endpoints that are registered now."""
+        self._known = dict(self.board.configuration.endpoints)
+        self._by_address = {item.address: item.name for item in self._known.values()}
+
+    def on_applied(self, applied: AppliedCommand) -> None:
+        """Record what a registration or deregistration changed."""
+        command = applied.entry.command
+        if self.board.election.role is not Role.LEADER or not applied.outcome.accepted:
+            return
+        if command.kind is CommandKind.REGISTER_ENDPOINT:
+            self._record_registration(command.fields["name"], command.fields["address"])
+        elif command.kind is CommandKind.ENDPOINT_GONE:
+            self._record_departure(command.fields["name"])
+
+    def _record_registration(self, name: str, address: str) -> None:
+        evicted = self._by_address.get(address)
+        if evicted is not None and evicted != name:
+            self._record_departure(evicted)
+        current, before = self.board.configuration.endpoints.get(name), self._known.get(name)
+        if current is None:
+            return
+        self._known[name], self._by_address[address] = current, name
+        if before is None:
+            self._record(EventKind.ENDPOINT_JOINED, current)
+        elif current.incarnation > before.incarnation:
+            self._record(EventKind.ENDPOINT_RESTARTED, current)
+        elif current.leaving and not before.leaving:
+            self._record(EventKind.ENDPOINT_LEAVING, current)
+
+    def _record_departure(self, name: str) -> None:
+        before = self._known.get(name)
+        if before is None or name in self.board.configuration.endpoints:
+            return
+        del self._known[name]
+        if self._by_address.get(before.address) == name:
+            del self._by_address[before.address]
+        self._record(EventKind.ENDPOINT_DEPARTED, before)
+
+    def _record(self, kind: EventKind, registration: Registration) -> None:
+        group = self.board.configuration.groups.get(registration.group)
+        is_open = group is not None and group.granted_term != group.term
+        self.board.timeline.record(
+            kind,
+            f"endpoint {registration.name}",
+            "during a promotion" if is_open else "",
+            group=registration.group,
+            zone=registration.zone,
+            incarnation=registration.incarnation,
+            fence=group.granted_term if group is not None else 0,
+        )
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -32,6 +32,7 @@
 from .controllers.placement.regions import RegionFilter
 from .controllers.policies import NearestReplica
 from .controllers.promotion import PromotionController
+from .controllers.registrationlog import RegistrationLogController
 from .controllers.relays import RelayController
 from .controllers.repair import RepairController
 from .controllers.replication import ReplicationController
@@ -193,6 +194,7 @@
             RelayController(board),
             HealthController(board),
             PromotionController(board),
+            RegistrationLogController(board),
             RepairController(board),
             ShutdownController(board),
         ]
--- a/packages/gentianspread-core/src/gentianspread_core/positions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/positions.py
@@ -38,6 +38,9 @@
     def __repr__(self) -> str:
         return f"Position({self.term}, {self.index})"
 
+    def __str__(self) -> str:
+        return f"{self.term}.{self.index}"
+
 
 LOG_START = Position(0, 0)
 
