Add a failing test of a commit that only a joining replica confirmed

What callers saw: commits that were acknowledged are missing at the endpoint that was promoted. The test: the control leader no longer reaches the primary, but entry VMs do; a replica joins after the promote call and confirms a write; the VM hands the success on. The simulation's primary acknowledges a commit only once a replica has it, an endpoint leads 0.3 s after its call, and commands can be carried out late.

--- a/features/environment.py
+++ b/features/environment.py
@@ -13,6 +13,7 @@
     limited_fleet,
     platform_fleet,
     priority_simulation,
+    promotion_simulation,
     session_simulation,
     soak_board,
     temporary_folder,
@@ -45,6 +46,8 @@
         use_fixture(priority_simulation, context)
     if "cold" in scenario.effective_tags:
         use_fixture(cold_simulation, context)
+    if "promotions" in scenario.effective_tags:
+        use_fixture(promotion_simulation, context)
     if "sessions" in scenario.effective_tags:
         use_fixture(session_simulation, context)
     if "folder" in scenario.effective_tags:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -10,6 +10,7 @@
 from gentianspread_lab.fakes import Simulation
 from gentianspread_lab.fakes.cold_simulation import ColdSimulation
 from gentianspread_lab.fakes.home_simulation import HomeSimulation
+from gentianspread_lab.fakes.promotion_simulation import PromotionSimulation
 from gentianspread_lab.fakes.session_runner import HeldSessionRunner
 from gentianspread_lab.fakes.session_simulation import SessionSimulation
 from gentianspread_lab.platform.fleet import PlatformFleet
@@ -101,6 +102,16 @@
     yield context.home_simulation
 
 
+@fixture
+def promotion_simulation(context):
+    """Three VMs that serve callers, and a control leader that endpoints may be cut off from."""
+    context.promotion_simulation = PromotionSimulation()
+    context.advance_clock = context.promotion_simulation.run
+    context.callers = {}
+    context.writes = []
+    yield context.promotion_simulation
+
+
 @fixture
 def priority_simulation(context):
     """The VMs of `home_simulation`, scheduling by priority, and endpoints with one slow slot."""
--- /dev/null
+++ b/features/promotion_commits.feature
@@ -0,0 +1,16 @@
+@promotions
+Feature: No VM hands on a commit that the promoted endpoint can lack
+  The VMs h1, h2 and h3 serve callers; another one leads the control log. A commit is acknowledged by
+  the primary, b1, once one replica has it; b2 and b3 are its replicas. An endpoint leads 0.3 s after
+  its promote call.
+
+  # Guards against the loss of a commit that only a replica confirmed which no pause had reached.
+  Scenario: A replica that joins during a promotion confirms a commit
+    Given a caller at "h1"
+    When the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b4" joins without having announced itself
+    And the caller at "h1" writes
+    And 5 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
--- /dev/null
+++ b/features/steps/promotion_commits.py
@@ -0,0 +1,59 @@
+"""Steps about commits while a promotion is under way."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from gentianspread_lab.fakes.session_simulation import GROUP
+from gentianspread_server.platform.wire import decode_statement
+
+STEP_S = 0.005
+GUARD_S = 10.0
+
+
+def run_until(context, condition):
+    """Run the simulation until a condition holds."""
+    simulation = context.promotion_simulation
+    end = simulation.clock.now() + GUARD_S
+    while not condition():
+        assert simulation.clock.now() < end, "it did not happen in time"
+        simulation.run(STEP_S)
+
+
+@given('a caller at "{vm:w}"')
+def step_caller(context, vm):
+    context.callers[vm] = context.promotion_simulation.open_session_at(vm, "latest")
+
+
+@when("the control leader no longer reaches the primary")
+def step_cut_primary(context):
+    context.promotion_simulation.cut_off_endpoints.add("b1")
+
+
+@when("the promote call has been made")
+def step_call_made(context):
+    run_until(context, lambda: context.promotion_simulation.promotions)
+
+
+@when('"{name:w}" joins without having announced itself')
+def step_joins_unannounced(context, name):
+    context.promotion_simulation.join(name, is_announced=False)
+
+
+@when('the caller at "{vm:w}" writes')
+def step_writes(context, vm):
+    statement = decode_statement(f"w{len(context.writes)}", "WRITE x 1")
+    call = context.promotion_simulation.send_statement_at(vm, context.callers[vm], statement)
+    context.writes.append(call)
+
+
+@then('another endpoint than "{name:w}" is the primary')
+def step_other_primary(context, name):
+    simulation = context.promotion_simulation
+    assert simulation.primary().name != name, simulation.promotions
+    assert simulation.board.configuration.groups[GROUP].primary == simulation.primary().name
+
+
+@then("the endpoint that leads has every acknowledged write")
+def step_none_lost(context):
+    assert context.writes and all(call.answer is not None for call in context.writes)
+    assert not context.promotion_simulation.lost_writes, context.promotion_simulation.lost_writes
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -0,0 +1,240 @@
+"""Deterministic simulation of promotions beside VMs and endpoints that are partly out of touch.
+
+Endpoints acknowledge a commit only once a replica has received it. Commands and promote calls may
+be carried out late, and an endpoint leads some time after its call.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.outbox import (
+    EndpointCommand,
+    EndpointCommandKind,
+    EndpointProbe,
+    UnreachableReason,
+)
+from gentianspread_core.blackboard.requests import ExchangeStatus
+from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.positions import Position
+
+from .home_simulation import HomeSimulation
+from .session_endpoint import FakeSessionEndpoint
+
+EFFECT_DELAY_S = 0.3  # from a promote call to the moment when its endpoint leads
+
+
+class HeldReply:
+    """The reply to a commit that no replica has received yet."""
+
+    __slots__ = ("board", "request", "exchange", "reply", "position")
+
+    def __init__(
+        self, board: Board, request: SessionRequest, exchange: SessionExchange, reply: SessionReply
+    ) -> None:
+        self.board = board
+        self.request = request
+        self.exchange = exchange
+        self.reply = reply
+        self.position: Position = reply.position
+
+
+class PromotionSimulation(HomeSimulation):
+    """The VMs of `HomeSimulation`, whose base class's VM leads the control log.
+
+    The control leader reaches none of `cut_off_endpoints`; the other VMs and endpoints do. The next
+    commands of the kinds in `late_commands` get no answer and are carried out after that many
+    seconds. `acknowledged` has the ids of the writes that callers were told to be committed,
+    `lost_writes` those that an endpoint lacked when it was promoted, or when they were acknowledged
+    later.
+    """
+
+    def __init__(self, vm_count: int = 3, seed: int = 1) -> None:
+        self.cut_off_endpoints: set[str] = set()
+        self.late_commands: list[tuple[EndpointCommandKind, float]] = []
+        self.acknowledged: dict[str, float] = {}
+        self.lost_writes: set[str] = set()
+        self.newest_fencing_token = 0
+        self._held_replies: list[HeldReply] = []
+        super().__init__(vm_count=vm_count, seed=seed)
+        for engine in self.vms.values():
+            engine.board.changes.subscribe(Topic.STATEMENT_ANSWERED, self._on_answered)
+
+    def join(self, name: str, zone: str = "z1", is_announced: bool = True) -> FakeSessionEndpoint:
+        """Add a replica, which receives the primary's log at once."""
+        endpoint = FakeSessionEndpoint(name, zone)
+        endpoint.call_later = self.call_later
+        self.endpoints[name] = endpoint
+        self._rejoin(endpoint)
+        if is_announced:
+            self.announce(endpoint, leaving=False, sequence=1)
+        return endpoint
+
+    def restart(self, name: str, incarnation: int, is_announced: bool = True) -> None:
+        """Start an endpoint again: a replica with an empty log, a primary with its own."""
+        endpoint = self.endpoints[name]
+        endpoint.alive = True
+        endpoint.sessions.clear()
+        endpoint.replication_paused = False
+        if not endpoint.is_primary:
+            endpoint.log, endpoint.applied = [], 0
+            self._rejoin(endpoint)
+        if is_announced:
+            self.announce(endpoint, leaving=False, sequence=1, incarnation=incarnation)
+
+    def promote(self, name: str) -> None:
+        """Have an endpoint lead the next term with what it has received."""
+        log = set(self.endpoints[name].log)
+        self.lost_writes |= {write for write in self.acknowledged if write not in log}
+        dead = {item.name: (item.log, item.applied) for item in self.endpoints.values()}
+        super().promote(name)
+        for endpoint in self.endpoints.values():
+            endpoint.replication_paused = False
+            if not endpoint.alive and endpoint.name != name:
+                endpoint.log, endpoint.applied = dead[endpoint.name]
+        self._refuse_held_replies()
+
+    def has_primary(self) -> bool:
+        """Return whether an endpoint leads."""
+        return any(item.is_primary for item in self.endpoints.values())
+
+    def _rejoin(self, endpoint: FakeSessionEndpoint) -> None:
+        """Replicate the log of the primary to an endpoint that has started."""
+        self._connect_replicas()
+        leading = [item for item in self.endpoints.values() if item.is_primary and item.alive]
+        receives = not (endpoint.replication_paused or endpoint.ignores_replication)
+        if receives and leading and leading[0] is not endpoint:
+            endpoint.term = leading[0].term
+            endpoint.log = list(leading[0].log)
+            endpoint.applied = len(endpoint.log)
+            self._send_confirmed_replies()
+
+    def _on_answered(self, call: Any) -> None:
+        """Note the write that a caller was told to be committed."""
+        is_write = call.statement.text.startswith("WRITE")
+        if not is_write or call.answer is None or call.answer.refusal is not None:
+            return
+        write = call.statement.statement_id
+        self.acknowledged[write] = self.clock.now()
+        leading = [item for item in self.endpoints.values() if item.is_primary]
+        if leading and write not in leading[0].log:
+            self.lost_writes.add(write)
+
+    def _end_exchange(
+        self, board: Board, request: SessionRequest, exchange: SessionExchange, reply: SessionReply
+    ) -> None:
+        """Hold the reply to a commit until a replica has received it."""
+        endpoint = self.endpoints[exchange.endpoint]
+        is_commit = reply.status is ExchangeStatus.OK and endpoint.is_primary
+        if not is_commit or self._is_confirmed(endpoint, reply.position):
+            super()._end_exchange(board, request, exchange, reply)
+            return
+        held = HeldReply(board, request, exchange, reply)
+        self._held_replies.append(held)
+        remaining_s = exchange.sent_at + exchange.timeout_s - self.clock.now()
+        self.call_later(lambda: self._expire(held), max(remaining_s, 0.0))
+
+    def _is_confirmed(self, primary: FakeSessionEndpoint, position: Position) -> bool:
+        return any(
+            len(replica.log) >= position.index
+            for replica in self.endpoints.values()
+            if replica is not primary and replica.alive and replica.term == primary.term
+        )
+
+    def _send_confirmed_replies(self) -> None:
+        held_replies, self._held_replies = self._held_replies, []
+        for held in held_replies:
+            primary = self.endpoints[held.exchange.endpoint]
+            if self._is_confirmed(primary, held.position):
+                super()._end_exchange(held.board, held.request, held.exchange, held.reply)
+            else:
+                self._held_replies.append(held)
+
+    def _refuse_held_replies(self) -> None:
+        """Lose the replies of the endpoint that has lost the lead."""
+        held_replies, self._held_replies = self._held_replies, []
+        for held in held_replies:
+            self._lose_exchange(held.board, held.request, held.exchange)
+
+    def _expire(self, held: HeldReply) -> None:
+        if held in self._held_replies:
+            self._held_replies.remove(held)
+            self._lose_exchange(held.board, held.request, held.exchange)
+
+    def _probe(self, board: Board, probe: EndpointProbe) -> None:
+        if board is self.board and probe.endpoint in self.cut_off_endpoints:
+            self.call_later(lambda: board.post(Topic.PROBE_ENDED, probe), probe.timeout_s)
+        else:
+            super()._probe(board, probe)
+
+    def _unreachable_reason(self, name: str) -> UnreachableReason | None:
+        return None if name not in self.endpoints else super()._unreachable_reason(name)
+
+    def _execute_command(self, command: EndpointCommand) -> None:
+        for late in self.late_commands:
+            if late[0] is command.kind:
+                self.late_commands.remove(late)
+                self.call_later(lambda: self._carry_out(command), late[1])
+                self._end_later(command)
+                return
+        is_call = command.kind is EndpointCommandKind.PROMOTE
+        if not is_call and command.endpoint in self.cut_off_endpoints:
+            self._end_later(command)
+            return
+        self._carry_out(command)
+        self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
+
+    def _end_later(self, command: EndpointCommand) -> None:
+        """End a command without an answer."""
+        failed = EndpointCommand(
+            command.kind,
+            command.endpoint,
+            command.address,
+            command.group,
+            command.term,
+            "",
+            command.timeout_s,
+            command.fencing_token,
+        )
+        self.call_later(
+            lambda: self.board.post(Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s
+        )
+
+    def _carry_out(self, command: EndpointCommand) -> None:
+        """Carry out a command, and set its result."""
+        if command.kind is EndpointCommandKind.PROMOTE:
+            self._carry_out_call(command)
+            return
+        endpoint = self.endpoints.get(command.endpoint)
+        if endpoint is None or not endpoint.alive:
+            command.unreachable_reason = self._unreachable_reason(command.endpoint)
+            return
+        command.accepted = True
+        if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
+            endpoint.replication_paused = not endpoint.is_primary
+        elif command.kind is EndpointCommandKind.RESUME_REPLICATION:
+            endpoint.replication_paused = False
+            self._rejoin(endpoint)
+        else:
+            endpoint.is_primary = False
+        command.position = endpoint.position()
+
+    def _carry_out_call(self, command: EndpointCommand) -> None:
+        """Accept a promote call, unless a newer fencing token was seen or the endpoint is down."""
+        self.promotions.append((command.endpoint, command.fencing_token))
+        endpoint = self.endpoints.get(command.endpoint)
+        command.accepted = (
+            command.fencing_token >= self.newest_fencing_token
+            and endpoint is not None
+            and endpoint.alive
+        )
+        if not command.accepted:
+            return
+        self.newest_fencing_token = command.fencing_token
+        if not endpoint.is_primary:
+            self.call_later(lambda: self._take_lead(command.endpoint), EFFECT_DELAY_S)
+
+    def _take_lead(self, name: str) -> None:
+        if self.endpoints[name].alive and not self.endpoints[name].is_primary:
+            self.promote(name)
