--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -263,7 +263,7 @@
   Scenario: Failed handovers are retried with growing delays
     When the endpoints refuse all commands
     And the evacuation of the zone of "b1" has begun
-    Then at most 12 log entries are written in 30 s
+    Then at most 12 handovers are attempted in 30 s, with 2 log entries each
 
   # Guards against a request that takes effect after a newer one, as from a frozen control VM.
   @simulation
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+from ..positions import Position
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration, DeclaredGroup
 from .log import FOUNDING_INCARNATION
@@ -82,6 +83,26 @@
         return self.size // 2 + 1
 
 
+class Succession:
+    """How a group whose terms the database assigns got its present primary.
+
+    `revision` is the index of the log entry that named it. A commit of term `kept_term` with an
+    index up to `kept_index` is in its log; both are 0 if that is not known of any commit.
+    """
+
+    __slots__ = ("group", "revision", "kept_term", "kept_index")
+
+    def __init__(self, group: str, revision: int, kept_term: int, kept_index: int) -> None:
+        self.group = group
+        self.revision = revision
+        self.kept_term = kept_term
+        self.kept_index = kept_index
+
+    def keeps(self, position: Position) -> bool:
+        """Return whether a commit at a position before the succession is known to be kept."""
+        return position.term == self.kept_term and position.index <= self.kept_index
+
+
 class Member:
     """A VM of the fleet; only those with a disk may vote in the control log."""
 
@@ -137,7 +158,8 @@
     seconds of the VM's clock. `incarnations` has those of voters and learners, by name, as in the
     control log. `evacuations`, by zone, is replaced, never changed in place. `warmups`, by
     endpoint, are of those that announced to be cold, and `warmup_allocators`, by zone of the
-    endpoints, grant the tokens that cold ones need. `cold_groups` are the declared groups whose
+    endpoints, grant the tokens that cold ones need. `successions`, by group, are of those whose
+    primary has changed. `cold_groups` are the declared groups whose
     cold endpoints have a limit, and `workspace_regions` the regions of restricted workspaces.
     """
 
@@ -161,6 +183,7 @@
         "declaration",
         "warmups",
         "warmup_allocators",
+        "successions",
         "cold_groups",
         "workspace_regions",
     )
@@ -185,6 +208,7 @@
         self.declaration: Declaration | None = None
         self.warmups: dict[str, Warmup] = {}
         self.warmup_allocators: dict[str, Allocator] = {}
+        self.successions: dict[str, Succession] = {}
         self.cold_groups: dict[str, DeclaredGroup] = {}
         self.workspace_regions: dict[str, frozenset[str]] = {}
 
@@ -234,6 +258,7 @@
 OPTIONAL_TABLES: dict[str, type] = {  # not in snapshots of older builds, and left out if empty
     "warmups": Warmup,
     "warmup_allocators": Allocator,
+    "successions": Succession,
 }
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -1,14 +1,18 @@
 """Section of the groups' replication confirmations, failovers and health.
 
-`confirmations` is owned by the acknowledgement controller, `failovers` by the failover controller,
+`confirmations` is owned by the acknowledgement controller, `withheld` by the completion controller,
+`failovers` by the failover controller,
 `promotions` by the promotion controller, `health`, `departures_seen_at` and `lost_logs_at` by the
 health controller or the failover controller.
 """
 
 from __future__ import annotations
 
+from enum import Enum
+
 from ..positions import Position
 from .requests import Request
+from .sessions import SessionRequest
 
 
 class Confirmation:
@@ -52,14 +56,32 @@
         self.phase = "granting"
 
 
+class PromotionPhase(Enum):
+    """Phases of an attempt to change or confirm a primary.
+
+    While it is announced, the leader waits until no VM can hand on a commit without knowing of the
+    promotion. While it is confirmed, earlier calls without an answer may still take effect.
+    """
+
+    GRANTING = "granting"
+    ANNOUNCING = "announcing"
+    PAUSING = "pausing"
+    STEPPING_DOWN = "stepping down"
+    CATCHING_UP = "catching up"
+    CALLING = "calling"
+    CONFIRMING = "confirming"
+
+
 class Promotion:
-    """A change of primary by fenced calls, in progress on the control leader; times in seconds.
+    """An attempt to change a primary by fenced calls, on the control leader; times in seconds.
 
     `fencing_token` is from the control log, `received_positions` what the endpoints that answered
-    have received, `pending_endpoints` those yet to answer, `terminated_endpoints` those that have
-    terminated, `target` the endpoint to promote. `is_planned` marks a switchover from a leaving
-    primary, which stepped down at `step_down_position`. `only_supersedes` marks a call to the
-    present primary, made only so that no earlier call takes effect.
+    have received, `pending_endpoints` those yet to answer, `asked_endpoints` those that were told
+    to pause, `terminated_endpoints` those that have terminated, `target` the endpoint to promote.
+    `follows_attempt` is set if an earlier attempt had not ended the promotion. `is_planned` marks a
+    switchover from a working primary, which stepped down at `step_down_position`.
+    `confirms_primary` marks an attempt that ends the promotion with the endpoint that leads.
+    `is_only_call` is set unless an earlier call of the promotion may still take effect.
     """
 
     __slots__ = (
@@ -67,12 +89,15 @@
         "fencing_token",
         "began_at",
         "phase",
+        "follows_attempt",
         "pending_endpoints",
+        "asked_endpoints",
         "received_positions",
         "terminated_endpoints",
         "target",
         "is_planned",
-        "only_supersedes",
+        "confirms_primary",
+        "is_only_call",
         "step_down_position",
         "due",
     )
@@ -81,13 +106,16 @@
         self.group = group
         self.fencing_token = fencing_token
         self.began_at = now
-        self.phase = "granting"
+        self.phase = PromotionPhase.GRANTING
+        self.follows_attempt = False
         self.pending_endpoints: set[str] = set()
+        self.asked_endpoints: set[str] = set()
         self.received_positions: dict[str, Position] = {}
         self.terminated_endpoints: set[str] = set()
         self.target: str | None = None
         self.is_planned = False
-        self.only_supersedes = False
+        self.confirms_primary = False
+        self.is_only_call = True
         self.step_down_position: Position | None = None
         self.due = now
 
@@ -98,6 +126,7 @@
     An endpoint is unreachable if it does not answer, for whatever reason, and terminated if its
     process is proved to have ended (see `Group` for leaving and departed endpoints).
 
+    `answered_at` is when the last probe that it answered was sent.
     `not_primary_answers` counts the consecutive probes that it answered as no primary. All probes
     since `terminated_since` proved that it terminated; none if the last did not. `probed` is set
     once a probe has succeeded or failed since the last promotion.
@@ -110,6 +139,7 @@
         "term",
         "is_primary",
         "probed",
+        "answered_at",
         "not_primary_answers",
         "terminated_since",
     )
@@ -121,6 +151,7 @@
         self.term = 0
         self.is_primary = False
         self.probed = False
+        self.answered_at = float("-inf")
         self.not_primary_answers = 0
         self.terminated_since: float | None = None
 
@@ -134,6 +165,9 @@
 class Groups:
     """Confirmations and pending writes by group; on the control leader also failovers and health.
 
+    `withheld` has by group the requests of sessions whose commit succeeded at an endpoint, while it
+    is not certain that a promotion keeps it.
+
     `departures_seen_at` gives by group when this leader first saw each endpoint as departed, in
     seconds of its clock. `lost_logs_at` gives likewise when the position of an endpoint was seen to
     be before an earlier one, as after a start with an empty log, until another one has received all
@@ -143,6 +177,7 @@
     __slots__ = (
         "confirmations",
         "pending",
+        "withheld",
         "failovers",
         "promotions",
         "health",
@@ -153,6 +188,7 @@
     def __init__(self) -> None:
         self.confirmations: dict[str, dict[str, Confirmation]] = {}
         self.pending: dict[str, list[PendingWrite]] = {}
+        self.withheld: dict[str, list[SessionRequest]] = {}
         self.failovers: dict[str, Failover] = {}
         self.promotions: dict[str, Promotion] = {}
         self.health: dict[str, Health] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -103,7 +103,8 @@
 
     `primary_address` is that of the primary to follow, or empty; `fencing_token` is that of the
     promotion to which the command belongs. The result's `position` is the last log position that
-    the endpoint has received.
+    the endpoint has received; `is_refused` is set if it is certain that the command is not carried
+    out later either.
     """
 
     __slots__ = (
@@ -116,6 +117,7 @@
         "timeout_s",
         "fencing_token",
         "accepted",
+        "is_refused",
         "unreachable_reason",
         "position",
     )
@@ -140,6 +142,7 @@
         self.timeout_s = timeout_s
         self.fencing_token = fencing_token
         self.accepted = False
+        self.is_refused = False
         self.unreachable_reason: UnreachableReason | None = None
         self.position: Position | None = None
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -86,6 +86,7 @@
 
     `route` is the one in effect when it began; changes to it apply from the next transaction.
     `began_at` and `last_used` are in seconds of the VM's clock; `is_revoked` if this VM ended it.
+    `has_written` is set once a statement of it that writes has succeeded.
     `workspace_regions` are the regions to which its workspace was restricted when it began, none if
     empty.
     """
@@ -97,6 +98,7 @@
         "last_used",
         "connection",
         "is_revoked",
+        "has_written",
         "workspace_regions",
     )
 
@@ -107,6 +109,7 @@
         self.last_used = now
         self.connection: BackendConnection | None = None
         self.is_revoked = False
+        self.has_written = False
         self.workspace_regions: frozenset[str] = frozenset()
 
 
@@ -198,10 +201,12 @@
     `cleanup` is sent if the statement left a failed transaction. `proves_primary` is set if only
     the current primary can answer, so that the reply's position is taken as that of the primary.
     `opens_transaction` marks the first statement of a caller's transaction. `outliers` is the JSON
-    form of the ejected endpoints, for a home VM, or none.
+    form of the ejected endpoints, for a home VM, or none. `revision` is that of the configuration
+    when the exchange was scheduled.
     """
 
     __slots__ = (
+        "revision",
         "connection",
         "evicted",
         "rounds",
@@ -220,8 +225,10 @@
         connection: BackendConnection,
         evicted: list[BackendConnection],
         rounds: list[list[Step]],
+        revision: int = 0,
     ) -> None:
         super().__init__(number, endpoint, 0, sent_at, timeout_s, 0.0)
+        self.revision = revision
         self.connection = connection
         self.evicted = evicted
         self.rounds = rounds
@@ -279,7 +286,8 @@
     may wait or be retried: an answer after the latency objective is worth little, and waiting for
     it delays others. `relayed_statement` is the message of the VM that relayed the statement here,
     or none; it names the one endpoint that may serve it, and is not retried here. `cold_s` is set
-    if it was refused because a cold endpoint had no token: the seconds until the next.
+    if it was refused because a cold endpoint had no token: the seconds until the next. Its
+    commit succeeded at the endpoint, and the answer waits, if `is_withheld`.
     """
 
     __slots__ = (
@@ -292,6 +300,7 @@
         "wait_deadline",
         "relayed_statement",
         "cold_s",
+        "is_withheld",
     )
 
     def __init__(
@@ -324,6 +333,7 @@
         self.waiter = call.waiter
         self.relayed_statement: Any = None
         self.cold_s: float | None = None
+        self.is_withheld = False
 
     def has_bound_transaction(self) -> bool:
         """Return whether the session's transaction is already bound to a connection."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -37,6 +37,7 @@
     REQUEST_UNKNOWN = "request_unknown"
     REQUEST_RETRIED = "request_retried"
     REQUEST_ANSWERED = "request_answered"
+    COMMIT_WITHHELD = "commit_withheld"
     STATEMENT_UNANSWERED = "statement_unanswered"
     ENDPOINT_SUSPECTED = "endpoint_suspected"
     HOME_SUSPECTED = "home_suspected"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -15,6 +15,7 @@
 from ..errors import ErrorCode, ExecutionResult, Refusal
 from ..interfaces import RetryLimit
 from ..positions import SessionToken
+from .commits import CommitGuard, CommitState
 
 RETRY_BACKOFF_S = 0.01  # times the number of attempts; ten round trips to an endpoint
 OVERLOAD_RETRY_BACKOFF_S = 0.04  # times the number of attempts; a queue of 24 empties in 0.2 s
@@ -37,13 +38,14 @@
 
 
 class CompletionController:
-    """Owns the `outcome` field of sessions' requests."""
+    """Owns the `outcome` field of sessions' requests, and the withheld commits."""
 
-    __slots__ = ("board", "retries")
+    __slots__ = ("board", "retries", "guard")
 
     def __init__(self, board: Board, retries: RetryLimit) -> None:
         self.board = board
         self.retries = retries
+        self.guard = CommitGuard(board)
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -52,6 +54,9 @@
             Topic.REQUEST_NEEDS_NO_ENDPOINT: self.on_local,
             Topic.REQUEST_REFUSED: self.on_refused,
             Topic.EXCHANGE_ENDED: self.on_exchange_ended,
+            Topic.CONFIGURATION_CHANGED: self.on_configuration,
+            Topic.CONFIGURATION_CONFIRMED: self.on_configuration,
+            Topic.COMMIT_EXPIRED: self.on_commit_expired,
         }
 
     def on_permitted(self, request: SessionRequest) -> None:
@@ -79,6 +84,8 @@
             self._finish_relayed(request, reply)
         elif request.kind is StatementKind.ROLLBACK:
             self._succeed(request, [], None)
+        elif reply.status is ExchangeStatus.OK and self.guard.concerns(request):
+            self._finish_commit(request, reply)
         elif reply.status is ExchangeStatus.OK:
             self._succeed(request, reply.rows, reply)
         elif request.session.transaction is not None and not exchange.opens_transaction:
@@ -94,6 +101,48 @@
         else:
             self._refuse(request, self._failed_refusal(reply))
 
+    def on_configuration(self, _entry: Any) -> None:
+        """Answer the withheld commits whose outcome is known now."""
+        for group, requests in list(self.board.groups.withheld.items()):
+            del self.board.groups.withheld[group]
+            for request in requests:
+                if request.outcome is None:
+                    self._finish_commit(request, request.exchange.reply)
+
+    def on_commit_expired(self, request: SessionRequest) -> None:
+        """Answer a withheld commit at its deadline."""
+        if request.outcome is None:
+            message = "A promotion was under way, or no quorum confirmed that there was none."
+            self._refuse_commit(request, message)
+
+    def _finish_commit(self, request: SessionRequest, reply: SessionReply) -> None:
+        """Answer a commit that the endpoint confirmed, or withhold the answer."""
+        state = self.guard.state_of(request)
+        if state is CommitState.KEPT:
+            self._succeed(request, reply.rows, reply)
+        elif state is CommitState.DOUBTFUL:
+            self._refuse_commit(
+                request, "Another endpoint was promoted, which may lack the commit."
+            )
+        else:
+            self._withhold(request)
+
+    def _withhold(self, request: SessionRequest) -> None:
+        waiting = self.board.groups.withheld.setdefault(request.group, [])
+        waiting.append(request)
+        if request.is_withheld:
+            return
+        request.is_withheld = True
+        if request.timer is not None:
+            request.timer.cancel()
+        deadline = min(request.deadline, self.board.shutdown.ends_at)
+        request.timer = self.board.changes.post_at(deadline, Topic.COMMIT_EXPIRED, request)
+        self._log(EventKind.COMMIT_WITHHELD, request, "its promotion is not decided", "")
+
+    def _refuse_commit(self, request: SessionRequest, message: str) -> None:
+        refusal = Refusal(ErrorCode.OUTCOME_UNKNOWN, message, ExecutionResult.UNKNOWN)
+        self._refuse(request, refusal)
+
     def _finish_relayed(self, request: SessionRequest, reply: SessionReply) -> None:
         """Complete a request that another VM relayed; the sender decides whether to retry."""
         if reply.status is ExchangeStatus.OK:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/configuration.py
@@ -120,6 +120,7 @@
         """Update when a quorum last confirmed the configuration."""
         configuration = self.board.configuration
         configuration.confirmed_at = max(configuration.confirmed_at, confirmed_at)
+        self.board.changes.post(Topic.CONFIGURATION_CONFIRMED)
         if not self._is_reported_fresh and self.board.is_fresh():
             self._is_reported_fresh = True
             self._record_event(EventKind.FRESHNESS_REGAINED, "a quorum confirmed the configuration")
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -45,6 +45,26 @@
         """Return whether an endpoint is neither leaving nor in an evacuated zone."""
         return not endpoint.leaving and not self.board.configuration.is_evacuated(endpoint.zone)
 
+    def leading_endpoint(self, group: Group) -> Registration | None:
+        """Return the endpoint that answered its last probe as primary, if any.
+
+        If several did, it is the registered primary, or else the one with the newest position.
+        """
+        leading = [
+            endpoint
+            for endpoint in self.endpoints_of(group.name)
+            if self.is_healthy(endpoint.name) and self.board.groups.health[endpoint.name].is_primary
+        ]
+        best: Registration | None = None
+        for endpoint in leading:
+            if endpoint.name == group.primary:
+                return endpoint
+            position = self.board.groups.health[endpoint.name].position
+            best_position = self.board.groups.health[best.name].position if best else None
+            if best_position is None or (position is not None and position.reaches(best_position)):
+                best = endpoint
+        return best
+
     def next_term(self, group_name: str) -> int:
         """Return a term above every term that the group's endpoints have reported."""
         newest = 0
@@ -87,6 +107,23 @@
             position is not None and position.reaches(observed.position) for position in positions
         )
 
+    def has_all_commits(
+        self, group: Group, promotion: Promotion, missing: list[Registration]
+    ) -> bool:
+        """Return whether the paused endpoints have all that the others may have confirmed.
+
+        The others are the missing and the departed replicas.
+        """
+        positions = list(promotion.received_positions.values())
+        departed_at = self.last_departure_at(group)
+        # A paused primary has every commit, also those that only departed replicas confirmed.
+        has_departed_commits = departed_at is None or group.primary in promotion.received_positions
+        if not has_departed_commits and not self.reaches_primary_since(
+            group.name, departed_at, positions
+        ):
+            return False
+        return all(self.can_promote_without(promotion, replica, positions) for replica in missing)
+
     def can_promote_without(
         self, promotion: Promotion, replica: Registration, positions: list[Position | None]
     ) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -77,6 +77,7 @@
             return
         if probe.alive:
             health.failures = 0
+            health.answered_at = probe.sent_at
             if health.has_lost_log(probe.position):
                 self._record_lost_log(health, probe, registration)
             if probe.is_primary and not health.is_primary:
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
@@ -0,0 +1,88 @@
+"""Lease controller: knows until when VMs may hand on commits, and which promotions they know of."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ..blackboard import Board, Topic
+from ..blackboard.commands import CommandKind
+from ..blackboard.election import Role
+from ..blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S, CommitLease, Opening
+from .configuration import AppliedCommand
+
+
+class LeaseController:
+    """Owns the section of commit leases."""
+
+    __slots__ = ("board",)
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.LEASE_PASSED_ON: self.on_passed_on,
+            Topic.COMMAND_APPLIED: self.on_applied,
+            Topic.LEADERSHIP_CHANGED: self.on_leadership,
+        }
+
+    def on_passed_on(self, lease: CommitLease) -> None:
+        """Store the newest lease of a VM; an earlier one that ends later still counts."""
+        known = self.board.leases.by_vm.get(lease.vm)
+        if known is not None:
+            lease.expires_at = max(lease.expires_at, known.expires_at)
+        self.board.leases.by_vm[lease.vm] = lease
+
+    def on_applied(self, applied: AppliedCommand) -> None:
+        """Note when a promotion of a group begins and ends."""
+        command = applied.entry.command
+        if command.kind not in (CommandKind.GRANT_TERM, CommandKind.NAME_PRIMARY):
+            return
+        group = self.board.configuration.groups.get(command.fields.get("group"))
+        if group is None or group.granted_term == group.term:
+            self.board.leases.openings.pop(command.fields.get("group"), None)
+        else:
+            opening = Opening(applied.entry.index, self.board.clock.now())
+            self.board.leases.openings.setdefault(group.name, opening)
+
+    def on_leadership(self, _entry: None) -> None:
+        """Find the promotions that a snapshot holds; leases of earlier leaders are not known."""
+        if self.board.election.role is not Role.LEADER:
+            return
+        now, configuration = self.board.clock.now(), self.board.configuration
+        leases = self.board.leases
+        leases.complete_at = max(leases.complete_at, now + COMMIT_LEASE_S + LEASE_MARGIN_S)
+        for group in configuration.groups.values():
+            if group.granted_term != group.term:
+                leases.openings.setdefault(group.name, Opening(configuration.revision, now))
+
+
+def applied_revision(board: Board) -> int:
+    """Return the revision that this VM and all with a lease from it have applied, 0 if unknown."""
+    now = board.clock.now()
+    if now < board.leases.complete_at:
+        return 0
+    oldest = board.leases.oldest_applied(now)
+    revision = board.configuration.revision
+    return revision if oldest is None else min(oldest, revision)
+
+
+def knows_every_vm(board: Board, group: str) -> bool:
+    """Return whether no VM can hand on a commit without knowing of a group's promotion.
+
+    Each VM has said that it applied the grant, or its last lease without it has expired. To be
+    called on the control leader.
+    """
+    opening = board.leases.openings.get(group)
+    if opening is None:
+        return False
+    is_expired = board.clock.now() >= opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
+    return is_expired or applied_revision(board) >= opening.revision
+
+
+def has_recent_opening(board: Board) -> bool:
+    """Return whether a promotion may be waiting for this VM's report of what it has applied."""
+    passes_on = board.settings.has_disk or board.settings.registers_diskless_members
+    since = board.clock.now() - COMMIT_LEASE_S
+    return passes_on and any(item.opened_at > since for item in board.leases.openings.values())
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -273,7 +273,14 @@
         number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
         timeout_s = self._exchange_timeout(request, connection, now)
         exchange = SessionExchange(
-            number, connection.endpoint, now, timeout_s, connection, evicted, rounds
+            number,
+            connection.endpoint,
+            now,
+            timeout_s,
+            connection,
+            evicted,
+            rounds,
+            self.board.configuration.revision,
         )
         exchange.proves_primary = proves_primary
         transaction = request.session.transaction
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -0,0 +1,53 @@
+"""Which promote calls may still take effect.
+
+A call without an answer may be carried out seconds later, until the platform has seen a higher
+fencing token; and an endpoint leads only some time after its call was carried out.
+"""
+
+from __future__ import annotations
+
+from ...blackboard.configuration import Group
+
+PROMOTION_EFFECT_S = 1.0  # an endpoint leads some hundred milliseconds after its call
+
+
+class PromoteCalls:
+    """The promote calls of the promotions that are under way, on the control leader.
+
+    `_begun` are the groups whose promotion began under this leader, so that it knows of every call;
+    `_unanswered` has the fencing tokens of calls by group.
+    """
+
+    __slots__ = ("_begun", "_unanswered")
+
+    def __init__(self) -> None:
+        self._begun: set[str] = set()
+        self._unanswered: dict[str, set[int]] = {}
+
+    def reset(self) -> None:
+        """Forget all calls: another leader may make some."""
+        self._begun.clear()
+        self._unanswered.clear()
+
+    def begin(self, group: Group) -> None:
+        """Note the first attempt of a promotion, or another one after an attempt that failed."""
+        if group.granted_term == group.term:
+            self._begun.add(group.name)
+            self._unanswered.pop(group.name, None)
+
+    def add(self, group: str, fencing_token: int) -> None:
+        """Note a call that is being sent."""
+        self._unanswered.setdefault(group, set()).add(fencing_token)
+
+    def remove(self, group: str, fencing_token: int) -> None:
+        """Note that a call was carried out or refused."""
+        self._unanswered.get(group, set()).discard(fencing_token)
+
+    def may_take_effect(self, group: str) -> bool:
+        """Return whether a call without an answer, or one of an earlier leader, may exist."""
+        return group not in self._begun or bool(self._unanswered.get(group))
+
+    def end(self, group: str) -> None:
+        """Note that the promotion has ended and nothing can come of its calls."""
+        self._begun.discard(group)
+        self._unanswered.pop(group, None)
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
@@ -0,0 +1,118 @@
+"""Commands of promotions to endpoints: pause, resume, step down and promote."""
+
+from __future__ import annotations
+
+from ...blackboard import Board, Topic
+from ...blackboard.groups import Promotion
+from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
+from ...blackboard.registrations import Registration
+from ...blackboard.timeline import EventKind
+from ..groupview import GroupView
+
+COMMAND_TIMEOUT_S = 0.5  # a command waits for a slot, which a statement may hold for 60 ms
+PROMOTE_TIMEOUT_S = 1.5  # a promotion takes up to 0.6 s
+
+
+class PromotionCommands:
+    """Posts commands as intents, logs them and their results, and repeats failed resumes."""
+
+    __slots__ = ("board", "view", "_failed_resumes")
+
+    def __init__(self, board: Board, view: GroupView) -> None:
+        self.board = board
+        self.view = view
+        self._failed_resumes: list[EndpointCommand] = []
+
+    def reset(self) -> None:
+        """Forget the failed resumes."""
+        self._failed_resumes.clear()
+
+    def send(
+        self, kind: EndpointCommandKind, registration: Registration, promotion: Promotion
+    ) -> None:
+        """Send a command to an endpoint, which is pending until it has ended."""
+        promotion.pending_endpoints.add(registration.name)
+        term = self.view.next_term(registration.group)
+        self._post(kind, registration, promotion.fencing_token, term, COMMAND_TIMEOUT_S)
+
+    def promote(self, registration: Registration, promotion: Promotion) -> None:
+        """Call the platform to promote an endpoint."""
+        position = promotion.received_positions.get(registration.name)
+        self.board.timeline.record(
+            EventKind.PROMOTE_CALLED,
+            f"group {promotion.group}",
+            "supersedes earlier calls" if promotion.confirms_primary else "",
+            endpoint=registration.name,
+            fence=promotion.fencing_token,
+            position=str(position) if position is not None else "",
+        )
+        token = promotion.fencing_token
+        self._post(EndpointCommandKind.PROMOTE, registration, token, token, PROMOTE_TIMEOUT_S)
+
+    def resume_replicas(self, promotion: Promotion, primary: str) -> None:
+        """Resume the replicas that this or an earlier attempt may have paused."""
+        for endpoint in self.view.endpoints_of(promotion.group):
+            if endpoint.name != primary:
+                self.send(EndpointCommandKind.RESUME_REPLICATION, endpoint, promotion)
+
+    def note_failed_resume(self, command: EndpointCommand) -> None:
+        """Keep a failed resume, to be sent again."""
+        self._failed_resumes.append(command)
+
+    def retry_resumes(self) -> None:
+        """Resend failed resumes, unless a newer promotion may have paused the replica.
+
+        One that is carried out late undoes a newer pause. The replica may then confirm commits,
+        which no VM hands on while that promotion is under way.
+        """
+        commands, self._failed_resumes = self._failed_resumes, []
+        for command in commands:
+            group = self.board.configuration.groups.get(command.group)
+            registration = self.board.configuration.endpoints.get(command.endpoint)
+            is_current = group is not None and group.granted_term == command.fencing_token
+            if is_current and registration is not None:
+                token = command.fencing_token
+                self._post(command.kind, registration, token, command.term, COMMAND_TIMEOUT_S)
+
+    def record_paused(self, promotion: Promotion, command: EndpointCommand) -> None:
+        """Log the result of a pause."""
+        self.board.timeline.record(
+            EventKind.REPLICATION_PAUSED,
+            f"endpoint {command.endpoint}",
+            "" if command.accepted else "it did not answer or refused",
+            group=command.group,
+            fence=promotion.fencing_token,
+            term=command.term,
+            position=str(command.position) if command.position is not None else "",
+        )
+
+    def record_promoted(self, promotion: Promotion, command: EndpointCommand) -> None:
+        """Log the result of a promote call."""
+        cause = "refused" if command.is_refused else "no answer"
+        self.board.timeline.record(
+            EventKind.PROMOTE_ENDED,
+            f"group {promotion.group}",
+            "accepted" if command.accepted else cause,
+            endpoint=command.endpoint,
+            fence=promotion.fencing_token,
+        )
+
+    def _post(
+        self,
+        kind: EndpointCommandKind,
+        registration: Registration,
+        fencing_token: int,
+        term: int,
+        timeout_s: float,
+    ) -> None:
+        command = EndpointCommand(
+            kind,
+            registration.name,
+            registration.address,
+            registration.group,
+            term,
+            "",
+            timeout_s,
+            fencing_token,
+        )
+        self.board.changes.post(Topic.INTENT_POSTED, command)
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -0,0 +1,418 @@
+"""Promotion controller: changes the primary of groups whose terms the database assigns.
+
+Runs on the control leader only. In these groups a commit is acknowledged once one replica has it,
+and that replica may be one that no VM has heard of. A promotion therefore begins with a grant in
+the control log, and only when no VM can hand on a commit without knowing of it (`leases`) are the
+replicas paused, that is, they stop receiving; the one that has received most then has every commit
+that was handed on, and is promoted. Until it is certain that no call can take effect any more, the
+promotion is under way and VMs withhold what the endpoints confirm.
+
+If a replica is unreachable, the promotion waits, unless that replica is proved to have terminated
+and another one has everything that the primary had at some moment after that. A promote call that
+got no answer may still take effect later; only a call with a higher fencing token, which the
+control log grants, rules that out.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...blackboard import Board, Topic
+from ...blackboard.commands import ChangeOutcome, Command, CommandKind
+from ...blackboard.configuration import Group
+from ...blackboard.election import Role
+from ...blackboard.groups import Promotion, PromotionPhase
+from ...blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S
+from ...blackboard.messages import Proposal
+from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
+from ...blackboard.registrations import Registration
+from ...blackboard.timeline import EventKind
+from ..groupview import GroupView, has_terminated
+from ..leases import knows_every_vm
+from ..successors import Successors
+from .calls import PROMOTION_EFFECT_S, PromoteCalls
+from .commands import PromotionCommands
+from .triggers import PromotionTriggers
+
+PROMOTION_COOLDOWN_S = 1.5  # an endpoint becomes primary some hundred milliseconds after the call
+ATTEMPT_TIMEOUT_S = 3.0  # covers all rounds of an attempt with their timeouts
+RETRY_DELAY_S = 0.2  # between two attempts
+CATCH_UP_POLL_INTERVAL_S = 0.02  # replicas lag 20 ms behind the primary
+
+
+class PromotionController:
+    """Owns the promotions of groups whose terms the database assigns."""
+
+    __slots__ = (
+        "board",
+        "view",
+        "successors",
+        "triggers",
+        "commands",
+        "calls",
+        "_next_attempt_at",
+    )
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+        self.view = GroupView(board)
+        self.successors = Successors(board, self.view)
+        self.triggers = PromotionTriggers(board, self.view, self.successors)
+        self.commands = PromotionCommands(board, self.view)
+        self.calls = PromoteCalls()
+        self._next_attempt_at: dict[str, float] = {}
+
+    def subscriptions(self) -> dict[Topic, Any]:
+        """Return the handled topics."""
+        return {
+            Topic.LEADERSHIP_CHANGED: self.on_leadership,
+            Topic.FAILOVER_CHECK_DUE: self.on_failover_due,
+            Topic.HEALTH_UPDATED: self.on_health_updated,
+            Topic.ENDPOINT_COMMAND_ENDED: self.on_command_ended,
+            Topic.CONFIGURATION_CHANGED: self.on_configuration,
+            Topic.LEASE_PASSED_ON: self.on_lease,
+        }
+
+    def on_leadership(self, _entry: None) -> None:
+        """Drop the promotions that belong to another leader's term."""
+        self.board.groups.promotions.clear()
+        self._next_attempt_at.clear()
+        self.commands.reset()
+        self.calls.reset()
+        self.successors.reset()
+
+    def on_failover_due(self, _entry: None) -> None:
+        """Start, continue or abort the promotion of every group."""
+        if not self._is_leader():
+            return
+        for group in list(self.board.configuration.groups.values()):
+            self._check_group(group)
+        self.commands.retry_resumes()
+
+    def on_health_updated(self, group_name: str) -> None:
+        """Check a group after one of its endpoints was probed."""
+        group = self.board.configuration.groups.get(group_name)
+        if group is not None and self._is_leader():
+            self._check_group(group)
+
+    def on_configuration(self, _revision: int) -> None:
+        """Proceed with a promotion once the control log granted its fencing token."""
+        for promotion in list(self.board.groups.promotions.values()):
+            group = self.board.configuration.groups.get(promotion.group)
+            is_granted = group is not None and group.granted_term == promotion.fencing_token
+            if promotion.phase is PromotionPhase.GRANTING and is_granted:
+                self._begin(promotion, group)
+
+    def on_lease(self, _entry: Any) -> None:
+        """Proceed with the promotions that waited for the VMs to know of them."""
+        for promotion in list(self.board.groups.promotions.values()):
+            if promotion.phase is PromotionPhase.ANNOUNCING:
+                self._proceed_if_known(promotion)
+
+    def on_command_ended(self, command: EndpointCommand) -> None:
+        """Handle the result of a command to an endpoint."""
+        promotion = self.board.groups.promotions.get(command.group)
+        is_resume = command.kind is EndpointCommandKind.RESUME_REPLICATION
+        if promotion is None and is_resume and not command.accepted:
+            self.commands.note_failed_resume(command)
+        if command.kind is EndpointCommandKind.PROMOTE and (command.accepted or command.is_refused):
+            self.calls.remove(command.group, command.fencing_token)
+        if promotion is None or promotion.fencing_token != command.fencing_token:
+            return
+        promotion.pending_endpoints.discard(command.endpoint)
+        if command.kind is EndpointCommandKind.PROMOTE:
+            self._handle_promote_result(promotion, command)
+        elif command.kind is EndpointCommandKind.STEP_DOWN:
+            self._handle_step_down(promotion, command)
+        else:
+            self._handle_position(promotion, command)
+
+    def _handle_position(self, promotion: Promotion, command: EndpointCommand) -> None:
+        """Record a replica's position, or that it has terminated."""
+        health = self.board.groups.health.get(command.endpoint)
+        if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
+            self.commands.record_paused(promotion, command)
+        if command.accepted and health is not None and health.has_lost_log(command.position):
+            self._abort(promotion, f"{command.endpoint} has lost its log")
+            return
+        if command.accepted and command.position is not None:
+            promotion.received_positions[command.endpoint] = command.position
+        elif self._has_terminated(command):
+            promotion.terminated_endpoints.add(command.endpoint)
+        elif promotion.pending_endpoints:
+            return
+        self._try_promote(promotion)
+
+    def _has_terminated(self, command: EndpointCommand) -> bool:
+        registration = self.board.configuration.endpoints.get(command.endpoint)
+        return registration is None or has_terminated(registration, command.unreachable_reason)
+
+    def _is_leader(self) -> bool:
+        return self.board.election.role is Role.LEADER
+
+    def _check_group(self, group: Group) -> None:
+        """Start, continue or abort a group's promotion according to the endpoints' health."""
+        if not group.counts_own_terms or not self.board.is_fresh():
+            return
+        promotion = self.board.groups.promotions.get(group.name)
+        now = self.board.clock.now()
+        if promotion is not None:
+            self._check_promotion(promotion, group, now)
+            return
+        if now < self._next_attempt_at.get(group.name, 0.0):
+            return
+        if group.granted_term == group.term and self._adopt_leading_endpoint(group):
+            return
+        reason = self.triggers.reason_for(group)
+        if reason:
+            self._start_promotion(group, reason)
+
+    def _check_promotion(self, promotion: Promotion, group: Group, now: float) -> None:
+        """Continue or abort a promotion."""
+        if now - promotion.began_at > ATTEMPT_TIMEOUT_S:
+            self._end_attempt(promotion, group)
+        elif promotion.phase is PromotionPhase.ANNOUNCING:
+            leading = self.view.leading_endpoint(group)
+            if leading is not None and not promotion.is_planned:
+                self._confirm_primary(promotion, group, leading)
+            else:
+                self._proceed_if_known(promotion)
+        elif promotion.phase is PromotionPhase.CATCHING_UP and now >= promotion.due:
+            self._request_positions(promotion)
+        elif promotion.phase is PromotionPhase.CONFIRMING and now >= promotion.due:
+            self._check_confirmed(promotion, group)
+
+    def _end_attempt(self, promotion: Promotion, group: Group) -> None:
+        """Abort an attempt that timed out; reinstate a primary that stepped down for it.
+
+        It stepped down under this fencing token, so no other endpoint was promoted since.
+        """
+        if promotion.phase is not PromotionPhase.CATCHING_UP:
+            self._abort(promotion, "the attempt timed out")
+            return
+        promotion.began_at = self.board.clock.now()
+        self._send_promote(promotion, group.primary or "")
+
+    def _adopt_leading_endpoint(self, group: Group) -> bool:
+        """Propose the endpoint that leads if the log has another one or none; return whether so.
+
+        No call may take effect while the group has no promotion.
+        """
+        leading = self.view.leading_endpoint(group)
+        if leading is None or leading.name == group.primary:
+            return False
+        self._delay_next_attempt(group.name, RETRY_DELAY_S)
+        fields = {"group": group.name, "term": group.term, "endpoint": leading.name}
+        self._propose(CommandKind.NAME_PRIMARY, fields)
+        return True
+
+    def _start_promotion(self, group: Group, reason: str) -> None:
+        fencing_token = group.granted_term + 1
+        promotion = Promotion(group.name, fencing_token, self.board.clock.now())
+        promotion.follows_attempt = group.granted_term != group.term
+        self.calls.begin(group)
+        self.board.groups.promotions[group.name] = promotion
+        self.board.timeline.record(
+            EventKind.FAILOVER_STARTED,
+            f"group {group.name}",
+            reason,
+            fence=fencing_token,
+            primary=group.primary or "",
+        )
+        self._propose(CommandKind.GRANT_TERM, {"group": group.name, "term": fencing_token})
+
+    def _begin(self, promotion: Promotion, group: Group) -> None:
+        """Decide what to do with a granted fencing token.
+
+        A handover begins only if no earlier attempt is open, so that an attempt that failed while
+        the primary works does not keep VMs from answering commits.
+        """
+        leading = self.view.leading_endpoint(group)
+        if leading is not None:
+            is_primary = leading.name == group.primary and not promotion.follows_attempt
+            if not (is_primary and self.successors.handover_reason(group, leading)):
+                self._confirm_primary(promotion, group, leading)
+                return
+            promotion.is_planned = True
+        promotion.phase = PromotionPhase.ANNOUNCING
+        opening = self.board.leases.openings.get(group.name)
+        if opening is not None:
+            due = opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
+            self.board.changes.post_at(due, Topic.FAILOVER_CHECK_DUE)
+        self._proceed_if_known(promotion)
+
+    def _proceed_if_known(self, promotion: Promotion) -> None:
+        """Send the first commands once no VM hands on commits without knowing of the promotion."""
+        if not knows_every_vm(self.board, promotion.group):
+            return
+        group = self.board.configuration.groups[promotion.group]
+        promotion.began_at = self.board.clock.now()
+        leading = self.view.leading_endpoint(group)
+        if promotion.is_planned and leading is not None and leading.name == group.primary:
+            promotion.phase = PromotionPhase.STEPPING_DOWN
+            self.commands.send(EndpointCommandKind.STEP_DOWN, leading, promotion)
+            return
+        promotion.is_planned = False
+        promotion.phase = PromotionPhase.PAUSING
+        self._try_promote(promotion)
+
+    def _confirm_primary(self, promotion: Promotion, group: Group, leading: Registration) -> None:
+        """End the promotion with the endpoint that leads; no call may take effect after that."""
+        promotion.confirms_primary = True
+        promotion.is_planned = False
+        promotion.began_at = self.board.clock.now()
+        if leading.name == group.primary and not self.calls.may_take_effect(group.name):
+            promotion.target = leading.name
+            self._finish(promotion, group)
+        else:
+            self._send_promote(promotion, leading.name)
+
+    def _check_confirmed(self, promotion: Promotion, group: Group) -> None:
+        """Finish once the target was seen to lead after earlier calls can no longer take effect."""
+        for endpoint in self.view.endpoints_of(group.name):
+            health = self.board.groups.health.get(endpoint.name)
+            if health is None or not health.is_primary or health.answered_at < promotion.due:
+                continue
+            if endpoint.name == promotion.target:
+                self._finish(promotion, group)
+            else:
+                self._abort(promotion, f"{endpoint.name} leads after an earlier call")
+            return
+
+    def _handle_step_down(self, promotion: Promotion, command: EndpointCommand) -> None:
+        if not command.accepted or command.position is None:
+            self._abort(promotion, "the primary did not step down")
+            return
+        promotion.step_down_position = command.position
+        promotion.received_positions[command.endpoint] = command.position
+        self._request_positions(promotion)
+
+    def _request_positions(self, promotion: Promotion) -> None:
+        """Ask the replicas that stay for their positions."""
+        promotion.phase = PromotionPhase.CATCHING_UP
+        promotion.due = self.board.clock.now() + CATCH_UP_POLL_INTERVAL_S
+        group = self.board.configuration.groups[promotion.group]
+        for replica in self.view.replicas(group):
+            is_pending = replica.name in promotion.pending_endpoints
+            if self.view.is_staying(replica) and not is_pending:
+                self.commands.send(EndpointCommandKind.RESUME_REPLICATION, replica, promotion)
+        self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
+
+    def _try_promote(self, promotion: Promotion) -> None:
+        group = self.board.configuration.groups[promotion.group]
+        if promotion.phase is PromotionPhase.PAUSING:
+            self._try_promote_paused(promotion, group)
+        elif promotion.phase is PromotionPhase.CATCHING_UP:
+            for name, position in promotion.received_positions.items():
+                if name != group.primary and position.reaches(promotion.step_down_position):
+                    self._send_promote(promotion, name)
+                    return
+
+    def _try_promote_paused(self, promotion: Promotion, group: Group) -> None:
+        """Pause every replica, also one that has just joined, then promote the most advanced."""
+        replicas = self.view.replicas(group)
+        primary = self.board.configuration.endpoints.get(group.primary)
+        if primary is not None and self.view.has_primary_recovered(group, promotion):
+            self._confirm_primary(promotion, group, primary)
+            return
+        answers = primary is not None and self.view.is_healthy(primary.name)
+        for endpoint in [*replicas, *([primary] if answers else [])]:
+            if endpoint.name not in promotion.asked_endpoints:
+                promotion.asked_endpoints.add(endpoint.name)
+                self.commands.send(EndpointCommandKind.PAUSE_REPLICATION, endpoint, promotion)
+        missing = [item for item in replicas if item.name not in promotion.received_positions]
+        if promotion.received_positions and self.view.has_all_commits(group, promotion, missing):
+            self._send_promote(promotion, self.successors.most_advanced(promotion))
+        elif not promotion.pending_endpoints:
+            reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
+            self._abort(promotion, reason)
+
+    def _send_promote(self, promotion: Promotion, target: str) -> None:
+        promotion.phase = PromotionPhase.CALLING
+        promotion.target = target
+        registration = self.board.configuration.endpoints.get(target)
+        if registration is None:
+            self._abort(promotion, f"{target} is not registered any more")
+            return
+        promotion.is_only_call = not self.calls.may_take_effect(promotion.group)
+        self.calls.add(promotion.group, promotion.fencing_token)
+        self.commands.promote(registration, promotion)
+
+    def _handle_promote_result(self, promotion: Promotion, command: EndpointCommand) -> None:
+        self.commands.record_promoted(promotion, command)
+        if not command.accepted:
+            self._abort(promotion, "the promote call was refused or got no answer")
+            return
+        group = self.board.configuration.groups[promotion.group]
+        if promotion.is_only_call:
+            self._finish(promotion, group)
+            return
+        promotion.phase = PromotionPhase.CONFIRMING
+        promotion.began_at = self.board.clock.now()
+        promotion.due = promotion.began_at + PROMOTION_EFFECT_S
+
+    def _finish(self, promotion: Promotion, group: Group) -> None:
+        """Name the primary in the control log, which ends the promotion."""
+        del self.board.groups.promotions[promotion.group]
+        target = promotion.target or ""
+        if promotion.is_planned:
+            self.successors.note_handover(group.name, is_done=target != group.primary)
+        self._delay_next_attempt(group.name, PROMOTION_COOLDOWN_S)
+        self.board.changes.post(Topic.PROMOTION_ENDED, group.name)
+        if promotion.confirms_primary:
+            self.commands.resume_replicas(promotion, target)
+        fields: dict[str, Any] = {
+            "group": group.name,
+            "term": promotion.fencing_token,
+            "endpoint": target,
+            "led_throughout": promotion.is_only_call,
+        }
+        kept = promotion.received_positions.get(target)
+        if kept is not None and promotion.is_only_call:
+            fields["kept"] = kept.to_pair()
+        self.calls.end(group.name)
+        self._propose(CommandKind.NAME_PRIMARY, fields)
+        elapsed = self.board.clock.now() - promotion.began_at
+        self.board.timeline.record(
+            EventKind.PRIMARY_PROMOTED,
+            f"group {group.name}",
+            "already the primary" if promotion.confirms_primary else "the most advanced endpoint",
+            endpoint=target,
+            fence=promotion.fencing_token,
+            kept=str(kept) if "kept" in fields else "",
+            decision_ms=round(elapsed * 1000),
+        )
+
+    def _abort(self, promotion: Promotion, reason: str) -> None:
+        """End an attempt; the next one has a higher fencing token and supersedes its calls.
+
+        If the primary still leads and no call was made, that ends the promotion as well.
+        """
+        self.board.timeline.record(
+            EventKind.FENCE_FAILED,
+            f"group {promotion.group}",
+            reason,
+            fence=promotion.fencing_token,
+        )
+        if promotion.is_planned:
+            self.successors.note_handover(promotion.group, is_done=False)
+        group = self.board.configuration.groups[promotion.group]
+        leading = self.view.leading_endpoint(group)
+        is_granted = promotion.phase is not PromotionPhase.GRANTING
+        is_unchanged = leading is not None and leading.name == group.primary
+        if is_granted and is_unchanged and not self.calls.may_take_effect(group.name):
+            self._confirm_primary(promotion, group, leading)
+            return
+        self.board.groups.promotions.pop(promotion.group, None)
+        self._delay_next_attempt(promotion.group, RETRY_DELAY_S)
+
+    def _delay_next_attempt(self, group_name: str, delay_s: float) -> None:
+        self._next_attempt_at[group_name] = self.board.clock.now() + delay_s
+
+    def _propose(self, kind: CommandKind, fields: dict[str, Any]) -> None:
+        proposal = Proposal(Command(kind, fields), _ignore_outcome)
+        self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
+
+
+def _ignore_outcome(outcome: ChangeOutcome | None) -> None:
+    """Ignore the outcome: the next check reads it from the configuration."""
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/triggers.py
@@ -0,0 +1,42 @@
+"""Why a group needs a promotion."""
+
+from __future__ import annotations
+
+from ...blackboard import Board
+from ...blackboard.configuration import Group
+from ..groupview import PROBE_FAILURE_THRESHOLD, GroupView
+from ..successors import Successors
+
+
+class PromotionTriggers:
+    """Decides by the endpoints' health, registrations and the evacuations."""
+
+    __slots__ = ("board", "view", "successors")
+
+    def __init__(self, board: Board, view: GroupView, successors: Successors) -> None:
+        self.board = board
+        self.view = view
+        self.successors = successors
+
+    def reason_for(self, group: Group) -> str:
+        """Return why the group needs a promotion, or an empty text."""
+        if group.primary is None:
+            return ""
+        registration = self.board.configuration.endpoints.get(group.primary)
+        health = self.board.groups.health.get(group.primary)
+        leading = self.view.leading_endpoint(group)
+        if leading is not None and leading.name != group.primary:
+            return f"{leading.name} reports that it leads instead of {group.primary}"
+        if registration is None:
+            return f"the primary {group.primary} is not registered any more"
+        if health is None or not health.probed:
+            return ""
+        if health.failures >= PROBE_FAILURE_THRESHOLD:
+            return f"the primary {group.primary} did not answer {health.failures} probes"
+        if health.failures == 0 and health.not_primary_answers >= PROBE_FAILURE_THRESHOLD:
+            return f"the primary {group.primary} reports that it does not lead"
+        if group.granted_term != group.term:
+            return "the outcome of an earlier promotion is unknown"
+        if self.successors.is_delayed(registration):
+            return ""
+        return self.successors.handover_reason(group, registration)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/sessions.py
@@ -290,6 +290,7 @@
             self._end_transaction(session)
         elif session.transaction is not None:
             session.transaction.last_used = self.board.clock.now()
+            session.transaction.has_written |= request.kind is StatementKind.WRITE
 
     def _apply_refusal(self, session: Session, request: SessionRequest) -> None:
         """Fail the transaction of a refused statement; a refused commit or rollback ends it."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/successors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/successors.py
@@ -6,7 +6,6 @@
 from ..blackboard.configuration import Group
 from ..blackboard.groups import Promotion
 from ..blackboard.registrations import Registration
-from ..positions import Position
 from .groupview import GroupView
 
 MAX_SUCCESSOR_LAG_S = 1.5  # half of an attempt, in which it catches up; the call needs the rest
@@ -86,18 +85,6 @@
             and self.view.is_healthy(endpoint.name)
         ]
 
-    def reported_primary(self, group_name: str) -> str | None:
-        """Return the endpoint with the newest position that reports itself as primary, if any."""
-        best: str | None = None
-        best_position: Position | None = None
-        for endpoint in self.view.endpoints_of(group_name):
-            health = self.board.groups.health.get(endpoint.name)
-            if health is None or not health.is_primary or health.position is None:
-                continue
-            if best_position is None or health.position.reaches(best_position):
-                best, best_position = endpoint.name, health.position
-        return best
-
     def most_advanced(self, promotion: Promotion) -> str:
         """Return the endpoint that has received most; among equals, one that stays.
 
--- a/packages/gentianspread-core/src/gentianspread_core/engine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/engine.py
@@ -25,6 +25,7 @@
 from .controllers.health import HealthController
 from .controllers.homes import HomeController
 from .controllers.keys import KeyController
+from .controllers.leases import LeaseController
 from .controllers.limits import LimitController
 from .controllers.observations import ObservationController
 from .controllers.placement import PlacementController
@@ -174,6 +175,7 @@
             KeyController(board),
             LimitController(board, randomness),
             AllocatorController(board),
+            LeaseController(board),
             HomeController(board),
             LoadController(board),
             OutlierController(board, estimator, randomness),
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -18,6 +18,7 @@
     Group,
     Key,
     Member,
+    Succession,
     Workspace,
     apply_declaration,
 )
@@ -25,6 +26,7 @@
 from .blackboard.registrations import Registration, find_fault
 from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
+from .positions import LOG_START, Position
 
 MAX_UNREGISTERED_REVISIONS = 1000  # an endpoint registers with the announcement of its warm-up
 
@@ -300,10 +302,18 @@
             ErrorCode.REVISION_CONFLICT,
             f"Term {term} of {group.name} was overtaken.",
         )
+    endpoint = command.fields["endpoint"]
+    is_new = group.primary != endpoint
+    had_primary = group.counts_own_terms and group.primary is not None
+    kept = Position.from_pair(command.fields.get("kept", LOG_START.to_pair()))
     group.term = term
-    if group.primary != command.fields["endpoint"]:
+    if had_primary and (is_new or not command.fields.get("led_throughout", True)):
+        configuration.successions[group.name] = Succession(
+            group.name, configuration.revision, kept.term, kept.index
+        )
+    if is_new:
         group.departed = []
-    group.primary = command.fields["endpoint"]
+    group.primary = endpoint
 
 
 def _set_allocator(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -7,6 +7,7 @@
 
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.homes import ServingVM
+from gentianspread_core.blackboard.leases import COMMIT_LEASE_S, CommitLease
 from gentianspread_core.blackboard.rate_limits import TokenRequest
 from gentianspread_core.blackboard.relays import RelayedStatement, load_reply, reply_to_record
 from gentianspread_core.blackboard.requests import ExchangeStatus
@@ -154,6 +155,8 @@
             self.board.post(Topic.POLL_RECEIVED, name)
             revision = engine.board.configuration.revision
             update = self.engine.configuration.build_update(revision, name)
+            lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S)
+            self.board.post(Topic.LEASE_PASSED_ON, lease)
             copy = ConfigurationUpdate(update.entries, update.snapshot, update.revision, now)
             engine.board.post(Topic.CONFIGURATION_RECEIVED, copy)
             if observation is not None:
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -14,6 +14,7 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.election import Role
+from gentianspread_core.blackboard.leases import COMMIT_LEASE_S, CommitLease
 from gentianspread_core.blackboard.log import LogEntry
 from gentianspread_core.blackboard.members import MemberContact
 from gentianspread_core.blackboard.messages import Proposal
@@ -21,6 +22,7 @@
     ConfigurationController,
     ConfigurationUpdate,
 )
+from gentianspread_core.controllers.leases import applied_revision, has_recent_opening
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_core.controllers.warmup import endpoints_to_doubt
 from gentianspread_core.positions import Position
@@ -44,6 +46,7 @@
 POLL_PATH = "/peer/poll"
 LOOP_NAME = "polling"
 LONG_POLL_WAIT_S = 0.3
+SHORT_POLL_WAIT_S = 0.05  # while a promotion waits until all VMs know of it
 POLL_TIMEOUT_S = 0.4  # in addition to the wait
 POLL_BACKOFF_STEP_S = 0.05
 MAX_POLL_BACKOFF_S = 0.3  # with 114 VMs that all restart at once, 340 polls a second
@@ -145,6 +148,9 @@
         # The poller subtracts the age from the wait; the VM may freeze between two readings.
         now = self.board.clock.now()
         age = now - update.confirmed_at
+        applied = message.get("applied", sender_revision)
+        lease = CommitLease(sender, applied, update.confirmed_at + COMMIT_LEASE_S)
+        self.board.post(Topic.LEASE_PASSED_ON, lease)
         timeline = self.board.timeline
         answer = {
             "revision": update.revision,
@@ -232,7 +238,8 @@
     def _poll(self, name: str) -> bool:
         """Poll a VM; return whether it answered and is fresh enough to be polled again."""
         sent_at = self.board.clock.now()
-        response = self._poll_once(name, LONG_POLL_WAIT_S)
+        is_promoting = has_recent_opening(self.board)
+        response = self._poll_once(name, SHORT_POLL_WAIT_S if is_promoting else LONG_POLL_WAIT_S)
         if response is None:
             return False
         if response["leader"] is not None:
@@ -270,6 +277,8 @@
             "reports": [report.to_record() for report in self._reports_to_send()],
             "homes": self.board.homes.version,
         }
+        if settings.has_disk or settings.registers_diskless_members:
+            message["applied"] = applied_revision(self.board)
         if asks_first_start:
             message["asks_first_start"] = True
         lost = endpoints_to_doubt(self.board)
--- a/packages/gentianspread-server/src/gentianspread_server/platform/calls.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/calls.py
@@ -5,6 +5,7 @@
 import logging
 
 import orjson
+from gentianspread_core.blackboard.outbox import EndpointCommand
 
 from ..connections import Connection, RequestNotSentError, ResponseLostError
 
@@ -12,6 +13,7 @@
 
 PROMOTE_PATH = "/promote"
 OK = 200
+CLIENT_ERRORS = range(400, 500)
 
 
 class PlatformClient:
@@ -23,11 +25,13 @@
         self.address = address
         self.lease_holder = lease_holder
 
-    def promote(self, group: str, endpoint: str, fencing_token: int, timeout_s: float) -> bool:
-        """Make an endpoint the primary of its group; return whether the platform accepted it.
+    def promote(self, command: EndpointCommand) -> None:
+        """Make an endpoint the primary of its group, and set whether that was accepted or refused.
 
-        A request without a response may still be carried out later.
+        A request without a response, or with an error of the service, may still be carried out
+        later.
         """
+        group, endpoint, fencing_token = command.group, command.endpoint, command.fencing_token
         body = orjson.dumps({"service": group, "id": endpoint})
         head = (
             f"POST {PROMOTE_PATH} HTTP/1.1\r\nHost: {self.address}\r\n"
@@ -37,15 +41,18 @@
         ).encode()
         connection = Connection(self.address)
         try:
-            connection.open(timeout_s)
-            response = connection.request(head + body, timeout_s)
+            connection.open(command.timeout_s)
+            response = connection.request(head + body, command.timeout_s)
         except (RequestNotSentError, ResponseLostError) as error:
+            command.is_refused = isinstance(error, RequestNotSentError)
             log.warning(
                 "promoting %s with fencing token %d failed: %s", endpoint, fencing_token, error
             )
-            return False
+            return
         finally:
             connection.close()
+        command.accepted = response.status == OK
+        command.is_refused = response.status in CLIENT_ERRORS
         if response.status != OK:
             log.warning(
                 "promoting %s with fencing token %d failed: HTTP status %d",
@@ -53,4 +60,3 @@
                 fencing_token,
                 response.status,
             )
-        return response.status == OK
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -130,9 +130,7 @@
         """Carry out a command of the promotion controller and post whether it was accepted."""
         try:
             if command.kind is EndpointCommandKind.PROMOTE:
-                command.accepted = self.platform_client.promote(
-                    command.group, command.endpoint, command.fencing_token, command.timeout_s
-                )
+                self.platform_client.promote(command)
             else:
                 self._send_over_new_connection(command)
         finally:
