Raise the term of pauses and step-downs above the endpoints' own

Cause: a pause must carry a term above the endpoint's newest, and the leader took that from log positions, whose term is that of the last commit. Until the first commit after a promotion, endpoints ignored every pause and step-down. Change: the status row tells the endpoint's own term; a refused command is repeated above it. The stand-ins gave positions the endpoint's own term, which hid this; they give that of the last commit now. Test: "A primary that fails before its first commit is replaced" fails without the repetition.

--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -14,3 +14,13 @@
     And 5 s pass
     Then another endpoint than "b1" is the primary
     And the endpoint that leads has every acknowledged write
+
+  # Guards against a group that keeps a dead primary: its endpoints ignored pauses of their own term,
+  # which no commit had shown yet.
+  Scenario: A primary that fails before its first commit is replaced
+    Given a caller at "h1"
+    When the control leader no longer reaches the primary
+    And 4 s pass
+    And the control leader no longer reaches "b2" after it was promoted
+    And 8 s pass
+    Then another endpoint than "b2" is the primary
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -29,6 +29,12 @@
     context.promotion_simulation.cut_off_endpoints.add("b1")
 
 
+@when('the control leader no longer reaches "{name:w}" after it was promoted')
+def step_cut_promoted(context, name):
+    assert context.promotion_simulation.primary().name == name
+    context.promotion_simulation.cut_off_endpoints = {name}
+
+
 @when("the promote call has been made")
 def step_call_made(context):
     run_until(context, lambda: context.promotion_simulation.promotions)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -103,7 +103,8 @@
 
     `primary_address` is that of the primary to follow, or empty; `fencing_token` is that of the
     promotion to which the command belongs. The result's `position` is the last log position that
-    the endpoint has received; `is_refused` is set if it is certain that the command is not carried
+    the endpoint has received and `reported_term` the newest term that it knows, or 0; `is_refused`
+    is set if it is certain that the command is not carried
     out later either.
     """
 
@@ -118,6 +119,7 @@
         "fencing_token",
         "accepted",
         "is_refused",
+        "reported_term",
         "unreachable_reason",
         "position",
     )
@@ -143,6 +145,7 @@
         self.fencing_token = fencing_token
         self.accepted = False
         self.is_refused = False
+        self.reported_term = 0
         self.unreachable_reason: UnreachableReason | None = None
         self.position: Position | None = None
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -66,12 +66,15 @@
         return best
 
     def next_term(self, group_name: str) -> int:
-        """Return a term above every term that the group's endpoints have reported."""
+        """Return a term above every term that the group's endpoints have reported.
+
+        The term of a position is that of the last commit, which may be older than the endpoint's.
+        """
         newest = 0
         for endpoint in self.endpoints_of(group_name):
             health = self.board.groups.health.get(endpoint.name)
-            if health is not None and health.position is not None:
-                newest = max(newest, health.position.term)
+            if health is not None:
+                newest = max(newest, health.term, health.position.term if health.position else 0)
         return newest + 1
 
     def has_primary_recovered(self, group: Group, promotion: Promotion) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
@@ -55,6 +55,17 @@
             if endpoint.name != primary:
                 self.send(EndpointCommandKind.RESUME_REPLICATION, endpoint, promotion)
 
+    def repeat_with_newer_term(self, promotion: Promotion, command: EndpointCommand) -> bool:
+        """Repeat a command whose term the endpoint refused as too old; return whether it was."""
+        registration = self.board.configuration.endpoints.get(command.endpoint)
+        health = self.board.groups.health.get(command.endpoint)
+        is_outdated = not command.accepted and command.reported_term >= command.term
+        if not is_outdated or registration is None or health is None:
+            return False
+        health.term = max(health.term, command.reported_term)
+        self.send(command.kind, registration, promotion)
+        return True
+
     def note_failed_resume(self, command: EndpointCommand) -> None:
         """Keep a failed resume, to be sent again."""
         self._failed_resumes.append(command)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -120,6 +120,8 @@
         if promotion is None or promotion.fencing_token != command.fencing_token:
             return
         promotion.pending_endpoints.discard(command.endpoint)
+        if self.commands.repeat_with_newer_term(promotion, command):
+            return
         if command.kind is EndpointCommandKind.PROMOTE:
             self._handle_promote_result(promotion, command)
         elif command.kind is EndpointCommandKind.STEP_DOWN:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -87,12 +87,14 @@
         """Have an endpoint lead the next term with what it has received."""
         log = set(self.endpoints[name].log)
         self.lost_writes |= {write for write in self.acknowledged if write not in log}
-        dead = {item.name: (item.log, item.applied) for item in self.endpoints.values()}
+        dead = {
+            item.name: (item.log, item.log_term, item.applied) for item in self.endpoints.values()
+        }
         super().promote(name)
         for endpoint in self.endpoints.values():
             endpoint.replication_paused = False
             if not endpoint.alive and endpoint.name != name:
-                endpoint.log, endpoint.applied = dead[endpoint.name]
+                endpoint.log, endpoint.log_term, endpoint.applied = dead[endpoint.name]
         self._refuse_held_replies()
 
     def has_primary(self) -> bool:
@@ -106,7 +108,7 @@
         receives = not (endpoint.replication_paused or endpoint.ignores_replication)
         if receives and leading and leading[0] is not endpoint:
             endpoint.term = leading[0].term
-            endpoint.log = list(leading[0].log)
+            endpoint.log, endpoint.log_term = list(leading[0].log), leading[0].log_term
             endpoint.applied = len(endpoint.log)
             self._send_confirmed_replies()
 
@@ -210,14 +212,17 @@
         if endpoint is None or not endpoint.alive:
             command.unreachable_reason = self._unreachable_reason(command.endpoint)
             return
+        command.reported_term = endpoint.term
         command.accepted = True
         if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
-            endpoint.replication_paused = not endpoint.is_primary
+            command.accepted = command.term > endpoint.term
+            endpoint.replication_paused |= command.accepted and not endpoint.is_primary
         elif command.kind is EndpointCommandKind.RESUME_REPLICATION:
             endpoint.replication_paused = False
             self._rejoin(endpoint)
         else:
-            endpoint.is_primary = False
+            command.accepted = command.term > endpoint.term
+            endpoint.is_primary &= not command.accepted
         command.position = endpoint.position()
 
     def _carry_out_call(self, command: EndpointCommand) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -82,6 +82,7 @@
         self.is_unresponsive = False
         self.replicas: list[FakeSessionEndpoint] = []
         self.term = 1
+        self.log_term = 1
         self.log: list[str] = []
         self.applied = 0
         self.max_connections = 46
@@ -95,8 +96,8 @@
         self.slot_free_at = [0.0] * slots
 
     def position(self) -> Position:
-        """Return the position of the last applied log entry."""
-        return Position(self.term, self.applied)
+        """Return the position of the last applied log entry, with the term that it is from."""
+        return Position(self.log_term, self.applied)
 
     def reserve_slot(self, now: float, seconds: float) -> float:
         """Reserve the slot that is free first; return the time at which the work is done."""
@@ -204,10 +205,11 @@
 
     def _append(self, writes: list[str]) -> None:
         self.log.extend(writes)
+        self.log_term = self.term if writes else self.log_term
         self.applied = len(self.log)
         for replica in self.replicas:
             if replica.alive and not (replica.replication_paused or replica.ignores_replication):
-                replica.log = list(self.log)
+                replica.log, replica.log_term = list(self.log), self.log_term
                 replica.apply(self.applied)
 
     def apply(self, count: int) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -211,7 +211,7 @@
         target.replication_paused = False
         for endpoint in self.endpoints.values():
             endpoint.term += 1
-            endpoint.log = list(target.log)
+            endpoint.log, endpoint.log_term = list(target.log), target.log_term
             endpoint.applied = len(endpoint.log)
         self._connect_replicas()
 
--- a/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/endpoints.py
@@ -365,7 +365,7 @@
             )
             return
         status = decode_status(reply.rows[0])
-        command.position = status.received
+        command.position, command.reported_term = status.received, status.term
         if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
             command.accepted = status.paused_term >= command.term
         elif command.kind is EndpointCommandKind.STEP_DOWN:
