Refuse commits at once on a VM that has long been out of touch

Cause: on a VM without contact, a commit ran and its answer waited for the statement's limit, to end as unknown; callers do not repeat an unknown commit. Change: half a second after the lease expired, a single write or the commit of a transaction that has written is refused before it is sent, so callers may repeat it at another VM. Ruled out: refusing as soon as the lease expires, as a lost poll is repeated within that time and the answer is then a success.

--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -24,3 +24,27 @@
     And the control leader no longer reaches "b2" after it was promoted
     And 8 s pass
     Then another endpoint than "b2" is the primary
+
+  # Guards against commits of unknown outcome on a VM that could have refused them before they ran.
+  Scenario Outline: A VM that has been out of touch for longer than its lease refuses commits
+    Given a caller at "h1"
+    And the caller at "h1" has written in a transaction
+    When the VM "h1" no longer reaches the control VMs
+    And 2.2 s pass
+    And the caller at "h1" sends "<statement>"
+    And 1 s pass
+    Then the last statement was refused as "<code>", and the endpoints ran nothing of it
+
+    Examples:
+      | statement | code                    |
+      | COMMIT    | transaction_unknown     |
+      | ROLLBACK  |                         |
+
+  # Guards against writes of unknown outcome on a VM that could have refused them before they ran.
+  Scenario: A VM that has been out of touch for longer than its lease refuses single writes
+    Given a caller at "h1"
+    When the VM "h1" no longer reaches the control VMs
+    And 2.2 s pass
+    And the caller at "h1" sends "WRITE x 1"
+    And 1 s pass
+    Then the last statement was refused as "configuration_not_fresh", and the endpoints ran nothing of it
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from gentianspread_core.errors import ExecutionResult
 from gentianspread_lab.fakes.session_simulation import GROUP
 from gentianspread_server.platform.wire import decode_statement
 
@@ -47,9 +48,41 @@
 
 @when('the caller at "{vm:w}" writes')
 def step_writes(context, vm):
-    statement = decode_statement(f"w{len(context.writes)}", "WRITE x 1")
+    _send(context, vm, "WRITE x 1")
+
+
+def _send(context, vm, text):
+    statement = decode_statement(f"w{len(context.writes)}", text)
     call = context.promotion_simulation.send_statement_at(vm, context.callers[vm], statement)
     context.writes.append(call)
+    return call
+
+
+@given('the caller at "{vm:w}" has written in a transaction')
+def step_written(context, vm):
+    for text in ("BEGIN", "WRITE x 1"):
+        call = _send(context, vm, text)
+        context.promotion_simulation.run(0.2)
+        assert call.answer is not None and call.answer.refusal is None, call.answer
+
+
+@when('the VM "{vm:w}" no longer reaches the control VMs')
+def step_vm_cut_off(context, vm):
+    context.promotion_simulation.unpolled_vms.add(vm)
+
+
+@when('the caller at "{vm:w}" sends "{text}"')
+def step_sends(context, vm, text):
+    context.log_length = len(context.promotion_simulation.primary().log)
+    _send(context, vm, text)
+
+
+@then('the last statement was refused as "{code:Quoted}", and the endpoints ran nothing of it')
+def step_refused(context, code):
+    refusal = context.writes[-1].answer.refusal
+    assert (refusal.code.value if refusal else "") == code, refusal
+    assert refusal is None or refusal.result is ExecutionResult.NOT_RUN
+    assert len(context.promotion_simulation.primary().log) == context.log_length
 
 
 @then('another endpoint than "{name:w}" is the primary')
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -225,10 +225,9 @@
         connection: BackendConnection,
         evicted: list[BackendConnection],
         rounds: list[list[Step]],
-        revision: int = 0,
     ) -> None:
         super().__init__(number, endpoint, 0, sent_at, timeout_s, 0.0)
-        self.revision = revision
+        self.revision = 0
         self.connection = connection
         self.evicted = evicted
         self.rounds = rounds
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
@@ -13,6 +13,11 @@
 from ..blackboard.leases import COMMIT_LEASE_S
 from ..blackboard.requests import StatementKind
 from ..blackboard.sessions import SessionExchange, SessionRequest
+from ..errors import ErrorCode
+
+# After this time without a lease, a commit would probably wait until its deadline: a lost poll is
+# repeated within it.
+MAX_EXPIRED_LEASE_S = 0.5
 
 
 class CommitState(Enum):
@@ -44,13 +49,26 @@
             and transaction.has_written
         )
 
+    def refuse_without_lease(self, request: SessionRequest) -> bool:
+        """Refuse a commit before it is sent if this VM is out of touch; return whether it was."""
+        if not self.concerns(request) or self._lease_age() <= COMMIT_LEASE_S + MAX_EXPIRED_LEASE_S:
+            return False
+        message = "No quorum confirmed in time that no promotion is under way."
+        if request.kind is StatementKind.COMMIT:
+            request.refuse(
+                ErrorCode.TRANSACTION_UNKNOWN, message + " The transaction is rolled back."
+            )
+        else:
+            request.refuse(ErrorCode.CONFIGURATION_NOT_FRESH, message)
+        return True
+
     def state_of(self, request: SessionRequest) -> CommitState:
         """Return what is known of a commit whose success the endpoint has reported."""
         configuration, exchange = self.board.configuration, request.exchange
         group = configuration.groups.get(request.group)
         if group is None or not group.counts_own_terms or not isinstance(exchange, SessionExchange):
             return CommitState.KEPT
-        if group.granted_term != group.term or not self._has_lease():
+        if group.granted_term != group.term or self._lease_age() > COMMIT_LEASE_S:
             return CommitState.UNDECIDED
         succession = configuration.successions.get(group.name)
         changed_at = succession.revision if succession is not None else 0
@@ -61,6 +79,6 @@
             return CommitState.KEPT
         return CommitState.DOUBTFUL
 
-    def _has_lease(self) -> bool:
-        age_s = self.board.clock.now() - self.board.configuration.confirmed_at
-        return age_s <= COMMIT_LEASE_S
+    def _lease_age(self) -> float:
+        """Return the seconds since a quorum last confirmed this VM's configuration."""
+        return self.board.clock.now() - self.board.configuration.confirmed_at
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -35,6 +35,7 @@
 )
 from ..admission import AdmitAll
 from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
+from ..commits import CommitGuard
 from ..keys import check_key
 from ..steps import plan_rounds
 from .candidates import Candidates
@@ -61,6 +62,7 @@
         "selector",
         "waiting",
         "admission",
+        "commits",
         "_costs",
     )
 
@@ -83,6 +85,7 @@
         self.waiting = waiting or FairWaiting(board)
         self.gate = gate
         self.admission = admission or AdmitAll()
+        self.commits = CommitGuard(board)
         self._costs = EndpointCosts(board, estimator)
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -209,7 +212,8 @@
         if is_late:
             request.refuse(ErrorCode.DEADLINE_PASSED, "The deadline passed before dispatch.")
             return False
-        return request.open_route is not None or check_key(self.board, request)
+        is_allowed = request.open_route is not None or check_key(self.board, request)
+        return is_allowed and not self.commits.refuse_without_lease(request)
 
     def _try_place(self, request: SessionRequest) -> bool:
         """Start the request on the cheapest endpoint, or refuse it; return false if it must wait.
@@ -273,15 +277,9 @@
         number = f"{self.board.settings.member}-{request.number}-{request.attempts}"
         timeout_s = self._exchange_timeout(request, connection, now)
         exchange = SessionExchange(
-            number,
-            connection.endpoint,
-            now,
-            timeout_s,
-            connection,
-            evicted,
-            rounds,
-            self.board.configuration.revision,
+            number, connection.endpoint, now, timeout_s, connection, evicted, rounds
         )
+        exchange.revision = self.board.configuration.revision
         exchange.proves_primary = proves_primary
         transaction = request.session.transaction
         exchange.opens_transaction = transaction is not None and transaction.connection is None
