Split the promotion controller, and name primaries by rules of their own

Pausing, handovers, naming, calls and log lines become classes of their own, the commands about groups leave the state machine for group_commands. The control log can hold that a named primary has not led yet; nothing sets it so far.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -87,19 +87,28 @@
     """How a group whose terms the database assigns got its present primary.
 
     `revision` is the index of the log entry that named it. A commit of term `kept_term` with an
-    index up to `kept_index` is in its log; both are 0 if that is not known of any commit.
+    index up to `kept_index` is in its log; both are 0 if that is not known of any commit. It is
+    named when its promote call is answered, and `is_confirmed` once it was seen to lead.
     """
 
-    __slots__ = ("group", "revision", "kept_term", "kept_index")
+    __slots__ = ("group", "revision", "kept_term", "kept_index", "is_confirmed")
 
-    def __init__(self, group: str, revision: int, kept_term: int, kept_index: int) -> None:
+    def __init__(
+        self,
+        group: str,
+        revision: int,
+        kept_term: int,
+        kept_index: int,
+        is_confirmed: bool = True,
+    ) -> None:
         self.group = group
         self.revision = revision
         self.kept_term = kept_term
         self.kept_index = kept_index
+        self.is_confirmed = is_confirmed
 
     def keeps(self, position: Position) -> bool:
-        """Return whether a commit at a position before the succession is known to be kept."""
+        """Return whether the log holds a commit at a position before the succession."""
         return position.term == self.kept_term and position.index <= self.kept_index
 
 
@@ -212,6 +221,11 @@
         self.cold_groups: dict[str, DeclaredGroup] = {}
         self.workspace_regions: dict[str, frozenset[str]] = {}
 
+    def has_led(self, group: Group) -> bool:
+        """Return whether the named primary was seen to lead, and so has a primary's log."""
+        succession = self.successions.get(group.name)
+        return succession is None or succession.is_confirmed
+
     def cold_rate_of(self, group: str) -> float:
         """Return the requests per second that a group's cold endpoints take, 0 for no limit."""
         declared = self.cold_groups.get(group)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -78,10 +78,12 @@
     `fencing_token` is from the control log, `received_positions` what the endpoints that answered
     have received, `pending_endpoints` those yet to answer, `asked_endpoints` those that were told
     to pause, `terminated_endpoints` those that have terminated, `target` the endpoint to promote.
+    `is_granted` is set once the grant of the token to this leader was applied.
     `follows_attempt` is set if an earlier attempt had not ended the promotion. `is_planned` marks a
     switchover from a working primary, which stepped down at `step_down_position`.
     `confirms_primary` marks an attempt that ends the promotion with the endpoint that leads.
-    `is_only_call` is set unless an earlier call of the promotion may still take effect.
+    `is_only_call` is set unless an earlier call of the promotion may still take effect. `failure`
+    is why the attempt last failed.
     """
 
     __slots__ = (
@@ -89,6 +91,7 @@
         "fencing_token",
         "began_at",
         "phase",
+        "is_granted",
         "follows_attempt",
         "pending_endpoints",
         "asked_endpoints",
@@ -98,6 +101,7 @@
         "is_planned",
         "confirms_primary",
         "is_only_call",
+        "failure",
         "step_down_position",
         "due",
     )
@@ -107,6 +111,7 @@
         self.fencing_token = fencing_token
         self.began_at = now
         self.phase = PromotionPhase.GRANTING
+        self.is_granted = False
         self.follows_attempt = False
         self.pending_endpoints: set[str] = set()
         self.asked_endpoints: set[str] = set()
@@ -116,6 +121,7 @@
         self.is_planned = False
         self.confirms_primary = False
         self.is_only_call = True
+        self.failure = ""
         self.step_down_position: Position | None = None
         self.due = now
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
@@ -75,9 +75,9 @@
         if exchange.endpoint == group.primary and changed_at <= exchange.revision:
             return CommitState.KEPT
         position = exchange.reply.position if exchange.reply is not None else None
-        if succession is not None and position is not None and succession.keeps(position):
-            return CommitState.KEPT
-        return CommitState.DOUBTFUL
+        if succession is None or position is None or not succession.keeps(position):
+            return CommitState.DOUBTFUL
+        return CommitState.KEPT if succession.is_confirmed else CommitState.UNDECIDED
 
     def _lease_age(self) -> float:
         """Return the seconds since a quorum last confirmed this VM's configuration."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -10,7 +10,7 @@
 from ..blackboard import Board
 from ..blackboard.configuration import Group
 from ..blackboard.groups import Promotion
-from ..blackboard.outbox import UnreachableReason
+from ..blackboard.outbox import EndpointCommand, UnreachableReason
 from ..blackboard.registrations import Registration
 from ..positions import Position
 
@@ -31,9 +31,15 @@
         return [endpoint for endpoint in endpoints if endpoint.group == group_name]
 
     def replicas(self, group: Group) -> list[Registration]:
-        """Return the registered endpoints that replicate from the primary."""
+        """Return the registered endpoints but the primary.
+
+        A named primary that has not led yet is a replica: its log is lost if it terminates.
+        """
+        has_led = self.board.configuration.has_led(group)
         return [
-            endpoint for endpoint in self.endpoints_of(group.name) if endpoint.name != group.primary
+            endpoint
+            for endpoint in self.endpoints_of(group.name)
+            if endpoint.name != group.primary or not has_led
         ]
 
     def is_healthy(self, name: str) -> bool:
@@ -65,6 +71,14 @@
                 best = endpoint
         return best
 
+    def leading_since(self, group: Group, since: float) -> str | None:
+        """Return an endpoint that answered a probe sent at or after `since` as primary, if any."""
+        for endpoint in self.endpoints_of(group.name):
+            health = self.board.groups.health.get(endpoint.name)
+            if health is not None and health.is_primary and health.answered_at >= since:
+                return endpoint.name
+        return None
+
     def next_term(self, group_name: str) -> int:
         """Return a term above every term that the group's endpoints have reported.
 
@@ -120,13 +134,22 @@
         positions = list(promotion.received_positions.values())
         departed_at = self.last_departure_at(group)
         # A paused primary has every commit, also those that only departed replicas confirmed.
-        has_departed_commits = departed_at is None or group.primary in promotion.received_positions
+        is_primary_paused = (
+            group.primary in promotion.received_positions
+            and self.board.configuration.has_led(group)
+        )
+        has_departed_commits = departed_at is None or is_primary_paused
         if not has_departed_commits and not self.reaches_primary_since(
             group.name, departed_at, positions
         ):
             return False
         return all(self.can_promote_without(promotion, replica, positions) for replica in missing)
 
+    def has_terminated(self, command: EndpointCommand) -> bool:
+        """Return whether a command that failed proves that its endpoint terminated."""
+        registration = self.board.configuration.endpoints.get(command.endpoint)
+        return registration is None or has_terminated(registration, command.unreachable_reason)
+
     def can_promote_without(
         self, promotion: Promotion, replica: Registration, positions: list[Position | None]
     ) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from ...blackboard.configuration import Group
+from ...positions import Position
 
 PROMOTION_EFFECT_S = 1.0  # an endpoint leads some hundred milliseconds after its call
 
@@ -15,29 +16,39 @@
     """The promote calls of the promotions that are under way, on the control leader.
 
     `_begun` are the groups whose promotion began under this leader, so that it knows of every call;
-    `_unanswered` has the fencing tokens of calls by group.
+    `_unanswered` has the fencing tokens of calls by group, `_sufficient` the position of the first
+    target: it had every commit that was handed on, and none is before the promotion has ended.
     """
 
-    __slots__ = ("_begun", "_unanswered")
+    __slots__ = ("_begun", "_unanswered", "_sufficient")
 
     def __init__(self) -> None:
         self._begun: set[str] = set()
         self._unanswered: dict[str, set[int]] = {}
+        self._sufficient: dict[str, Position] = {}
 
     def reset(self) -> None:
         """Forget all calls: another leader may make some."""
         self._begun.clear()
         self._unanswered.clear()
+        self._sufficient.clear()
 
     def begin(self, group: Group) -> None:
         """Note the first attempt of a promotion, or another one after an attempt that failed."""
         if group.granted_term == group.term:
             self._begun.add(group.name)
             self._unanswered.pop(group.name, None)
+            self._sufficient.pop(group.name, None)
 
-    def add(self, group: str, fencing_token: int) -> None:
-        """Note a call that is being sent."""
+    def add(self, group: str, fencing_token: int, position: Position | None) -> None:
+        """Note a call that is being sent, and the target's position if it was paused for it."""
         self._unanswered.setdefault(group, set()).add(fencing_token)
+        if position is not None:
+            self._sufficient.setdefault(group, position)
+
+    def sufficient_position(self, group: str) -> Position | None:
+        """Return a position that covers every commit handed on, if one is known."""
+        return self._sufficient.get(group)
 
     def remove(self, group: str, fencing_token: int) -> None:
         """Note that a call was carried out or refused."""
@@ -51,3 +62,4 @@
         """Note that the promotion has ended and nothing can come of its calls."""
         self._begun.discard(group)
         self._unanswered.pop(group, None)
+        self._sufficient.pop(group, None)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
@@ -6,7 +6,6 @@
 from ...blackboard.groups import Promotion
 from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
 from ...blackboard.registrations import Registration
-from ...blackboard.timeline import EventKind
 from ..groupview import GroupView
 
 COMMAND_TIMEOUT_S = 0.5  # a command waits for a slot, which a statement may hold for 60 ms
@@ -14,7 +13,7 @@
 
 
 class PromotionCommands:
-    """Posts commands as intents, logs them and their results, and repeats failed resumes."""
+    """Posts commands as intents, and repeats those that failed."""
 
     __slots__ = ("board", "view", "_failed_resumes")
 
@@ -37,15 +36,6 @@
 
     def promote(self, registration: Registration, promotion: Promotion) -> None:
         """Call the platform to promote an endpoint."""
-        position = promotion.received_positions.get(registration.name)
-        self.board.timeline.record(
-            EventKind.PROMOTE_CALLED,
-            f"group {promotion.group}",
-            "supersedes earlier calls" if promotion.confirms_primary else "",
-            endpoint=registration.name,
-            fence=promotion.fencing_token,
-            position=str(position) if position is not None else "",
-        )
         token = promotion.fencing_token
         self._post(EndpointCommandKind.PROMOTE, registration, token, token, PROMOTE_TIMEOUT_S)
 
@@ -85,29 +75,6 @@
                 token = command.fencing_token
                 self._post(command.kind, registration, token, command.term, COMMAND_TIMEOUT_S)
 
-    def record_paused(self, promotion: Promotion, command: EndpointCommand) -> None:
-        """Log the result of a pause."""
-        self.board.timeline.record(
-            EventKind.REPLICATION_PAUSED,
-            f"endpoint {command.endpoint}",
-            "" if command.accepted else "it did not answer or refused",
-            group=command.group,
-            fence=promotion.fencing_token,
-            term=command.term,
-            position=str(command.position) if command.position is not None else "",
-        )
-
-    def record_promoted(self, promotion: Promotion, command: EndpointCommand) -> None:
-        """Log the result of a promote call."""
-        cause = "refused" if command.is_refused else "no answer"
-        self.board.timeline.record(
-            EventKind.PROMOTE_ENDED,
-            f"group {promotion.group}",
-            "accepted" if command.accepted else cause,
-            endpoint=command.endpoint,
-            fence=promotion.fencing_token,
-        )
-
     def _post(
         self,
         kind: EndpointCommandKind,
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 from ...blackboard import Board, Topic
@@ -25,19 +26,24 @@
 from ...blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S
 from ...blackboard.messages import Proposal
 from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
-from ...blackboard.registrations import Registration
-from ...blackboard.timeline import EventKind
-from ..groupview import GroupView, has_terminated
+from ..groupview import GroupView
 from ..leases import knows_every_vm
 from ..successors import Successors
 from .calls import PROMOTION_EFFECT_S, PromoteCalls
 from .commands import PromotionCommands
+from .handover import Handover
+from .log import PromotionLog
+from .naming import PrimaryNaming
+from .pausing import PausedReplicas, PauseStep
 from .triggers import PromotionTriggers
 
 PROMOTION_COOLDOWN_S = 1.5  # an endpoint becomes primary some hundred milliseconds after the call
 ATTEMPT_TIMEOUT_S = 3.0  # covers all rounds of an attempt with their timeouts
 RETRY_DELAY_S = 0.2  # between two attempts
-CATCH_UP_POLL_INTERVAL_S = 0.02  # replicas lag 20 ms behind the primary
+
+
+def _ignore_outcome(outcome: ChangeOutcome | None) -> None:
+    """Ignore the outcome: the next check reads it from the configuration."""
 
 
 class PromotionController:
@@ -50,6 +56,10 @@
         "triggers",
         "commands",
         "calls",
+        "paused",
+        "handover",
+        "naming",
+        "log",
         "_next_attempt_at",
     )
 
@@ -60,6 +70,10 @@
         self.triggers = PromotionTriggers(board, self.view, self.successors)
         self.commands = PromotionCommands(board, self.view)
         self.calls = PromoteCalls()
+        self.paused = PausedReplicas(board, self.view, self.successors, self.calls)
+        self.handover = Handover(board, self.view, self.commands)
+        self.naming = PrimaryNaming(board, self.view)
+        self.log = PromotionLog(board)
         self._next_attempt_at: dict[str, float] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -80,6 +94,7 @@
         self.commands.reset()
         self.calls.reset()
         self.successors.reset()
+        self.naming.reset()
 
     def on_failover_due(self, _entry: None) -> None:
         """Start, continue or abort the promotion of every group."""
@@ -99,8 +114,8 @@
         """Proceed with a promotion once the control log granted its fencing token."""
         for promotion in list(self.board.groups.promotions.values()):
             group = self.board.configuration.groups.get(promotion.group)
-            is_granted = group is not None and group.granted_term == promotion.fencing_token
-            if promotion.phase is PromotionPhase.GRANTING and is_granted:
+            is_current = group is not None and group.granted_term == promotion.fencing_token
+            if promotion.phase is PromotionPhase.GRANTING and is_current:
                 self._begin(promotion, group)
 
     def on_lease(self, _entry: Any) -> None:
@@ -133,22 +148,18 @@
         """Record a replica's position, or that it has terminated."""
         health = self.board.groups.health.get(command.endpoint)
         if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
-            self.commands.record_paused(promotion, command)
+            self.log.paused(promotion, command)
         if command.accepted and health is not None and health.has_lost_log(command.position):
             self._abort(promotion, f"{command.endpoint} has lost its log")
             return
         if command.accepted and command.position is not None:
             promotion.received_positions[command.endpoint] = command.position
-        elif self._has_terminated(command):
+        elif self.view.has_terminated(command):
             promotion.terminated_endpoints.add(command.endpoint)
         elif promotion.pending_endpoints:
             return
         self._try_promote(promotion)
 
-    def _has_terminated(self, command: EndpointCommand) -> bool:
-        registration = self.board.configuration.endpoints.get(command.endpoint)
-        return registration is None or has_terminated(registration, command.unreachable_reason)
-
     def _is_leader(self) -> bool:
         return self.board.election.role is Role.LEADER
 
@@ -161,12 +172,17 @@
         if promotion is not None:
             self._check_promotion(promotion, group, now)
             return
+        confirmation = self.naming.confirmation(group)
+        if confirmation is not None:
+            self._propose(CommandKind.NAME_PRIMARY, confirmation)
         if now < self._next_attempt_at.get(group.name, 0.0):
             return
-        if group.granted_term == group.term and self._adopt_leading_endpoint(group):
-            return
+        adoption = self.naming.adoption(group) if group.granted_term == group.term else None
         reason = self.triggers.reason_for(group)
-        if reason:
+        if adoption is not None:
+            self._delay_next_attempt(group.name, RETRY_DELAY_S)
+            self._propose(CommandKind.NAME_PRIMARY, adoption)
+        elif reason:
             self._start_promotion(group, reason)
 
     def _check_promotion(self, promotion: Promotion, group: Group, now: float) -> None:
@@ -176,11 +192,11 @@
         elif promotion.phase is PromotionPhase.ANNOUNCING:
             leading = self.view.leading_endpoint(group)
             if leading is not None and not promotion.is_planned:
-                self._confirm_primary(promotion, group, leading)
+                self._confirm_primary(promotion, group, leading.name)
             else:
                 self._proceed_if_known(promotion)
         elif promotion.phase is PromotionPhase.CATCHING_UP and now >= promotion.due:
-            self._request_positions(promotion)
+            self.handover.request_positions(promotion)
         elif promotion.phase is PromotionPhase.CONFIRMING and now >= promotion.due:
             self._check_confirmed(promotion, group)
 
@@ -195,33 +211,24 @@
         promotion.began_at = self.board.clock.now()
         self._send_promote(promotion, group.primary or "")
 
-    def _adopt_leading_endpoint(self, group: Group) -> bool:
-        """Propose the endpoint that leads if the log has another one or none; return whether so.
-
-        No call may take effect while the group has no promotion.
-        """
-        leading = self.view.leading_endpoint(group)
-        if leading is None or leading.name == group.primary:
-            return False
-        self._delay_next_attempt(group.name, RETRY_DELAY_S)
-        fields = {"group": group.name, "term": group.term, "endpoint": leading.name}
-        self._propose(CommandKind.NAME_PRIMARY, fields)
-        return True
-
     def _start_promotion(self, group: Group, reason: str) -> None:
         fencing_token = group.granted_term + 1
         promotion = Promotion(group.name, fencing_token, self.board.clock.now())
         promotion.follows_attempt = group.granted_term != group.term
         self.calls.begin(group)
         self.board.groups.promotions[group.name] = promotion
-        self.board.timeline.record(
-            EventKind.FAILOVER_STARTED,
-            f"group {group.name}",
-            reason,
-            fence=fencing_token,
-            primary=group.primary or "",
+        self.log.started(promotion, group, reason)
+        fields = {"group": group.name, "term": fencing_token}
+        self._propose(
+            CommandKind.GRANT_TERM, fields, lambda outcome: self._note_grant(promotion, outcome)
         )
-        self._propose(CommandKind.GRANT_TERM, {"group": group.name, "term": fencing_token})
+
+    def _note_grant(self, promotion: Promotion, outcome: ChangeOutcome | None) -> None:
+        """Note whose grant was applied: another leader may have been granted the same token."""
+        if outcome is not None and outcome.accepted:
+            promotion.is_granted = True
+        elif self.board.groups.promotions.get(promotion.group) is promotion:
+            self._drop(promotion)
 
     def _begin(self, promotion: Promotion, group: Group) -> None:
         """Decide what to do with a granted fencing token.
@@ -233,7 +240,7 @@
         if leading is not None:
             is_primary = leading.name == group.primary and not promotion.follows_attempt
             if not (is_primary and self.successors.handover_reason(group, leading)):
-                self._confirm_primary(promotion, group, leading)
+                self._confirm_primary(promotion, group, leading.name)
                 return
             promotion.is_planned = True
         promotion.phase = PromotionPhase.ANNOUNCING
@@ -245,7 +252,9 @@
 
     def _proceed_if_known(self, promotion: Promotion) -> None:
         """Send the first commands once no VM hands on commits without knowing of the promotion."""
-        if not knows_every_vm(self.board, promotion.group):
+        if self.board.clock.now() < promotion.due or not knows_every_vm(
+            self.board, promotion.group
+        ):
             return
         group = self.board.configuration.groups[promotion.group]
         promotion.began_at = self.board.clock.now()
@@ -258,28 +267,24 @@
         promotion.phase = PromotionPhase.PAUSING
         self._try_promote(promotion)
 
-    def _confirm_primary(self, promotion: Promotion, group: Group, leading: Registration) -> None:
+    def _confirm_primary(self, promotion: Promotion, group: Group, leading: str) -> None:
         """End the promotion with the endpoint that leads; no call may take effect after that."""
         promotion.confirms_primary = True
         promotion.is_planned = False
         promotion.began_at = self.board.clock.now()
-        if leading.name == group.primary and not self.calls.may_take_effect(group.name):
-            promotion.target = leading.name
+        if leading == group.primary and not self.calls.may_take_effect(group.name):
+            promotion.target = leading
             self._finish(promotion, group)
         else:
-            self._send_promote(promotion, leading.name)
+            self._send_promote(promotion, leading)
 
     def _check_confirmed(self, promotion: Promotion, group: Group) -> None:
         """Finish once the target was seen to lead after earlier calls can no longer take effect."""
-        for endpoint in self.view.endpoints_of(group.name):
-            health = self.board.groups.health.get(endpoint.name)
-            if health is None or not health.is_primary or health.answered_at < promotion.due:
-                continue
-            if endpoint.name == promotion.target:
-                self._finish(promotion, group)
-            else:
-                self._abort(promotion, f"{endpoint.name} leads after an earlier call")
-            return
+        leading = self.view.leading_since(group, promotion.due)
+        if leading == promotion.target:
+            self._finish(promotion, group)
+        elif leading is not None:
+            self._abort(promotion, f"{leading} leads after an earlier call")
 
     def _handle_step_down(self, promotion: Promotion, command: EndpointCommand) -> None:
         if not command.accepted or command.position is None:
@@ -287,47 +292,28 @@
             return
         promotion.step_down_position = command.position
         promotion.received_positions[command.endpoint] = command.position
-        self._request_positions(promotion)
-
-    def _request_positions(self, promotion: Promotion) -> None:
-        """Ask the replicas that stay for their positions."""
-        promotion.phase = PromotionPhase.CATCHING_UP
-        promotion.due = self.board.clock.now() + CATCH_UP_POLL_INTERVAL_S
-        group = self.board.configuration.groups[promotion.group]
-        for replica in self.view.replicas(group):
-            is_pending = replica.name in promotion.pending_endpoints
-            if self.view.is_staying(replica) and not is_pending:
-                self.commands.send(EndpointCommandKind.RESUME_REPLICATION, replica, promotion)
-        self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
+        self.handover.request_positions(promotion)
 
     def _try_promote(self, promotion: Promotion) -> None:
         group = self.board.configuration.groups[promotion.group]
         if promotion.phase is PromotionPhase.PAUSING:
-            self._try_promote_paused(promotion, group)
+            self._continue_pausing(promotion, group)
         elif promotion.phase is PromotionPhase.CATCHING_UP:
-            for name, position in promotion.received_positions.items():
-                if name != group.primary and position.reaches(promotion.step_down_position):
-                    self._send_promote(promotion, name)
-                    return
-
-    def _try_promote_paused(self, promotion: Promotion, group: Group) -> None:
-        """Pause every replica, also one that has just joined, then promote the most advanced."""
-        replicas = self.view.replicas(group)
-        primary = self.board.configuration.endpoints.get(group.primary)
-        if primary is not None and self.view.has_primary_recovered(group, promotion):
-            self._confirm_primary(promotion, group, primary)
-            return
-        answers = primary is not None and self.view.is_healthy(primary.name)
-        for endpoint in [*replicas, *([primary] if answers else [])]:
-            if endpoint.name not in promotion.asked_endpoints:
-                promotion.asked_endpoints.add(endpoint.name)
-                self.commands.send(EndpointCommandKind.PAUSE_REPLICATION, endpoint, promotion)
-        missing = [item for item in replicas if item.name not in promotion.received_positions]
-        if promotion.received_positions and self.view.has_all_commits(group, promotion, missing):
-            self._send_promote(promotion, self.successors.most_advanced(promotion))
-        elif not promotion.pending_endpoints:
-            reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
-            self._abort(promotion, reason)
+            successor = self.handover.caught_up(promotion, group)
+            if successor is not None:
+                self._send_promote(promotion, successor)
+
+    def _continue_pausing(self, promotion: Promotion, group: Group) -> None:
+        for endpoint in self.paused.unasked(promotion, group):
+            promotion.asked_endpoints.add(endpoint.name)
+            self.commands.send(EndpointCommandKind.PAUSE_REPLICATION, endpoint, promotion)
+        decision = self.paused.decide(promotion, group)
+        if decision.step is PauseStep.CONFIRM:
+            self._confirm_primary(promotion, group, decision.endpoint)
+        elif decision.step is PauseStep.PROMOTE:
+            self._send_promote(promotion, decision.endpoint)
+        elif decision.step is PauseStep.FAIL:
+            self._abort(promotion, decision.reason)
 
     def _send_promote(self, promotion: Promotion, target: str) -> None:
         promotion.phase = PromotionPhase.CALLING
@@ -337,11 +323,13 @@
             self._abort(promotion, f"{target} is not registered any more")
             return
         promotion.is_only_call = not self.calls.may_take_effect(promotion.group)
-        self.calls.add(promotion.group, promotion.fencing_token)
+        position = promotion.received_positions.get(target)
+        self.calls.add(promotion.group, promotion.fencing_token, position)
+        self.log.called(promotion, target)
         self.commands.promote(registration, promotion)
 
     def _handle_promote_result(self, promotion: Promotion, command: EndpointCommand) -> None:
-        self.commands.record_promoted(promotion, command)
+        self.log.call_ended(promotion, command)
         if not command.accepted:
             self._abort(promotion, "the promote call was refused or got no answer")
             return
@@ -363,39 +351,14 @@
         self.board.changes.post(Topic.PROMOTION_ENDED, group.name)
         if promotion.confirms_primary:
             self.commands.resume_replicas(promotion, target)
-        fields: dict[str, Any] = {
-            "group": group.name,
-            "term": promotion.fencing_token,
-            "endpoint": target,
-            "led_throughout": promotion.is_only_call,
-        }
-        kept = promotion.received_positions.get(target)
-        if kept is not None and promotion.is_only_call:
-            fields["kept"] = kept.to_pair()
+        fields = self.naming.result(promotion, group)
         self.calls.end(group.name)
         self._propose(CommandKind.NAME_PRIMARY, fields)
-        elapsed = self.board.clock.now() - promotion.began_at
-        self.board.timeline.record(
-            EventKind.PRIMARY_PROMOTED,
-            f"group {group.name}",
-            "already the primary" if promotion.confirms_primary else "the most advanced endpoint",
-            endpoint=target,
-            fence=promotion.fencing_token,
-            kept=str(kept) if "kept" in fields else "",
-            decision_ms=round(elapsed * 1000),
-        )
+        self.log.finished(promotion, "kept" in fields)
 
     def _abort(self, promotion: Promotion, reason: str) -> None:
-        """End an attempt; the next one has a higher fencing token and supersedes its calls.
-
-        If the primary still leads and no call was made, that ends the promotion as well.
-        """
-        self.board.timeline.record(
-            EventKind.FENCE_FAILED,
-            f"group {promotion.group}",
-            reason,
-            fence=promotion.fencing_token,
-        )
+        """End an attempt; if the primary still leads and no call was made, also the promotion."""
+        self.log.failed(promotion, reason)
         if promotion.is_planned:
             self.successors.note_handover(promotion.group, is_done=False)
         group = self.board.configuration.groups[promotion.group]
@@ -403,18 +366,31 @@
         is_granted = promotion.phase is not PromotionPhase.GRANTING
         is_unchanged = leading is not None and leading.name == group.primary
         if is_granted and is_unchanged and not self.calls.may_take_effect(group.name):
-            self._confirm_primary(promotion, group, leading)
-            return
+            self._confirm_primary(promotion, group, leading.name)
+        else:
+            self._drop(promotion)
+
+    def _pause_again_later(self, promotion: Promotion) -> None:
+        """Repeat the pauses after a delay, under the same fencing token as no call was made."""
+        promotion.phase = PromotionPhase.ANNOUNCING
+        promotion.asked_endpoints.clear()
+        promotion.received_positions.clear()
+        promotion.terminated_endpoints.clear()
+        promotion.due = promotion.began_at = self.board.clock.now() + RETRY_DELAY_S
+        self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
+
+    def _drop(self, promotion: Promotion) -> None:
+        """Forget an attempt; the next one has a higher fencing token and supersedes its calls."""
         self.board.groups.promotions.pop(promotion.group, None)
         self._delay_next_attempt(promotion.group, RETRY_DELAY_S)
 
     def _delay_next_attempt(self, group_name: str, delay_s: float) -> None:
         self._next_attempt_at[group_name] = self.board.clock.now() + delay_s
 
-    def _propose(self, kind: CommandKind, fields: dict[str, Any]) -> None:
-        proposal = Proposal(Command(kind, fields), _ignore_outcome)
-        self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
-
-
-def _ignore_outcome(outcome: ChangeOutcome | None) -> None:
-    """Ignore the outcome: the next check reads it from the configuration."""
+    def _propose(
+        self,
+        kind: CommandKind,
+        fields: dict[str, Any],
+        done: Callable[[ChangeOutcome | None], None] = _ignore_outcome,
+    ) -> None:
+        self.board.changes.post(Topic.COMMAND_PROPOSED, Proposal(Command(kind, fields), done))
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -0,0 +1,78 @@
+"""What the control log says of a group's primary: entries that name it or confirm that it leads."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from ...blackboard import Board
+from ...blackboard.configuration import Group
+from ...blackboard.groups import Promotion
+from ...positions import Position
+from ..groupview import GroupView
+
+
+class PrimaryNaming:
+    """Builds the fields of the entries.
+
+    `_confirmed` has by group the revision of the succession for which an entry was proposed.
+    """
+
+    __slots__ = ("board", "view", "_confirmed")
+
+    def __init__(self, board: Board, view: GroupView) -> None:
+        self.board = board
+        self.view = view
+        self._confirmed: dict[str, int] = {}
+
+    def reset(self) -> None:
+        """Forget what was proposed."""
+        self._confirmed.clear()
+
+    def adoption(self, group: Group) -> dict[str, Any] | None:
+        """Name the endpoint that leads if the log has another one or none.
+
+        No call may take effect while the group has no promotion. Replicas that departed earlier may
+        still hold the only other copy of a commit.
+        """
+        leading = self.view.leading_endpoint(group)
+        if leading is None or leading.name == group.primary:
+            return None
+        fields = {"group": group.name, "term": group.term, "endpoint": leading.name}
+        return {**fields, "covers_departed": False}
+
+    def confirmation(self, group: Group) -> dict[str, Any] | None:
+        """Confirm, once, that the endpoint that was named when its call was answered now leads.
+
+        One that started again before it led lacks what it had when it was paused.
+        """
+        succession = self.board.configuration.successions.get(group.name)
+        if succession is None or succession.is_confirmed or group.granted_term != group.term:
+            return None
+        health = self.board.groups.health.get(group.primary or "")
+        is_seen = health is not None and health.probed and health.is_primary
+        if not is_seen or self._confirmed.get(group.name) == succession.revision:
+            return None
+        self._confirmed[group.name] = succession.revision
+        kept = Position(succession.kept_term, succession.kept_index)
+        fields = {"group": group.name, "term": group.term, "endpoint": group.primary}
+        if health.position is not None and health.position.reaches(kept):
+            fields["kept"] = kept.to_pair()
+        return fields
+
+    def result(self, promotion: Promotion, group: Group) -> dict[str, Any]:
+        """Name the target of a promotion, which ends it.
+
+        If its only call was just answered, the target does not lead yet.
+        """
+        target = promotion.target or ""
+        fields: dict[str, Any] = {
+            "group": group.name,
+            "term": promotion.fencing_token,
+            "endpoint": target,
+            "led_throughout": promotion.is_only_call,
+            "leads": True,
+        }
+        kept = promotion.received_positions.get(target)
+        if kept is not None and promotion.is_only_call:
+            fields["kept"] = kept.to_pair()
+        return fields
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -0,0 +1,84 @@
+"""What to do next while the replicas of a group are being paused."""
+
+from __future__ import annotations
+
+from enum import Enum, auto
+
+from ...blackboard import Board
+from ...blackboard.configuration import Group
+from ...blackboard.groups import Promotion
+from ...blackboard.registrations import Registration
+from ..groupview import GroupView
+from ..successors import Successors
+from .calls import PromoteCalls
+
+
+class PauseStep(Enum):
+    """What to do next."""
+
+    WAIT = auto()
+    CONFIRM = auto()
+    PROMOTE = auto()
+    FAIL = auto()
+
+
+class PauseDecision:
+    """A step with the endpoint that it is about, or the reason of a failure."""
+
+    __slots__ = ("step", "endpoint", "reason")
+
+    def __init__(self, step: PauseStep, endpoint: str = "", reason: str = "") -> None:
+        self.step = step
+        self.endpoint = endpoint
+        self.reason = reason
+
+
+class PausedReplicas:
+    """Decides by the positions of paused endpoints, and what is known of the others."""
+
+    __slots__ = ("board", "view", "successors", "calls")
+
+    def __init__(
+        self, board: Board, view: GroupView, successors: Successors, calls: PromoteCalls
+    ) -> None:
+        self.board = board
+        self.view = view
+        self.successors = successors
+        self.calls = calls
+
+    def unasked(self, promotion: Promotion, group: Group) -> list[Registration]:
+        """Return the endpoints to pause that were not asked yet, also those that have just joined.
+
+        A former primary that answers is one of them.
+        """
+        endpoints = {item.name: item for item in self.view.replicas(group)}
+        primary = self.board.configuration.endpoints.get(group.primary)
+        health = self.board.groups.health.get(group.primary)
+        if primary is not None and self.view.is_healthy(primary.name) and not health.is_primary:
+            endpoints[primary.name] = primary
+        return [item for name, item in endpoints.items() if name not in promotion.asked_endpoints]
+
+    def decide(self, promotion: Promotion, group: Group) -> PauseDecision:
+        """Return the next step."""
+        if self.view.has_primary_recovered(group, promotion):
+            return PauseDecision(PauseStep.CONFIRM, group.primary or "")
+        missing = [
+            replica
+            for replica in self.view.replicas(group)
+            if replica.name not in promotion.received_positions
+        ]
+        if promotion.received_positions and self.view.has_all_commits(group, promotion, missing):
+            return PauseDecision(PauseStep.PROMOTE, self.successors.most_advanced(promotion))
+        if promotion.pending_endpoints:
+            return PauseDecision(PauseStep.WAIT)
+        reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
+        return PauseDecision(PauseStep.FAIL, reason=reason)
+
+    def _reaches_earlier_target(self, promotion: Promotion) -> bool:
+        """Return whether a paused endpoint has what an earlier attempt found sufficient.
+
+        No commit was handed on since, whatever has departed or lost its log meanwhile.
+        """
+        sufficient = self.calls.sufficient_position(promotion.group)
+        positions = promotion.received_positions.values()
+        return sufficient is not None and any(item.reaches(sufficient) for item in positions)
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -0,0 +1,88 @@
+"""Commands of the control log about the terms and primaries of groups, and departed replicas."""
+
+from __future__ import annotations
+
+from .blackboard.commands import Command
+from .blackboard.configuration import Configuration, Group, Succession
+from .blackboard.registrations import Registration
+from .errors import ChangeRejected, ErrorCode
+from .positions import LOG_START, Position
+
+
+def list_departed(configuration: Configuration, endpoint: Registration) -> None:
+    """List a replica's incarnation as departed from its group.
+
+    A commit that only it had confirmed may now be on the primary alone, which keeps its log when it
+    starts again; a replica does not, nor does a named primary that has not led yet.
+    """
+    group = configuration.groups.get(endpoint.group)
+    if group is None or not group.counts_own_terms:
+        return
+    if endpoint.name != group.primary or not configuration.has_led(group):
+        group.departed = [*group.departed, f"{endpoint.name}/{endpoint.incarnation}"]
+
+
+def clear_departures(configuration: Configuration, command: Command) -> None:
+    """Clear departed replicas, as another replica has every commit that they confirmed."""
+    group = require_group(configuration, command.fields["group"])
+    cleared = command.fields["names"]
+    group.departed = [name for name in group.departed if name not in cleared]
+
+
+def grant_term(configuration: Configuration, command: Command) -> None:
+    """Grant a term, unless that or a newer one was granted."""
+    group = require_group(configuration, command.fields["group"])
+    term = command.fields["term"]
+    if term <= group.granted_term:
+        raise ChangeRejected(
+            ErrorCode.REVISION_CONFLICT,
+            f"Term {term} of {group.name} is taken.",
+        )
+    group.granted_term = term
+
+
+def set_primary(configuration: Configuration, command: Command) -> None:
+    """Name the primary of the newest term, which ends a promotion, or confirm that it leads."""
+    group = require_group(configuration, command.fields["group"])
+    term = command.fields["term"]
+    if term != group.granted_term:
+        raise ChangeRejected(
+            ErrorCode.REVISION_CONFLICT,
+            f"Term {term} of {group.name} was overtaken.",
+        )
+    endpoint = command.fields["endpoint"]
+    is_new = group.primary != endpoint
+    is_confirmation = not (is_new or configuration.has_led(group))
+    leads = command.fields.get("leads", True)
+    group.term = term
+    if group.counts_own_terms and group.primary is not None:
+        _set_succession(configuration, group, command, is_new, is_confirmation and leads)
+    covers_departed = command.fields.get("covers_departed", True)
+    if (is_new or is_confirmation) and leads and covers_departed:
+        group.departed = []
+    group.primary = endpoint
+
+
+def _set_succession(
+    configuration: Configuration, group: Group, command: Command, is_new: bool, confirms: bool
+) -> None:
+    """Store how the group got its primary; an entry that only confirms it keeps the revision."""
+    kept = Position.from_pair(command.fields.get("kept", LOG_START.to_pair()))
+    if is_new or not command.fields.get("led_throughout", True):
+        leads = command.fields.get("leads", True)
+        configuration.successions[group.name] = Succession(
+            group.name, configuration.revision, kept.term, kept.index, leads
+        )
+    elif confirms:
+        revision = configuration.successions[group.name].revision
+        configuration.successions[group.name] = Succession(
+            group.name, revision, kept.term, kept.index
+        )
+
+
+def require_group(configuration: Configuration, name: str) -> Group:
+    """Return a group, or reject the command."""
+    group = configuration.groups.get(name)
+    if group is None:
+        raise ChangeRejected(ErrorCode.INVALID_CHANGE, f"There is no group named {name}.")
+    return group
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -18,7 +18,6 @@
     Group,
     Key,
     Member,
-    Succession,
     Workspace,
     apply_declaration,
 )
@@ -26,7 +25,7 @@
 from .blackboard.registrations import Registration, find_fault
 from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
-from .positions import LOG_START, Position
+from .group_commands import clear_departures, grant_term, list_departed, set_primary
 
 MAX_UNREGISTERED_REVISIONS = 1000  # an endpoint registers with the announcement of its warm-up
 
@@ -153,7 +152,7 @@
     if registration.incarnation and not _evict_older_at_address(configuration, registration):
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer endpoint has this address.")
     if current is not None and registration.incarnation > current.incarnation > 0:
-        _list_departed(configuration, current)
+        list_departed(configuration, current)
     configuration.endpoints[registration.name] = registration
     _resize_group(configuration, registration.group)
 
@@ -173,18 +172,7 @@
     """Remove an endpoint's registration; an incarnation that does not run holds no commits."""
     del configuration.endpoints[endpoint.name]
     configuration.warmups.pop(endpoint.name, None)
-    _list_departed(configuration, endpoint)
-
-
-def _list_departed(configuration: Configuration, endpoint: Registration) -> None:
-    """List a replica's incarnation as departed from its group.
-
-    A commit that only it had confirmed may now be on the primary alone, which keeps its log when it
-    starts again; a replica does not.
-    """
-    group = configuration.groups.get(endpoint.group)
-    if group is not None and group.counts_own_terms and endpoint.name != group.primary:
-        group.departed = [*group.departed, f"{endpoint.name}/{endpoint.incarnation}"]
+    list_departed(configuration, endpoint)
 
 
 def _deregister_endpoint(configuration: Configuration, command: Command) -> None:
@@ -193,13 +181,6 @@
         _remove_endpoint(configuration, endpoint)
 
 
-def _clear_departures(configuration: Configuration, command: Command) -> None:
-    """Clear departed replicas, as another replica has every commit that they confirmed."""
-    group = _require_group(configuration, command.fields["group"])
-    cleared = command.fields["names"]
-    group.departed = [name for name in group.departed if name not in cleared]
-
-
 def _apply_declaration(configuration: Configuration, command: Command) -> None:
     """Replace the declared configuration, unless the current one is at least as new."""
     declaration = Declaration.from_record(command.fields)
@@ -247,17 +228,6 @@
     endpoint.leaving = command.fields["leaving"]
 
 
-def _grant_term(configuration: Configuration, command: Command) -> None:
-    group = _require_group(configuration, command.fields["group"])
-    term = command.fields["term"]
-    if term <= group.granted_term:
-        raise ChangeRejected(
-            ErrorCode.REVISION_CONFLICT,
-            f"Term {term} of {group.name} is taken.",
-        )
-    group.granted_term = term
-
-
 def _set_warmup(configuration: Configuration, command: Command) -> None:
     """Store what an endpoint announced of its warm-up; it may register only after this."""
     fields = command.fields
@@ -294,28 +264,6 @@
             del configuration.warmups[name]
 
 
-def _set_primary(configuration: Configuration, command: Command) -> None:
-    group = _require_group(configuration, command.fields["group"])
-    term = command.fields["term"]
-    if term != group.granted_term:
-        raise ChangeRejected(
-            ErrorCode.REVISION_CONFLICT,
-            f"Term {term} of {group.name} was overtaken.",
-        )
-    endpoint = command.fields["endpoint"]
-    is_new = group.primary != endpoint
-    had_primary = group.counts_own_terms and group.primary is not None
-    kept = Position.from_pair(command.fields.get("kept", LOG_START.to_pair()))
-    group.term = term
-    if had_primary and (is_new or not command.fields.get("led_throughout", True)):
-        configuration.successions[group.name] = Succession(
-            group.name, configuration.revision, kept.term, kept.index
-        )
-    if is_new:
-        group.departed = []
-    group.primary = endpoint
-
-
 def _set_allocator(configuration: Configuration, command: Command) -> None:
     zone = command.fields["zone"]
     previous = configuration.allocators.get(zone)
@@ -377,13 +325,6 @@
         raise ChangeRejected(ErrorCode.INVALID_CHANGE, f"There is no workspace named {name}.")
 
 
-def _require_group(configuration: Configuration, name: str) -> Group:
-    group = configuration.groups.get(name)
-    if group is None:
-        raise ChangeRejected(ErrorCode.INVALID_CHANGE, f"There is no group named {name}.")
-    return group
-
-
 _HANDLERS: dict[CommandKind, Callable[[Configuration, Command], None]] = {
     CommandKind.NO_OP: _no_op,
     CommandKind.UNREADABLE: _reject_unreadable,
@@ -397,15 +338,15 @@
     CommandKind.REMOVE_MEMBER: _remove_member,
     CommandKind.REGISTER_ENDPOINT: _register_endpoint,
     CommandKind.ENDPOINT_LEAVING: _set_leaving,
-    CommandKind.GRANT_TERM: _grant_term,
-    CommandKind.NAME_PRIMARY: _set_primary,
+    CommandKind.GRANT_TERM: grant_term,
+    CommandKind.NAME_PRIMARY: set_primary,
     CommandKind.NAME_ALLOCATOR: _set_allocator,
     CommandKind.CHANGE_VOTERS: _set_voters,
     CommandKind.VOTER_JOINED: _no_op,
     CommandKind.DECLARE: _apply_declaration,
     CommandKind.CHANGE_DECLARATION: _apply_declaration_change,
     CommandKind.ENDPOINT_GONE: _deregister_endpoint,
-    CommandKind.DEPARTURES_COVERED: _clear_departures,
+    CommandKind.DEPARTURES_COVERED: clear_departures,
     CommandKind.BEGIN_EVACUATION: _begin_evacuation,
     CommandKind.FINISH_EVACUATION: _finish_evacuation,
     CommandKind.ENDPOINT_WARMUP: _set_warmup,
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -312,7 +312,7 @@
     ),
     Mutant("checksums are not compared", storage.zlib, "crc32", constant(0)),
     *(Mutant(*rule) for rule in PROMOTION_MUTANTS),
-    Mutant("restarted replicas count", state_machine, "_list_departed", constant(None)),
+    Mutant("restarted replicas count", state_machine, "list_departed", constant(None)),
     Mutant("positions may go back", Health, "has_lost_log", constant(False)),
     Mutant("departed endpoints are ignored", GroupView, "last_departure_at", constant(None)),
     Mutant(
