Simulate crashes of primaries, departures and a control leader without memory

Cause: the simulation of promotions could not show a control leader that starts again, an endpoint that leaves the control log, or a stepped-down primary that leads again after a crash. It counted a write in an open transaction as acknowledged. The simulated VMs took the time of the poll for that of the quorum's confirmation, up to 0.1 s too late, so that their leases outlasted what the leader knew of them. Change: new methods and fields; a refused promote call is marked as one that is not carried out later.

--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -147,7 +147,6 @@
 
     def _poll(self) -> None:
         """Send every VM the configuration, its confirmation time and the primary's position."""
-        now = self.clock.now()
         observation = self.board.observations.newest(GROUP)
         for name, engine in self.vms.items():
             if name in self.cut_off_vms or name in self.unpolled_vms:
@@ -157,7 +156,9 @@
             update = self.engine.configuration.build_update(revision, name)
             lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S)
             self.board.post(Topic.LEASE_PASSED_ON, lease)
-            copy = ConfigurationUpdate(update.entries, update.snapshot, update.revision, now)
+            copy = ConfigurationUpdate(
+                update.entries, update.snapshot, update.revision, update.confirmed_at
+            )
             engine.board.post(Topic.CONFIGURATION_RECEIVED, copy)
             if observation is not None:
                 received = ReceivedObservation(GROUP, observation.position, observation.taken_at)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from gentianspread_core.blackboard import Board, Topic
+from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.outbox import (
     EndpointCommand,
     EndpointCommandKind,
@@ -16,10 +17,15 @@
     UnreachableReason,
 )
 from gentianspread_core.blackboard.requests import ExchangeStatus
-from gentianspread_core.blackboard.sessions import SessionExchange, SessionReply, SessionRequest
+from gentianspread_core.blackboard.sessions import (
+    SessionExchange,
+    SessionReply,
+    SessionRequest,
+    Verb,
+)
 from gentianspread_core.positions import Position
 
-from .home_simulation import HomeSimulation
+from .home_simulation import POLL_INTERVAL_S, HomeSimulation
 from .session_endpoint import FakeSessionEndpoint
 
 EFFECT_DELAY_S = 0.3  # from a promote call to the moment when its endpoint leads
@@ -47,7 +53,7 @@
     commands of the kinds in `late_commands` get no answer and are carried out after that many
     seconds. `acknowledged` has the ids of the writes that callers were told to be committed,
     `lost_writes` those that an endpoint lacked when it was promoted, or when they were acknowledged
-    later.
+    later. While `is_control_down`, no VM leads the control log or passes on the configuration.
     """
 
     def __init__(self, vm_count: int = 3, seed: int = 1) -> None:
@@ -56,6 +62,10 @@
         self.acknowledged: dict[str, float] = {}
         self.lost_writes: set[str] = set()
         self.newest_fencing_token = 0
+        self.is_control_down = False
+        self._stepped_down: set[str] = set()
+        self._crashed_primaries: set[str] = set()
+        self._open_writes: dict[int, list[str]] = {}
         self._held_replies: list[HeldReply] = []
         super().__init__(vm_count=vm_count, seed=seed)
         for engine in self.vms.values():
@@ -71,15 +81,60 @@
             self.announce(endpoint, leaving=False, sequence=1)
         return endpoint
 
+    def crash(self, name: str) -> None:
+        """End an endpoint's process; replies that it has not sent are lost."""
+        endpoint = self.endpoints[name]
+        endpoint.alive = False
+        endpoint.sessions.clear()
+        if endpoint.is_primary or name in self._stepped_down:
+            self._crashed_primaries.add(name)
+        held_replies, self._held_replies = self._held_replies, []
+        for held in held_replies:
+            if held.exchange.endpoint == name:
+                self._lose_exchange(held.board, held.request, held.exchange)
+            else:
+                self._held_replies.append(held)
+
+    def deregister(self, name: str) -> None:
+        """Remove an endpoint that has ended from the control log."""
+        incarnation = self.board.configuration.endpoints[name].incarnation
+        fields = {"name": name, "incarnation": incarnation}
+        self.propose(Command(CommandKind.ENDPOINT_GONE, fields))
+
+    def stop_control(self) -> None:
+        """End the VM that leads the control log; its disk stays."""
+        self.is_control_down = True
+        self.boards.remove(self.board)
+
+    def start_control(self) -> None:
+        """Start a VM in its place that has what the log holds, and no memory of anything else."""
+        self.engine = self._new_engine()
+        board = self.board = self.engine.board
+        self.boards.insert(0, board)
+        board.changes.subscribe(
+            Topic.INTENT_POSTED, lambda intent: self.execute_intent(board, intent)
+        )
+        board.members.entry_vm_count = 4
+        board.post(Topic.LOG_RECOVERED, self.disk.recover())
+        board.post(Topic.CONTROL_STARTED, self.disk.hard_state)
+        self.is_control_down = False
+
     def restart(self, name: str, incarnation: int, is_announced: bool = True) -> None:
-        """Start an endpoint again: a replica with an empty log, a primary with its own."""
+        """Start an endpoint again: a replica with an empty log, a primary with its own.
+
+        A primary that had stepped down leads again if no endpoint was promoted since.
+        """
         endpoint = self.endpoints[name]
         endpoint.alive = True
+        endpoint.is_primary |= name in self._stepped_down
+        keeps_log = endpoint.is_primary or name in self._crashed_primaries
+        self._stepped_down.discard(name)
+        self._crashed_primaries.discard(name)
         endpoint.sessions.clear()
         endpoint.replication_paused = False
-        if not endpoint.is_primary:
+        if not keeps_log:
             endpoint.log, endpoint.applied = [], 0
-            self._rejoin(endpoint)
+        self._rejoin(endpoint)
         if is_announced:
             self.announce(endpoint, leaving=False, sequence=1, incarnation=incarnation)
 
@@ -91,6 +146,7 @@
             item.name: (item.log, item.log_term, item.applied) for item in self.endpoints.values()
         }
         super().promote(name)
+        self._stepped_down.clear()
         for endpoint in self.endpoints.values():
             endpoint.replication_paused = False
             if not endpoint.alive and endpoint.name != name:
@@ -113,15 +169,30 @@
             self._send_confirmed_replies()
 
     def _on_answered(self, call: Any) -> None:
-        """Note the write that a caller was told to be committed."""
+        """Note the writes that a caller was told to be committed."""
+        number, verb = call.session.number, call.statement.verb
+        is_ok = call.answer is not None and call.answer.refusal is None
         is_write = call.statement.text.startswith("WRITE")
-        if not is_write or call.answer is None or call.answer.refusal is not None:
-            return
-        write = call.statement.statement_id
-        self.acknowledged[write] = self.clock.now()
+        if is_write and is_ok and call.session.transaction is not None:
+            self._open_writes.setdefault(number, []).append(call.statement.statement_id)
+        elif is_write and is_ok:
+            self._acknowledge([call.statement.statement_id])
+        elif verb in (Verb.COMMIT, Verb.ROLLBACK):
+            writes = self._open_writes.pop(number, [])
+            self._acknowledge(writes if is_ok and verb is Verb.COMMIT else [])
+
+    def _acknowledge(self, writes: list[str]) -> None:
         leading = [item for item in self.endpoints.values() if item.is_primary]
-        if leading and write not in leading[0].log:
-            self.lost_writes.add(write)
+        for write in writes:
+            self.acknowledged[write] = self.clock.now()
+            if leading and write not in leading[0].log:
+                self.lost_writes.add(write)
+
+    def _poll(self) -> None:
+        if self.is_control_down:
+            self.call_later(self._poll, POLL_INTERVAL_S)
+        else:
+            super()._poll()
 
     def _end_exchange(
         self, board: Board, request: SessionRequest, exchange: SessionExchange, reply: SessionReply
@@ -185,7 +256,8 @@
             self._end_later(command)
             return
         self._carry_out(command)
-        self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
+        if not self.is_control_down:
+            self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
 
     def _end_later(self, command: EndpointCommand) -> None:
         """End a command without an answer."""
@@ -199,9 +271,8 @@
             command.timeout_s,
             command.fencing_token,
         )
-        self.call_later(
-            lambda: self.board.post(Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s
-        )
+        board = self.board
+        self.call_later(lambda: board.post(Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s)
 
     def _carry_out(self, command: EndpointCommand) -> None:
         """Carry out a command, and set its result."""
@@ -222,7 +293,9 @@
             self._rejoin(endpoint)
         else:
             command.accepted = command.term > endpoint.term
-            endpoint.is_primary &= not command.accepted
+            if command.accepted and endpoint.is_primary:
+                endpoint.is_primary = False
+                self._stepped_down.add(endpoint.name)
         command.position = endpoint.position()
 
     def _carry_out_call(self, command: EndpointCommand) -> None:
@@ -235,6 +308,7 @@
             and endpoint.alive
         )
         if not command.accepted:
+            command.is_refused = True
             return
         self.newest_fencing_token = command.fencing_token
         if not endpoint.is_primary:
