Show late calls and resumes, and replicas that start again, beside promotions

Cause: the class of the incident can act wherever a replica starts again or a command is carried out late; only a replica that joins had a test. Change: scenarios for restarts of paused replicas, RESUMEs that undo newer pauses and promote calls that are carried out late, with callers that write at every VM.

--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -24,3 +24,166 @@
     And the control leader no longer reaches "b2" after it was promoted
     And 8 s pass
     Then another endpoint than "b2" is the primary
+
+  # Guards against the loss of commits that a paused replica confirmed after a start ended its pause.
+  Scenario: A paused replica starts again before the promote call takes effect
+    When callers at every VM write during the next 6 s
+    And the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b3" starts again without having announced itself
+    And 8 s pass
+    Then "b2" is the primary in the control log, and leads
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against a promotion that counts the position from before the start of a paused replica.
+  Scenario: A paused replica starts again and announces itself before the promote call takes effect
+    When callers at every VM write during the next 6 s
+    And the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b3" starts again and announces itself
+    And 8 s pass
+    Then "b2" is the primary in the control log, and leads
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against the loss of commits that the endpoint to be promoted confirmed after its start.
+  Scenario Outline: A paused replica starts again <how> while another one has not answered its pause
+    When callers at every VM write during the next 8 s
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b3"
+    And "b2" has been paused
+    And "b2" starts again <how>
+    And 1 s pass
+    And the control leader reaches "b3" again
+    And 9 s pass
+    Then the endpoint that leads has every acknowledged write
+    When the control leader reaches all endpoints again
+    And 6 s pass
+    Then a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | how                             |
+      | without having announced itself |
+      | and announces itself            |
+
+  # Guards against the loss of commits confirmed by a replica whose pause a late RESUME undid.
+  Scenario Outline: A RESUME without an answer undoes the pause of <replica> after the promote call
+    When callers at every VM write during the next 12 s
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b3"
+    And "b2" has been paused
+    And the next RESUME gets no answer and is carried out after 30 s
+    And the control leader reaches all endpoints again
+    And the promotion has ended
+    And 2 s pass
+    And the control leader no longer reaches the primary
+    And the promote call has been made
+    And an earlier RESUME is carried out at "<replica>"
+    And 12 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+    Examples:
+      | replica |
+      | b2      |
+      | b3      |
+
+  # Guards against the loss of commits that a replica received after the pause that was counted.
+  Scenario: A RESUME without an answer undoes a pause before the promote call
+    When callers at every VM write during the next 10 s
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b3"
+    And "b2" has been paused
+    And an earlier RESUME is carried out at "b2"
+    And 0.2 s pass
+    And the control leader reaches "b3" again
+    And 12 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against a late call that deposes a primary whose commits VMs hand on, after the attempts
+  # that followed it had given up.
+  Scenario: A promote call is carried out after the next attempts gave up
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after 5 s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And the control leader no longer reaches "b3"
+    And 8 s pass
+    And the control leader reaches "b3" again
+    And 8 s pass
+    Then "b2" is the primary in the control log, and leads
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against a late call that deposes a primary that was confirmed in the meantime.
+  Scenario Outline: A promote call is carried out <seconds> s later, and the primary is found well
+    When callers at every VM write during the next 10 s
+    And the next promote call gets no answer and is carried out after <seconds> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And the control leader reaches "b1" again
+    And 12 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | seconds |
+      | 0.2     |
+      | 1.4     |
+      | 1.6     |
+      | 1.8     |
+      | 2.0     |
+      | 2.4     |
+      | 5       |
+
+  # Guards against a late call that takes the lead from the endpoint that was promoted after it.
+  Scenario Outline: A promote call is carried out <seconds> s later, after another one's
+    When callers at every VM write during the next 10 s
+    And the next promote call gets no answer and is carried out after <seconds> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And "b3" starts again without having announced itself
+    And 12 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | seconds |
+      | 1.4     |
+      | 1.7     |
+      | 1.75    |
+      | 1.8     |
+      | 4       |
+
+  # Guards against the loss of commits that the target of a late call lacks after its start.
+  Scenario: The target of a late promote call has started again while the primary still serves callers
+    When callers at every VM write during the next 10 s
+    And the next promote call gets no answer and is carried out after 3 s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And "b2" starts again without having announced itself
+    And 12 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against the promotion of an endpoint with an empty log, by a late call that a newer one
+  # for the other paused replica could have superseded.
+  Scenario: The target of a late promote call has started again with nothing, after the primary ended
+    When callers at every VM write during the next 4 s
+    And 1 s pass
+    And the next promote call gets no answer and is carried out after 5 s
+    And "b1" ends
+    And a promote call has been sent
+    And "b2" starts again without having announced itself
+    And 12 s pass
+    Then no acknowledged write is lost
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -95,6 +95,11 @@
             else:
                 self._held_replies.append(held)
 
+    def resume(self, name: str) -> None:
+        """Let an endpoint receive again, as a `RESUME` does, also one that is carried out late."""
+        self.endpoints[name].replication_paused = False
+        self._rejoin(self.endpoints[name])
+
     def deregister(self, name: str) -> None:
         """Remove an endpoint that has ended from the control log."""
         incarnation = self.board.configuration.endpoints[name].incarnation
@@ -289,8 +294,7 @@
             command.accepted = command.term > endpoint.term
             endpoint.replication_paused |= command.accepted and not endpoint.is_primary
         elif command.kind is EndpointCommandKind.RESUME_REPLICATION:
-            endpoint.replication_paused = False
-            self._rejoin(endpoint)
+            self.resume(command.endpoint)
         else:
             command.accepted = command.term > endpoint.term
             if command.accepted and endpoint.is_primary:
