Show endpoints that leave or report themselves as primary during promotions

Cause: departed replicas are cleared when the primary changes, and an endpoint may lead by an earlier call. Change: scenarios for replicas that leave between pause, call and effect, for handovers, and for calls that are carried out while a newer attempt confirms the endpoint that leads.

--- /dev/null
+++ b/features/promotion_departures.feature
@@ -0,0 +1,145 @@
+@promotions
+Feature: Endpoints that leave or report themselves as primary do not cost acknowledged commits
+  As in the feature on commits at promotions: VMs h1, h2 and h3, the primary b1, its replicas b2 and
+  b3. An endpoint leads 0.3 s after its promote call.
+
+  # Guards against a promotion that no longer counts what a replica confirmed before it left.
+  Scenario: A paused replica leaves while another one has not answered its pause
+    When callers at every VM write during the next 12 s
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b3"
+    And "b2" has been paused
+    And "b2" ends and is deregistered
+    And 1 s pass
+    And the control leader reaches "b3" again
+    And 4 s pass
+    And the control leader reaches all endpoints again
+    And 9 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against the promotion of a replica that lacks what only a departed one had confirmed.
+  Scenario: The only replica that receives leaves after its pause, and the primary has ended
+    Given "b3" receives nothing from the primary
+    When callers at every VM write during the next 2 s
+    And 3 s pass
+    And the control leader no longer reaches "b3"
+    And "b1" ends
+    And "b2" has been paused
+    And "b2" ends and is deregistered
+    And 1 s pass
+    And the control leader reaches "b3" again
+    And 10 s pass
+    Then no acknowledged write is lost
+    And "b3" does not lead
+
+  # Guards against a promoted endpoint that ends before it leads, while the old primary goes on.
+  Scenario Outline: The promoted endpoint <end> before it leads, and the old primary still serves callers
+    When callers at every VM write during the next 12 s
+    And the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b2" <end>
+    And 4 s pass
+    And the control leader reaches all endpoints again
+    And 10 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | end                                          |
+      | ends and is deregistered                     |
+      | starts again and announces itself            |
+      | starts again without having announced itself |
+
+  # Guards against the promotion of a replica that lacks what the promoted endpoint, which ended
+  # before it led, and the old primary, which had left before, have taken with them.
+  Scenario: The promoted endpoint ends before it leads, and the old primary had left
+    Given "b2" receives nothing from the primary
+    When callers at every VM write during the next 2 s
+    And 3 s pass
+    And "b1" ends and is deregistered
+    And the promote call has been made
+    And "b3" ends
+    And 12 s pass
+    Then no acknowledged write is lost
+    And "b2" does not lead
+
+  # Guards against a handover that forgets departed replicas whose commits the new primary lacks.
+  Scenario: The only replica that received leaves during a handover
+    Given "b3" receives nothing from the primary
+    When callers at every VM write during the next 6 s
+    And 1 s pass
+    And "b1" announces that it leaves
+    And the primary has stepped down
+    And "b2" ends and is deregistered
+    And 12 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against a replica that joins and leaves again within a promotion and takes commits along.
+  Scenario: A replica joins, confirms commits and leaves during a promotion
+    When callers at every VM write during the next 8 s
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b3"
+    And "b2" has been paused
+    And "b4" joins
+    And 0.2 s pass
+    And "b4" ends and is deregistered
+    And the control leader reaches "b3" again
+    And 4 s pass
+    And the control leader reaches all endpoints again
+    And 9 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against naming the endpoint that an earlier call made the primary, while a newer call may
+  # still depose it.
+  Scenario Outline: Two promote calls are carried out <first> s and <second> s late
+    When callers at every VM write during the next 12 s
+    And the next promote call gets no answer and is carried out after <first> s
+    And the next promote call gets no answer and is carried out after <second> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And "b3" starts again without having announced itself
+    And 16 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | first | second |
+      | 3     | 1.0    |
+      | 3     | 1.1    |
+      | 3     | 1.2    |
+      | 3     | 1.3    |
+      | 3     | 1.4    |
+      | 3     | 1.6    |
+      | 3     | 2.5    |
+      | 4     | 1.6    |
+      | 6     | 3      |
+
+  # Guards against confirming the endpoint that leads while the call that deposes it takes effect.
+  Scenario Outline: A call is carried out <seconds> s late while another promotion's endpoint reports itself
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after <seconds> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And the control leader no longer reaches "b3"
+    And 3 s pass
+    And the control leader reaches all endpoints again
+    And 14 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | seconds |
+      | 2.7     |
+      | 2.9     |
+      | 3.0     |
+      | 3.1     |
+      | 3.3     |
