Show changes of control leader, handovers and late step-downs beside promotions

Cause: pauses, calls and leases are in the memory of one control leader only, and a handover's commands may be carried out late. Change: scenarios that start the control leader again at each step, that let its call come 0.1 to 6 s late, and that start a stepped-down primary again. The simulation no longer runs a control VM that has ended.

--- /dev/null
+++ b/features/promotion_leaders.feature
@@ -0,0 +1,186 @@
+@promotions
+Feature: A change of control leader or a handover during a promotion costs no acknowledged commit
+  As in the feature on commits at promotions: VMs h1, h2 and h3, the primary b1, its replicas b2 and
+  b3. A control leader that starts again knows what the control log holds and nothing else.
+
+  # Guards against a new leader that counts on pauses, calls or leases that only the old one knew.
+  Scenario Outline: The control leader starts again after <down> s without one, when <moment>
+    When callers at every VM write during the next 14 s
+    And the control leader no longer reaches the primary
+    And <moment>
+    And the control VMs are down for <down> s and start again
+    And 16 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | moment                         | down |
+      | a term has been granted        | 0    |
+      | a term has been granted        | 0.3  |
+      | a term has been granted        | 3    |
+      | "b2" has been paused           | 0    |
+      | "b2" has been paused           | 3    |
+      | the promote call has been made | 0    |
+      | the promote call has been made | 0.3  |
+      | the promote call has been made | 3    |
+
+  # Guards against a new leader that confirms the primary while the old one's call may take effect.
+  Scenario Outline: The old leader's promote call comes <late> s late, and the new one finds the primary well
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after <late> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And the control VMs are down for <down> s and start again
+    And the control leader reaches all endpoints again
+    And 16 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | late | down |
+      | 0.1  | 0    |
+      | 0.4  | 0    |
+      | 0.6  | 0.3  |
+      | 0.8  | 0.3  |
+      | 1.0  | 0.3  |
+      | 2    | 0.3  |
+      | 6    | 0.3  |
+      | 4    | 3    |
+
+  # Guards against a new leader that promotes another endpoint than the old one's late call.
+  Scenario Outline: The old leader's promote call comes <late> s late, after a replica started again
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after <late> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And "b3" starts again without having announced itself
+    And the control VMs are down for 0.3 s and start again
+    And 16 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | late |
+      | 0.5  |
+      | 1    |
+      | 2    |
+      | 2.2  |
+      | 2.5  |
+      | 6    |
+
+  # Guards against replicas that stay paused for good as the new leader knows of no failed RESUME.
+  Scenario: The control leader changes after it failed to resume the replicas
+    When "b4" joins
+    And the control leader no longer reaches the primary
+    And the control leader no longer reaches "b4"
+    And "b2" has been paused
+    And "b3" has been paused
+    And the RESUMEs to all replicas get no answer and are not carried out
+    And the control leader reaches all endpoints again
+    And the promotion has ended
+    And the control VMs are down for 0 s and start again
+    And "b4" ends
+    And 8 s pass
+    Then "b1" is the primary in the control log, and leads
+    And a new write at "h1" succeeds
+
+  # Guards against replicas that a PAUSE without an answer stops from receiving after the promotion
+  # had ended with the primary that leads.
+  Scenario: A PAUSE without an answer is carried out after the primary was found well
+    When the next PAUSE gets no answer and is carried out after 4 s
+    And the next PAUSE gets no answer and is carried out after 4 s
+    And the control leader no longer reaches the primary
+    And a term has been granted
+    And 0.1 s pass
+    And the control leader reaches all endpoints again
+    And the promotion has ended
+    And 10 s pass
+    Then "b1" is the primary in the control log, and leads
+    And a new write at "h1" succeeds
+
+  # Guards against commits that a stepped-down primary confirms after it started again as primary.
+  Scenario Outline: A stepped-down primary starts again as primary <how> before the handover takes effect
+    When callers at every VM write during the next 10 s
+    And 1 s pass
+    And the next promote call gets no answer and is carried out after <late> s
+    And "b1" announces that it leaves
+    And the primary has stepped down
+    And "b1" starts again <how>
+    And 14 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | how                             | late |
+      | without having announced itself | 0.1  |
+      | without having announced itself | 1.4  |
+      | without having announced itself | 3    |
+      | and announces itself            | 0.1  |
+      | and announces itself            | 1.4  |
+      | and announces itself            | 3    |
+
+  # Guards against a handover that goes on while the stepped-down primary leads again.
+  Scenario: A stepped-down primary starts again as primary while the successor is behind
+    Given "b2" receives nothing from the primary
+    And "b3" receives nothing from the primary
+    When "b4" joins
+    And callers at every VM write during the next 10 s
+    And 1 s pass
+    And "b1" announces that it leaves
+    And 0.5 s pass
+    And "b1" starts again without having announced itself
+    And 14 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against a STEPDOWN that takes the lead from a primary whose handover had been given up.
+  Scenario Outline: A STEPDOWN without an answer is carried out <late> s later
+    When callers at every VM write during the next 12 s
+    And 1 s pass
+    And the next STEPDOWN gets no answer and is carried out after <late> s
+    And "b1" announces that it leaves
+    And 15 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | late |
+      | 0.2  |
+      | 0.6  |
+      | 0.8  |
+      | 3    |
+
+  # Guards against a new leader that does not know that the primary stepped down for a handover.
+  Scenario Outline: The control leader starts again after <down> s without one during a handover
+    When callers at every VM write during the next 12 s
+    And 1 s pass
+    And "b1" announces that it leaves
+    And the primary has stepped down
+    And the control VMs are down for <down> s and start again
+    And 14 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+    Examples:
+      | down |
+      | 0    |
+      | 3    |
+
+  # Guards against an evacuation's handover that skips what a promotion after a failure does.
+  Scenario: The zone of the primary is evacuated while a replica starts again
+    When callers at every VM write during the next 10 s
+    And 1 s pass
+    And the zone "z1" is evacuated
+    And the primary has stepped down
+    And "b3" starts again without having announced itself
+    And 14 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h2" succeeds
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -242,10 +242,15 @@
 
     def _probe(self, board: Board, probe: EndpointProbe) -> None:
         if board is self.board and probe.endpoint in self.cut_off_endpoints:
-            self.call_later(lambda: board.post(Topic.PROBE_ENDED, probe), probe.timeout_s)
-        else:
+            self.call_later(lambda: self._post_to(board, Topic.PROBE_ENDED, probe), probe.timeout_s)
+        elif board in self.boards:
             super()._probe(board, probe)
 
+    def _post_to(self, board: Board, topic: Topic, entry: Any) -> None:
+        """Post to a VM, unless it has ended."""
+        if board in self.boards:
+            board.post(topic, entry)
+
     def _unreachable_reason(self, name: str) -> UnreachableReason | None:
         return None if name not in self.endpoints else super()._unreachable_reason(name)
 
@@ -261,8 +266,7 @@
             self._end_later(command)
             return
         self._carry_out(command)
-        if not self.is_control_down:
-            self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
+        self._post_to(self.board, Topic.ENDPOINT_COMMAND_ENDED, command)
 
     def _end_later(self, command: EndpointCommand) -> None:
         """End a command without an answer."""
@@ -277,7 +281,9 @@
             command.fencing_token,
         )
         board = self.board
-        self.call_later(lambda: board.post(Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s)
+        self.call_later(
+            lambda: self._post_to(board, Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s
+        )
 
     def _carry_out(self, command: EndpointCommand) -> None:
         """Carry out a command, and set its result."""
