Use a fencing token only if its grant was this leader's own

What could happen: two control leaders fence endpoints and call the platform with the same token (rule ONE). Cause: a leader took any grant of the number that it had proposed for its own, also one that an earlier leader had proposed and that was committed meanwhile; its own grant was then rejected, and nobody looked.

--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -184,3 +184,9 @@
     Then another endpoint than "b1" is the primary
     And the endpoint that leads has every acknowledged write
     And a new write at "h2" succeeds
+
+  # Guards against two control leaders that call the platform with the same fencing token (rule ONE).
+  Scenario: A fencing token that was granted to another leader is not used
+    When an earlier leader's grant of the next fencing token is applied during an attempt
+    And 6 s pass
+    Then no promote call used the fencing token of the other leader
--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
-from behave import when
+from behave import then, when
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.timeline import EventKind
+from gentianspread_lab.fakes.session_simulation import GROUP
 from promotion_commits import COMMANDS, STEP_S, run_until
 
 NEVER_S = 10_000.0
@@ -31,3 +33,28 @@
     fields = {"zone": zone, "expected_revision": expected}
     simulation.propose(Command(CommandKind.BEGIN_EVACUATION, fields))
     simulation.run(STEP_S)
+
+
+@when("an earlier leader's grant of the next fencing token is applied during an attempt")
+def step_foreign_grant(context):
+    simulation = context.promotion_simulation
+    group = simulation.board.configuration.groups[GROUP]
+    context.foreign_token = group.granted_term + 1
+    fields = {"group": GROUP, "term": context.foreign_token}
+    simulation.cut_off_endpoints.add("b1")
+
+    def grant_first(command):
+        if command.kind is EventKind.FAILOVER_STARTED and not context.is_foreign_granted:
+            context.is_foreign_granted = True
+            simulation.propose(Command(CommandKind.GRANT_TERM, fields))
+
+    context.is_foreign_granted = False
+    simulation.board.timeline.sink = grant_first
+    run_until(context, lambda: context.is_foreign_granted)
+
+
+@then("no promote call used the fencing token of the other leader")
+def step_no_foreign_token(context):
+    simulation = context.promotion_simulation
+    tokens = [token for _, token in simulation.promotions]
+    assert tokens and context.foreign_token not in tokens, (tokens, context.foreign_token)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -115,7 +115,7 @@
         for promotion in list(self.board.groups.promotions.values()):
             group = self.board.configuration.groups.get(promotion.group)
             is_current = group is not None and group.granted_term == promotion.fencing_token
-            if promotion.phase is PromotionPhase.GRANTING and is_current:
+            if promotion.phase is PromotionPhase.GRANTING and promotion.is_granted and is_current:
                 self._begin(promotion, group)
 
     def on_lease(self, _entry: Any) -> None:
