Remember which position covers every commit until a promotion has ended

What could happen: a replica starts again empty after a promote call for it got no answer; no other replica is promoted, since what the restarted one had confirmed is not known, and the call then makes the empty one lead (151 of 151 writes lost in the scenario). Cause: each attempt asked anew whether the paused replicas have all commits, though VMs hand on none after the first. Change: the position of the first endpoint that was called for suffices until the promotion ends, so the next attempt promotes any endpoint that reaches it, and its higher fencing token supersedes the late call.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -67,7 +67,10 @@
             for replica in self.view.replicas(group)
             if replica.name not in promotion.received_positions
         ]
-        if promotion.received_positions and self.view.has_all_commits(group, promotion, missing):
+        if promotion.received_positions and (
+            self._reaches_earlier_target(promotion)
+            or self.view.has_all_commits(group, promotion, missing)
+        ):
             return PauseDecision(PauseStep.PROMOTE, self.successors.most_advanced(promotion))
         if promotion.pending_endpoints:
             return PauseDecision(PauseStep.WAIT)
