Treat a named primary as a replica until it was seen to lead

Withheld commits were answered as kept before the endpoint led. Cause: a call is answered some hundred milliseconds before it takes effect, and the control log took it for done. Change: the entry that names the primary says that it does not lead yet; another one confirms it once a probe has seen that it does, with a position that includes what it had when it was paused. Until then its departure is one of a replica, departed replicas are kept, and withheld commits wait. What it had suffices until then, so another endpoint that has as much can be promoted without it. An endpoint that left is not taken for recovered by its last probe. Ruled out: naming it only when it leads, as VMs would send statements to the old primary for so much longer.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -93,11 +93,13 @@
 
     def has_primary_recovered(self, group: Group, promotion: Promotion) -> bool:
         """Return whether the primary works again, without having been paused."""
-        health = self.board.groups.health.get(group.primary or "")
+        if group.primary not in self.board.configuration.endpoints:
+            return False
+        health = self.board.groups.health.get(group.primary)
         is_paused = group.primary in promotion.received_positions
         return not is_paused and health is not None and health.failures == 0 and health.is_primary
 
-    def last_departure_at(self, group: Group) -> float | None:
+    def last_departure_at(self, group: Group, except_for: str | None = None) -> float | None:
         """Return when the last of the departed replicas was first seen as departed, or none.
 
         A departure that the health controller has not recorded yet counts as seen now, the latest
@@ -105,9 +107,10 @@
         """
         now = self.board.clock.now()
         seen_at = self.board.groups.departures_seen_at.get(group.name, {})
-        times = [seen_at.get(name, now) for name in group.departed]
+        excepted = f"{except_for}/"
+        times = [seen_at.get(name, now) for name in group.departed if not name.startswith(excepted)]
         lost_at = self.board.groups.lost_logs_at.get(group.name, {})
-        times += [at for name, at in lost_at.items() if name != group.primary]
+        times += [at for name, at in lost_at.items() if name not in (group.primary, except_for)]
         return max(times, default=None)
 
     def reaches_primary_since(
@@ -147,7 +150,8 @@
         not, of which some are `terminated`, and the departed ones.
         """
         positions = list(received.values())
-        departed_at = self.last_departure_at(group)
+        covered = group.primary if self._covers_named_primary(group, received) else None
+        departed_at = self.last_departure_at(group, covered)
         # The primary has every commit, also those that only departed replicas confirmed.
         has_primary = group.primary in received and self.board.configuration.has_led(group)
         has_departed_commits = departed_at is None or has_primary
@@ -157,10 +161,24 @@
             return False
         return all(
             replica.name in received
+            or replica.name == covered
             or (replica.name in terminated and self._covers_terminated(replica, positions))
             for replica in self.replicas(group)
         )
 
+    def _covers_named_primary(self, group: Group, received: dict[str, Position]) -> bool:
+        """Return whether another endpoint has what a primary that has not led yet had received.
+
+        If it led unseen, a replica that is still to be heard confirmed its commits.
+        """
+        succession = self.board.configuration.successions.get(group.name)
+        if succession is None or succession.is_confirmed or not succession.kept_index:
+            return False
+        kept = Position(succession.kept_term, succession.kept_index)
+        return any(
+            name != group.primary and position.reaches(kept) for name, position in received.items()
+        )
+
     def has_terminated(self, command: EndpointCommand) -> bool:
         """Return whether a command that failed proves that its endpoint terminated."""
         registration = self.board.configuration.endpoints.get(command.endpoint)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -70,7 +70,7 @@
             "term": promotion.fencing_token,
             "endpoint": target,
             "led_throughout": promotion.is_only_call,
-            "leads": True,
+            "leads": promotion.confirms_primary or not promotion.is_only_call,
         }
         kept = promotion.received_positions.get(target)
         if kept is not None and promotion.is_only_call:
