Show VMs out of touch and the answers to withheld commits beside promotions

Cause: a VM out of touch knows of no promotion, and a withheld commit must have a true answer. Change: scenarios for VMs within and after their lease, for relayed commits of which only one VM is in touch, for transactions, and for each way in which a withheld commit is answered. Ruled out: a stop that begins after a commit was withheld needs no answer of the core; the front end answers that the outcome is unknown at its end, as for every statement that still runs.

--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
-from behave import when
+from behave import then, when
+from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from promotion_commits import COMMANDS, STEP_S, run_until
+from gentianspread_core.blackboard.leases import COMMIT_LEASE_S
+from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
+from gentianspread_core.controllers.shutdown import answer_at_end
+from gentianspread_core.errors import ErrorCode
+from promotion_commits import COMMANDS, STEP_S, run_until, send
 
 NEVER_S = 10_000.0
+TRANSACTION_INTERVAL_S = 0.04
+POLL_S = 0.002
 
 
 @when("the control VMs are down for {seconds:g} s and start again")
@@ -31,3 +38,124 @@
     fields = {"zone": zone, "expected_revision": expected}
     simulation.propose(Command(CommandKind.BEGIN_EVACUATION, fields))
     simulation.run(STEP_S)
+
+
+@when('"{vm:w}" is cut off from the control VMs')
+def step_cut_off(context, vm):
+    context.promotion_simulation.cut_off_vms.add(vm)
+
+
+@when('"{vm:w}" is without news of the configuration')
+def step_unpolled(context, vm):
+    context.promotion_simulation.unpolled_vms.add(vm)
+
+
+@when("all VMs are in touch")
+def step_in_touch(context):
+    context.promotion_simulation.cut_off_vms.clear()
+    context.promotion_simulation.unpolled_vms.clear()
+
+
+@when("no VM is in touch again")
+def step_nobody_in_touch(context):
+    assert context.promotion_simulation.cut_off_vms
+
+
+@when('the caller at "{vm:w}" begins a transaction and writes in it')
+def step_transaction(context, vm):
+    for text in ("BEGIN", "WRITE x 1"):
+        call = send(context, vm, context.callers[vm], text)
+        run_until(context, lambda call=call: call.answer is not None)
+        assert call.answer.refusal is None, call.answer.refusal.message
+
+
+@when('the caller at "{vm:w}" commits')
+def step_commit(context, vm):
+    context.writes.append(send(context, vm, context.callers[vm], "COMMIT"))
+
+
+@when("callers at every VM run transactions during the next {seconds:g} s")
+def step_transaction_load(context, seconds):
+    simulation = context.promotion_simulation
+    end = simulation.clock.now() + seconds
+
+    def begin():
+        for vm in simulation.vms:
+            session = simulation.open_session_at(vm, "latest")
+            send_next(vm, session, ["BEGIN", "WRITE x 1", "WRITE y 2", "COMMIT"])
+        if simulation.clock.now() + TRANSACTION_INTERVAL_S < end:
+            simulation.call_later(begin, TRANSACTION_INTERVAL_S)
+
+    def send_next(vm, session, texts):
+        call = send(context, vm, session, texts[0])
+        context.writes.append(call)
+        simulation.call_later(lambda: go_on(vm, session, texts[1:], call), POLL_S)
+
+    def go_on(vm, session, texts, call):
+        if call.answer is None:
+            simulation.call_later(lambda: go_on(vm, session, texts, call), POLL_S)
+        elif call.answer.refusal is None and texts:
+            send_next(vm, session, texts)
+        else:
+            simulation.vms[vm].board.post(Topic.SESSION_CLOSED, session)
+
+    begin()
+
+
+@when('the caller at "{vm:w}" leaves')
+def step_caller_leaves(context, vm):
+    board = context.promotion_simulation.vms[vm].board
+    board.post(Topic.SESSION_CLOSED, context.callers[vm])
+
+
+@when('"{vm:w}" is told to stop within {seconds:g} s')
+def step_stop(context, vm, seconds):
+    board = context.promotion_simulation.vms[vm].board
+    context.stop_ends_at = context.promotion_simulation.clock.now() + seconds
+    plan = ShutdownPlan.from_grace_period(seconds, seconds)
+    board.post(Topic.SHUTDOWN_REQUESTED, plan)
+
+
+@then('"{vm:w}" has been out of touch for its lease')
+def step_out_of_touch(context, vm):
+    simulation = context.promotion_simulation
+    confirmed_at = simulation.vms[vm].board.configuration.confirmed_at
+    assert simulation.clock.now() - confirmed_at >= COMMIT_LEASE_S
+
+
+@then("statements were relayed")
+def step_relayed(context):
+    assert context.promotion_simulation.relayed_count > 0
+
+
+@then("the last commit did not succeed")
+def step_commit_failed(context):
+    answer = context.writes[-1].answer
+    assert answer is not None and answer.refusal is not None, "it succeeded or has no answer"
+
+
+@then("no commit was acknowledged that the leading endpoint lacks")
+def step_none_acknowledged(context):
+    assert not context.promotion_simulation.lost_writes, context.promotion_simulation.lost_writes
+
+
+@then('"{vm:w}" has no request and no session of a caller')
+def step_no_work(context, vm):
+    board = context.promotion_simulation.vms[vm].board
+    assert board.shutdown.running_requests == 0, board.shutdown.running_requests
+    assert not board.sessions.by_number, list(board.sessions.by_number)
+
+
+@then('"{vm:w}" ends within its grace period')
+def step_stopped(context, vm):
+    board = context.promotion_simulation.vms[vm].board
+    run_until(context, lambda: board.shutdown.phase is ShutdownPhase.ENDED)
+    assert context.promotion_simulation.clock.now() <= context.stop_ends_at
+
+
+@then('"{vm:w}" has ended, and the answer at its end is that the outcome is unknown')
+def step_answered_at_end(context, vm):
+    board = context.promotion_simulation.vms[vm].board
+    assert board.shutdown.phase is ShutdownPhase.ENDED, board.shutdown.phase
+    answer = context.writes[-1].answer or answer_at_end(context.callers[vm])
+    assert answer.refusal is not None and answer.refusal.code is ErrorCode.OUTCOME_UNKNOWN
