Show a call that outlives its attempt, and two leaders with one fencing token

Cause: an accepted promote call counts as settled before it takes effect, and a new control leader decides before it has applied the entries of the one before it. Change: scenarios for calls that are answered near the end of their attempt, and for a leader whose log is slow; the simulation can answer commands late, delay the disk of the control log, and let a follower lead.

--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -184,3 +184,84 @@
     Then another endpoint than "b1" is the primary
     And the endpoint that leads has every acknowledged write
     And a new write at "h2" succeeds
+
+  # Guards against a new leader that takes the old one's grant, which it applies only later, for its
+  # own, and so for a promotion whose calls it knows.
+  Scenario Outline: A new leader applies the old one's grant late, and the old one's call comes <late> s late
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after <late> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And another control VM leads that applies the grant <delay> s later
+    And <meanwhile>
+    And 16 s pass
+    Then no two leaders made calls with the same fencing token
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | late | delay | meanwhile                                         |
+      | 0.9  | 0.1   | "b3" starts again without having announced itself |
+      | 2.5  | 0.1   | "b3" starts again without having announced itself |
+      | 4    | 0.8   | "b3" starts again without having announced itself |
+
+  # Guards against two leaders that call with the same fencing token: the new one's disk is slow, so
+  # that it decides to promote before it has applied the grant of the old one.
+  Scenario: A new leader decides on a promotion before it has applied the old one's grant
+    When callers at every VM write during the next 14 s
+    And the next promote call gets no answer and is carried out after 6 s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And another control VM leads that applies the grant 1.2 s later
+    And "b3" starts again without having announced itself
+    And 16 s pass
+    Then no two leaders made calls with the same fencing token
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+  # Guards against a promotion that is ended as if no call was open, when the call of an attempt that
+  # was given up has just been carried out and takes effect a moment later.
+  Scenario: A promote call is carried out just after its attempt was given up
+    When callers at every VM write during the next 12 s
+    And 1 s pass
+    And "b2" receives nothing from the primary
+    And "b3" receives nothing from the primary
+    And the next promote call is carried out and answered after 1.2 s
+    And "b1" announces that it leaves
+    And the primary has stepped down
+    And 1.9 s pass
+    And "b2" has caught up with "b1"
+    And "b3" has caught up with "b1"
+    And 0.6 s pass
+    And "b2" receives nothing from the primary
+    And "b1" starts again and announces itself
+    And 12 s pass
+    Then the endpoint that leads has every acknowledged write
+    And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against the same at other moments: within the attempt, and after the next one began.
+  Scenario Outline: A promote call is answered after <answer> s, near the end of its attempt
+    When callers at every VM write during the next 12 s
+    And 1 s pass
+    And "b2" receives nothing from the primary
+    And "b3" receives nothing from the primary
+    And the next promote call is carried out and answered after <answer> s
+    And "b1" announces that it leaves
+    And the primary has stepped down
+    And 1.9 s pass
+    And "b2" has caught up with "b1"
+    And "b3" has caught up with "b1"
+    And 0.6 s pass
+    And "b2" receives nothing from the primary
+    And "b1" starts again and announces itself
+    And 12 s pass
+    Then the endpoint that leads has every acknowledged write
+    And the control log has no promotion under way, and no VM withholds a commit
+
+    Examples:
+      | answer |
+      | 0.9    |
+      | 1.0    |
+      | 1.1    |
+      | 1.4    |
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -172,6 +172,16 @@
     context.promotion_simulation.late_commands.append((COMMANDS[command], seconds))
 
 
+@when("the next {command} is carried out and answered after {seconds:g} s")
+def step_slow_command(context, command, seconds):
+    context.promotion_simulation.slow_commands.append((COMMANDS[command], seconds))
+
+
+@when('"{name:w}" has caught up with "{source:w}"')
+def step_caught_up(context, name, source):
+    context.promotion_simulation.catch_up(name, source)
+
+
 @when('an earlier RESUME is carried out at "{name:w}"')
 def step_late_resume(context, name):
     context.promotion_simulation.resume(name)
--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -159,3 +159,22 @@
     assert board.shutdown.phase is ShutdownPhase.ENDED, board.shutdown.phase
     answer = context.writes[-1].answer or answer_at_end(context.callers[vm])
     assert answer.refusal is not None and answer.refusal.code is ErrorCode.OUTCOME_UNKNOWN
+
+
+@when("another control VM leads that applies the grant {seconds:g} s later")
+def step_grant_applied_late(context, seconds):
+    simulation = context.promotion_simulation
+    granted_at = simulation.board.configuration.revision
+    context.earlier_calls = list(simulation.called)
+    simulation.stop_control()
+    simulation.sync_delay_s = seconds
+    simulation.start_control(applied_revision=granted_at - 1)
+    run_until(context, lambda: simulation.board.election.role.name == "LEADER")
+
+
+@then("no two leaders made calls with the same fencing token")
+def step_distinct_tokens(context):
+    simulation = context.promotion_simulation
+    earlier = {token for _, token in context.earlier_calls}
+    later = {token for _, token in simulation.called[len(context.earlier_calls) :]}
+    assert not earlier & later, (context.earlier_calls, simulation.called)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -10,6 +10,7 @@
 
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.log import SyncedRecords
 from gentianspread_core.blackboard.outbox import (
     EndpointCommand,
     EndpointCommandKind,
@@ -51,9 +52,11 @@
 
     The control leader reaches none of `cut_off_endpoints`; the other VMs and endpoints do. The next
     commands of the kinds in `late_commands` get no answer and are carried out after that many
-    seconds. `acknowledged` has the ids of the writes that callers were told to be committed,
-    `lost_writes` those that an endpoint lacked when it was promoted, or when they were acknowledged
-    later. While `is_control_down`, no VM leads the control log or passes on the configuration.
+    seconds; those in `slow_commands` are answered then. `called` has the promote calls that were
+    sent, `acknowledged` the ids of the writes that callers were told to be committed, `lost_writes`
+    those that an endpoint lacked when it was promoted, or when they were acknowledged later. While
+    `is_control_down`, no VM leads the control log or passes on the configuration. Entries of the
+    control log are on disk after `sync_delay_s`.
     """
 
     def __init__(self, vm_count: int = 3, seed: int = 1) -> None:
@@ -62,7 +65,10 @@
         self.acknowledged: dict[str, float] = {}
         self.lost_writes: set[str] = set()
         self.newest_fencing_token = 0
+        self.slow_commands: list[tuple[EndpointCommandKind, float]] = []
+        self.called: list[tuple[str, int]] = []
         self.is_control_down = False
+        self.sync_delay_s = 0.0
         self._stepped_down: set[str] = set()
         self._crashed_primaries: set[str] = set()
         self._open_writes: dict[int, list[str]] = {}
@@ -100,6 +106,13 @@
         self.endpoints[name].replication_paused = False
         self._rejoin(self.endpoints[name])
 
+    def catch_up(self, name: str, source: str) -> None:
+        """Let a replica that lagged behind receive what another endpoint has, and go on."""
+        endpoint, other = self.endpoints[name], self.endpoints[source]
+        endpoint.ignores_replication = False
+        endpoint.log, endpoint.log_term = list(other.log), other.log_term
+        endpoint.applied = len(endpoint.log)
+
     def deregister(self, name: str) -> None:
         """Remove an endpoint that has ended from the control log."""
         incarnation = self.board.configuration.endpoints[name].incarnation
@@ -111,8 +124,12 @@
         self.is_control_down = True
         self.boards.remove(self.board)
 
-    def start_control(self) -> None:
-        """Start a VM in its place that has what the log holds, and no memory of anything else."""
+    def start_control(self, applied_revision: int = 0) -> None:
+        """Start a VM in its place that has what the log holds, and no memory of anything else.
+
+        With `applied_revision`, it takes the place as a VM that followed until now, and knows only
+        the entries up to this one to be committed.
+        """
         self.engine = self._new_engine()
         board = self.board = self.engine.board
         self.boards.insert(0, board)
@@ -120,7 +137,12 @@
             Topic.INTENT_POSTED, lambda intent: self.execute_intent(board, intent)
         )
         board.members.entry_vm_count = 4
-        board.post(Topic.LOG_RECOVERED, self.disk.recover())
+        recovered = self.disk.recover()
+        board.post(Topic.LOG_RECOVERED, recovered)
+        if applied_revision:
+            known = [item for item in recovered.entries if item.index <= applied_revision]
+            board.post(Topic.ENTRIES_COMMITTED, known)
+            board.post(Topic.FRESHNESS_CHANGED, self.clock.now())
         board.post(Topic.CONTROL_STARTED, self.disk.hard_state)
         self.is_control_down = False
 
@@ -173,6 +195,23 @@
             endpoint.applied = len(endpoint.log)
             self._send_confirmed_replies()
 
+    def _flush_control_batches(self) -> None:
+        """Write what the control log has sent to the disk; its end is reported after the delay."""
+        if not self.sync_delay_s:
+            super()._flush_control_batches()
+            return
+        board = self.board
+        batch = board.outbox.take_control_batch()
+        while not batch.is_empty():
+            self.disk.write(batch)
+            if batch.entries:
+                synced = SyncedRecords(batch.entries[-1].index, batch.entries[-1].term)
+                self.call_later(
+                    lambda synced=synced: self._post_to(board, Topic.RECORDS_SYNCED, synced),
+                    self.sync_delay_s,
+                )
+            batch = board.outbox.take_control_batch()
+
     def _on_answered(self, call: Any) -> None:
         """Note the writes that a caller was told to be committed."""
         number, verb = call.session.number, call.statement.verb
@@ -255,18 +294,29 @@
         return None if name not in self.endpoints else super()._unreachable_reason(name)
 
     def _execute_command(self, command: EndpointCommand) -> None:
+        board = self.board
+        if command.kind is EndpointCommandKind.PROMOTE:
+            self.called.append((command.endpoint, command.fencing_token))
         for late in self.late_commands:
             if late[0] is command.kind:
                 self.late_commands.remove(late)
                 self.call_later(lambda: self._carry_out(command), late[1])
                 self._end_later(command)
                 return
+        for slow in self.slow_commands:
+            if slow[0] is command.kind:
+                self.slow_commands.remove(slow)
+                self.call_later(lambda: self._carry_out_and_answer(board, command), slow[1])
+                return
         is_call = command.kind is EndpointCommandKind.PROMOTE
         if not is_call and command.endpoint in self.cut_off_endpoints:
             self._end_later(command)
             return
+        self._carry_out_and_answer(board, command)
+
+    def _carry_out_and_answer(self, board: Board, command: EndpointCommand) -> None:
         self._carry_out(command)
-        self._post_to(self.board, Topic.ENDPOINT_COMMAND_ENDED, command)
+        self._post_to(board, Topic.ENDPOINT_COMMAND_ENDED, command)
 
     def _end_later(self, command: EndpointCommand) -> None:
         """End a command without an answer."""
