--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/vm.py
@@ -141,12 +141,35 @@
         self.call_later(lambda: self.board.post(Topic.PROBE_ENDED, probe))
 
     def _execute_command(self, command: EndpointCommand) -> None:
-        if self.simulation.can_reach(self.name, command.endpoint):
-            self.simulation.endpoints[command.endpoint].execute_command(command)
+        """Have an endpoint execute a command, or execute it late and without an answer."""
         if not self.simulation.can_reach(self.name, command.endpoint):
             command.accepted = False
+        elif command.kind in self.simulation.late_command_kinds:
+            self.simulation.call_later(
+                lambda: self._execute_late(command), self.simulation.command_delay_s
+            )
+            command.accepted = False
+            self.call_later(
+                lambda: self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command), command.timeout_s
+            )
+            return
+        else:
+            self.simulation.endpoints[command.endpoint].execute_command(command)
         self.call_later(lambda: self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command))
 
+    def _execute_late(self, command: EndpointCommand) -> None:
+        """Execute a copy of a command, as its sender has given it up."""
+        late = EndpointCommand(
+            command.kind,
+            command.endpoint,
+            command.address,
+            command.group,
+            command.term,
+            command.primary_address,
+            command.timeout_s,
+        )
+        self.simulation.endpoints[command.endpoint].execute_command(late)
+
     def _watch(self, watch: ReplicaWatch) -> None:
         if self.simulation.can_reach(self.name, watch.endpoint):
             watch.reached = self.simulation.endpoints[watch.endpoint].position_in_term(watch.term)
