Tell a replica to follow again if it starts again between two probes

Callers saw no write acknowledged any more, without a time limit, after both replicas of a group with terms of the control log had started again within a probe interval: they stayed idle.

Cause: FailoverController kept the term of an accepted FOLLOW command by endpoint, and sent no second one of that term unless a probe had failed meanwhile.

Change: only a command under way holds back another one. The scenario of a replica that starts again empty and confirms in an older term now also cuts it off from the control VMs; otherwise the repeated FOLLOW corrects it within a probe interval, and the scenario would no longer show its fault.

Ruled out: a repeated FOLLOW of the same term to an endpoint that follows already changes nothing but its pull; one to the primary of the term is refused.

--- a/features/own_groups.feature
+++ b/features/own_groups.feature
@@ -142,6 +142,7 @@
     And 0.1 s pass
     And the replica that was not promoted starts again with an empty log
     And a late command has it follow the old primary in the old term
+    And a network partition cuts the restarted replica off from the control VMs
     And "w" is a write of "card-1" sent to o1
     And 0.3 s pass
     Then "w" is not acknowledged, or on the endpoint that leads in the newest term
--- a/features/steps/own_groups.py
+++ b/features/steps/own_groups.py
@@ -118,6 +118,11 @@
     context.simulation.endpoints[name].execute_command(late)
 
 
+@when("a network partition cuts the restarted replica off from the control VMs")
+def step_separate_restarted(context):
+    separate(context, [context.replicas[0]], CONTROL_VMS)
+
+
 @when("{kind:w} commands are executed {seconds:g} s late and get no answer")
 def step_late_commands(context, kind, seconds):
     context.simulation.late_command_kinds = {EndpointCommandKind(kind)}
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -31,7 +31,7 @@
 class FailoverController:
     """Owns the failovers and the endpoints' health.
 
-    `_follow_terms` has the term of the last `FOLLOW` command sent to each endpoint,
+    `_follow_terms` has the term of the `FOLLOW` command under way to each endpoint,
     `_next_failover_at` the earliest time of each group's next failover.
     """
 
@@ -103,8 +103,8 @@
     def on_command_ended(self, command: EndpointCommand) -> None:
         """Count accepted fences; command the others to follow once the promotion was accepted."""
         if command.kind is EndpointCommandKind.FOLLOW:
-            if not command.accepted:
-                self._follow_terms.pop(command.endpoint, None)
+            if self._follow_terms.get(command.endpoint) == command.term:
+                del self._follow_terms[command.endpoint]
             return
         failover = self.board.groups.failovers.get(command.group)
         if failover is None or failover.term != command.term:
