--- a/features/own_groups.feature
+++ b/features/own_groups.feature
@@ -98,6 +98,14 @@
     Then another endpoint leads in term 3
     And every acknowledged write is on the primary
 
+  Scenario: No two control leaders fence the endpoints in the same term
+    When a network partition isolates the primary
+    And the control leader is cut off and killed once its grant of a term is committed there only
+    And control log messages are held up for 0.5 s once another VM leads the control log
+    And 5 s pass
+    Then another endpoint leads
+    And each term was fenced by one VM
+
   Scenario: A VM that knows a group of three and one that knows four count overlapping majorities
     When a network partition separates the primary, the first replica and o1 from the others
     And a fourth endpoint joins the group
--- a/features/steps/own_groups.py
+++ b/features/steps/own_groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from behave import then, when
+from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.outbox import EndpointCommand, EndpointCommandKind
 from gentianspread_lab.fakes.endpoint import FakeEndpoint
 from gentianspread_lab.fakes.session_endpoint import endpoint_address
@@ -56,6 +57,16 @@
     )
 
 
+def record_fences(context, vm):
+    """Record by which VM the endpoints are fenced in which term."""
+
+    def record(intent):
+        if isinstance(intent, EndpointCommand) and intent.kind is EndpointCommandKind.FENCE:
+            context.fences.add((intent.term, vm.name))
+
+    vm.board.changes.subscribe(Topic.INTENT_POSTED, record)
+
+
 @when("a network partition separates the primary and {vm:w} from the control VMs")
 def step_separate_primary(context, vm):
     context.old_primary = primary_of(context)
@@ -155,6 +166,28 @@
     leader.kill()
 
 
+@when("the control leader is cut off and killed once its grant of a term is committed there only")
+def step_kill_after_grant(context):
+    leader = context.simulation.leader()
+    context.fences = set()
+    for vm in context.simulation.vms.values():
+        record_fences(context, vm)
+    group = leader.board.configuration.groups[GROUP]
+    run_until(context, lambda: group.granted_term > group.term)
+    others = [vm for vm in context.simulation.vms.values() if vm is not leader]
+    assert all(vm.board.configuration.groups[GROUP].granted_term == 1 for vm in others)
+    context.simulation.isolate(leader.name)
+    leader.kill()
+
+
+@when("control log messages are held up for {seconds:g} s once another VM leads the control log")
+def step_hold_messages(context, seconds):
+    run_until(context, lambda: context.simulation.leader() is not None)
+    context.simulation.message_delay_s = seconds
+    context.simulation.run(seconds)
+    context.simulation.message_delay_s = 0.0
+
+
 @when("another endpoint leads within {seconds:g} s")
 def step_lead_soon(context, seconds):
     run_until(context, lambda: newest_primary(context).name != context.old_primary, seconds)
@@ -213,6 +246,12 @@
     assert roles == ["follower", "follower"], roles
 
 
+@then("each term was fenced by one VM")
+def step_one_fence(context):
+    terms = [term for term, _ in context.fences]
+    assert terms and len(terms) == len(set(terms)), sorted(context.fences)
+
+
 @then('the old primary stores "{value:Quoted}"')
 def step_old_stores(context, value):
     assert value in context.simulation.endpoints[context.old_primary].values()
