Fence endpoints only for a failover's own grant of its term

Two control leaders could fence the endpoints, and promote, in the same term: the same endpoint may accept it from both, so that two majorities no longer exclude each other.

Cause: FailoverController went on as soon as the group's granted term was the one that it had proposed. The entry may be an earlier leader's, which that leader had committed and used, and which is applied at the new leader only with its first own entry; the new leader is fresh by its last poll until then.

Change: the failover goes on with the outcome of its own proposal, and ends if that was rejected. No message more.

Ruled out: deriving it from the entry's index or log term on the configuration would need both there.

The promotion controller of the platform's groups has the same test of the granted term; that is not changed here.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -50,7 +50,6 @@
             Topic.FAILOVER_CHECK_DUE: self.on_failover_due,
             Topic.PROBE_ENDED: self.on_probe_ended,
             Topic.ENDPOINT_COMMAND_ENDED: self.on_command_ended,
-            Topic.CONFIGURATION_CHANGED: self.on_configuration,
         }
 
     def on_leadership(self, _entry: None) -> None:
@@ -93,13 +92,6 @@
             self._follow_terms.pop(probe.endpoint, None)
             self._start_if_needed(group)
 
-    def on_configuration(self, revision: int) -> None:
-        """Fence the endpoints once the control log has granted the term."""
-        for failover in self.board.groups.failovers.values():
-            group = self.board.configuration.groups.get(failover.group)
-            if group and failover.phase == "granting" and group.granted_term == failover.term:
-                self._fence(failover)
-
     def on_command_ended(self, command: EndpointCommand) -> None:
         """Count accepted fences; command the others to follow once the promotion was accepted."""
         if command.kind is EndpointCommandKind.FOLLOW:
@@ -146,7 +138,21 @@
         self.board.timeline.record(
             EventKind.FAILOVER_STARTED, f"group {group.name}", reason, term=term
         )
-        self._propose(CommandKind.GRANT_TERM, {"group": group.name, "term": term})
+        command = Command(CommandKind.GRANT_TERM, {"group": group.name, "term": term})
+        proposal = Proposal(command, lambda outcome: self._handle_grant(failover, outcome))
+        self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
+
+    def _handle_grant(self, failover: Failover, outcome: ChangeOutcome | None) -> None:
+        """Fence the endpoints once the control log has granted the term to this failover.
+
+        The group's granted term does not tell: an earlier leader may have proposed the same one.
+        """
+        if self.board.groups.failovers.get(failover.group) is not failover:
+            return
+        if outcome is not None and outcome.accepted:
+            self._fence(failover)
+        else:
+            del self.board.groups.failovers[failover.group]
 
     def _failover_reason(self, group: Group) -> str:
         if group.primary is None or group.granted_term > group.term:
@@ -194,10 +200,6 @@
         )
         return alive >= group.majority()
 
-    def _propose(self, kind: CommandKind, fields: dict[str, Any]) -> None:
-        proposal = Proposal(Command(kind, fields), _ignore_outcome)
-        self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
-
     def _send_command(
         self, kind: EndpointCommandKind, registration: Registration, term: int, primary_address: str
     ) -> None:
@@ -259,10 +261,9 @@
         self._send_command(
             EndpointCommandKind.PROMOTE, registration, failover.term, registration.address
         )
-        self._propose(
-            CommandKind.NAME_PRIMARY,
-            {"group": failover.group, "term": failover.term, "endpoint": failover.primary},
-        )
+        fields = {"group": failover.group, "term": failover.term, "endpoint": failover.primary}
+        proposal = Proposal(Command(CommandKind.NAME_PRIMARY, fields), _ignore_outcome)
+        self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
 
     def _handle_promote_result(self, failover: Failover, command: EndpointCommand) -> None:
         del self.board.groups.failovers[failover.group]
