Test that a restarted allocator waits for its predecessor, which fails

An allocator of rates that was named a moment before its restart grants tokens at once, while its predecessor, cut off, may still be fresh; both then grant the zone's rate.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -136,6 +136,14 @@
     And every VM sends 40 reads of "small" at once, 40 times, 0.1 s apart
     Then in no window were more requests of "small" permitted than its rate and burst allow
 
+  Scenario: An allocator that was just named and restarts does not grant together with its predecessor
+    Guards against two allocators of one zone that grant at the same time, if the second one starts again.
+    When a workspace "small" with rate 300 and burst 100 exists
+    And 3 s pass
+    And a network partition isolates the allocator of zone "z2" until another one is named
+    And the new allocator of zone "z2" is killed and starts again
+    Then the two allocators of zone "z2" do not grant tokens of "small" at the same time
+
   Scenario: A workspace that stays above its rate gets what rate and burst permit in each window
     Guards against refusals inside the limit: a bucket that fills at the rate alone gives a workspace
     that asks for more its rate, though rate and burst permit a fifth more in 5 s.
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -14,6 +14,8 @@
 from support import create_workspace, record_permits
 
 SEND_INTERVAL_S = 0.05
+CHECK_INTERVAL_S = 0.01
+MAX_REPLACEMENT_S = 5.0  # an allocator is replaced 1 s after its last contact
 
 
 def key_hash_of(workspace):
@@ -212,6 +214,47 @@
                 simulation.block_link(name, other)
 
 
+@when('a network partition isolates the allocator of zone "{zone:w}" until another one is named')
+def step_replace_allocator(context, zone):
+    simulation = context.simulation
+    allocators = simulation.leader().board.configuration.allocators
+    context.replaced_allocator = allocators[zone].member
+    simulation.isolate(context.replaced_allocator)
+    end = simulation.clock.now() + MAX_REPLACEMENT_S
+    while allocators[zone].member == context.replaced_allocator:
+        assert simulation.clock.now() < end
+        simulation.run(CHECK_INTERVAL_S)
+    context.new_allocator = allocators[zone].member
+    simulation.run(SEND_INTERVAL_S)
+
+
+@when('the new allocator of zone "{zone:w}" is killed and starts again')
+def step_restart_allocator(context, zone):
+    vm = context.simulation.vms[context.new_allocator]
+    assert vm is not context.simulation.leader()
+    vm.kill()
+    vm.start()
+
+
+def grants_tokens(context, name, zone, workspace):
+    """Return whether a VM grants tokens of a workspace, or would if its bucket had some."""
+    board = context.simulation.vms[name].board
+    token_request = TokenRequest(workspace, zone, name, 1, context.simulation.clock.now())
+    board.post(Topic.TOKENS_REQUESTED, token_request)
+    return token_request.answered
+
+
+@then('the two allocators of zone "{zone:w}" do not grant tokens of "{name:w}" at the same time')
+def step_one_grants(context, zone, name):
+    old, new = context.replaced_allocator, context.new_allocator
+    assert grants_tokens(context, old, zone, name)
+    end = context.simulation.clock.now() + MAX_REPLACEMENT_S
+    while not grants_tokens(context, new, zone, name):
+        assert context.simulation.clock.now() < end, f"{new} grants nothing"
+        context.simulation.run(CHECK_INTERVAL_S)
+    assert not grants_tokens(context, old, zone, name), f"{old} and {new} grant"
+
+
 @when('each VM requests {count:d} tokens of "{name:w}" that arrive too late for their requests')
 def step_late_tokens(context, count, name):
     context.simulation.token_response_delay_s = 0.2
