--- a/features/control.feature
+++ b/features/control.feature
@@ -135,3 +135,9 @@
     And the creation of the workspace "alone" is proposed to the isolated leader
     And 0.3 s pass
     Then the isolated leader has an uncommitted entry and no workspace "alone"
+
+  Scenario: A new control leader changes no voters before it has committed an entry of its term
+    Guards against two changes, by two leaders, whose majorities do not overlap.
+    When the control leader is killed, and messages are held up once another one leads
+    And the new leader is asked to remove a voter
+    Then the change is refused at once
--- a/features/steps/control.py
+++ b/features/steps/control.py
@@ -11,6 +11,8 @@
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from support import create_workspace, follower_name, lose_disk, record_permits, result_of, send
 
+MAX_ELECTION_S = 5.0
+
 
 @when("a network partition isolates a voter other than the leader")
 def step_isolate_follower(context):
@@ -27,6 +29,31 @@
     context.simulation.isolate(leader.name)
 
 
+@when("the control leader is killed, and messages are held up once another one leads")
+def step_hold_up_new_leader(context):
+    simulation = context.simulation
+    simulation.leader().kill()
+    end = simulation.clock.now() + MAX_ELECTION_S
+    while simulation.leader() is None:
+        assert simulation.clock.now() < end
+        simulation.run(0.0005)
+    simulation.message_delay_s = MAX_ELECTION_S
+
+
+@when("the new leader is asked to remove a voter")
+def step_ask_to_remove(context):
+    leader = context.simulation.leader()
+    assert leader.board.log.term_at(leader.board.log.commit_index) != leader.board.election.term
+    voters = [name for name in leader.board.log.voters if name != follower_name(context)]
+    fields = {"voters": voters, "learners": []}
+    context.voter_changes = context.simulation.propose_change(CommandKind.CHANGE_VOTERS, fields)
+
+
+@then("the change is refused at once")
+def step_change_refused(context):
+    assert context.voter_changes == [None], context.voter_changes
+
+
 @when("a voter other than the leader is killed")
 def step_kill_follower(context):
     context.lost_vm = follower_name(context)
