Count withheld commits and groups with a promotion under way in the metrics

Operators saw no figure for commits that wait for a promotion, nor for those that were left unknown by one.

Change: gauges for the withheld commits and for the groups with a promotion under way as this VM knows, counters of withheld commits and of those answered as unknown. commit_withheld names as its cause whether a promotion is under way or the lease has expired.

Measured (x86-64): metrics, promotion_commits, promotion, sessions, homes and timeline pass.

--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -48,3 +48,18 @@
     And the caller at "h1" sends "WRITE x 1"
     And 1 s pass
     Then the last statement was refused as "configuration_not_fresh", and the endpoints ran nothing of it
+
+  # Guards against promotions that keep callers waiting without a figure that shows it.
+  Scenario: The metrics tell how many commits wait for a promotion, and how many were left unknown
+    Given a caller at "h1"
+    When the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b4" joins without having announced itself
+    And the caller at "h1" writes
+    And 0.05 s pass
+    Then the metrics of "h1" have "gentianspread_withheld_commits" at 1
+    And the metrics of "h1" have "gentianspread_groups_in_promotion" at 1
+    When 5 s pass
+    Then the metrics of "h1" have "gentianspread_withheld_commits" at 0
+    And the metrics of "h1" have "gentianspread_groups_in_promotion" at 0
+    And the metrics of "h1" count 1 withheld and 1 unknown commits
--- a/features/steps/metrics.py
+++ b/features/steps/metrics.py
@@ -60,3 +60,23 @@
 @then("the metrics read are new")
 def step_new(context):
     assert context.texts[-1] != context.texts[-2]
+
+
+def _text_of(context, vm):
+    engine = context.promotion_simulation.vms[vm]
+    resources = ProcessResources.with_defaults()
+    return SessionMetrics(engine, TrafficCounters(), resources).text().decode()
+
+
+@then('the metrics of "{vm:w}" have "{name:w}" at {value:d}')
+def step_gauge(context, vm, name, value):
+    text = _text_of(context, vm)
+    assert f"\n{name} {float(value)}\n" in text, text
+
+
+@then('the metrics of "{vm:w}" count {withheld:d} withheld and {unknown:d} unknown commits')
+def step_commits(context, vm, withheld, unknown):
+    text = _text_of(context, vm)
+    for decision, count in {"withheld": withheld, "left_unknown": unknown}.items():
+        line = f'gentianspread_commits_total{{decision="{decision}"}} {float(count)}'
+        assert line in text, text
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -1,7 +1,7 @@
 """Section of the groups' replication confirmations, failovers and health.
 
-`confirmations` is owned by the acknowledgement controller, `withheld` by the completion controller,
-`failovers` by the failover controller,
+`confirmations` is owned by the acknowledgement controller, `withheld` and its counts by the
+completion controller, `failovers` by the failover controller,
 `promotions` by the promotion controller, `health`, `departures_seen_at` and `lost_logs_at` by the
 health controller or the failover controller.
 """
@@ -166,7 +166,8 @@
     """Confirmations and pending writes by group; on the control leader also failovers and health.
 
     `withheld` has by group the requests of sessions whose commit succeeded at an endpoint, while it
-    is not certain that a promotion keeps it.
+    is not certain that a promotion keeps it. `withheld_count` counts them so far, and
+    `left_unknown_count` the commits that succeeded at an endpoint and were answered as unknown.
 
     `departures_seen_at` gives by group when this leader first saw each endpoint as departed, in
     seconds of its clock. `lost_logs_at` gives likewise when the position of an endpoint was seen to
@@ -178,6 +179,8 @@
         "confirmations",
         "pending",
         "withheld",
+        "withheld_count",
+        "left_unknown_count",
         "failovers",
         "promotions",
         "health",
@@ -189,6 +192,8 @@
         self.confirmations: dict[str, dict[str, Confirmation]] = {}
         self.pending: dict[str, list[PendingWrite]] = {}
         self.withheld: dict[str, list[SessionRequest]] = {}
+        self.withheld_count = 0
+        self.left_unknown_count = 0
         self.failovers: dict[str, Failover] = {}
         self.promotions: dict[str, Promotion] = {}
         self.health: dict[str, Health] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -133,13 +133,18 @@
         if request.is_withheld:
             return
         request.is_withheld = True
+        self.board.groups.withheld_count += 1
         if request.timer is not None:
             request.timer.cancel()
         deadline = min(request.deadline, self.board.shutdown.ends_at)
         request.timer = self.board.changes.post_at(deadline, Topic.COMMIT_EXPIRED, request)
-        self._log(EventKind.COMMIT_WITHHELD, request, "its promotion is not decided", "")
+        group = self.board.configuration.groups[request.group]
+        is_open = group.granted_term != group.term
+        cause = "a promotion is under way" if is_open else "the lease on commits has expired"
+        self._log(EventKind.COMMIT_WITHHELD, request, cause, "")
 
     def _refuse_commit(self, request: SessionRequest, message: str) -> None:
+        self.board.groups.left_unknown_count += 1
         refusal = Refusal(ErrorCode.OUTCOME_UNKNOWN, message, ExecutionResult.UNKNOWN)
         self._refuse(request, refusal)
 
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -123,6 +123,14 @@
         )
         for reason, count in self.engine.board.queues.excluded.items():
             excluded.labels(reason).inc(count)
+        commits = Counter(
+            "gentianspread_commits",
+            "Commits that succeeded at an endpoint: withheld, or answered as unknown.",
+            ["decision"],
+            registry=registry,
+        )
+        commits.labels("withheld").inc(self.engine.board.groups.withheld_count)
+        commits.labels("left_unknown").inc(self.engine.board.groups.left_unknown_count)
         for name, text, value in self._gauges():
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
@@ -212,6 +220,7 @@
         return [
             *self._evacuation_gauges(),
             *self._balancing_gauges(),
+            *self._promotion_gauges(),
             ("revision", "Revision of the configuration.", board.configuration.revision),
             ("fresh", "Whether keyed work is served.", float(board.is_fresh())),
             ("sessions", "Open sessions.", len(board.sessions.by_number)),
@@ -225,6 +234,24 @@
             ("peer_bytes_limit", "The memory budget.", self.resources.budget.limit_bytes),
         ]
 
+    def _promotion_gauges(self) -> list[tuple[str, str, float]]:
+        """Return what this VM knows of promotions, and the commits that wait for them."""
+        board = self.engine.board
+        withheld = [item for items in board.groups.withheld.values() for item in items]
+        groups = board.configuration.groups.values()
+        return [
+            (
+                "withheld_commits",
+                "Commits that succeeded at an endpoint and whose answer waits.",
+                sum(1 for request in withheld if request.outcome is None),
+            ),
+            (
+                "groups_in_promotion",
+                "Groups with a promotion under way, as this VM knows.",
+                sum(1 for group in groups if group.granted_term != group.term),
+            ),
+        ]
+
     def _evacuation_gauges(self) -> list[tuple[str, str, float]]:
         board = self.engine.board
         if not board.settings.evacuation_timeout_s:
