Explain a commit with the promotion of its group

`gentianspread explain` showed of a promotion at most its start, and only for a request that failed; who was paused where, which call was made when and who joined had to be searched for by hand.

Change: for writes and commits it also prints the events of promotions of the group from 30 s before to 5 s after, with registrations from 5 s before the first of them on. Without a promotion nothing is added.

Tests: one with the logs of a simulated promotion beside a replica that joins, one with a promotion of another group. explain and timeline pass.

--- a/features/explain.feature
+++ b/features/explain.feature
@@ -16,3 +16,31 @@
     When "r3" is explained from the logs
     Then the explanation counts for priority "0": "answered 2, refused none, median wait 10 ms"
     And the explanation counts for priority "2": "answered 0, refused overloaded 2, median wait 90 ms"
+
+  @promotions
+  Scenario: The explanation of a commit shows the promotion of its group, and what its VM knew of it
+    Guards against lost or unknown commits whose promotion cannot be told from the logs.
+    Given all VMs of the simulation write logs
+    And a caller at "h1"
+    When the control leader no longer reaches the primary
+    And the promote call has been made
+    And the caller at "h1" writes
+    And "b4" joins
+    And 2 s pass
+    And "w0" is explained from the logs
+    Then the explanation names in this order:
+      | line               | of |
+      | failover_started   | b1 |
+      | replication_paused | b2 |
+      | replication_paused | b3 |
+      | promote_called     | b2 |
+      | promote_ended      | b2 |
+      | endpoint_joined    | b4 |
+      | commit_withheld    | w0 |
+      | request_unknown    | w0 |
+      | primary_observed   | b2 |
+
+  Scenario: The explanation of a commit leaves out promotions of other groups, and registrations without one
+    Given logs of a commit "r4" of group "g", beside a promotion of group "h" and a join in "g"
+    When "r4" is explained from the logs
+    Then the explanation has 1 line
--- a/features/steps/explain.py
+++ b/features/steps/explain.py
@@ -9,7 +9,7 @@
 from gentianspread_cli.commands import Options, explain_request
 
 
-def _line(time_ms, member, message, subject, cause, **details):
+def _line(time_ms, member, message, subject, cause, /, **details):
     record = {
         "time_ms": time_ms,
         "member": member,
@@ -92,3 +92,63 @@
 def step_counts(context, priority, text):
     lines = [line for line in context.lines if f"priority {priority} " in line]
     assert len(lines) == 1 and lines[0].endswith(text), context.lines
+
+
+@given("all VMs of the simulation write logs")
+def step_write_logs(context):
+    context.log_lines = []
+    simulation = context.promotion_simulation
+
+    def write(event):
+        line = _line(
+            event.wall_ms,
+            event.member,
+            event.kind.value,
+            event.subject,
+            event.cause,
+            **event.details,
+        )
+        context.log_lines.append(line)
+        _write(context, "all.log", context.log_lines)
+
+    for board in (simulation.board, *(engine.board for engine in simulation.vms.values())):
+        board.timeline.sink = write
+
+
+@when('"{name:w}" joins')
+def step_joins(context, name):
+    context.promotion_simulation.join(name)
+
+
+@then("the explanation names in this order:")
+def step_named_in_order(context):
+    lines = iter(context.lines)
+    for row in context.table:
+        found = any(row["line"] in line and row["of"] in line for line in lines)
+        assert found, (row["line"], row["of"], context.lines)
+
+
+@given(
+    'logs of a commit "{request:w}" of group "{group:w}", '
+    'beside a promotion of group "{other:w}" and a join in "{same:w}"'
+)
+def step_unrelated_promotion(context, request, group, other, same):
+    lines = [
+        _line(1000, "c1", "endpoint_joined", "endpoint b9", "", group=same),
+        _line(2000, "c1", "failover_started", f"group {other}", "no answer to 2 probes"),
+        _line(
+            3000,
+            "e1",
+            "request_answered",
+            f"request {request}",
+            "ok",
+            group=group,
+            statement="commit",
+        ),
+    ]
+    _write(context, "all.log", lines)
+
+
+@then("the explanation has {count:d} line")
+def step_line_count(context, count):
+    assert len(context.lines) == count, context.lines
--- a/packages/gentianspread-cli/src/gentianspread_cli/commands.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/commands.py
@@ -15,6 +15,7 @@
 from .logfiles import read_events
 from .overload import overload_lines
 from .pictures import draw_timeline
+from .promotions import promotion_events
 from .views import doctor_lines, status_lines, timeline_lines
 
 KEY_BYTES = 24
@@ -190,7 +191,9 @@
     events = read_events(arguments[1])
     chain = explain(events, f"request {arguments[0]}")
     about_request = [event for event in events if event["subject"] == f"request {arguments[0]}"]
-    shown = sorted({id(event): event for event in [*chain, *about_request]}.values(), key=_wall_ms)
+    promotions = promotion_events(events, about_request)
+    chosen = {id(event): event for event in [*chain, *promotions, *about_request]}
+    shown = sorted(chosen.values(), key=_wall_ms)
     lines = timeline_lines(shown) or [f"Nothing is known of {arguments[0]}."]
     if about_request:
         lines = [*lines, *overload_lines(events, about_request[-1])]
