--- a/features/soak_checks.feature
+++ b/features/soak_checks.feature
@@ -17,6 +17,19 @@
       | s2      | own      | 12.4 | 0       | 0     |
       | s1      | own      | 10.1 | 0       | 1     |
 
+  # Guards against promotions that nobody compares with what callers were told, before or after.
+  Scenario Outline: An acknowledged commit that a promoted endpoint lacks is found
+    Given "s1" wrote on "latest", which was acknowledged at <moment> s
+    And <received> received it
+    When "e2" is promoted at 10.0 s
+    Then the promoted endpoint is found to lack <count> acknowledged commits
+
+    Examples:
+      | moment | received      | count |
+      | 9.0    | no replica    | 1     |
+      | 11.0   | no replica    | 1     |
+      | 9.0    | "e2" and "e3" | 0     |
+
   Scenario Outline: A statement of a key that was withdrawn before the limit is found
     Given the key "rotating-1" was withdrawn by a version that was acknowledged at 10.0 s
     When a statement of "rotating-1" that was sent at <sent> s reaches an endpoint
--- a/features/steps/soak_checks.py
+++ b/features/steps/soak_checks.py
@@ -8,6 +8,7 @@
 from gentianspread_lab.platform.checks import ALL_CHECKS
 from gentianspread_lab.platform.database import ExecutedStatement, ReceivedStatement
 from gentianspread_lab.platform.fleet import GRACE_PERIOD_S
+from gentianspread_lab.platform.judgement import FindingKind, judge
 from gentianspread_lab.platform.ledger import Ending, OpeningRecord, StatementRecord
 from gentianspread_lab.platform.operators import FIRST_KEYS, Configuration, Reading
 from gentianspread_lab.platform.soakboard import ProcessExit
@@ -42,6 +43,33 @@
     context.board.fleet.database.commit("e1", [record.statement_id])
 
 
+@given("no replica received it")
+def step_not_received(context):
+    for name in ("e2", "e3"):
+        context.board.fleet.database.copies[name].lose_log()
+
+
+@given('"{first}" and "{second}" received it')
+def step_received(context, first, second):
+    database = context.board.fleet.database
+    for name in (first, second):
+        database.copies[name].replicate(database.committed)
+
+
+@when('"{name}" is promoted at {moment:g} s')
+def step_promoted(context, name, moment):
+    database = context.board.fleet.database
+    database.lead(name)
+    database.promotions[-1].time = moment
+
+
+@then("the promoted endpoint is found to lack {count:d} acknowledged commits")
+def step_lacking(context, count):
+    findings = judge(context.board.ledger, context.board.fleet.database)
+    lacking = [item for item in findings if item.kind is FindingKind.LACKED_AT_PROMOTION]
+    assert len(lacking) == count, lacking
+
+
 @when('"{session}" on "{database}" sends a read at {sent:g} s, which sees {commits:d} commits')
 def step_read(context, session, database, sent, commits):
     context.board.ledger.sessions.pop(session, None)
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/announcer.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/announcer.py
@@ -14,6 +14,7 @@
 from .endpoint import SimulatedEndpoint
 from .links import FaultyLink
 from .operators import GROUP, call
+from .promotionservice import LateDelivery
 
 log = logging.getLogger(__name__)
 
@@ -22,49 +23,65 @@
 DRAIN_S = 7.0  # from the acknowledgement of a leaving endpoint's announcement to its last statement
 LINGER_S = 2.0  # for which it serves on
 UNACKNOWLEDGED_DRAIN_S = 12.0  # after this long without an acknowledgement, it ends anyway
-BORN_MS = 1_700_000_000_000
+MS_PER_S = 1000
+
+
+class Incarnation:
+    """One start of an endpoint, and how many heartbeats it has sent since."""
+
+    __slots__ = ("born_ms", "sequence")
+
+    def __init__(self) -> None:
+        self.born_ms = round(time.time() * MS_PER_S)
+        self.sequence = 0
 
 
 class EndpointAnnouncer:
     """Sends the heartbeats of a group's endpoints, and starts and ends them.
 
     `leaving` has the endpoints that have announced their end, with the time of the first
-    acknowledgement, which is none before it.
+    acknowledgement, which is none before it. The heartbeats of those in `cut_off` reach no control
+    VM.
     """
 
     __slots__ = (
         "database",
+        "late",
         "endpoints",
         "links",
         "slots",
         "leaving",
+        "cut_off",
         "is_stopped",
         "_control_addresses",
         "_free_address",
         "_find_owner",
         "_count",
-        "_sequence",
+        "_incarnations",
     )
 
     def __init__(
         self,
         database: DatabaseGroup,
+        late: LateDelivery,
         control_addresses: list[str],
         free_address: Callable[[], str],
         find_owner: Callable[[int, int], str],
         slots: int,
     ) -> None:
         self.database = database
+        self.late = late
         self.endpoints: dict[str, SimulatedEndpoint] = {}
         self.links: dict[str, FaultyLink] = {}
         self.slots = slots
         self.leaving: dict[str, float | None] = {}
+        self.cut_off: set[str] = set()
         self.is_stopped = False
         self._control_addresses = control_addresses
         self._free_address = free_address
         self._find_owner = find_owner
         self._count = 0
-        self._sequence = 0
+        self._incarnations: dict[str, Incarnation] = {}
         for name in database.copies:
             self._build(name)
 
@@ -73,7 +90,7 @@
         for name, endpoint in self.endpoints.items():
             endpoint.start()
             self.links[name].start()
-            gevent.spawn(self._announce, name)
+            self.announce(name)
 
     def stop(self) -> None:
         """Stop everything."""
@@ -84,26 +101,41 @@
             link.stop()
 
     def restart(self, name: str) -> None:
-        """Start a crashed endpoint with its own log, or with the log of a newer primary."""
-        self.database.rejoin(name)
+        """Start a crashed endpoint again: a primary with its log, a replica without one."""
+        self.database.lose_log(name)
+        self._incarnations[name] = Incarnation()
         self.endpoints[name].start()
 
-    def replace(self, name: str) -> str:
-        """Let an endpoint announce its end, serve on and end; start a new one and return its name.
+    def join(self) -> str:
+        """Start a new replica, which receives before it announces itself; return its name."""
+        name = f"e{self._count + 1}"
+        self.database.add(name)
+        self._build(name)
+        self.endpoints[name].start()
+        self.links[name].start()
+        return name
 
-        The new one starts first, so that the group keeps enough replicas.
-        """
-        new_name = f"e{self._count + 1}"
-        self.database.add(new_name)
-        self._build(new_name)
-        self.endpoints[new_name].start()
-        self.links[new_name].start()
-        gevent.spawn(self._announce, new_name)
+    def announce(self, name: str) -> None:
+        """Start the heartbeats of an endpoint."""
+        gevent.spawn(self._announce, name)
+
+    def retire(self, name: str) -> None:
+        """Let an endpoint announce its end, serve on and end; its log is gone with it."""
         self.leaving[name] = None
         self._wait_for_end(name)
         self.endpoints.pop(name).crash()
-        self._post(f"/Instances.Deregister/{name}", orjson.dumps({"born": BORN_MS}))
+        born_ms = self._incarnations[name].born_ms
+        self._post(f"/Instances.Deregister/{name}", orjson.dumps({"born": born_ms}))
         self.links.pop(name).stop()
+
+    def replace(self, name: str) -> str:
+        """Retire an endpoint after a new one has started; return the name of the new one.
+
+        The new one starts first, so that the group keeps enough replicas.
+        """
+        new_name = self.join()
+        self.announce(new_name)
+        self.retire(name)
         return new_name
 
     def _wait_for_end(self, name: str) -> None:
@@ -122,7 +154,8 @@
 
     def _build(self, name: str) -> None:
         self._count += 1
-        endpoint = SimulatedEndpoint(name, GROUP, self.database, self._free_address())
+        self._incarnations[name] = Incarnation()
+        endpoint = SimulatedEndpoint(name, GROUP, self.database, self.late, self._free_address())
         self.endpoints[name] = endpoint
         link = FaultyLink(self._free_address(), endpoint.address)
         self.links[name] = link
@@ -131,12 +164,13 @@
 
     def _announce(self, name: str) -> None:
         while name in self.endpoints and not self.is_stopped:
-            if self.database.copies[name].alive:
+            if self.database.copies[name].alive and name not in self.cut_off:
                 self._send_heartbeat(name)
             gevent.sleep(HEARTBEAT_INTERVAL_S)
 
     def _send_heartbeat(self, name: str) -> None:
-        self._sequence += 1
+        incarnation = self._incarnations[name]
+        incarnation.sequence += 1
         is_leaving = name in self.leaving
         message = {
             "service": GROUP,
@@ -147,8 +181,8 @@
             "state": "draining" if is_leaving else "ready",
             "coldRemainingMs": 0,
             "dbRole": "primary" if self.database.is_primary(name) else "replica",
-            "sequence": self._sequence,
-            "born": BORN_MS,
+            "sequence": incarnation.sequence,
+            "born": incarnation.born_ms,
         }
         is_acknowledged = self._post(f"/Instances.Heartbeat/{name}", orjson.dumps(message))
         if is_acknowledged and is_leaving and self.leaving[name] is None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/database.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import random
 import time
-from collections import deque
 
-DEFAULT_LAG_S = 0.02
+import gevent
+from gevent.event import Event
+
+from .logcopy import LogCopy, LogEntry
+
+RECEIPT_DELAY_S = (0.001, 0.005)  # from a commit at the primary until a replica has it
+FIRST_RECEIPT_DELAY_S = (0.05, 0.25)  # until a replica without a log has the primary's
+COMMIT_TIMEOUT_S = 3.0  # longer than the routes' timeouts
 
 
 class ExecutedStatement:
@@ -47,80 +54,80 @@
         self.error, self.ended_at = error, time.monotonic()
 
 
-class LogCopy:
-    """One endpoint's copy of the group's log, which a replica applies `lag_s` after receipt.
+class PromotionRecord:
+    """A promotion that took effect; `lacking` are committed writes that the endpoint lacked."""
 
-    `paused_term` is the term of the command that paused its replication, or 0 if it is not paused.
-    """
+    __slots__ = ("endpoint", "term", "time", "lacking")
 
-    __slots__ = ("name", "log", "lag_s", "paused_term", "alive", "_applied_length", "_unapplied")
+    def __init__(self, endpoint: str, term: int, lacking: list[str]) -> None:
+        self.endpoint = endpoint
+        self.term = term
+        self.time = time.monotonic()
+        self.lacking = lacking
 
-    def __init__(self, name: str) -> None:
-        self.name = name
-        self.log: list[str] = []
-        self.lag_s = DEFAULT_LAG_S
-        self.paused_term = 0
-        self.alive = True
-        self._applied_length = 0
-        self._unapplied: deque[tuple[float, int]] = deque()
 
-    def replace(self, log: list[str]) -> None:
-        """Take over another copy's log and apply all of it at once."""
-        self.log = list(log)
-        self._unapplied.clear()
-        self._applied_length = len(log)
+class PendingCommit:
+    """A commit that waits for a replica to receive the primary's log up to its length."""
 
-    def receive(self, writes: list[str]) -> None:
-        """Append commits, which are applied later."""
-        self.log.extend(writes)
-        self._unapplied.append((time.monotonic() + self.lag_s, len(self.log)))
+    __slots__ = ("length", "ended", "is_confirmed")
 
-    def applied_length(self) -> int:
-        """Return how many commits of the log are applied by now."""
-        now = time.monotonic()
-        while self._unapplied and self._unapplied[0][0] <= now:
-            self._applied_length = self._unapplied.popleft()[1]
-        return self._applied_length
+    def __init__(self, length: int) -> None:
+        self.length = length
+        self.ended = Event()
+        self.is_confirmed = False
+
+    def end(self, is_confirmed: bool) -> None:
+        """Wake the session that waits."""
+        self.is_confirmed = is_confirmed
+        self.ended.set()
 
 
 class DatabaseGroup:
-    """A group whose commits are acknowledged once a replica has them.
+    """A group whose commits are acknowledged once a replica has received them.
 
-    The log's entries are the ids of committed writes. `promotions` lists the promoted endpoints
-    in order. `received_statements` lists the callers' statements when they reach an endpoint, and
-    `executed_statements` those of them that read or wrote.
+    `primary` is empty after the primary stepped down; `source` is the endpoint from which replicas
+    receive, which led last. `committed` is the log of commits that no promotion rolled back.
+    `promotions` are in order. `received_statements` lists the callers' statements when they reach
+    an endpoint, and `executed_statements` those of them that read or wrote.
     """
 
     __slots__ = (
         "copies",
         "term",
         "primary",
+        "source",
+        "committed",
         "received_statements",
         "executed_statements",
         "promotions",
-        "fencing_token",
+        "_pending",
+        "_randomness",
     )
 
     def __init__(self, names: list[str]) -> None:
         self.copies = {name: LogCopy(name) for name in names}
         self.term = 1
         self.primary = names[0]
+        self.source = names[0]
+        self.committed: list[LogEntry] = []
         self.received_statements: list[ReceivedStatement] = []
         self.executed_statements: list[ExecutedStatement] = []
-        self.promotions: list[str] = []
-        self.fencing_token = 0
+        self.promotions: list[PromotionRecord] = []
+        self._pending: list[PendingCommit] = []
+        self._randomness = random.Random(len(names))
 
     def is_primary(self, name: str) -> bool:
         """Return whether an endpoint is the primary."""
         return name == self.primary
 
     def position(self, name: str) -> str:
-        """Return the position up to which an endpoint applied its log: term and length."""
-        return f"{self.term}.{self.applied_length(name)}"
+        """Return the position up to which an endpoint applied its log."""
+        return self.copies[name].position(self.applied_length(name))
 
     def received_position(self, name: str) -> str:
-        """Return the position up to which an endpoint received its log: term and length."""
-        return f"{self.term}.{len(self.copies[name].log)}"
+        """Return the position up to which an endpoint received its log."""
+        copy = self.copies[name]
+        return copy.position(len(copy.log))
 
     def applied_length(self, name: str) -> int:
         """Return how much of its log an endpoint applied; a primary applies it at once."""
@@ -128,54 +135,90 @@
         return len(copy.log) if self.is_primary(name) else copy.applied_length()
 
     def newest_log(self) -> list[str]:
-        """Return the primary's log, or the longest one while there is no primary."""
-        if self.primary in self.copies:
-            return self.copies[self.primary].log
-        return max((copy.log for copy in self.copies.values()), key=len)
+        """Return the writes that are committed and that no promotion rolled back."""
+        return [entry.statement_id for entry in self.committed]
 
     def add(self, name: str) -> None:
-        """Add a new endpoint, which starts with the newest log."""
-        self.copies[name] = LogCopy(name)
-        self.copies[name].replace(self.newest_log())
+        """Add a new endpoint, which receives the log once it has been started."""
+        copy = self.copies[name] = LogCopy(name)
+        copy.alive = False
+
+    def start(self, name: str) -> None:
+        """Note that an endpoint runs, from now on as a replica if another one has been promoted."""
+        copy = self.copies[name]
+        copy.start(self.term)
+        for other in self.copies.values():
+            if name in (other.name, self.source):
+                self._receive_later(other)
+
+    def lose_log(self, name: str) -> None:
+        """Drop the log of an endpoint that starts again; a crashed primary keeps its log."""
+        if name != self.primary:
+            self.copies[name].lose_log()
 
     def commit(self, name: str, writes: list[str]) -> bool:
-        """Append writes at the primary and replicate them; return whether a replica has them."""
+        """Append writes at the primary, and wait until a replica has received them.
+
+        Return whether one has. If none does in time, the primary keeps the writes.
+        """
         primary = self.copies[name]
-        primary.receive(writes)
-        replicas = [
-            item
-            for item in self.copies.values()
-            if item.name != name and item.alive and not item.paused_term
-        ]
-        for copy in replicas:
-            if len(copy.log) == len(primary.log) - len(writes):
-                copy.receive(writes)
-            else:
-                copy.replace(primary.log)
-        return bool(replicas)
-
-    def rejoin(self, name: str) -> None:
-        """Copy the primary's log to a restarted endpoint, unless that is still the primary."""
-        copy = self.copies[name]
-        copy.paused_term = 0
-        if self.primary and self.primary != name:
-            copy.replace(self.copies[self.primary].log)
+        entries = [LogEntry(item, self.term) for item in writes]
+        primary.receive(entries)
+        self.committed += entries
+        pending = PendingCommit(len(primary.log))
+        self._pending.append(pending)
+        for copy in self.copies.values():
+            self._receive_later(copy)
+        if not pending.ended.wait(COMMIT_TIMEOUT_S):
+            self._pending.remove(pending)
+        return pending.is_confirmed
 
-    def promote(self, name: str, fencing_token: int) -> bool:
-        """Make an endpoint the primary of a new term; return whether it is the primary now.
+    def pause(self, name: str, term: int) -> None:
+        """Stop an endpoint from receiving, unless the term is not above the newest that it knows.
 
-        It refuses a crashed endpoint, and a lower fencing token than that of an earlier call.
+        While all replicas are paused, the primary acknowledges no commit.
         """
-        if fencing_token < self.fencing_token or not self.copies[name].alive:
-            return False
-        self.fencing_token = fencing_token
-        if name == self.primary:
-            return True
-        self.promotions.append(name)
-        self.primary = name
+        copy = self.copies[name]
+        if term > copy.term:
+            copy.paused_term = max(copy.paused_term, term)
+
+    def resume(self, name: str) -> None:
+        """End the pause of an endpoint."""
+        self.copies[name].paused_term = 0
+        self._receive_later(self.copies[name])
+
+    def step_down(self, name: str, term: int) -> None:
+        """Make the primary a replica, if its term is lower."""
+        if self.is_primary(name) and term > self.copies[name].term:
+            self.primary = ""
+
+    def lead(self, name: str) -> None:
+        """Make an endpoint the primary of a new term, with what it has received."""
+        kept = set(self.copies[name].log)
+        lacking = [item.statement_id for item in self.committed if item not in kept]
         self.term += 1
+        self.primary = self.source = name
+        self.committed = list(self.copies[name].log)
+        self.promotions.append(PromotionRecord(name, self.term, lacking))
+        pending, self._pending = self._pending, []
+        for commit in pending:
+            commit.end(is_confirmed=False)
         for copy in self.copies.values():
-            copy.paused_term = 0
             if copy.alive:
-                copy.replace(self.copies[name].log)
-        return True
+                copy.follow(self.term, self.committed)
+                self._receive_later(copy)
+
+    def _receive_later(self, copy: LogCopy) -> None:
+        """Let a replica receive the primary's log after the time that the network takes."""
+        delays = RECEIPT_DELAY_S if copy.log else FIRST_RECEIPT_DELAY_S
+        gevent.spawn_later(self._randomness.uniform(*delays), self._receive, copy, copy.incarnation)
+
+    def _receive(self, copy: LogCopy, incarnation: int) -> None:
+        source = self.copies[self.source]
+        is_receiving = copy.alive and copy.incarnation == incarnation and not copy.paused_term
+        if copy is source or not is_receiving or not source.alive:
+            return
+        copy.replicate(source.log)
+        for pending in [item for item in self._pending if item.length <= len(copy.log)]:
+            self._pending.remove(pending)
+            pending.end(is_confirmed=True)
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +13,7 @@
 from gevent.server import StreamServer
 
 from .database import DatabaseGroup, ExecutedStatement, ReceivedStatement
+from .promotionservice import LateDelivery
 
 log = logging.getLogger(__name__)
 
@@ -26,13 +28,25 @@
     """An endpoint's state of one connection: its values, prepared statements and transaction.
 
     `state` is that of the transaction: I for none, T for an open one, E for a failed one. `writes`
-    holds the ids of its write statements.
+    holds the ids of its write statements. `incarnation` is that of the endpoint, `term` the one in
+    which the transaction was begun.
     """
 
-    __slots__ = ("workspace", "values", "prepared", "state", "is_read_only", "writes")
-
-    def __init__(self, workspace: str) -> None:
+    __slots__ = (
+        "workspace",
+        "incarnation",
+        "term",
+        "values",
+        "prepared",
+        "state",
+        "is_read_only",
+        "writes",
+    )
+
+    def __init__(self, workspace: str, incarnation: int) -> None:
         self.workspace = workspace
+        self.incarnation = incarnation
+        self.term = 0
         self.values: dict[str, str] = {}
         self.prepared: dict[str, str] = {}
         self.state = "I"
@@ -57,15 +71,28 @@
     """Serves one endpoint of a group from `start` until `crash`; it may be started again.
 
     Both also update whether the endpoint's copy of the log is `alive`, and so receives commits.
-    `find_vm` returns the VM whose connection comes from a port.
+    `find_vm` returns the VM whose connection comes from a port. `late` draws the commands that are
+    carried out late.
     """
 
-    __slots__ = ("name", "group", "database", "address", "find_vm", "_server", "_open_sockets")
+    __slots__ = (
+        "name",
+        "group",
+        "database",
+        "late",
+        "address",
+        "find_vm",
+        "_server",
+        "_open_sockets",
+    )
 
-    def __init__(self, name: str, group: str, database: DatabaseGroup, address: str) -> None:
+    def __init__(
+        self, name: str, group: str, database: DatabaseGroup, late: LateDelivery, address: str
+    ) -> None:
         self.name = name
         self.group = group
         self.database = database
+        self.late = late
         self.address = address
         self.find_vm: Callable[[int], str] = lambda port: ""
         self._server: StreamServer | None = None
@@ -76,7 +103,7 @@
         host, _, port = self.address.rpartition(":")
         self._server = StreamServer((host, int(port)), self._serve_connection)
         self._server.start()
-        self.database.copies[self.name].alive = True
+        self.database.start(self.name)
 
     def crash(self) -> None:
         """Close the listening socket and every connection."""
@@ -104,12 +131,12 @@
             connection.send(b"ERROR WRONGNODE another one\r\n")
             return
         gevent.sleep(CONNECT_DURATION_S)
-        session = EndpointSession(words[2])
+        session = EndpointSession(words[2], self.database.copies[self.name].incarnation)
         vm = self.find_vm(connection.socket.getpeername()[1])
         connection.send(self._encode_ready(session))
         while True:
             line = connection.read_line()
-            if line is None or not self.database.copies[self.name].alive:
+            if line is None or self._has_ended(session):
                 return
             _, statement_id, text = line.split(" ", 2)
             received = ReceivedStatement(statement_id, text, self.name, vm)
@@ -117,8 +144,15 @@
                 self.database.received_statements.append(received)
             result = self._execute(session, statement_id, text)
             received.end(result.error)
+            if self._has_ended(session):
+                return
             connection.send(self._encode_result(session, result))
 
+    def _has_ended(self, session: EndpointSession) -> bool:
+        """Return whether the endpoint has crashed since a session was opened."""
+        copy = self.database.copies[self.name]
+        return not copy.alive or copy.incarnation != session.incarnation
+
     def _encode_ready(self, session: EndpointSession) -> bytes:
         return f"READY {session.state} {self.database.position(self.name)}\r\n".encode()
 
@@ -142,7 +176,7 @@
         if keyword in ("RESET", "SET", "PREPARE"):
             return self._configure_session(session, keyword, rest)
         if keyword in ("PAUSE", "RESUME", "STEPDOWN", "STATUS"):
-            return self._execute_command(keyword, rest)
+            return self._execute_command(session, keyword, rest)
         if keyword == "BEGIN":
             return self._begin(session, rest)
         if keyword == "ROLLBACK":
@@ -168,28 +202,31 @@
             session.prepared[name] = template
         return StatementResult()
 
-    def _execute_command(self, keyword: str, rest: str) -> StatementResult:
-        """Carry out a VM's command and return the endpoint's status.
-
-        A paused replica receives no commits; while all are paused, the primary acknowledges none.
-        """
+    def _execute_command(
+        self, session: EndpointSession, keyword: str, rest: str
+    ) -> StatementResult:
+        """Carry out a VM's command, at once or late, and return the endpoint's status."""
         copy = self.database.copies[self.name]
-        if keyword == "PAUSE" and int(rest) > self.database.term:
-            copy.paused_term = int(rest)
+        if keyword != "STATUS":
+            gevent.sleep(self.late.draw_delay_s(f"{keyword} {rest} at {self.name}"))
+        if copy.busy_until > time.monotonic() or self._has_ended(session):
+            return StatementResult(error="BUSY")
+        if keyword == "PAUSE":
+            self.database.pause(self.name, int(rest))
         elif keyword == "RESUME":
-            copy.paused_term = 0
-        elif keyword == "STEPDOWN" and self.database.is_primary(self.name):
-            self.database.primary = ""
+            self.database.resume(self.name)
+        elif keyword == "STEPDOWN":
+            self.database.step_down(self.name, int(rest))
         role = "primary" if self.database.is_primary(self.name) else "replica"
         position = self.database.received_position(self.name)
         # The zeros and the one stand for lag, busy and connections, which VMs do not read.
-        return StatementResult([f"{role} {self.database.term} {position} {copy.paused_term} 0 0 1"])
+        return StatementResult([f"{role} {copy.term} {position} {copy.paused_term} 0 0 1"])
 
     def _begin(self, session: EndpointSession, rest: str) -> StatementResult:
         session.is_read_only = rest == "READ"
         if not session.is_read_only and not self.database.is_primary(self.name):
             return StatementResult(error="READONLY")
-        session.state = "T"
+        session.state, session.term = "T", self.database.copies[self.name].term
         return StatementResult()
 
     def _execute_statement(
@@ -198,14 +235,22 @@
         if session.state == "E":
             return StatementResult(error="MALFORMED")
         gevent.sleep(_duration_of(text))
+        copy = self.database.copies[self.name]
+        if copy.busy_until > time.monotonic() or self._has_ended(session):
+            return StatementResult(error="BUSY")
         is_write = text.startswith("WRITE")
         if text.startswith("EXECUTE"):
             name = text.split(" ")[1]
             if name not in session.prepared:
                 return StatementResult(error="NOSTMT")
             is_write = session.prepared[name].startswith("WRITE")
-        needs_primary = is_write or (session.state == "T" and not session.is_read_only)
-        if needs_primary and not self.database.is_primary(self.name):
+        if text == "COMMIT" and not session.writes:
+            return self._commit(session, statement_id)
+        in_plain_transaction = session.state == "T" and not session.is_read_only
+        is_leading = self.database.is_primary(self.name)
+        if is_write and not is_leading:
+            return StatementResult(error="READONLY")
+        if in_plain_transaction and not (is_leading and session.term == copy.term):
             return StatementResult(error="READONLY")
         if text == "COMMIT":
             return self._commit(session, statement_id)
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import random
 import shutil
 import subprocess
 import sys
@@ -19,6 +20,7 @@
 from .operators import FIRST_KEYS, Configuration, Operator, call
 from .owners import find_process
 from .ports import PortBlock
+from .promotionservice import LateDelivery, PromotionService
 
 GRACE_PERIOD_S = 6.0
 START_MESSAGE = b'"message":"started"'
@@ -62,9 +64,16 @@
         self.names_by_pid: dict[int, str] = {}
         self.operator = Operator(self.control_addresses)
         self.database = DatabaseGroup(["e1", "e2", "e3"])
+        self.late = LateDelivery(random.Random(entry_count))
         self.announcer = EndpointAnnouncer(
-            self.database, self.control_addresses, self.free_address, self._find_owner, slots
+            self.database,
+            self.late,
+            self.control_addresses,
+            self.free_address,
+            self._find_owner,
+            slots,
         )
+        self._promotion_service = PromotionService(self.database, self.late)
         self._server = WSGIServer(
             (
                 self.cloud_api_address.partition(":")[0],
@@ -239,6 +248,27 @@
                 f"{self.last_log_line(name)}"
             ) from None
 
+    def cut_off_primary(self) -> str:
+        """Cut the primary off from the control VMs only, and return its name."""
+        name = self.database.source
+        link = self.announcer.links[name]
+        link_port = int(link.address.rpartition(":")[2])
+        self.announcer.cut_off.add(name)
+        link.cut_off(lambda port: self._is_control_vm(port, link_port))
+        return name
+
+    def restore(self, name: str) -> None:
+        """Connect an endpoint that was cut off."""
+        self.announcer.cut_off.discard(name)
+        if name in self.announcer.links:
+            self.announcer.links[name].restore()
+
+    def _is_control_vm(self, local_port: int, remote_port: int) -> bool:
+        control_vms = {
+            pid: name for pid, name in self.names_by_pid.items() if name in self.control_names()
+        }
+        return bool(find_process(local_port, remote_port, control_vms))
+
     def _find_owner(self, local_port: int, remote_port: int) -> str:
         if not self.traces_owners:
             return ""
@@ -247,6 +277,6 @@
     def _handle_promote_call(self, environ: Any, start_response: Any) -> list[bytes]:
         body = orjson.loads(environ["wsgi.input"].read())
         fencing_token = int(environ["HTTP_X_FENCE_TOKEN"])
-        is_promoted = self.database.promote(body["id"], fencing_token)
-        start_response("200 OK" if is_promoted else "409 Conflict", [("Content-Length", "2")])
+        is_carried_out = self._promotion_service.call(body["id"], fencing_token)
+        start_response("200 OK" if is_carried_out else "409 Conflict", [("Content-Length", "2")])
         return [b"{}"]
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/judgement.py
@@ -28,6 +28,7 @@
     HELD = "not passed to an endpoint, no answer, later than the slack"
     REFUSED_BUT_KEPT = "refused with a promise, but kept"
     ACKNOWLEDGED_BUT_LOST = "acknowledged, but lost"
+    LACKED_AT_PROMOTION = "acknowledged, but missing at a promoted endpoint"
     KEPT_UNASKED = "kept without the caller's commit"
     TWICE = "took effect twice"
     EXCUSED = "passed to an endpoint, no complete answer, as allowed"
@@ -41,6 +42,7 @@
     FindingKind.HELD,
     FindingKind.REFUSED_BUT_KEPT,
     FindingKind.ACKNOWLEDGED_BUT_LOST,
+    FindingKind.LACKED_AT_PROMOTION,
     FindingKind.KEPT_UNASKED,
     FindingKind.TWICE,
 )
@@ -162,6 +164,31 @@
         operations.setdefault(record.operation, []).append(record)
     for operation, records in operations.items():
         findings += _judge_operation(operation, records, committed)
+    findings += _judge_promotions(operations, database)
+    return findings
+
+
+def _judge_promotions(
+    operations: dict[str, list[StatementRecord]], database: DatabaseGroup
+) -> list[Finding]:
+    """Find writes that a promoted endpoint lacked and that were acknowledged, before or after."""
+    acknowledged = {
+        item.statement_id: records[-1]
+        for records in operations.values()
+        if _is_answered(records[-1]) and _asks_to_commit(records)
+        for item in records
+    }
+    findings = []
+    for promotion in database.promotions:
+        for statement_id in promotion.lacking:
+            record = acknowledged.get(statement_id)
+            if record is not None:
+                evidence = (
+                    f"{promotion.endpoint} led term {promotion.term}; acknowledged at {record.vm} "
+                    f"{record.ended_at - promotion.time:+.3f} s from then, sent "
+                    f"{record.sent_at - promotion.time:+.3f} s"
+                )
+                findings.append(Finding(FindingKind.LACKED_AT_PROMOTION, statement_id, evidence))
     return findings
 
 
@@ -169,10 +196,8 @@
     operation: str, records: list[StatementRecord], committed: set[str]
 ) -> list[Finding]:
     """Compare what an operation's caller was told with what was committed."""
-    is_transaction = records[0].text.startswith("BEGIN")
-    last = records[-1]
-    is_acknowledged = last.ending is Ending.ANSWERED and not last.error
-    asked_to_commit = not is_transaction or last.text == "COMMIT"
+    is_acknowledged = _is_answered(records[-1])
+    asked_to_commit = _asks_to_commit(records)
     writes = [item for item in records if item.text.startswith(("WRITE", "EXECUTE w"))]
     kept = [item.statement_id for item in writes if item.statement_id in committed]
     written = [item.statement_id for item in writes if _is_answered(item)]
@@ -188,5 +213,10 @@
     return findings
 
 
+def _asks_to_commit(records: list[StatementRecord]) -> bool:
+    """Return whether an operation is a single statement or a transaction that was committed."""
+    return not records[0].text.startswith("BEGIN") or records[-1].text == "COMMIT"
+
+
 def _is_answered(record: StatementRecord) -> bool:
     return record.ending is Ending.ANSWERED and not record.error
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/links.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/links.py
@@ -4,6 +4,7 @@
 
 import logging
 import struct
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 
@@ -31,6 +32,7 @@
     """Forwards connections to a target; connections that were silenced drop data until closed.
 
     `client_ports` gives the client's port by the port from which the link connects to the target.
+    While `is_cut_off` is set, it says by the client's port whether a connection is silenced.
     """
 
     __slots__ = (
@@ -38,8 +40,10 @@
         "target",
         "state",
         "client_ports",
+        "is_cut_off",
         "_server",
         "_open_sockets",
+        "_target_sockets",
         "_silenced_sockets",
     )
 
@@ -48,7 +52,9 @@
         self.target = target
         self.state = LinkState.HEALTHY
         self.client_ports: dict[int, int] = {}
+        self.is_cut_off: Callable[[int], bool] | None = None
         self._open_sockets: set[Any] = set()
+        self._target_sockets: dict[Any, Any] = {}
         self._silenced_sockets: set[Any] = set()
         host, _, port = address.rpartition(":")
         self._server = StreamServer((host, int(port)), self._serve_connection)
@@ -70,6 +76,16 @@
         """Drop all further data on the open connections, while new ones work."""
         self._silenced_sockets |= self._open_sockets
 
+    def cut_off(self, is_cut_off: Callable[[int], bool]) -> None:
+        """Silence the open and new connections of some clients until `restore`."""
+        self.is_cut_off = is_cut_off
+        for client_socket in list(self._target_sockets):
+            self._silence_if_cut_off(client_socket)
+
+    def restore(self) -> None:
+        """Serve the new connections of all clients; silenced ones stay so until they are closed."""
+        self.is_cut_off = None
+
     def stop(self) -> None:
         """Stop forwarding and reset the open connections."""
         self._server.close()
@@ -85,12 +101,24 @@
             return
         self.client_ports[target_socket.getsockname()[1]] = client_socket.getpeername()[1]
         self._open_sockets |= {client_socket, target_socket}
+        self._target_sockets[client_socket] = target_socket
+        self._silence_if_cut_off(client_socket)
         reverse = gevent.spawn(self._forward, target_socket, client_socket, False)
         self._forward(client_socket, target_socket, True)
         reverse.join()
+        del self._target_sockets[client_socket]
         self._open_sockets -= {client_socket, target_socket}
         self._silenced_sockets -= {client_socket, target_socket}
 
+    def _silence_if_cut_off(self, client_socket: Any) -> None:
+        try:
+            port = client_socket.getpeername()[1]
+        except OSError as error:
+            log.debug("a connection was closed before it was cut: %s", error)
+            return
+        if self.is_cut_off is not None and self.is_cut_off(port):
+            self._silenced_sockets |= {client_socket, self._target_sockets[client_socket]}
+
     def _forward(self, source: socket.socket, sink: socket.socket, is_forward: bool) -> None:
         try:
             while True:
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/promotionservice.py
@@ -0,0 +1,70 @@
+"""Stand-in of the platform's promotion service, and commands and calls that take effect late."""
+
+from __future__ import annotations
+
+import random
+
+import gevent
+
+from .database import DatabaseGroup
+
+EFFECT_DELAY_S = (0.2, 0.5)  # from a call until its endpoint leads
+LATE_DELAY_S = (2.0, 12.0)
+
+
+class LateDelivery:
+    """Draws which commands and calls get no answer and are carried out seconds later.
+
+    `share` is how many of them do, `delayed` lists those that did.
+    """
+
+    __slots__ = ("share", "delayed", "_randomness")
+
+    def __init__(self, randomness: random.Random) -> None:
+        self.share = 0.0
+        self.delayed: list[str] = []
+        self._randomness = randomness
+
+    def draw_delay_s(self, subject: str) -> float:
+        """Return how late a command or call is carried out, or 0 if that is at once."""
+        if self._randomness.random() >= self.share:
+            return 0.0
+        self.delayed.append(subject)
+        return self._randomness.uniform(*LATE_DELAY_S)
+
+
+class PromotionService:
+    """Carries out promote calls; an endpoint leads some hundred milliseconds after its call.
+
+    A call's fencing token is checked when it is carried out.
+    """
+
+    __slots__ = ("database", "late", "fencing_token", "_randomness")
+
+    def __init__(self, database: DatabaseGroup, late: LateDelivery) -> None:
+        self.database = database
+        self.late = late
+        self.fencing_token = 0
+        self._randomness = random.Random(1)
+
+    def call(self, endpoint: str, fencing_token: int) -> bool:
+        """Handle a call in the calling greenlet; return whether it was carried out."""
+        delay_s = self.late.draw_delay_s(f"promote {endpoint}, fencing token {fencing_token}")
+        gevent.sleep(delay_s)
+        return self._carry_out(endpoint, fencing_token)
+
+    def _carry_out(self, endpoint: str, fencing_token: int) -> bool:
+        copy = self.database.copies.get(endpoint)
+        if fencing_token < self.fencing_token:
+            return False
+        self.fencing_token = fencing_token
+        if copy is None or not copy.alive:
+            return False
+        if not self.database.is_primary(endpoint):
+            delay_s = self._randomness.uniform(*EFFECT_DELAY_S)
+            gevent.spawn_later(delay_s, self._take_effect, endpoint)
+        return True
+
+    def _take_effect(self, endpoint: str) -> None:
+        if self.database.copies[endpoint].alive and not self.database.is_primary(endpoint):
+            self.database.lead(endpoint)
