Add a test of real processes whose replicas come and go while the primary is cut off

What it guards against: real processes lost acknowledged commits at promotions, while no test with processes did. The primary of a stand-in group is cut off from the control VMs only; replicas join, leave and start again without their log, and commands and calls lose their answer and are carried out late, while callers write at every entry VM. The test waits for conditions and compares what each promoted endpoint had with what callers were told, before or after.

--- /dev/null
+++ b/features/steps/promotion_processes.py
@@ -0,0 +1,194 @@
+"""Steps on promotions in a fleet of processes, whose group's replicas come and go meanwhile."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+from behave import given, then, when
+from gentianspread_lab.platform.judgement import FindingKind, judge
+from gentianspread_lab.platform.ledger import Ledger
+from gentianspread_lab.platform.operators import FIRST_KEYS
+from gentianspread_lab.platform.sessions import CallerSession, SessionEndedError
+
+GUARD_S = 60.0  # ends a scenario that would wait for ever
+POLL_INTERVAL_S = 0.005
+WRITERS_PER_VM = 4
+WRITE_INTERVAL_S = 0.01
+LOST_KINDS = (FindingKind.LACKED_AT_PROMOTION, FindingKind.ACKNOWLEDGED_BUT_LOST)
+
+
+def _wait_for(condition, description):
+    deadline = time.monotonic() + GUARD_S
+    while not condition():
+        assert time.monotonic() < deadline, f"not in {GUARD_S:g} s: {description}"
+        gevent.sleep(POLL_INTERVAL_S)
+
+
+def _write(context, vm, number):
+    """Write with one session after another until the scenario ends."""
+    address = context.fleet.entry_addresses[vm]
+    key = FIRST_KEYS["w1"][0]
+    count = 0
+    while not context.is_over:
+        count += 1
+        session = CallerSession(f"{vm}w{number}s{count}", vm, "write", context.ledger)
+        try:
+            session.open(address, "latest", key)
+            while not context.is_over:
+                session.execute(f"WRITE {number} data")
+                gevent.sleep(WRITE_INTERVAL_S)
+        except SessionEndedError:
+            gevent.sleep(WRITE_INTERVAL_S)
+        finally:
+            session.leave()
+
+
+def _served_since(context, vm, moment):
+    records = reversed(list(context.ledger.statements.values()))
+    return any(
+        record.vm == vm and record.sent_at >= moment and record.is_served() for record in records
+    )
+
+
+def _all_vms_served(context):
+    now = time.monotonic()
+    for vm in context.fleet.entry_addresses:
+        _wait_for(lambda name=vm: _served_since(context, name, now), f"a write is served at {vm}")
+
+
+def _running_replicas(context):
+    database = context.fleet.database
+    return [
+        database.copies[name]
+        for name in context.fleet.announcer.endpoints
+        if name != database.source and database.copies[name].alive
+    ]
+
+
+def _staying_replicas(context):
+    leaving = context.fleet.announcer.leaving
+    return [item.name for item in _running_replicas(context) if item.name not in leaving]
+
+
+def _wait_for_pauses(context):
+    def are_paused():
+        is_promoted = len(context.fleet.database.promotions) > context.promotions_before
+        return is_promoted or all(item.paused_term for item in _running_replicas(context))
+
+    _wait_for(are_paused, "all replicas are paused")
+
+
+@given("callers write at every entry VM all the while")
+def step_callers(context):
+    context.ledger = Ledger()
+    context.is_over = False
+    context.writers = [
+        gevent.spawn(_write, context, vm, number)
+        for vm in context.fleet.entry_addresses
+        for number in range(WRITERS_PER_VM)
+    ]
+    context.add_cleanup(gevent.killall, context.writers)
+    _all_vms_served(context)
+
+
+def _set_late_shares(context, commands, calls):
+    context.fleet.late_commands.share = commands
+    context.fleet.late_calls.share = calls
+
+
+@given("promote calls get no answer and are carried out late")
+def step_calls_late(context):
+    _set_late_shares(context, 0.0, 1.0)
+
+
+@given("a third of the commands and calls get no answer and are carried out late")
+def step_third_late(context):
+    _set_late_shares(context, 1 / 3, 1 / 3)
+
+
+@when("commands and calls are carried out at once again")
+def step_none_late(context):
+    _set_late_shares(context, 0.0, 0.0)
+
+
+@when("all that was late has been carried out")
+def step_late_carried_out(context):
+    fleet = context.fleet
+    _wait_for(
+        lambda: fleet.promotion_service.is_settled() and not fleet.late_commands.waiting,
+        "all late commands and calls are carried out",
+    )
+
+
+@when("the primary is cut off from the control VMs")
+def step_cut(context):
+    context.promotions_before = len(context.fleet.database.promotions)
+    context.cut_off = context.fleet.cut_off_primary()
+
+
+@when("the cut ends")
+def step_restored(context):
+    context.fleet.restore(context.cut_off)
+    _all_vms_served(context)
+
+
+@when("a replica joins once the others are paused")
+def step_joins_after_pauses(context):
+    _wait_for_pauses(context)
+    step_joins(context)
+
+
+@when("a replica joins")
+def step_joins(context):
+    """Start a replica, which announces itself once it has received from the primary."""
+    name = context.fleet.announcer.join()
+    copy = context.fleet.database.copies[name]
+    _wait_for(lambda: copy.log, f"{name} has received the log")
+    context.fleet.announcer.announce(name)
+
+
+@when("a replica starts again without its log once the others are paused")
+def step_restarts_after_pauses(context):
+    _wait_for_pauses(context)
+    name = _staying_replicas(context)[0]
+    context.fleet.announcer.endpoints[name].crash()
+    context.fleet.announcer.restart(name)
+
+
+@when("a replica leaves and its log is gone with it")
+def step_leaves(context):
+    name = _staying_replicas(context)[0]
+    context.fleet.announcer.retire(name)
+
+
+@when("an endpoint has been promoted")
+def step_promoted(context):
+    database = context.fleet.database
+    _wait_for(lambda: len(database.promotions) > context.promotions_before, "a promotion")
+
+
+@when("a promote call has got no answer")
+def step_call_lost(context):
+    late_calls = context.fleet.late_calls
+    _wait_for(lambda: late_calls.delayed, "a call without an answer")
+
+
+@then("no acknowledged commit is missing at a promoted endpoint")
+def step_none_missing(context):
+    _all_vms_served(context)
+    findings = judge(context.ledger, context.fleet.database)
+    lost = [item for item in findings if item.kind in LOST_KINDS]
+    examples = "\n".join(f"{item.kind.value}: {item.subject} {item.evidence}" for item in lost[:5])
+    assert not lost, f"{len(lost)} findings\n{examples}"
+
+
+@then("writes are served again at every entry VM")
+def step_served(context):
+    _all_vms_served(context)
+    context.is_over = True
+    gevent.joinall(context.writers, raise_error=True)
+    served = sum(1 for item in context.ledger.statements.values() if item.is_served())
+    promotions = [item.endpoint for item in context.fleet.database.promotions]
+    late = context.fleet.late_commands.delayed + context.fleet.late_calls.delayed
+    print(f"{served} writes served, promotions {promotions}, late: {late}")
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpoint.py
@@ -208,7 +208,7 @@
         """Carry out a VM's command, at once or late, and return the endpoint's status."""
         copy = self.database.copies[self.name]
         if keyword != "STATUS":
-            gevent.sleep(self.late.draw_delay_s(f"{keyword} {rest} at {self.name}"))
+            self.late.wait(f"{keyword} {rest} at {self.name}")
         if copy.busy_until > time.monotonic() or self._has_ended(session):
             return StatementResult(error="BUSY")
         if keyword == "PAUSE":
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -64,16 +64,17 @@
         self.names_by_pid: dict[int, str] = {}
         self.operator = Operator(self.control_addresses)
         self.database = DatabaseGroup(["e1", "e2", "e3"])
-        self.late = LateDelivery(random.Random(entry_count))
+        self.late_commands = LateDelivery(random.Random(entry_count))
+        self.late_calls = LateDelivery(random.Random(entry_count))
         self.announcer = EndpointAnnouncer(
             self.database,
-            self.late,
+            self.late_commands,
             self.control_addresses,
             self.free_address,
             self._find_owner,
             slots,
         )
-        self._promotion_service = PromotionService(self.database, self.late)
+        self.promotion_service = PromotionService(self.database, self.late_calls)
         self._server = WSGIServer(
             (
                 self.cloud_api_address.partition(":")[0],
@@ -277,6 +278,6 @@
     def _handle_promote_call(self, environ: Any, start_response: Any) -> list[bytes]:
         body = orjson.loads(environ["wsgi.input"].read())
         fencing_token = int(environ["HTTP_X_FENCE_TOKEN"])
-        is_carried_out = self._promotion_service.call(body["id"], fencing_token)
+        is_carried_out = self.promotion_service.call(body["id"], fencing_token)
         start_response("200 OK" if is_carried_out else "409 Conflict", [("Content-Length", "2")])
         return [b"{}"]
