Add faults around promotions to the soak

The soak crashed and replaced endpoints one at a time, at which no promotion could lose a commit. Entry VMs then reach the control VMs through links: members of the control log are named by their addresses, so a small launcher routes the connections.

--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,8 @@
 SOAK_SEEDS ?= 5
 SOAK_ENTRIES ?= 9
 SOAK_CALLERS ?= 4
+# --promotions adds faults around promotions of endpoints.
+SOAK_OPTIONS ?=
 # Seeds that failed with 6 entry VMs. 2, 5, 6, 9, 10, 11, 15, 18, 19 and 20: an entry VM ended while
 # statements of transactions ran late in the grace period. 4 and 17: SIGHUP ended a process that was
 # loading.
@@ -44,7 +46,7 @@
 
 platform-soak: $(STAMP)
 	$(BIN)/python -m gentianspread_lab.platform.soak --seed=$(SEED) --count=$(SOAK_SEEDS) \
-		--entries=$(SOAK_ENTRIES) --callers=$(SOAK_CALLERS)
+		--entries=$(SOAK_ENTRIES) --callers=$(SOAK_CALLERS) $(SOAK_OPTIONS)
 
 platform-soak-kept: $(STAMP)
 	for seed in $(KEPT_SEEDS); do \
--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -16,6 +16,16 @@
       | 27   | an entry VM ended while statements of transactions ran late in the grace period   |
       | 30   | an entry VM ended while statements of transactions ran late in the grace period   |
 
+  # Guards against acknowledged commits that are lost while replicas, cuts and late calls overlap.
+  Scenario Outline: The guarantees hold under seeded faults around promotions
+    When the soak of the platform's programs runs with seed <seed> for 8 s around promotions
+    Then every guarantee held
+
+    Examples:
+      | seed | cause of an earlier failure |
+      | 1    | none                        |
+      | 2    | none                        |
+
   # Guards against a fleet that has acknowledged a change and is without voters after a restart.
   Scenario: The control VMs go on after all were killed just after the first acknowledged change
     When the first start is interrupted 0 s and 0.1 s after the first acknowledged change
--- a/features/steps/platform_processes.py
+++ b/features/steps/platform_processes.py
@@ -26,10 +26,22 @@
     _run(context, "gentianspread_lab.platform.demo", "--seconds", str(seconds))
 
 
+def _soak(context, seed, seconds, *options):
+    arguments = ("--seed", str(seed), "--seconds", str(seconds), "--entries", SOAK_ENTRY_VMS)
+    _run(context, "gentianspread_lab.platform.soak", *arguments, *options)
+
+
 @when("the soak of the platform's programs runs with seed {seed:d} for {seconds:g} s")
 def step_soak(context, seed, seconds):
-    arguments = ("--seed", str(seed), "--seconds", str(seconds), "--entries", SOAK_ENTRY_VMS)
-    _run(context, "gentianspread_lab.platform.soak", *arguments)
+    _soak(context, seed, seconds)
+
+
+@when(
+    "the soak of the platform's programs runs with seed {seed:d} for {seconds:g} s "
+    "around promotions"
+)
+def step_soak_promotions(context, seed, seconds):
+    _soak(context, seed, seconds, "--promotions")
 
 
 @when("the first start is interrupted {first} s and {second} s after the first acknowledged change")
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/endpointfaults.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/endpointfaults.py
@@ -4,8 +4,8 @@
 
 import gevent
 
-from .database import DEFAULT_LAG_S
 from .links import LinkState
+from .logcopy import DEFAULT_LAG_S
 from .processfaults import wait_fault_duration
 from .soakboard import SoakBoard
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/fleet.py
@@ -17,13 +17,17 @@
 
 from .announcer import ZONES, EndpointAnnouncer
 from .database import DatabaseGroup
+from .links import FaultyLink
 from .operators import FIRST_KEYS, Configuration, Operator, call
 from .owners import find_process
 from .ports import PortBlock
 from .promotionservice import LateDelivery, PromotionService
+from .routedvm import ROUTES_VARIABLE
 
 GRACE_PERIOD_S = 6.0
 START_MESSAGE = b'"message":"started"'
+PROGRAM = "gentianspread_server.platform"
+ROUTED_PROGRAM = "gentianspread_lab.platform.routedvm"
 START_TIMEOUT_S = 60.0  # of a whole fleet; a start takes half a second on an idle machine
 KEPT_LOGS_FOLDER = os.path.join("out", "fleets")
 
@@ -34,7 +38,8 @@
     With `traces_owners`, endpoints know which VM a connection comes from; finding it reads the
     descriptors of all processes. `slots` is how many statements each endpoint says that it runs at
     once. `limits` are settings that every process gets besides the others, `extra_settings` are
-    those of processes that are started after they were added.
+    those of processes that are started after they were added. With `links_control_vms`, entry VMs
+    reach control VMs through `control_links`, by entry VM and by the control VM's address.
     """
 
     def __init__(
@@ -43,6 +48,7 @@
         slots: int = 3,
         traces_owners: bool = False,
         limits: dict[str, str] | None = None,
+        links_control_vms: bool = False,
     ) -> None:
         self.folder = tempfile.mkdtemp(prefix="gentianspread-platform-")
         self.limits = limits or {}
@@ -58,6 +64,14 @@
         self.metrics_addresses = {
             name: self.free_address() for name in (*self.control_names(), *self.entry_addresses)
         }
+        self.control_links: dict[str, dict[str, FaultyLink]] = {}
+        if links_control_vms:
+            self.control_links = {
+                name: {
+                    item: FaultyLink(self.free_address(), item) for item in self.control_addresses
+                }
+                for name in self.entry_addresses
+            }
         self.cloud_api_address = self.free_address()
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self._log_offsets: dict[str, int] = {}
@@ -98,6 +112,9 @@
         """Start everything and return once every entry VM is ready for callers."""
         self._server.start()
         self.announcer.start()
+        for links in self.control_links.values():
+            for link in links.values():
+                link.start()
         for index in range(len(self.control_addresses)):
             self.start_control(index, is_first=True)
         for name in self.entry_addresses:
@@ -154,6 +171,9 @@
         for process in self.processes.values():
             process.wait()
         self.announcer.stop()
+        for links in self.control_links.values():
+            for link in links.values():
+                link.stop()
         self._server.close()
         for block in self._blocks:
             block.release()
@@ -222,10 +242,15 @@
             "GENTIANSPREAD_FLEET_SECRET": "a-secret-of-the-stand-in",
             "GENTIANSPREAD_METRICS_PORT": self.metrics_addresses[name].rpartition(":")[2],
         }
+        links = self.control_links.get(name, {})
+        if links:
+            routes = [f"{address}={link.address}" for address, link in links.items()]
+            environment[ROUTES_VARIABLE] = ",".join(routes)
+        program = ROUTED_PROGRAM if links else PROGRAM
         with open(self._log_path(name), "ab") as output:
             self._log_offsets[name] = output.tell()
             self.processes[name] = subprocess.Popen(
-                [sys.executable, "-m", "gentianspread_server.platform"],
+                [sys.executable, "-m", program],
                 env=environment,
                 stdout=output,
                 stderr=output,
@@ -258,6 +283,14 @@
         link.cut_off(lambda port: self._is_control_vm(port, link_port))
         return name
 
+    def replica_names(self) -> list[str]:
+        """Return the names of the endpoints that run and have not led last."""
+        return [
+            name
+            for name in self.announcer.endpoints
+            if name != self.database.source and self.database.copies[name].alive
+        ]
+
     def restore(self, name: str) -> None:
         """Connect an endpoint that was cut off."""
         self.announcer.cut_off.discard(name)
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/run.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/run.py
@@ -27,13 +27,19 @@
 
 
 class RunSize:
-    """How many entry VMs serve a run, and how many callers of each shape use them."""
+    """How many entry VMs serve a run, and how many callers of each shape use them.
 
-    __slots__ = ("entry_count", "callers_per_shape")
+    With `links_control_vms`, entry VMs reach control VMs through links that may be cut.
+    """
+
+    __slots__ = ("entry_count", "callers_per_shape", "links_control_vms")
 
-    def __init__(self, entry_count: int, callers_per_shape: int) -> None:
+    def __init__(
+        self, entry_count: int, callers_per_shape: int, links_control_vms: bool = False
+    ) -> None:
         self.entry_count = entry_count
         self.callers_per_shape = callers_per_shape
+        self.links_control_vms = links_control_vms
 
 
 class FleetRun:
@@ -42,7 +48,8 @@
     __slots__ = ("board", "_callers", "_rotation", "_greenlets")
 
     def __init__(self, seed: int, size: RunSize) -> None:
-        fleet = PlatformFleet(size.entry_count, SLOTS_PER_ENTRY_VM * size.entry_count)
+        slots = SLOTS_PER_ENTRY_VM * size.entry_count
+        fleet = PlatformFleet(size.entry_count, slots, links_control_vms=size.links_control_vms)
         self.board = SoakBoard(fleet, Ledger(), random.Random(seed))
         self._rotation = Rotation(fleet)
         key_lists = list(_key_lists(fleet.operator))
@@ -96,12 +103,13 @@
 
     def summary(self) -> str:
         """Return what the run did, in figures."""
-        ledger = self.board.ledger
+        ledger, stalls_s = self.board.ledger, self.board.stalls_s
         return (
             f"{len(self.board.fleet.entry_addresses)} entry VMs, {len(ledger.statements)} "
             f"statements ({dict(ledger.count_answers())}), {len(ledger.stops)} stops, "
-            f"{len(self.board.faults)} faults, {len(self.board.stalls_s)} stalls of the host up to "
-            f"{max(self.board.stalls_s, default=0.0):.1f} s, {len(self.board.violations)} broken"
+            f"{len(self.board.faults)} faults, {len(self.board.fleet.database.promotions)} "
+            f"promotions, {len(stalls_s)} stalls of the host up to "
+            f"{max(stalls_s, default=0.0):.1f} s, {len(self.board.violations)} broken"
         )
 
     def print_violations(self) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/soak.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/soak.py
@@ -35,6 +35,13 @@
     RollingStop,
     StopEntryVM,
 )
+from .promotionfaults import (  # noqa: E402
+    CutOffEntryVM,
+    CutOffPrimary,
+    DeliverLate,
+    ReplaceReplica,
+    RestartReplica,
+)
 from .run import FleetRun, RunSize  # noqa: E402
 from .soakboard import SoakBoard  # noqa: E402
 
@@ -71,6 +78,16 @@
 ]
 
 
+PROMOTION_FAULTS: list[Fault] = [
+    CutOffPrimary(replaces=False),
+    CutOffPrimary(replaces=True),
+    CutOffEntryVM(),
+    ReplaceReplica(),
+    RestartReplica(),
+    DeliverLate(),
+]
+
+
 def inject_faults(board: SoakBoard, faults: list[Fault], seconds: float) -> None:
     """Inject faults for some seconds, each in its own greenlet; return when all are repaired."""
     greenlets = []
@@ -84,17 +101,24 @@
 
 
 def soak(seed: int, seconds: float, size: RunSize) -> bool:
-    """Run one seed, print the violated guarantees, and return whether all hold."""
+    """Run one seed, print the violated guarantees, and return whether all hold.
+
+    Entry VMs have links to the control VMs if there are faults around promotions, which are as
+    frequent as all others then.
+    """
     run = FleetRun(seed, size)
     faults = list(PLANNED_FAULTS)
     has_unplanned = run.board.randomness.random() < UNPLANNED_SHARE
-    if has_unplanned:
+    if has_unplanned or size.links_control_vms:
         faults += UNPLANNED_FAULTS
+    if size.links_control_vms:
+        faults += PROMOTION_FAULTS * (len(faults) // len(PROMOTION_FAULTS))
     with run:
         inject_faults(run.board, faults, seconds)
         run.finish()
     print(
-        f"seed {seed}{' with unplanned faults' if has_unplanned else ''}: {run.summary()}",
+        f"seed {seed}{' around promotions' if size.links_control_vms else ''}"
+        f"{' with unplanned faults' if has_unplanned else ''}: {run.summary()}",
         flush=True,
     )
     run.print_violations()
@@ -109,9 +133,10 @@
     parser.add_argument("--seconds", type=float, default=12.0, help="time with faults")
     parser.add_argument("--entries", type=int, default=9, help="entry VMs")
     parser.add_argument("--callers", type=int, default=4, help="callers of each shape")
+    parser.add_argument("--promotions", action="store_true", help="faults around promotions")
     options = parser.parse_args()
     gevent.signal_handler(signal.SIGTERM, sys.exit, 1)  # ends the fleet's processes on the way out
-    size = RunSize(options.entries, options.callers)
+    size = RunSize(options.entries, options.callers, options.promotions)
     seeds = range(options.seed, options.seed + options.count)
     results = [soak(seed, options.seconds, size) for seed in seeds]
     return 0 if all(results) else 1
