--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -268,8 +268,9 @@
         self._carry_out(command)
         self._post_to(self.board, Topic.ENDPOINT_COMMAND_ENDED, command)
 
-    def _end_later(self, command: EndpointCommand) -> None:
-        """End a command without an answer."""
+    def _end_later(self, command: EndpointCommand, board: Board | None = None) -> None:
+        """End a command without an answer, for the control leader unless a board is given."""
+        receiver = board or self.board
         failed = EndpointCommand(
             command.kind,
             command.endpoint,
@@ -280,9 +281,8 @@
             command.timeout_s,
             command.fencing_token,
         )
-        board = self.board
         self.call_later(
-            lambda: self._post_to(board, Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s
+            lambda: self._post_to(receiver, Topic.ENDPOINT_COMMAND_ENDED, failed), command.timeout_s
         )
 
     def _carry_out(self, command: EndpointCommand) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -24,10 +24,19 @@
 class FakeEndpointSession:
     """An endpoint's state of one connection, as opposed to a caller's session at a VM.
 
-    `writes` holds the ids of the write statements of the open transaction.
+    `writes` holds the ids of the write statements of the open transaction, `term` the endpoint's
+    term when it began.
     """
 
-    __slots__ = ("workspace", "values", "prepared", "in_transaction", "is_read_only", "writes")
+    __slots__ = (
+        "workspace",
+        "values",
+        "prepared",
+        "in_transaction",
+        "is_read_only",
+        "writes",
+        "term",
+    )
 
     def __init__(self, workspace: str) -> None:
         self.workspace = workspace
@@ -36,6 +45,7 @@
         self.in_transaction = False
         self.is_read_only = False
         self.writes: list[str] = []
+        self.term = 0
 
 
 class ExecutedStatement:
@@ -113,6 +123,9 @@
     def execute(self, connection: str, exchange: SessionExchange) -> SessionReply:
         """Execute the rounds of an exchange and return the reply."""
         reply = SessionReply(ExchangeStatus.LOST)
+        if not self.alive:
+            reply.was_sent = True
+            return reply
         session = self.sessions.get(connection)
         if session is None:
             if len(self.sessions) >= self.max_connections:
@@ -173,6 +186,7 @@
             return "LAGGING"
         session.in_transaction = True
         session.is_read_only = step.kind is StepKind.BEGIN_READ
+        session.term = self.term
         return ""
 
     def _statement(self, session: FakeEndpointSession, step: Step, reply: SessionReply) -> str:
@@ -185,8 +199,10 @@
             return "NOSTMT"
         text = session.prepared[step.name] if step.name else step.text
         is_write = text.startswith("WRITE")
-        needs_primary = is_write or (session.in_transaction and not session.is_read_only)
-        if needs_primary and not self.is_primary and step.text != "COMMIT":
+        is_plain = session.in_transaction and not session.is_read_only
+        has_lost_lead = not self.is_primary or (is_plain and session.term != self.term)
+        is_empty_commit = step.text == "COMMIT" and not session.writes
+        if (is_write or is_plain) and has_lost_lead and not is_empty_commit:
             return "READONLY"
         self.executed_statements.append(
             ExecutedStatement(step.statement_id, step.text, session, self.applied)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -280,9 +280,9 @@
             )
             return
         now = self.clock.now()
-        connection = _connection_name(board, exchange.connection.number)
+        connection = connection_name(board, exchange.connection.number)
         for evicted in exchange.evicted:
-            self.endpoints[evicted.endpoint].close(_connection_name(board, evicted.number))
+            self.endpoints[evicted.endpoint].close(connection_name(board, evicted.number))
         start = now
         if connection not in endpoint.sessions:
             start = endpoint.reserve_slot(now, endpoint.connect_cost_s)
@@ -323,7 +323,7 @@
             self.call_later(lambda: self._execute_command(intent), LATENCY_S)
         elif isinstance(intent, ConnectionClose):
             for endpoint in self.endpoints.values():
-                endpoint.close(_connection_name(board, intent.number))
+                endpoint.close(connection_name(board, intent.number))
 
     def _probe(self, board: Board, probe: EndpointProbe) -> None:
         endpoint = self.endpoints.get(probe.endpoint)
@@ -379,6 +379,6 @@
         self.board.post(Topic.ENDPOINT_COMMAND_ENDED, command)
 
 
-def _connection_name(board: Board, number: int) -> str:
+def connection_name(board: Board, number: int) -> str:
     """Return the name of a VM's connection, unique among all VMs."""
     return f"{board.settings.member}-{number}"
--- a/packages/gentianspread-lab/src/gentianspread_lab/soak.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/soak.py
@@ -10,7 +10,7 @@
 
 from absl import app, flags
 from hypothesis import HealthCheck, Phase, seed, settings
-from hypothesis.stateful import run_state_machine_as_test
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
 from .foundingfuzz import FoundingMachine
 from .fuzz import FleetMachine
@@ -27,7 +27,7 @@
     seed_number: int,
     steps: int,
     shrink: bool = True,
-    machine: type[FleetMachine] = FleetMachine,
+    machine: type[RuleBasedStateMachine] = FleetMachine,
 ) -> None:
     """Run a state machine for about `steps` steps; raises on the first violated rule."""
     runs = max(1, steps // STEPS_PER_RUN)
