Have a control leader decide nothing before it has committed an entry of its term

It could also change voters too early. Cause: it trusted the freshness of its configuration, which the leader before may have confirmed.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -9,7 +9,7 @@
 from .changes import ChangeQueue, Topic
 from .configuration import Configuration
 from .connections import Connections
-from .election import Election
+from .election import Election, Role
 from .endpoints import Endpoints
 from .evacuations import Evacuations
 from .groups import Groups
@@ -118,6 +118,15 @@
         age = self.clock.now() - self.configuration.confirmed_at
         return age <= self.settings.max_configuration_age_s
 
+    def leads_with_quorum(self) -> bool:
+        """Return whether this VM leads the control log and has applied earlier leaders' grants.
+
+        A quorum confirms a leader only once an entry of its own term is committed. A configuration
+        may be fresh by what the leader before confirmed.
+        """
+        age = self.clock.now() - self.log.confirmed_at
+        return self.election.role is Role.LEADER and age <= self.settings.max_configuration_age_s
+
     def explain_staleness(self) -> str:
         """Return why no quorum confirms the configuration, as far as this VM can tell."""
         if not (self.log.voters or self.configuration.voters):
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -77,7 +77,7 @@
         health = self.board.groups.health.get(probe.endpoint)
         if probe.purpose != PROBE_PURPOSE or health is None or not self._is_leader():
             return
-        health.probes_in_flight -= 1
+        health.probes_in_flight = max(0, health.probes_in_flight - 1)
         registration = self.board.configuration.endpoints.get(probe.endpoint)
         if registration is None:
             return
@@ -125,7 +125,7 @@
         self.board.changes.post(Topic.INTENT_POSTED, probe)
 
     def _start_if_needed(self, group: Group) -> None:
-        if group.name in self.board.groups.failovers or not self.board.is_fresh():
+        if group.name in self.board.groups.failovers or not self.board.leads_with_quorum():
             return
         if self.board.clock.now() < self._next_failover_at.get(group.name, 0.0):
             return
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/repair.py
@@ -60,7 +60,7 @@
         """Replace lost allocators and voters, one change at a time."""
         if not self._is_leader():
             return
-        if self.board.is_fresh() and not self._is_change_pending:
+        if self.board.leads_with_quorum() and not self._is_change_pending:
             self._repair_allocators()
             self._repair_voters()
             self._repair_warmup_allocators()
