Count an answered promote call until it has taken effect

An attempt timed out while its call was open, the call was answered a moment later, and the next attempt ended the promotion with the old primary before the call took effect. Cause: a call was forgotten when it was answered, though its endpoint leads only some hundred milliseconds later; and an attempt's time did not start anew with its call. Change: an answered call counts as one that may take effect for a second; the time of an attempt starts with its call. Step-downs, resumes and adopted primaries have log lines, and commit_withheld says why. Scenarios about withheld commits of VMs out of touch write 1.55 s after contact was lost, not 2 s: from 2 s on such writes are refused before they run, which has scenarios of its own; one waits for the endpoint to lead, as the answer does.

--- a/features/promotion_answers.feature
+++ b/features/promotion_answers.feature
@@ -22,7 +22,7 @@
   Scenario Outline: A VM is <state> for longer than its lease
     Given a caller at "h1"
     When "h1" is <state>
-    And 2 s pass
+    And 1.55 s pass
     And the caller at "h1" writes
     And 0.5 s pass
     Then the last write is withheld
@@ -38,7 +38,7 @@
   Scenario: A VM that withholds a commit comes back before the deadline
     Given a caller at "h1"
     When "h1" is cut off from the control VMs
-    And 2 s pass
+    And 1.55 s pass
     And the caller at "h1" writes
     And 0.5 s pass
     And all VMs are in touch
@@ -151,7 +151,8 @@
     And 0.1 s pass
     Then the last write is withheld
     When the promotion has ended
-    And 0.15 s pass
+    And "b2" leads
+    And 0.4 s pass
     Then the last write succeeded
     When 1 s pass
     Then another endpoint than "b1" is the primary
@@ -186,7 +187,7 @@
   Scenario: A withheld commit is answered with success once the primary is found well
     Given a caller at "h2"
     When the control leader no longer reaches the primary
-    And the control leader no longer reaches "b3"
+    And the control leader no longer reaches "b3" once a promotion has begun
     And "b2" has been paused
     And 0.1 s pass
     And the caller at "h2" writes
@@ -202,7 +203,7 @@
   Scenario: The caller of a withheld commit leaves
     Given a caller at "h2"
     When "h2" is cut off from the control VMs
-    And 2 s pass
+    And 1.55 s pass
     And the caller at "h2" writes
     And 0.2 s pass
     Then the last write is withheld
@@ -217,7 +218,7 @@
   Scenario Outline: A VM that withholds a commit stops, and <news>
     Given a caller at "h2"
     When "h2" is cut off from the control VMs
-    And 2 s pass
+    And 1.55 s pass
     And "h2" is told to stop within 2 s
     And the caller at "h2" writes
     And 0.4 s pass
@@ -236,7 +237,7 @@
   Scenario: A commit is withheld while a stop leaves less time than its deadline
     Given a caller at "h2"
     When "h2" is cut off from the control VMs
-    And 2 s pass
+    And 1.55 s pass
     And "h2" is told to stop within 0.8 s
     And the caller at "h2" writes
     And 0.7 s pass
@@ -247,7 +248,7 @@
   Scenario Outline: A stop begins while a <kind> is withheld, and leaves less time than its deadline
     Given a caller at "h2"
     When "h2" is cut off from the control VMs
-    And 2 s pass
+    And 1.55 s pass
     And <before>
     And the caller at "h2" <kind>s
     And 0.2 s pass
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -53,6 +53,8 @@
     FAILOVER_STARTED = "failover_started"
     FENCE_FAILED = "fence_failed"
     REPLICATION_PAUSED = "replication_paused"
+    REPLICATION_RESUMED = "replication_resumed"
+    PRIMARY_STEPPED_DOWN = "primary_stepped_down"
     PROMOTE_CALLED = "promote_called"
     PROMOTE_ENDED = "promote_ended"
     PRIMARY_PROMOTED = "primary_promoted"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
@@ -79,6 +79,15 @@
             return CommitState.DOUBTFUL
         return CommitState.KEPT if succession.is_confirmed else CommitState.UNDECIDED
 
+    def reason(self, request: SessionRequest) -> str:
+        """Return why a commit is undecided."""
+        group = self.board.configuration.groups[request.group]
+        if group.granted_term != group.term:
+            return "a promotion is under way"
+        if self._lease_age() > COMMIT_LEASE_S:
+            return "the lease on commits has expired"
+        return "the promoted endpoint was not seen to lead yet"
+
     def _lease_age(self) -> float:
         """Return the seconds since a quorum last confirmed this VM's configuration."""
         return self.board.clock.now() - self.board.configuration.confirmed_at
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -138,10 +138,7 @@
             request.timer.cancel()
         deadline = min(request.deadline, self.board.shutdown.ends_at)
         request.timer = self.board.changes.post_at(deadline, Topic.COMMIT_EXPIRED, request)
-        group = self.board.configuration.groups[request.group]
-        is_open = group.granted_term != group.term
-        cause = "a promotion is under way" if is_open else "the lease on commits has expired"
-        self._log(EventKind.COMMIT_WITHHELD, request, cause, "")
+        self._log(EventKind.COMMIT_WITHHELD, request, self.guard.reason(request), "")
 
     def _refuse_commit(self, request: SessionRequest, message: str) -> None:
         self.board.groups.left_unknown_count += 1
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 from ...blackboard.configuration import Group
+from ...blackboard.outbox import EndpointCommand
+from ...interfaces import Clock
 from ...positions import Position
 
 PROMOTION_EFFECT_S = 1.0  # an endpoint leads some hundred milliseconds after its call
@@ -15,14 +17,17 @@
 class PromoteCalls:
     """The promote calls of the promotions that are under way, on the control leader.
 
+    `_effective_at` is by group when the last call that was answered has taken effect, in seconds.
     `_begun` are the groups whose promotion began under this leader, so that it knows of every call;
     `_unanswered` has the fencing tokens of calls by group, `_sufficient` the position of the first
     target: it had every commit that was handed on, and none is before the promotion has ended.
     """
 
-    __slots__ = ("_begun", "_unanswered", "_sufficient")
+    __slots__ = ("clock", "_begun", "_unanswered", "_sufficient", "_effective_at")
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self._effective_at: dict[str, float] = {}
         self._begun: set[str] = set()
         self._unanswered: dict[str, set[int]] = {}
         self._sufficient: dict[str, Position] = {}
@@ -32,6 +37,7 @@
         self._begun.clear()
         self._unanswered.clear()
         self._sufficient.clear()
+        self._effective_at.clear()
 
     def begin(self, group: Group) -> None:
         """Note the first attempt of a promotion, or another one after an attempt that failed."""
@@ -50,16 +56,24 @@
         """Return a position that covers every commit handed on, if one is known."""
         return self._sufficient.get(group)
 
-    def remove(self, group: str, fencing_token: int) -> None:
-        """Note that a call was carried out or refused."""
-        self._unanswered.get(group, set()).discard(fencing_token)
+    def note_result(self, command: EndpointCommand) -> None:
+        """Note that a call was answered, and so takes effect soon, or was refused."""
+        if command.accepted:
+            self._effective_at[command.group] = self.clock.now() + PROMOTION_EFFECT_S
+        if command.accepted or command.is_refused:
+            self._unanswered.get(command.group, set()).discard(command.fencing_token)
 
     def may_take_effect(self, group: str) -> bool:
-        """Return whether a call without an answer, or one of an earlier leader, may exist."""
-        return group not in self._begun or bool(self._unanswered.get(group))
+        """Return whether a call without an answer, or one of an earlier leader, may exist.
+
+        One that was answered after its attempt had been given up counts as well.
+        """
+        is_effective = self.clock.now() >= self._effective_at.get(group, float("-inf"))
+        return group not in self._begun or bool(self._unanswered.get(group)) or not is_effective
 
     def end(self, group: str) -> None:
         """Note that the promotion has ended and nothing can come of its calls."""
         self._begun.discard(group)
         self._unanswered.pop(group, None)
         self._sufficient.pop(group, None)
+        self._effective_at.pop(group, None)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/commands.py
@@ -62,9 +62,10 @@
         kind = EndpointCommandKind.RESUME_REPLICATION
         self._post(kind, replica, fencing_token, term, COMMAND_TIMEOUT_S)
 
-    def note_failed_resume(self, command: EndpointCommand) -> None:
-        """Keep a failed resume, to be sent again."""
-        self._failed_resumes.append(command)
+    def note_resume(self, command: EndpointCommand) -> None:
+        """Keep a resume that failed, to be sent again."""
+        if not command.accepted:
+            self._failed_resumes.append(command)
 
     def retry_resumes(self) -> None:
         """Resend failed resumes, unless a newer promotion may have paused the replica.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -71,7 +71,7 @@
         self.successors = Successors(board, self.view)
         self.triggers = PromotionTriggers(board, self.view, self.successors)
         self.commands = PromotionCommands(board, self.view)
-        self.calls = PromoteCalls()
+        self.calls = PromoteCalls(board.clock)
         self.paused = PausedReplicas(board, self.view, self.successors, self.calls)
         self.handover = Handover(board, self.view, self.commands)
         self.naming = PrimaryNaming(board, self.view)
@@ -132,10 +132,13 @@
         """Handle the result of a command to an endpoint."""
         promotion = self.board.groups.promotions.get(command.group)
         is_resume = command.kind is EndpointCommandKind.RESUME_REPLICATION
-        if promotion is None and is_resume and not command.accepted:
-            self.commands.note_failed_resume(command)
-        if command.kind is EndpointCommandKind.PROMOTE and (command.accepted or command.is_refused):
-            self.calls.remove(command.group, command.fencing_token)
+        if promotion is None and is_resume:
+            self.commands.note_resume(command)
+            self.log.resumed(command)
+        if command.kind is EndpointCommandKind.PROMOTE and (
+            promotion is None or promotion.fencing_token != command.fencing_token
+        ):
+            self.calls.note_result(command)
         if promotion is None or promotion.fencing_token != command.fencing_token:
             return
         promotion.pending_endpoints.discard(command.endpoint)
@@ -150,26 +153,20 @@
 
     def _handle_position(self, promotion: Promotion, command: EndpointCommand) -> None:
         """Record a replica's position, or that it has terminated."""
-        health = self.board.groups.health.get(command.endpoint)
         if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
             self.log.paused(promotion, command)
-        if command.accepted and health is not None and health.has_lost_log(command.position):
-            self._abort(promotion, f"{command.endpoint} has lost its log")
-            return
-        if command.accepted and command.position is not None:
-            promotion.received_positions[command.endpoint] = command.position
-        elif self.view.has_terminated(command):
-            promotion.terminated_endpoints.add(command.endpoint)
-        elif promotion.pending_endpoints:
-            return
-        self._try_promote(promotion)
+        failure = self.paused.record(promotion, command)
+        if failure:
+            self._abort(promotion, failure)
+        else:
+            self._try_promote(promotion)
 
     def _is_leader(self) -> bool:
         return self.board.election.role is Role.LEADER
 
     def _check_group(self, group: Group) -> None:
         """Start, continue or abort a group's promotion according to the endpoints' health."""
-        if not group.counts_own_terms or not self.board.is_fresh():
+        if not group.counts_own_terms or not self.board.leads_with_quorum():
             return
         promotion = self.board.groups.promotions.get(group.name)
         now = self.board.clock.now()
@@ -187,6 +184,7 @@
         reason = self.triggers.reason_for(group)
         if adoption is not None:
             self._delay_next_attempt(group.name, RETRY_DELAY_S)
+            self.log.adopted(group, adoption["endpoint"])
             self._propose(CommandKind.NAME_PRIMARY, adoption)
         elif reason:
             self._start_promotion(group, reason)
@@ -293,6 +291,7 @@
             self._abort(promotion, f"{leading} leads after an earlier call")
 
     def _handle_step_down(self, promotion: Promotion, command: EndpointCommand) -> None:
+        self.log.stepped_down(promotion, command)
         if not command.accepted or command.position is None:
             self._abort(promotion, "the primary did not step down")
             return
@@ -328,6 +327,7 @@
         if registration is None:
             self._abort(promotion, f"{target} is not registered any more")
             return
+        promotion.began_at = self.board.clock.now()
         promotion.is_only_call = not self.calls.may_take_effect(promotion.group)
         position = promotion.received_positions.get(target)
         self.calls.add(promotion.group, promotion.fencing_token, position)
@@ -336,6 +336,7 @@
 
     def _handle_promote_result(self, promotion: Promotion, command: EndpointCommand) -> None:
         self.log.call_ended(promotion, command)
+        self.calls.note_result(command)
         if not command.accepted:
             self._abort(promotion, "the promote call was refused or got no answer")
             return
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
@@ -36,6 +36,39 @@
             position=_text(command.position),
         )
 
+    def resumed(self, command: EndpointCommand) -> None:
+        """Record the result of a resume outside a promotion."""
+        self.board.timeline.record(
+            EventKind.REPLICATION_RESUMED,
+            f"endpoint {command.endpoint}",
+            "" if command.accepted else "it did not answer or refused",
+            group=command.group,
+            fence=command.fencing_token,
+            position=_text(command.position),
+        )
+
+    def stepped_down(self, promotion: Promotion, command: EndpointCommand) -> None:
+        """Record the result of a step-down."""
+        self._record(
+            EventKind.PRIMARY_STEPPED_DOWN,
+            promotion,
+            "" if command.accepted else "it did not answer or refused",
+            endpoint=command.endpoint,
+            term=command.term,
+            position=_text(command.position),
+        )
+
+    def adopted(self, group: Group, endpoint: str) -> None:
+        """Record that an endpoint is named because it reports that it leads."""
+        self.board.timeline.record(
+            EventKind.PRIMARY_PROMOTED,
+            f"group {group.name}",
+            "it reports that it leads",
+            endpoint=endpoint,
+            fence=group.term,
+            kept="",
+        )
+
     def called(self, promotion: Promotion, endpoint: str) -> None:
         """Record a promote call."""
         cause = "supersedes earlier calls" if promotion.confirms_primary else ""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -7,6 +7,7 @@
 from ...blackboard import Board
 from ...blackboard.configuration import Group
 from ...blackboard.groups import Promotion
+from ...blackboard.outbox import EndpointCommand
 from ...blackboard.registrations import Registration
 from ..groupview import GroupView
 from ..successors import Successors
@@ -58,6 +59,17 @@
             endpoints[primary.name] = primary
         return [item for name, item in endpoints.items() if name not in promotion.asked_endpoints]
 
+    def record(self, promotion: Promotion, command: EndpointCommand) -> str:
+        """Record an endpoint's answer; return why the attempt cannot go on, or an empty text."""
+        health = self.board.groups.health.get(command.endpoint)
+        if command.accepted and health is not None and health.has_lost_log(command.position):
+            return f"{command.endpoint} has lost its log"
+        if command.accepted and command.position is not None:
+            promotion.received_positions[command.endpoint] = command.position
+        elif self.view.has_terminated(command):
+            promotion.terminated_endpoints.add(command.endpoint)
+        return ""
+
     def decide(self, promotion: Promotion, group: Group) -> PauseDecision:
         """Return the next step."""
         if self.view.has_primary_recovered(group, promotion):
--- a/packages/gentianspread-core/src/gentianspread_core/group_commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -51,35 +51,28 @@
             f"Term {term} of {group.name} was overtaken.",
         )
     endpoint = command.fields["endpoint"]
+    kept = Position.from_pair(command.fields.get("kept", LOG_START.to_pair()))
     is_new = group.primary != endpoint
     is_confirmation = not (is_new or configuration.has_led(group))
     leads = command.fields.get("leads", True)
     group.term = term
     if group.counts_own_terms and group.primary is not None:
-        _set_succession(configuration, group, command, is_new, is_confirmation and leads)
+        is_interrupted = is_new or not command.fields.get("led_throughout", True)
+        if is_interrupted:
+            configuration.successions[group.name] = Succession(
+                group.name, configuration.revision, kept.term, kept.index, leads
+            )
+        elif is_confirmation and leads:
+            revision = configuration.successions[group.name].revision
+            configuration.successions[group.name] = Succession(
+                group.name, revision, kept.term, kept.index
+            )
     covers_departed = command.fields.get("covers_departed", True)
     if (is_new or is_confirmation) and leads and covers_departed:
         group.departed = []
     group.primary = endpoint
 
 
-def _set_succession(
-    configuration: Configuration, group: Group, command: Command, is_new: bool, confirms: bool
-) -> None:
-    """Store how the group got its primary; an entry that only confirms it keeps the revision."""
-    kept = Position.from_pair(command.fields.get("kept", LOG_START.to_pair()))
-    if is_new or not command.fields.get("led_throughout", True):
-        leads = command.fields.get("leads", True)
-        configuration.successions[group.name] = Succession(
-            group.name, configuration.revision, kept.term, kept.index, leads
-        )
-    elif confirms:
-        revision = configuration.successions[group.name].revision
-        configuration.successions[group.name] = Succession(
-            group.name, revision, kept.term, kept.index
-        )
-
-
 def require_group(configuration: Configuration, name: str) -> Group:
     """Return a group, or reject the command."""
     group = configuration.groups.get(name)
