Show leases and calls that a new control leader does not know of

Cause: a trial that dropped the new leader's wait for leases, and one that dropped its doubt about earlier calls, failed no scenario: no VM held a lease of the old leader, and the target of the late call had received everything. Change: scenarios for leases of a leader that is gone, and for one that sees the old primary lead after the log names the promoted endpoint; targets of late calls no longer receive.

--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -112,6 +112,7 @@
     And the next promote call gets no answer and is carried out after 5 s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And the control leader no longer reaches "b3"
     And 8 s pass
     And the control leader reaches "b3" again
@@ -127,6 +128,7 @@
     And the next promote call gets no answer and is carried out after <seconds> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And the control leader reaches "b1" again
     And 12 s pass
     Then the endpoint that leads has every acknowledged write
@@ -149,6 +151,7 @@
     And the next promote call gets no answer and is carried out after <seconds> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And "b3" starts again without having announced itself
     And 12 s pass
     Then another endpoint than "b1" is the primary
--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -103,6 +103,7 @@
     And the next promote call gets no answer and is carried out after <second> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And "b3" starts again without having announced itself
     And 16 s pass
     Then another endpoint than "b1" is the primary
@@ -128,6 +129,7 @@
     And the next promote call gets no answer and is carried out after <seconds> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And the control leader no longer reaches "b3"
     And 3 s pass
     And the control leader reaches all endpoints again
--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -31,6 +31,7 @@
     And the next promote call gets no answer and is carried out after <late> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And the control VMs are down for <down> s and start again
     And the control leader reaches all endpoints again
     And 16 s pass
@@ -55,6 +56,7 @@
     And the next promote call gets no answer and is carried out after <late> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And "b3" starts again without having announced itself
     And the control VMs are down for 0.3 s and start again
     And 16 s pass
@@ -192,6 +194,7 @@
     And the next promote call gets no answer and is carried out after <late> s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And another control VM leads that applies the grant <delay> s later
     And <meanwhile>
     And 16 s pass
@@ -213,6 +216,7 @@
     And the next promote call gets no answer and is carried out after 6 s
     And the control leader no longer reaches the primary
     And a promote call has been sent
+    And "b2" receives nothing from the primary
     And another control VM leads that applies the grant 1.2 s later
     And "b3" starts again without having announced itself
     And 16 s pass
@@ -265,3 +269,42 @@
       | 1.0    |
       | 1.1    |
       | 1.4    |
+
+  # Guards against a new leader that does not know of the leases that the old one's answers gave.
+  Scenario Outline: A VM has a lease of a control leader that is gone, for <more> s more
+    When callers at every VM <work> during the next 8 s
+    And 0.5 s pass
+    And "h1" is cut off from the control VMs
+    And the control leader no longer reaches the primary
+    And <passed> s pass
+    And the control VMs are down for 0 s and start again
+    And the promote call has been made
+    And "b4" joins without having announced itself
+    And 2 s pass
+    And all VMs are in touch
+    And 8 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+
+    Examples:
+      | passed | more | work             |
+      | 0      | 1.5  | write            |
+      | 0.2    | 1.3  | write            |
+      | 0.4    | 1.1  | write            |
+      | 0      | 1.5  | run transactions |
+
+  # Guards against a new leader that adopts the old primary without a call, as the log shows no
+  # promotion under way, though the promoted endpoint takes the lead a moment later.
+  Scenario: A new leader sees the old primary lead after the log names the promoted endpoint
+    When callers at every VM write during the next 8 s
+    And an endpoint leads 0.8 s after its promote call
+    And the control leader no longer reaches the primary
+    And the promote call has been made
+    And "b4" joins without having announced itself
+    And the control VMs are down for 0 s and start again
+    And the control leader reaches all endpoints again
+    And 12 s pass
+    Then the endpoint that leads has every acknowledged write
+    And a new write at "h1" succeeds
+    And the control log has no promotion under way, and no VM withholds a commit
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -177,6 +177,11 @@
     context.promotion_simulation.slow_commands.append((COMMANDS[command], seconds))
 
 
+@when("an endpoint leads {seconds:g} s after its promote call")
+def step_effect_delay(context, seconds):
+    context.promotion_simulation.effect_delay_s = seconds
+
+
 @when('"{name:w}" has caught up with "{source:w}"')
 def step_caught_up(context, name, source):
     context.promotion_simulation.catch_up(name, source)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -56,7 +56,7 @@
     sent, `acknowledged` the ids of the writes that callers were told to be committed, `lost_writes`
     those that an endpoint lacked when it was promoted, or when they were acknowledged later. While
     `is_control_down`, no VM leads the control log or passes on the configuration. Entries of the
-    control log are on disk after `sync_delay_s`.
+    control log are on disk after `sync_delay_s`. An endpoint leads `effect_delay_s` after its call.
     """
 
     def __init__(self, vm_count: int = 3, seed: int = 1) -> None:
@@ -69,6 +69,7 @@
         self.called: list[tuple[str, int]] = []
         self.is_control_down = False
         self.sync_delay_s = 0.0
+        self.effect_delay_s = EFFECT_DELAY_S
         self._stepped_down: set[str] = set()
         self._crashed_primaries: set[str] = set()
         self._open_writes: dict[int, list[str]] = {}
@@ -372,7 +373,7 @@
             return
         self.newest_fencing_token = command.fencing_token
         if not endpoint.is_primary:
-            self.call_later(lambda: self._take_lead(command.endpoint), EFFECT_DELAY_S)
+            self.call_later(lambda: self._take_lead(command.endpoint), self.effect_delay_s)
 
     def _take_lead(self, name: str) -> None:
         if self.endpoints[name].alive and not self.endpoints[name].is_primary:
