Fix the endpoints that count in a group's majorities for each term

Callers could lose acknowledged writes of a group with terms of the control log that grew by two: 2 of 3 endpoints had confirmed a write, and 3 of 5, none with the write, were fenced and promoted one of them. A VM out of touch could acknowledge with 2 of 3 even after that.

Cause: the majority was computed from the group's size at the moment, which grows within a term and differs between VMs; majorities of 3 and of 5 need not overlap.

Change: the entry that names a primary lists the endpoints that count in its term. Confirmations and fences count only these; after a change a fence also needs a majority of the list before, until a majority of the new one was seen with a record of the new term. The control leader starts a failover for endpoints that joined and caught up.

Ruled out: changes by one within a term, as a VM out of touch may lag behind by several; refusing growth, as replaced endpoints would then never count.

The price is a failover for endpoints that join; its length was not measured.

--- a/features/own_groups.feature
+++ b/features/own_groups.feature
@@ -134,6 +134,42 @@
     And 5 s pass
     Then "w" is not acknowledged, or on the endpoint that leads in the newest term
 
+  # Guards against endpoints that joined and never count: the loss of two others would block the group.
+  Scenario: Endpoints that joined count from a new term on, so that two of five may be lost
+    When a fourth endpoint joins the group
+    And a fifth endpoint joins the group
+    And 4 s pass
+    Then 5 endpoints count in the majorities of the group
+    When "w1" is a write of "card-1" sent to o1
+    And 0.2 s pass
+    And a network partition isolates the primary
+    And 3 s pass
+    And a network partition isolates the next primary
+    And 3 s pass
+    And "w2" is a write of "card-2" sent to o1
+    And 1 s pass
+    Then the result of "w1" is "run"
+    And the result of "w2" is "run"
+    And every acknowledged write is on the primary
+    And no invariant was violated
+
+  # Guards against a majority of new endpoints alone, before they have what the earlier ones confirmed.
+  Scenario: Until a majority of five has a record of the new term, a fence needs a majority of three too
+    When a fourth endpoint joins the group
+    And a fifth endpoint joins the group
+    Then the voting members before still count until the new ones have a record of their term
+
+  Scenario Outline: Random joins, cuts, late commands and lost control leaders lose no acknowledged write
+    When endpoints join, links are cut, commands are late and control leaders are lost at random, seed <seed>
+    Then every acknowledged write is on the primary once all is well again
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+      | 4    |
+
   Scenario: A write is kept if the replica that confirmed it starts again empty before a promotion
     When a network partition separates the second replica from the primary
     And "w" is a write of "card-1" sent to o1
--- a/features/steps/own_groups.py
+++ b/features/steps/own_groups.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import random
+
 from behave import then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.outbox import EndpointCommand, EndpointCommandKind
@@ -9,10 +11,12 @@
 from gentianspread_lab.fakes.session_endpoint import endpoint_address
 from gentianspread_lab.fakes.simulation import GROUP
 from support import primary_of, replicas_of, result_of
+from trouble import RandomTrouble
 
 CONTROL_VMS = ("v1", "v2", "v3", "s1")
 STEP_S = 0.0005  # shorter than a message takes, so that each is seen
 OWN_COMMAND_TIMEOUT_S = 0.4
+RECOVERY_S = 20.0
 
 
 def separate(context, names, others):
@@ -281,3 +285,48 @@
     primary = newest_primary(context)
     is_stored = context.requests[name].statement in primary.values()
     assert result_of(context, name) != "run" or is_stored, (primary.name, primary.term)
+
+
+@then("{count:d} endpoints count in the majorities of the group")
+def step_voting_members(context, count):
+    members = context.simulation.leader().board.configuration.voting_members[GROUP]
+    assert len(members.names) == members.size == count, (members.names, members.size)
+
+
+@when("a network partition isolates the next primary")
+def step_isolate_next_primary(context):
+    context.simulation.isolate(primary_of(context))
+
+
+@then("the voting members before still count until the new ones have a record of their term")
+def step_previous_members(context):
+    board = context.simulation.leader().board
+    run_until(context, lambda: len(board.configuration.voting_members[GROUP].names) == 5)
+    members = board.configuration.voting_members[GROUP]
+    joined = {"e3", "e4", "e5"}
+    assert members.has_majority(joined) and not members.has_fence_majority(joined)
+    assert members.has_fence_majority(joined | {"e1"})
+    members.settle(members.term)
+    assert members.has_fence_majority(joined)
+
+
+@when(
+    "endpoints join, links are cut, commands are late and control leaders are lost at random, "
+    "seed {seed:d}"
+)
+def step_random_trouble(context, seed):
+    trouble = RandomTrouble(context, random.Random(seed))
+    trouble.run()
+
+
+@then("every acknowledged write is on the primary once all is well again")
+def step_recovered(context):
+    simulation = context.simulation
+    simulation.heal()
+    simulation.late_command_kinds = set()
+    for vm in simulation.vms.values():
+        if not vm.alive:
+            vm.start()
+    simulation.run(RECOVERY_S)
+    assert sum(result_of(context, name) == "run" for name in context.requests) > 0
+    step_acknowledged_stored(context)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -9,6 +9,7 @@
 from .declarations import Declaration, DeclaredGroup
 from .log import FOUNDING_INCARNATION
 from .registrations import Registration, find_fault
+from .votingmembers import VotingMembers
 from .warmups import Warmup
 
 MAX_STORED_OUTCOMES = 4096
@@ -159,8 +160,9 @@
     control log. `evacuations`, by zone, is replaced, never changed in place. `warmups`, by
     endpoint, are of those that announced to be cold, and `warmup_allocators`, by zone of the
     endpoints, grant the tokens that cold ones need. `successions`, by group, are of those whose
-    primary has changed. `cold_groups` are the declared groups whose
-    cold endpoints have a limit, and `workspace_regions` the regions of restricted workspaces.
+    primary has changed; `voting_members`, by group, count in its majorities. `cold_groups` are the
+    declared groups whose cold endpoints have a limit, and `workspace_regions` the regions of
+    restricted workspaces.
     """
 
     __slots__ = (
@@ -184,6 +186,7 @@
         "warmups",
         "warmup_allocators",
         "successions",
+        "voting_members",
         "cold_groups",
         "workspace_regions",
     )
@@ -209,6 +212,7 @@
         self.warmups: dict[str, Warmup] = {}
         self.warmup_allocators: dict[str, Allocator] = {}
         self.successions: dict[str, Succession] = {}
+        self.voting_members: dict[str, VotingMembers] = {}
         self.cold_groups: dict[str, DeclaredGroup] = {}
         self.workspace_regions: dict[str, frozenset[str]] = {}
 
@@ -259,6 +263,7 @@
     "warmups": Warmup,
     "warmup_allocators": Allocator,
     "successions": Succession,
+    "voting_members": VotingMembers,
 }
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/acknowledgement.py
@@ -178,14 +178,17 @@
         group = self.board.configuration.groups.get(group_name)
         if group is None:
             return False
-        holders = 1
+        holders = {write.primary}
         for name, confirmation in self.board.groups.confirmations.get(group_name, {}).items():
             position = confirmation.position
             if name == write.primary or position is None:
                 continue
             if position.term == write.position.term and position.reaches(write.position):
-                holders += 1
-        return holders >= group.majority()
+                holders.add(name)
+        members = self.board.configuration.voting_members.get(group_name)
+        if members is None:
+            return len(holders) >= group.majority()
+        return members.has_majority(holders)
 
     def _send_watches(self, group_name: str) -> None:
         """Ask each replica without a watch to report its first unconfirmed pending position."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 from typing import Any
 
 from ..blackboard import Board, Topic
@@ -138,7 +139,8 @@
         self.board.timeline.record(
             EventKind.FAILOVER_STARTED, f"group {group.name}", reason, term=term
         )
-        command = Command(CommandKind.GRANT_TERM, {"group": group.name, "term": term})
+        fields = {"group": group.name, "term": term, "settled_term": self._settled_term(group)}
+        command = Command(CommandKind.GRANT_TERM, fields)
         proposal = Proposal(command, lambda outcome: self._handle_grant(failover, outcome))
         self.board.changes.post(Topic.COMMAND_PROPOSED, proposal)
 
@@ -165,7 +167,7 @@
         health = self.board.groups.health.get(group.primary)
         if health and health.failures >= self.board.settings.probe_failure_threshold:
             return f"the primary {group.primary} did not answer {health.failures} probes"
-        return ""
+        return "endpoints have joined" if self._has_joined(group) else ""
 
     def _has_successor(self, group: Group) -> bool:
         """Return whether a remaining endpoint has everything that the leaving primary has."""
@@ -191,14 +193,50 @@
 
     def _has_live_majority(self, group: Group) -> bool:
         health = self.board.groups.health
-        alive = sum(
-            1
+        alive = [
+            endpoint.name
             for endpoint in self._endpoints_of(group.name)
             if endpoint.name in health
             and health[endpoint.name].failures == 0
             and health[endpoint.name].position
-        )
-        return alive >= group.majority()
+        ]
+        return self._may_fence(group, alive)
+
+    def _may_fence(self, group: Group, names: Collection[str]) -> bool:
+        """Return whether a fence by some endpoints excludes any write that was acknowledged."""
+        members = self.board.configuration.voting_members.get(group.name)
+        if members is None:
+            return len(names) >= group.majority()
+        return members.has_fence_majority(names)
+
+    def _up_to_date(self, group: Group, term: int) -> list[str]:
+        """Return the endpoints that answer and have a record of a term or a later one."""
+        health = self.board.groups.health
+        return [
+            endpoint.name
+            for endpoint in self._endpoints_of(group.name)
+            if endpoint.name in health
+            and health[endpoint.name].failures == 0
+            and health[endpoint.name].position is not None
+            and health[endpoint.name].position.term >= term
+        ]
+
+    def _settled_term(self, group: Group) -> int:
+        """Return the term in which the voting members last changed if that is settled, else 0."""
+        members = self.board.configuration.voting_members.get(group.name)
+        if members is None:
+            return 0
+        has_record = self._up_to_date(group, members.term)
+        return members.term if members.has_majority(has_record) else 0
+
+    def _has_joined(self, group: Group) -> bool:
+        """Return whether endpoints that joined should count, which takes a new term."""
+        members = self.board.configuration.voting_members.get(group.name)
+        if members is None or not self._settled_term(group):
+            return False
+        up_to_date = self._up_to_date(group, group.term)
+        joined = [name for name in up_to_date if name not in members.names]
+        return bool(joined) and len(up_to_date) >= group.majority()
 
     def _send_command(
         self, kind: EndpointCommandKind, registration: Registration, term: int, primary_address: str
@@ -228,7 +266,7 @@
         if command.accepted and command.position is not None:
             failover.accepted[command.endpoint] = command.position
         group = self.board.configuration.groups[failover.group]
-        if len(failover.accepted) >= group.majority():
+        if self._may_fence(group, failover.accepted):
             self._promote(failover)
         elif not failover.pending_endpoints:
             del self.board.groups.failovers[failover.group]
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -24,6 +24,7 @@
 )
 from .blackboard.declarations import Declaration
 from .blackboard.registrations import Registration, find_fault
+from .blackboard.votingmembers import VotingMembers
 from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
 from .positions import LOG_START, Position
@@ -238,6 +239,9 @@
     announced = max(endpoint.group_size for endpoint in endpoints)
     group = configuration.groups.setdefault(name, Group(name, 0, 0, None, announced))
     group.size = max(group.size, announced, len(endpoints))
+    members = configuration.voting_members.get(name)
+    for endpoint in endpoints if members is not None else ():
+        members.add(endpoint.name)
 
 
 def _set_leaving(configuration: Configuration, command: Command) -> None:
@@ -256,6 +260,9 @@
             f"Term {term} of {group.name} is taken.",
         )
     group.granted_term = term
+    members = configuration.voting_members.get(group.name)
+    if members is not None:
+        members.settle(command.fields.get("settled_term", 0))
 
 
 def _set_warmup(configuration: Configuration, command: Command) -> None:
@@ -314,6 +321,14 @@
     if is_new:
         group.departed = []
     group.primary = endpoint
+    if not group.counts_own_terms:
+        names = [item.name for item in configuration.endpoints.values() if item.group == group.name]
+        members = configuration.voting_members.get(group.name)
+        configuration.voting_members[group.name] = (
+            members.successor(term, names, group.size)
+            if members is not None
+            else VotingMembers(group.name, term, names, group.size, [], 0)
+        )
 
 
 def _set_allocator(configuration: Configuration, command: Command) -> None:
