--- a/packages/gentianspread-core/src/gentianspread_core/group_commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -5,6 +5,7 @@
 from .blackboard.commands import Command
 from .blackboard.configuration import Configuration, Group, Succession
 from .blackboard.registrations import Registration
+from .blackboard.votingmembers import VotingMembers
 from .errors import ChangeRejected, ErrorCode
 from .positions import LOG_START, Position
 
@@ -39,6 +40,9 @@
             f"Term {term} of {group.name} is taken.",
         )
     group.granted_term = term
+    members = configuration.voting_members.get(group.name)
+    if members is not None:
+        members.settle(command.fields.get("settled_term", 0))
 
 
 def set_primary(configuration: Configuration, command: Command) -> None:
@@ -71,6 +75,19 @@
     if (is_new or is_confirmation) and leads and covers_departed:
         group.departed = []
     group.primary = endpoint
+    if not group.counts_own_terms:
+        _renew_voting_members(configuration, group)
+
+
+def _renew_voting_members(configuration: Configuration, group: Group) -> None:
+    """Let the endpoints that are registered now count in the majorities of a new term."""
+    names = [item.name for item in configuration.endpoints.values() if item.group == group.name]
+    members = configuration.voting_members.get(group.name)
+    configuration.voting_members[group.name] = (
+        members.successor(group.term, names, group.size)
+        if members is not None
+        else VotingMembers(group.name, group.term, names, group.size, [], 0)
+    )
 
 
 def require_group(configuration: Configuration, name: str) -> Group:
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -219,6 +219,9 @@
     announced = max(endpoint.group_size for endpoint in endpoints)
     group = configuration.groups.setdefault(name, Group(name, 0, 0, None, announced))
     group.size = max(group.size, announced, len(endpoints))
+    members = configuration.voting_members.get(name)
+    for endpoint in endpoints if members is not None else ():
+        members.add(endpoint.name)
 
 
 def _set_leaving(configuration: Configuration, command: Command) -> None:
