Test promotions while an entry VM is out of touch with the control VMs

Such a VM does not learn of a promotion, and may hand on commits until its lease ends; the control leader has to wait for that. A mutant of the leader that does not wait passed the other scenarios, since VMs in touch learn of a grant within some milliseconds.

--- a/features/environment.py
+++ b/features/environment.py
@@ -53,7 +53,7 @@
     if "folder" in scenario.effective_tags:
         use_fixture(temporary_folder, context)
     if "fleet" in scenario.effective_tags:
-        use_fixture(platform_fleet, context)
+        use_fixture(platform_fleet, context, "control_links" in scenario.effective_tags)
     if "limited_fleet" in scenario.effective_tags:
         use_fixture(limited_fleet, context)
     if "caller_server" in scenario.effective_tags:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -40,9 +40,9 @@
 
 
 @fixture
-def platform_fleet(context):
+def platform_fleet(context, links_control_vms=False):
     """Three control VMs and three entry VMs as processes, and one group of three endpoints."""
-    context.fleet = PlatformFleet()
+    context.fleet = PlatformFleet(links_control_vms=links_control_vms)
     try:
         context.fleet.start()
         yield context.fleet
--- a/features/promotion_processes.feature
+++ b/features/promotion_processes.feature
@@ -22,6 +22,18 @@
     Then no acknowledged commit is missing at a promoted endpoint
     And writes are served again at every entry VM
 
+  # Guards against a VM that knows of no promotion, since the control VMs cannot reach it.
+  @control_links
+  Scenario: A replica joins the cut-off primary while an entry VM is out of touch
+    When "entry-1" is cut off from the control VMs
+    And the primary is cut off from the control VMs
+    And a replica joins once the others are paused
+    And an endpoint has been promoted
+    And "entry-1" reaches the control VMs again
+    And the cut ends
+    Then no acknowledged commit is missing at a promoted endpoint
+    And writes are served again at every entry VM
+
   # Guards against a promotion that takes effect after it was given up.
   Scenario: A promote call without an answer is carried out after the primary is well again
     Given promote calls get no answer and are carried out late
--- a/features/steps/promotion_processes.py
+++ b/features/steps/promotion_processes.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from gentianspread_lab.platform.judgement import FindingKind, judge
 from gentianspread_lab.platform.ledger import Ledger
+from gentianspread_lab.platform.links import LinkState
 from gentianspread_lab.platform.operators import FIRST_KEYS
 from gentianspread_lab.platform.sessions import CallerSession, SessionEndedError
 
@@ -127,6 +128,21 @@
     context.cut_off = context.fleet.cut_off_primary()
 
 
+def _set_control_links(context, vm, state):
+    for link in context.fleet.control_links[vm].values():
+        link.state = state
+
+
+@when('"{vm}" is cut off from the control VMs')
+def step_cut_entry(context, vm):
+    _set_control_links(context, vm, LinkState.SILENT)
+
+
+@when('"{vm}" reaches the control VMs again')
+def step_restored_entry(context, vm):
+    _set_control_links(context, vm, LinkState.HEALTHY)
+
+
 @when("the cut ends")
 def step_restored(context):
     context.fleet.restore(context.cut_off)
