--- a/features/promotion_processes.feature
+++ b/features/promotion_processes.feature
@@ -16,7 +16,7 @@
   # Guards against commits that a replica has confirmed whose pause a new start has ended.
   Scenario: A paused replica starts again beside the cut-off primary
     When the primary is cut off from the control VMs
-    And a replica starts again without its log once the others are paused
+    And another replica than the promoted one starts again without its log after the promote call
     And an endpoint has been promoted
     And the cut ends
     Then no acknowledged commit is missing at a promoted endpoint
--- a/features/steps/promotion_processes.py
+++ b/features/steps/promotion_processes.py
@@ -164,12 +164,23 @@
     context.fleet.announcer.announce(name)
 
 
+def _restart(context, name):
+    context.fleet.announcer.endpoints[name].crash()
+    context.fleet.announcer.restart(name)
+
+
 @when("a replica starts again without its log once the others are paused")
 def step_restarts_after_pauses(context):
     _wait_for_pauses(context)
-    name = _staying_replicas(context)[0]
-    context.fleet.announcer.endpoints[name].crash()
-    context.fleet.announcer.restart(name)
+    _restart(context, _staying_replicas(context)[0])
+
+
+@when("another replica than the promoted one starts again without its log after the promote call")
+def step_restarts_after_call(context):
+    taking_effect = context.fleet.promotion_service.taking_effect
+    _wait_for(lambda: taking_effect, "a promote call is carried out")
+    others = [name for name in _staying_replicas(context) if name not in taking_effect]
+    _restart(context, others[0])
 
 
 @when("a replica leaves and its log is gone with it")
--- a/packages/gentianspread-lab/src/gentianspread_lab/platform/promotionservice.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/platform/promotionservice.py
@@ -40,8 +40,8 @@
 class PromotionService:
     """Carries out promote calls; an endpoint leads some hundred milliseconds after its call.
 
-    A call's fencing token is checked when it is carried out. `taking_effect` counts the calls whose
-    endpoint does not lead yet.
+    A call's fencing token is checked when it is carried out. `taking_effect` has the endpoints of
+    calls that were carried out, until they lead.
     """
 
     __slots__ = ("database", "late", "fencing_token", "taking_effect", "_randomness")
@@ -50,7 +50,7 @@
         self.database = database
         self.late = late
         self.fencing_token = 0
-        self.taking_effect = 0
+        self.taking_effect: list[str] = []
         self._randomness = random.Random(1)
 
     def call(self, endpoint: str, fencing_token: int) -> bool:
@@ -67,7 +67,7 @@
             return False
         if not self.database.is_primary(endpoint):
             delay_s = self._randomness.uniform(*EFFECT_DELAY_S)
-            self.taking_effect += 1
+            self.taking_effect.append(endpoint)
             gevent.spawn_later(delay_s, self._take_effect, endpoint)
         return True
 
@@ -76,6 +76,6 @@
         return not self.late.waiting and not self.taking_effect
 
     def _take_effect(self, endpoint: str) -> None:
-        self.taking_effect -= 1
+        self.taking_effect.remove(endpoint)
         if self.database.copies[endpoint].alive and not self.database.is_primary(endpoint):
             self.database.lead(endpoint)
