--- a/features/promotion_processes.feature
+++ b/features/promotion_processes.feature
@@ -16,8 +16,20 @@
   # Guards against commits that a replica has confirmed whose pause a new start has ended.
   Scenario: A paused replica starts again beside the cut-off primary
     When the primary is cut off from the control VMs
-    And a replica starts again without its log once the others are paused
+    And another replica than the promoted one starts again without its log after the promote call
+    And an endpoint has been promoted
+    And the cut ends
+    Then no acknowledged commit is missing at a promoted endpoint
+    And writes are served again at every entry VM
+
+  # Guards against a VM that knows of no promotion, since the control VMs cannot reach it.
+  @control_links
+  Scenario: A replica joins the cut-off primary while an entry VM is out of touch
+    When "entry-1" is cut off from the control VMs
+    And the primary is cut off from the control VMs
+    And a replica joins once the others are paused
     And an endpoint has been promoted
+    And "entry-1" reaches the control VMs again
     And the cut ends
     Then no acknowledged commit is missing at a promoted endpoint
     And writes are served again at every entry VM
--- a/features/steps/promotion_processes.py
+++ b/features/steps/promotion_processes.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 from gentianspread_lab.platform.judgement import FindingKind, judge
 from gentianspread_lab.platform.ledger import Ledger
+from gentianspread_lab.platform.links import LinkState
 from gentianspread_lab.platform.operators import FIRST_KEYS
 from gentianspread_lab.platform.sessions import CallerSession, SessionEndedError
 
@@ -127,6 +128,21 @@
     context.cut_off = context.fleet.cut_off_primary()
 
 
+def _set_control_links(context, vm, state):
+    for link in context.fleet.control_links[vm].values():
+        link.state = state
+
+
+@when('"{vm}" is cut off from the control VMs')
+def step_cut_entry(context, vm):
+    _set_control_links(context, vm, LinkState.SILENT)
+
+
+@when('"{vm}" reaches the control VMs again')
+def step_restored_entry(context, vm):
+    _set_control_links(context, vm, LinkState.HEALTHY)
+
+
 @when("the cut ends")
 def step_restored(context):
     context.fleet.restore(context.cut_off)
@@ -148,12 +164,23 @@
     context.fleet.announcer.announce(name)
 
 
+def _restart(context, name):
+    context.fleet.announcer.endpoints[name].crash()
+    context.fleet.announcer.restart(name)
+
+
 @when("a replica starts again without its log once the others are paused")
 def step_restarts_after_pauses(context):
     _wait_for_pauses(context)
-    name = _staying_replicas(context)[0]
-    context.fleet.announcer.endpoints[name].crash()
-    context.fleet.announcer.restart(name)
+    _restart(context, _staying_replicas(context)[0])
+
+
+@when("another replica than the promoted one starts again without its log after the promote call")
+def step_restarts_after_call(context):
+    taking_effect = context.fleet.promotion_service.taking_effect
+    _wait_for(lambda: taking_effect, "a promote call is carried out")
+    others = [name for name in _staying_replicas(context) if name not in taking_effect]
+    _restart(context, others[0])
 
 
 @when("a replica leaves and its log is gone with it")
