--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
@@ -35,6 +35,8 @@
 SESSIONS_PER_VM = 40  # opened before the faults, as opening one waits for the control leader
 MAX_LATE_S = 4.0
 RECOVERY_TIME_S = 15.0
+SETTLING_TIME_S = 0.2
+WRITE_INTERVAL_S = 0.05
 WRITE_TIMEOUT_S = 2.0
 TRANSACTION_PAUSE_S = 0.03
 
@@ -74,7 +76,8 @@
         self.transactions: list[Caller] = []
         self.statement_count = 0
         self.evacuated: str | None = None
-        self._run(0.2)
+        self.next_write_at = 0.0
+        self.simulation.run(SETTLING_TIME_S)
 
     @rule(vm=VMS, count=st.integers(1, 3), seconds=st.sampled_from([0.0, 0.02, 0.3]))
     def write(self, vm: str, count: int, seconds: float) -> None:
@@ -299,7 +302,7 @@
     def teardown(self) -> None:
         """End all faults, and check that the group recovers and takes writes."""
         self._end_faults()
-        self._run(RECOVERY_TIME_S)
+        self.simulation.run(RECOVERY_TIME_S)
         self.check_step()
         simulation = self.simulation
         assert simulation.has_primary(), "no endpoint leads after all faults ended"
@@ -312,7 +315,7 @@
         unrun = simulation.unrun_writes & set(log)
         assert not unrun, f"refused as not run but committed: {unrun}"
         calls = [self._write(vm) for vm in VM_NAMES]
-        self._run(WRITE_TIMEOUT_S)
+        self.simulation.run(WRITE_TIMEOUT_S)
         for call in calls:
             is_done = call.answer is not None and call.answer.refusal is None
             assert (
@@ -366,7 +369,14 @@
         return caller.call
 
     def _run(self, seconds: float) -> None:
-        self.simulation.run(seconds)
+        """Let time pass, while a caller at each VM in turn writes."""
+        end = self.simulation.clock.now() + seconds
+        while self.simulation.clock.now() < end:
+            if self.simulation.clock.now() >= self.next_write_at:
+                self.next_write_at = self.simulation.clock.now() + WRITE_INTERVAL_S
+                self._write(VM_NAMES[self.statement_count % len(VM_NAMES)])
+            remaining_s = end - self.simulation.clock.now()
+            self.simulation.run(min(remaining_s, WRITE_INTERVAL_S))
 
 
 def main(_arguments: list[str]) -> None:
