Adopt no other endpoint while the named primary has not led yet

A new control leader saw the old primary lead, named it without a call, and the answered call then took effect. Cause: an answered call of the leader before was not counted as one that may take effect, since the control log showed no promotion under way. Change: until the named primary was seen to lead, another one that leads is confirmed only by a call with a higher fencing token, after whose effect it must still lead.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -39,9 +39,12 @@
         self._sufficient.clear()
         self._effective_at.clear()
 
-    def begin(self, group: Group) -> None:
-        """Note the first attempt of a promotion, or another one after an attempt that failed."""
-        if group.granted_term == group.term:
+    def begin(self, group: Group, has_led: bool) -> None:
+        """Note the first attempt of a promotion, or another one after an attempt that failed.
+
+        The call for a named primary that has not led may still take effect.
+        """
+        if group.granted_term == group.term and has_led:
             self._begun.add(group.name)
             self._unanswered.pop(group.name, None)
             self._sufficient.pop(group.name, None)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -180,7 +180,7 @@
             self.commands.resume(replica, group.granted_term)
         if now < self._next_attempt_at.get(group.name, 0.0):
             return
-        adoption = self.naming.adoption(group) if group.granted_term == group.term else None
+        adoption = self.naming.adoption(group)
         reason = self.triggers.reason_for(group)
         if adoption is not None:
             self._delay_next_attempt(group.name, RETRY_DELAY_S)
@@ -219,7 +219,7 @@
         fencing_token = group.granted_term + 1
         promotion = Promotion(group.name, fencing_token, self.board.clock.now())
         promotion.follows_attempt = group.granted_term != group.term
-        self.calls.begin(group)
+        self.calls.begin(group, self.board.configuration.has_led(group))
         self.board.groups.promotions[group.name] = promotion
         self.log.started(promotion, group, reason)
         fields = {"group": group.name, "term": fencing_token}
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -31,11 +31,12 @@
     def adoption(self, group: Group) -> dict[str, Any] | None:
         """Name the endpoint that leads if the log has another one or none.
 
-        No call may take effect while the group has no promotion. Replicas that departed earlier may
-        still hold the only other copy of a commit.
+        No call may take effect while the group has no promotion and its named primary has led.
+        Replicas that departed earlier may still hold the only other copy of a commit.
         """
         leading = self.view.leading_endpoint(group)
-        if leading is None or leading.name == group.primary:
+        is_settled = group.granted_term == group.term and self.board.configuration.has_led(group)
+        if leading is None or leading.name == group.primary or not is_settled:
             return None
         fields = {"group": group.name, "term": group.term, "endpoint": leading.name}
         return {**fields, "covers_departed": False}
