Promote without replicas that have lost what a named primary lacks too

Cause: what a departed replica may have confirmed has to be covered by a position of the primary after its departure, and there was no primary. Change: a named primary that answers with less than it had when it was paused has lost its log, so it never led, and no commit was handed on since it was named; an endpoint that has what it had is enough.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -149,6 +149,8 @@
         `received` has what those that answered have received. The others are the replicas that did
         not, of which some are `terminated`, and the departed ones.
         """
+        if self._never_led(group, received) and self._covers_named_primary(group, received):
+            return True  # nothing was handed on since it was named
         positions = list(received.values())
         covered = group.primary if self._covers_named_primary(group, received) else None
         departed_at = self.last_departure_at(group, covered)
@@ -166,6 +168,14 @@
             for replica in self.replicas(group)
         )
 
+    def _never_led(self, group: Group, received: dict[str, Position]) -> bool:
+        """Return whether the named primary has lost its log, which it would have kept if it led."""
+        succession = self.board.configuration.successions.get(group.name)
+        position = received.get(group.primary or "")
+        if succession is None or succession.is_confirmed or position is None:
+            return False
+        return not position.reaches(Position(succession.kept_term, succession.kept_index))
+
     def _covers_named_primary(self, group: Group, received: dict[str, Position]) -> bool:
         """Return whether another endpoint has what a primary that has not led yet had received.
 
