Resume replicas once a confirmed primary was seen to lead, and split long modules

Change: the end of the confirming phase resumes the replicas; an empty log's position is one that is known.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -4,11 +4,11 @@
 
 from typing import Any
 
-from ..positions import Position
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration, DeclaredGroup
 from .log import FOUNDING_INCARNATION
 from .registrations import Registration, find_fault
+from .successions import Succession
 from .votingmembers import VotingMembers
 from .warmups import Warmup
 
@@ -84,35 +84,6 @@
         return self.size // 2 + 1
 
 
-class Succession:
-    """How a group whose terms the database assigns got its present primary.
-
-    `revision` is the index of the log entry that named it. A commit of term `kept_term` with an
-    index up to `kept_index` is in its log; both are 0 if that is not known of any commit. It is
-    named when its promote call is answered, and `is_confirmed` once it was seen to lead.
-    """
-
-    __slots__ = ("group", "revision", "kept_term", "kept_index", "is_confirmed")
-
-    def __init__(
-        self,
-        group: str,
-        revision: int,
-        kept_term: int,
-        kept_index: int,
-        is_confirmed: bool = True,
-    ) -> None:
-        self.group = group
-        self.revision = revision
-        self.kept_term = kept_term
-        self.kept_index = kept_index
-        self.is_confirmed = is_confirmed
-
-    def keeps(self, position: Position) -> bool:
-        """Return whether the log holds a commit at a position before the succession."""
-        return position.term == self.kept_term and position.index <= self.kept_index
-
-
 class Member:
     """A VM of the fleet; only those with a disk may vote in the control log."""
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -174,7 +174,8 @@
         position = received.get(group.primary or "")
         if succession is None or succession.is_confirmed or position is None:
             return False
-        return not position.reaches(Position(succession.kept_term, succession.kept_index))
+        kept = succession.kept()
+        return kept is not None and not position.reaches(kept)
 
     def _covers_named_primary(self, group: Group, received: dict[str, Position]) -> bool:
         """Return whether another endpoint has what a primary that has not led yet had received.
@@ -182,9 +183,9 @@
         If it led unseen, a replica that is still to be heard confirmed its commits.
         """
         succession = self.board.configuration.successions.get(group.name)
-        if succession is None or succession.is_confirmed or not succession.kept_index:
+        kept = succession.kept() if succession is not None else None
+        if kept is None or succession.is_confirmed:
             return False
-        kept = Position(succession.kept_term, succession.kept_index)
         return any(
             name != group.primary and position.reaches(kept) for name, position in received.items()
         )
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/announcing.py
@@ -0,0 +1,30 @@
+"""The wait until no VM can hand on a commit without knowing of a promotion."""
+
+from __future__ import annotations
+
+from ...blackboard import Board, Topic
+from ...blackboard.groups import Promotion, PromotionPhase
+from ...blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S
+from ..leases import knows_every_vm
+
+
+class Announcement:
+    """Begins the wait, and tells when it is over."""
+
+    __slots__ = ("board",)
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    def begin(self, promotion: Promotion) -> None:
+        """Begin the wait, which ends by itself when the leases on commits have expired."""
+        promotion.phase = PromotionPhase.ANNOUNCING
+        opening = self.board.leases.openings.get(promotion.group)
+        if opening is not None:
+            due = opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
+            self.board.changes.post_at(due, Topic.FAILOVER_CHECK_DUE)
+
+    def is_known(self, promotion: Promotion) -> bool:
+        """Return whether pauses may be sent, also after the delay of an earlier round."""
+        is_due = self.board.clock.now() >= promotion.due
+        return is_due and knows_every_vm(self.board, promotion.group)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -21,14 +21,12 @@
 from ...blackboard import Board, Topic
 from ...blackboard.commands import ChangeOutcome, Command, CommandKind
 from ...blackboard.configuration import Group
-from ...blackboard.election import Role
 from ...blackboard.groups import Promotion, PromotionPhase
-from ...blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S
 from ...blackboard.messages import Proposal
 from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
 from ..groupview import GroupView
-from ..leases import knows_every_vm
 from ..successors import Successors
+from .announcing import Announcement
 from .calls import PROMOTION_EFFECT_S, PromoteCalls
 from .commands import PromotionCommands
 from .handover import Handover
@@ -58,6 +56,7 @@
         "commands",
         "calls",
         "paused",
+        "announcement",
         "handover",
         "naming",
         "suspects",
@@ -73,6 +72,7 @@
         self.commands = PromotionCommands(board, self.view)
         self.calls = PromoteCalls(board.clock)
         self.paused = PausedReplicas(board, self.view, self.successors, self.calls)
+        self.announcement = Announcement(board)
         self.handover = Handover(board, self.view, self.commands)
         self.naming = PrimaryNaming(board, self.view)
         self.suspects = PausedSuspects(board, self.view)
@@ -102,7 +102,7 @@
 
     def on_failover_due(self, _entry: None) -> None:
         """Start, continue or abort the promotion of every group."""
-        if not self._is_leader():
+        if not self.board.leads_with_quorum():
             return
         for group in list(self.board.configuration.groups.values()):
             self._check_group(group)
@@ -111,7 +111,7 @@
     def on_health_updated(self, group_name: str) -> None:
         """Check a group after one of its endpoints was probed."""
         group = self.board.configuration.groups.get(group_name)
-        if group is not None and self._is_leader():
+        if group is not None:
             self._check_group(group)
 
     def on_configuration(self, _revision: int) -> None:
@@ -156,13 +156,15 @@
         if command.kind is EndpointCommandKind.PAUSE_REPLICATION:
             self.log.paused(promotion, command)
         failure = self.paused.record(promotion, command)
+        group = self.board.configuration.groups[promotion.group]
         if failure:
             self._abort(promotion, failure)
-        else:
-            self._try_promote(promotion)
-
-    def _is_leader(self) -> bool:
-        return self.board.election.role is Role.LEADER
+        elif promotion.phase is PromotionPhase.PAUSING:
+            self._continue_pausing(promotion, group)
+        elif promotion.phase is PromotionPhase.CATCHING_UP:
+            successor = self.handover.caught_up(promotion, group)
+            if successor is not None:
+                self._send_promote(promotion, successor)
 
     def _check_group(self, group: Group) -> None:
         """Start, continue or abort a group's promotion according to the endpoints' health."""
@@ -247,18 +249,12 @@
                 self._confirm_primary(promotion, group, leading.name)
                 return
             promotion.is_planned = True
-        promotion.phase = PromotionPhase.ANNOUNCING
-        opening = self.board.leases.openings.get(group.name)
-        if opening is not None:
-            due = opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
-            self.board.changes.post_at(due, Topic.FAILOVER_CHECK_DUE)
+        self.announcement.begin(promotion)
         self._proceed_if_known(promotion)
 
     def _proceed_if_known(self, promotion: Promotion) -> None:
         """Send the first commands once no VM hands on commits without knowing of the promotion."""
-        if self.board.clock.now() < promotion.due or not knows_every_vm(
-            self.board, promotion.group
-        ):
+        if not self.announcement.is_known(promotion):
             return
         group = self.board.configuration.groups[promotion.group]
         promotion.began_at = self.board.clock.now()
@@ -269,7 +265,7 @@
             return
         promotion.is_planned = False
         promotion.phase = PromotionPhase.PAUSING
-        self._try_promote(promotion)
+        self._continue_pausing(promotion, group)
 
     def _confirm_primary(self, promotion: Promotion, group: Group, leading: str) -> None:
         """End the promotion with the endpoint that leads; no call may take effect after that."""
@@ -299,15 +295,6 @@
         promotion.received_positions[command.endpoint] = command.position
         self.handover.request_positions(promotion)
 
-    def _try_promote(self, promotion: Promotion) -> None:
-        group = self.board.configuration.groups[promotion.group]
-        if promotion.phase is PromotionPhase.PAUSING:
-            self._continue_pausing(promotion, group)
-        elif promotion.phase is PromotionPhase.CATCHING_UP:
-            successor = self.handover.caught_up(promotion, group)
-            if successor is not None:
-                self._send_promote(promotion, successor)
-
     def _continue_pausing(self, promotion: Promotion, group: Group) -> None:
         for endpoint in self.paused.unasked(promotion, group):
             promotion.asked_endpoints.add(endpoint.name)
@@ -356,7 +343,7 @@
             self.successors.note_handover(group.name, is_done=target != group.primary)
         self._delay_next_attempt(group.name, PROMOTION_COOLDOWN_S)
         self.board.changes.post(Topic.PROMOTION_ENDED, group.name)
-        if promotion.confirms_primary:
+        if promotion.confirms_primary or promotion.phase is PromotionPhase.CONFIRMING:
             self.commands.resume_replicas(promotion, target)
         fields = self.naming.result(promotion, group)
         self.calls.end(group.name)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -7,7 +7,6 @@
 from ...blackboard import Board
 from ...blackboard.configuration import Group
 from ...blackboard.groups import Promotion
-from ...positions import Position
 from ..groupview import GroupView
 
 
@@ -54,9 +53,10 @@
         if not is_seen or self._confirmed.get(group.name) == succession.revision:
             return None
         self._confirmed[group.name] = succession.revision
-        kept = Position(succession.kept_term, succession.kept_index)
+        kept = succession.kept()
         fields = {"group": group.name, "term": group.term, "endpoint": group.primary}
-        if health.position is not None and health.position.reaches(kept):
+        has_position = kept is not None and health.position is not None
+        if has_position and health.position.reaches(kept):
             fields["kept"] = kept.to_pair()
         return fields
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -179,17 +179,14 @@
         return entry
 
     def _conflicts_with_voter_change(self, command: Command) -> bool:
-        """Return whether a change of voters must wait; a leader commits an entry of its term first.
-
-        Source: Ongaro, "Bug in single-server membership changes", raft-dev, 2015.
-        """
+        # A leader first commits an entry of its term (Ongaro, raft-dev, 2015).
         if command.kind is not CommandKind.CHANGE_VOTERS:
             return False
         log = self.board.log
-        if log.commit_index < self._first_index_of_term:
-            return True
         pending = log.entries_from(log.commit_index + 1, len(log.entries))
-        return any(entry.command.kind is CommandKind.CHANGE_VOTERS for entry in pending)
+        return log.commit_index < self._first_index_of_term or any(
+            entry.command.kind is CommandKind.CHANGE_VOTERS for entry in pending
+        )
 
     def _load_voters(self) -> None:
         """Load the voters from the newest entry that changes them, committed or not."""
--- a/packages/gentianspread-core/src/gentianspread_core/group_commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from .blackboard.commands import Command
-from .blackboard.configuration import Configuration, Group, Succession
+from .blackboard.configuration import Configuration, Group
 from .blackboard.registrations import Registration
+from .blackboard.successions import Succession
 from .blackboard.votingmembers import VotingMembers
 from .errors import ChangeRejected, ErrorCode
 from .positions import LOG_START, Position
--- a/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
@@ -6,12 +6,13 @@
 
 from gentianspread_core import group_commands
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.configuration import Configuration, Group, Succession
+from gentianspread_core.blackboard.configuration import Configuration, Group
 from gentianspread_core.blackboard.groups import Promotion
 from gentianspread_core.blackboard.leases import CommitLeases
 from gentianspread_core.blackboard.outbox import EndpointCommand
 from gentianspread_core.blackboard.requests import StatementKind
 from gentianspread_core.blackboard.sessions import SessionRequest
+from gentianspread_core.blackboard.successions import Succession
 from gentianspread_core.controllers import leases
 from gentianspread_core.controllers.commits import CommitGuard, CommitState
 from gentianspread_core.controllers.promotion import controller
