Show handovers beside VMs out of touch, and commits lost between two calls

Change: callers with a longer deadline than the confirmation of a promotion, a check that every replica receives again, and handovers that wait for a VM's lease.

--- a/features/promotion_answers.feature
+++ b/features/promotion_answers.feature
@@ -94,6 +94,29 @@
       | 1.5     |
       | 3       |
 
+  # Guards against a handover or an evacuation that begins while a VM hands on commits unaware of it.
+  Scenario Outline: A VM is out of touch while <planned>
+    When callers at every VM <work> during the next 8 s
+    And 0.5 s pass
+    And "h1" is cut off from the control VMs
+    And 0.3 s pass
+    And <planned>
+    And the primary has stepped down
+    Then "h1" has been out of touch for its lease
+    When "b4" joins without having announced itself
+    And 2 s pass
+    And all VMs are in touch
+    And 10 s pass
+    Then another endpoint than "b1" is the primary
+    And the endpoint that leads has every acknowledged write
+    And a new write at "h2" succeeds
+
+    Examples:
+      | planned                       | work             |
+      | "b1" announces that it leaves | write            |
+      | "b1" announces that it leaves | run transactions |
+      | the zone "z1" is evacuated    | write            |
+
   # Guards against a success that is handed on by what the home VM knows, not by what the caller's does.
   Scenario Outline: A commit is relayed, and only <vms> without news of the configuration
     When callers at every VM <work> during the next 8 s
@@ -167,6 +190,25 @@
     And 0.3 s pass
     Then the outcome of the last write is unknown
 
+  # Guards against a success for commits that the promoted endpoint had when it was paused, and lost
+  # to the endpoint of an earlier call before it led.
+  Scenario Outline: An earlier call is carried out <seconds> s late, and callers wait for 6 s
+    Given a write's deadline is 6 s
+    When callers at every VM write during the next 8 s
+    And the next promote call gets no answer and is carried out after <seconds> s
+    And the control leader no longer reaches the primary
+    And a promote call has been sent
+    And "b2" receives nothing from the primary
+    And "b3" starts again without having announced itself
+    And 20 s pass
+    Then "b3" is the primary in the control log, and leads
+    And the endpoint that leads has every acknowledged write
+
+    Examples:
+      | seconds |
+      | 1.7     |
+      | 1.8     |
+
   # Guards against a success, or no answer, while it is not known whether a call took effect.
   Scenario: A commit that is withheld until its deadline has an unknown outcome
     Given a caller at "h2"
@@ -197,6 +239,7 @@
     Then the last write succeeded
     And "b1" is the primary in the control log, and leads
     And the endpoint that leads has every acknowledged write
+    And every replica receives
 
   # Guards against a withheld commit that keeps a session or a request after its caller has left.
   Scenario: The caller of a withheld commit leaves
--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import then, when
+from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.leases import COMMIT_LEASE_S
@@ -16,6 +16,12 @@
 POLL_S = 0.002
 
 
+@given("a write's deadline is {seconds:g} s")
+def step_deadline(context, seconds):
+    context.promotion_simulation.declare(2, timeout_s=seconds)
+    context.promotion_simulation.run(0.5)
+
+
 @when("the control VMs are down for {seconds:g} s and start again")
 def step_control_restart(context, seconds):
     simulation = context.promotion_simulation
@@ -178,3 +184,13 @@
     earlier = {token for _, token in context.earlier_calls}
     later = {token for _, token in simulation.called[len(context.earlier_calls) :]}
     assert not earlier & later, (context.earlier_calls, simulation.called)
+
+
+@then("every replica receives")
+def step_all_receive(context):
+    paused = [
+        item.name
+        for item in context.promotion_simulation.endpoints.values()
+        if item.replication_paused
+    ]
+    assert not paused, paused
