Show a commit that is relayed to a VM whose lease has expired

Cause: the VM of the caller decides on a commit, not the home VM that relays it; no scenario showed it. Change: one scenario.

--- a/features/promotion_answers.feature
+++ b/features/promotion_answers.feature
@@ -143,6 +143,16 @@
       | "h2" is         | run transactions |
       | "h3" is         | run transactions |
 
+  # Guards against a home VM that withholds what the VM of the caller may hand on.
+  Scenario: A commit is relayed to a VM whose lease has expired
+    Given a caller at "h2"
+    When "h1" is without news of the configuration
+    And 2 s pass
+    And the caller at "h2" writes
+    And 0.1 s pass
+    Then statements were relayed
+    And the last write succeeded
+
   # Guards against a commit at the old primary that the promoted endpoint lacks.
   Scenario Outline: A transaction is begun before a promotion and committed <when>
     Given a caller at "h1"
