--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
@@ -18,12 +18,12 @@
 from absl import app, flags
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.outbox import EndpointCommandKind
-from gentianspread_core.blackboard.sessions import Session, StatementCall
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from .fakes.promotion_faults import CommandFate, PromotionFaults
 from .fakes.session_simulation import GROUP
+from .promotioncallers import Caller, Callers
 from .soak import soak
 
 VM_NAMES = ("h1", "h2", "h3")
@@ -36,45 +36,26 @@
 MAX_LATE_S = 4.0
 RECOVERY_TIME_S = 15.0
 SETTLING_TIME_S = 0.2
+CALM_S = 2.0
 WRITE_INTERVAL_S = 0.05
 WRITE_TIMEOUT_S = 2.0
 TRANSACTION_PAUSE_S = 0.03
 
 VMS = st.sampled_from(VM_NAMES)
+FAILOVER_REASONS = ("cut_primary_from_control", "crash_primary", "leave_as_primary")
+AFTER_CALL = ("join", "restart_replica", "replace_control_leader", "join_endpoints_to_control")
 ENDPOINT_INDEXES = st.integers(0, MAX_ENDPOINTS - 1)
 ANNOUNCEMENT_DELAYS = st.sampled_from([0.0, 0.5, 3.0, None])
 
 
-class Caller:
-    """A caller's session at a VM; `writes` has the statements of its open transaction."""
-
-    __slots__ = ("vm", "session", "call", "writes")
-
-    def __init__(self, vm: str, session: Session) -> None:
-        self.vm = vm
-        self.session = session
-        self.call: StatementCall | None = None
-        self.writes: list[str] = []
-
-    def is_idle(self) -> bool:
-        """Return whether it has neither a transaction nor a statement without an answer."""
-        is_answered = self.call is None or self.call.answer is not None
-        return is_answered and self.session.transaction is None
-
-
 class PromotionMachine(RuleBasedStateMachine):
     """Runs commits and faults in any order, then ends all faults and checks the recovery."""
 
     def __init__(self) -> None:
         super().__init__()
         self.simulation = PromotionFaults()
-        self.callers = [
-            Caller(vm, self.simulation.open_session_at(vm, "latest"))
-            for vm in VM_NAMES
-            for _ in range(SESSIONS_PER_VM)
-        ]
+        self.callers = Callers(self.simulation, VM_NAMES, SESSIONS_PER_VM)
         self.transactions: list[Caller] = []
-        self.statement_count = 0
         self.evacuated: str | None = None
         self.next_write_at = 0.0
         self.simulation.run(SETTLING_TIME_S)
@@ -83,21 +64,21 @@
     def write(self, vm: str, count: int, seconds: float) -> None:
         """Send single writes of several callers."""
         for _ in range(count):
-            self._write(vm)
+            self.callers.write(vm)
         self._run(seconds)
 
     @rule(vm=VMS)
     def begin(self, vm: str) -> None:
         """Write twice in a transaction that stays open."""
-        caller = self._idle_caller(vm)
+        caller = self.callers.idle_at(vm)
         if caller is None:
             return
-        self._send(caller, "BEGIN")
+        self.callers.send(caller, "BEGIN")
         self._run(TRANSACTION_PAUSE_S)
         caller.writes = []
         for _ in range(2):
             if not caller.is_idle() and caller.call.answer is not None:
-                caller.writes.append(self._send(caller, "WRITE x 1").statement.statement_id)
+                caller.writes.append(self.callers.send(caller, "WRITE x 1").statement.statement_id)
                 self._run(TRANSACTION_PAUSE_S)
         self.transactions.append(caller)
 
@@ -107,7 +88,7 @@
         if self.transactions:
             caller = self.transactions.pop(0)
             if not caller.is_idle() and caller.call.answer is not None:
-                self._send(caller, "COMMIT", caller.writes)
+                self.callers.send(caller, "COMMIT", caller.writes)
                 self._run(seconds)
 
     @rule(seconds=st.sampled_from([0.01, 0.1, 0.5, 1.6]))
@@ -124,6 +105,35 @@
                 return
             self._run(0.05)
 
+    @rule(
+        reason=st.sampled_from(FAILOVER_REASONS), fault=st.sampled_from(AFTER_CALL), data=st.data()
+    )
+    def fail_over(self, reason: str, fault: str, data: st.DataObject) -> None:
+        """Cause a promotion from a calm state, and let a fault follow its call."""
+        self.end_faults()
+        self.simulation.receive(
+            self._endpoint(data.draw(ENDPOINT_INDEXES)), data.draw(st.booleans())
+        )
+        self._run(data.draw(st.sampled_from([0.2, 1.0])))
+        getattr(self, reason)()
+        self.wait_for_call()
+        if fault == "join":
+            self.join(data.draw(st.sampled_from(ZONES)), data.draw(ANNOUNCEMENT_DELAYS))
+        elif fault == "restart_replica":
+            self.restart_replica(data.draw(ENDPOINT_INDEXES), data.draw(ANNOUNCEMENT_DELAYS))
+        elif fault == "replace_control_leader":
+            self.replace_control_leader(data.draw(st.sampled_from([0.0, 0.1, 1.0])))
+        else:
+            getattr(self, fault)()
+        self._run(data.draw(st.sampled_from([0.2, 0.5, 2.0])))
+
+    @rule()
+    def end_faults(self) -> None:
+        """End the faults, and let two seconds pass."""
+        self._heal()
+        self._start_endpoints()
+        self._run(CALM_S)
+
     @rule(zone=st.sampled_from(ZONES), announced_after_s=ANNOUNCEMENT_DELAYS)
     def join(self, zone: str, announced_after_s: float | None) -> None:
         """Add a replica."""
@@ -294,7 +304,7 @@
         missing = simulation.acknowledged.keys() - set(log)
         assert not missing, f"acknowledged but missing: {missing}"
         oldest = simulation.clock.now() - STATEMENT_TIMEOUT_S - ANSWER_MARGIN_S
-        for caller in self.callers:
+        for caller in self.callers.members:
             call = caller.call
             if call is not None and call.answer is None and call.arrived_at < oldest:
                 raise AssertionError(f"not answered in time: {call.statement.text}")
@@ -314,7 +324,7 @@
         assert len(set(log)) == len(log), "a write was committed twice"
         unrun = simulation.unrun_writes & set(log)
         assert not unrun, f"refused as not run but committed: {unrun}"
-        calls = [self._write(vm) for vm in VM_NAMES]
+        calls = [self.callers.write(vm) for vm in VM_NAMES]
         self.simulation.run(WRITE_TIMEOUT_S)
         for call in calls:
             is_done = call.answer is not None and call.answer.refusal is None
@@ -324,6 +334,13 @@
         self.check_step()
 
     def _end_faults(self) -> None:
+        self._heal()
+        self._run(MAX_LATE_S + 1.0)
+        self._start_endpoints()
+        if self.evacuated is not None:
+            self._change_zone(CommandKind.FINISH_EVACUATION, self.evacuated)
+
+    def _heal(self) -> None:
         simulation = self.simulation
         if simulation.is_control_down:
             simulation.start_control()
@@ -332,16 +349,15 @@
         simulation.unpolled_vms.clear()
         simulation.poll_delays_s.clear()
         simulation.fates.clear()
-        self._run(MAX_LATE_S + 1.0)
-        for name, endpoint in simulation.endpoints.items():
+
+    def _start_endpoints(self) -> None:
+        for name, endpoint in self.simulation.endpoints.items():
             endpoint.replies_to_lose = 0
-            if simulation.may_start(name):
-                simulation.start(name, 0.0)
-            elif name not in simulation.ending:
-                simulation.announce_if_unknown(name)
-            simulation.receive(name, True)
-        if self.evacuated is not None:
-            self._change_zone(CommandKind.FINISH_EVACUATION, self.evacuated)
+            if self.simulation.may_start(name):
+                self.simulation.start(name, 0.0)
+            elif name not in self.simulation.ending:
+                self.simulation.announce_if_unknown(name)
+            self.simulation.receive(name, True)
 
     def _change_zone(self, kind: CommandKind, zone: str) -> None:
         revision = self.simulation.board.configuration.evacuation_revision(zone)
@@ -351,30 +367,13 @@
         names = list(self.simulation.endpoints)
         return names[index % len(names)]
 
-    def _idle_caller(self, vm: str) -> Caller | None:
-        return next((item for item in self.callers if item.vm == vm and item.is_idle()), None)
-
-    def _write(self, vm: str) -> StatementCall | None:
-        caller = self._idle_caller(vm)
-        if caller is None:
-            return None
-        return self._send(caller, "WRITE x 1", [f"s{self.statement_count + 1}"])
-
-    def _send(self, caller: Caller, text: str, commits: list[str] | None = None) -> StatementCall:
-        self.statement_count += 1
-        statement_id = f"s{self.statement_count}"
-        if commits is not None:
-            self.simulation.commits[statement_id] = commits
-        caller.call = self.simulation.send_text(caller.vm, caller.session, statement_id, text)
-        return caller.call
-
     def _run(self, seconds: float) -> None:
         """Let time pass, while a caller at each VM in turn writes."""
         end = self.simulation.clock.now() + seconds
         while self.simulation.clock.now() < end:
             if self.simulation.clock.now() >= self.next_write_at:
                 self.next_write_at = self.simulation.clock.now() + WRITE_INTERVAL_S
-                self._write(VM_NAMES[self.statement_count % len(VM_NAMES)])
+                self.callers.write(VM_NAMES[self.callers.statement_count % len(VM_NAMES)])
             remaining_s = end - self.simulation.clock.now()
             self.simulation.run(min(remaining_s, WRITE_INTERVAL_S))
 
