Wait for the effect of earlier calls only if they are for another endpoint

Cause: after a call without an answer, the next call for the same endpoint waited a second for the effect of the first, which can only make that endpoint the primary. A second attempt also called before all replicas had answered, and so for one that had less. Change: calls are kept with their endpoints; an earlier target's position counts once no pause is pending.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -82,8 +82,8 @@
     `follows_attempt` is set if an earlier attempt had not ended the promotion. `is_planned` marks a
     switchover from a working primary, which stepped down at `step_down_position`.
     `confirms_primary` marks an attempt that ends the promotion with the endpoint that leads.
-    `is_only_call` is set unless an earlier call of the promotion may still take effect. `failure`
-    is why the attempt last failed.
+    `is_only_call` is set unless an earlier call for another endpoint may still take effect.
+    `failure` is why the attempt last failed.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ...blackboard.configuration import Group
 from ...blackboard.outbox import EndpointCommand
 from ...interfaces import Clock
@@ -14,30 +16,37 @@
 PROMOTION_EFFECT_S = 1.0  # an endpoint leads some hundred milliseconds after its call
 
 
+class OpenCall:
+    """A call to promote `target`; `effective_at` is infinite until it was answered, in seconds."""
+
+    __slots__ = ("target", "effective_at")
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.effective_at = math.inf
+
+
 class PromoteCalls:
     """The promote calls of the promotions that are under way, on the control leader.
 
-    `_effective_at` is by group when the last call that was answered has taken effect, in seconds.
     `_begun` are the groups whose promotion began under this leader, so that it knows of every call;
-    `_unanswered` has the fencing tokens of calls by group, `_sufficient` the position of the first
-    target: it had every commit that was handed on, and none is before the promotion has ended.
+    `_open` has their calls by fencing token, `_sufficient` the position of the first target: it had
+    every commit that was handed on, and none is before the promotion has ended.
     """
 
-    __slots__ = ("clock", "_begun", "_unanswered", "_sufficient", "_effective_at")
+    __slots__ = ("clock", "_begun", "_open", "_sufficient")
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
-        self._effective_at: dict[str, float] = {}
         self._begun: set[str] = set()
-        self._unanswered: dict[str, set[int]] = {}
+        self._open: dict[str, dict[int, OpenCall]] = {}
         self._sufficient: dict[str, Position] = {}
 
     def reset(self) -> None:
         """Forget all calls: another leader may make some."""
         self._begun.clear()
-        self._unanswered.clear()
+        self._open.clear()
         self._sufficient.clear()
-        self._effective_at.clear()
 
     def begin(self, group: Group, has_led: bool) -> None:
         """Note the first attempt of a promotion, or another one after an attempt that failed.
@@ -45,13 +54,12 @@
         The call for a named primary that has not led may still take effect.
         """
         if group.granted_term == group.term and has_led:
+            self.end(group.name)
             self._begun.add(group.name)
-            self._unanswered.pop(group.name, None)
-            self._sufficient.pop(group.name, None)
 
-    def add(self, group: str, fencing_token: int, position: Position | None) -> None:
+    def add(self, group: str, fencing_token: int, target: str, position: Position | None) -> None:
         """Note a call that is being sent, and the target's position if it was paused for it."""
-        self._unanswered.setdefault(group, set()).add(fencing_token)
+        self._open.setdefault(group, {})[fencing_token] = OpenCall(target)
         if position is not None:
             self._sufficient.setdefault(group, position)
 
@@ -61,22 +69,25 @@
 
     def note_result(self, command: EndpointCommand) -> None:
         """Note that a call was answered, and so takes effect soon, or was refused."""
-        if command.accepted:
-            self._effective_at[command.group] = self.clock.now() + PROMOTION_EFFECT_S
-        if command.accepted or command.is_refused:
-            self._unanswered.get(command.group, set()).discard(command.fencing_token)
+        calls = self._open.get(command.group, {})
+        if command.is_refused:
+            calls.pop(command.fencing_token, None)
+        elif command.accepted and command.fencing_token in calls:
+            calls[command.fencing_token].effective_at = self.clock.now() + PROMOTION_EFFECT_S
 
-    def may_take_effect(self, group: str) -> bool:
-        """Return whether a call without an answer, or one of an earlier leader, may exist.
+    def may_take_effect(self, group: str, except_for: str = "") -> bool:
+        """Return whether a call may still make another endpoint than one the primary.
 
-        One that was answered after its attempt had been given up counts as well.
+        It may be a call without an answer, an answered one or one of an earlier leader.
         """
-        is_effective = self.clock.now() >= self._effective_at.get(group, float("-inf"))
-        return group not in self._begun or bool(self._unanswered.get(group)) or not is_effective
+        now = self.clock.now()
+        return group not in self._begun or any(
+            call.effective_at > now and call.target != except_for
+            for call in self._open.get(group, {}).values()
+        )
 
     def end(self, group: str) -> None:
         """Note that the promotion has ended and nothing can come of its calls."""
         self._begun.discard(group)
-        self._unanswered.pop(group, None)
+        self._open.pop(group, None)
         self._sufficient.pop(group, None)
-        self._effective_at.pop(group, None)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -79,15 +79,13 @@
             for replica in self.view.replicas(group)
             if replica.name not in promotion.received_positions
         ]
-        if promotion.received_positions and (
-            self._reaches_earlier_target(promotion)
-            or self.view.has_all_commits(
-                group, promotion.received_positions, promotion.terminated_endpoints
-            )
-        ):
-            return PauseDecision(PauseStep.PROMOTE, self.successors.most_advanced(promotion))
-        if promotion.pending_endpoints:
+        has_all = promotion.received_positions and self.view.has_all_commits(
+            group, promotion.received_positions, promotion.terminated_endpoints
+        )
+        if promotion.pending_endpoints and not has_all:
             return PauseDecision(PauseStep.WAIT)
+        if has_all or self._reaches_earlier_target(promotion):
+            return PauseDecision(PauseStep.PROMOTE, self.successors.most_advanced(promotion))
         reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
         return PauseDecision(PauseStep.FAIL, reason=reason)
 
