--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/changes.py
@@ -46,6 +46,7 @@
     CONFIGURATION_RECEIVED = auto()
     CONFIGURATION_CONFIRMED = auto()
     LEASE_PASSED_ON = auto()
+    VMS_INFORMED = auto()
     COMMIT_EXPIRED = auto()
     EVACUATIONS_CHANGED = auto()
     EVACUATION_PHASE_DUE = auto()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
@@ -32,29 +32,33 @@
     """The first grant of a term since a group last got its primary.
 
     `revision` is its index in the control log, `opened_at` when this VM applied it, in seconds of
-    its clock: never before the entry was committed.
+    its clock: never before the entry was committed. `after_term` is the group's term before the
+    promotion; a snapshot may skip the end of one and the beginning of the next.
     """
 
-    __slots__ = ("revision", "opened_at")
+    __slots__ = ("revision", "opened_at", "after_term")
 
-    def __init__(self, revision: int, opened_at: float) -> None:
+    def __init__(self, revision: int, opened_at: float, after_term: int) -> None:
         self.revision = revision
         self.opened_at = opened_at
+        self.after_term = after_term
 
 
 class CommitLeases:
     """Leases by VM, and openings by group while a promotion is under way.
 
     `complete_at` is when every lease that this VM does not know of, as it passed it on before its
-    last start or another leader did, has expired, in seconds of its clock.
+    last start or another leader did, has expired, in seconds of its clock. `informed_revision` is
+    what every VM was known to have applied when the last lease was passed on.
     """
 
-    __slots__ = ("by_vm", "openings", "complete_at")
+    __slots__ = ("by_vm", "openings", "complete_at", "informed_revision")
 
     def __init__(self, complete_at: float) -> None:
         self.by_vm: dict[str, CommitLease] = {}
         self.openings: dict[str, Opening] = {}
         self.complete_at = complete_at
+        self.informed_revision = 0
 
     def oldest_applied(self, now: float) -> int | None:
         """Return the lowest revision that a VM with a lease has applied; none without leases."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -18,17 +18,27 @@
 
 
 class GroupView:
-    """Queries on the board for groups whose terms the database assigns, not the control log."""
+    """Queries on the board for groups whose terms the database assigns, not the control log.
 
-    __slots__ = ("board",)
+    `_by_group` are the registered endpoints of each group at the revision `_revision`.
+    """
+
+    __slots__ = ("board", "_by_group", "_revision")
 
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._by_group: dict[str, list[Registration]] = {}
+        self._revision = -1
 
     def endpoints_of(self, group_name: str) -> list[Registration]:
         """Return the registered endpoints of a group."""
-        endpoints = self.board.configuration.endpoints.values()
-        return [endpoint for endpoint in endpoints if endpoint.group == group_name]
+        configuration = self.board.configuration
+        if configuration.revision != self._revision:
+            self._revision = configuration.revision
+            self._by_group = {}
+            for endpoint in configuration.endpoints.values():
+                self._by_group.setdefault(endpoint.group, []).append(endpoint)
+        return self._by_group.get(group_name, [])
 
     def replicas(self, group: Group) -> list[Registration]:
         """Return the registered endpoints but the primary.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
@@ -29,10 +29,15 @@
 
     def on_passed_on(self, lease: CommitLease) -> None:
         """Store the newest lease of a VM; an earlier one that ends later still counts."""
-        known = self.board.leases.by_vm.get(lease.vm)
+        leases = self.board.leases
+        known = leases.by_vm.get(lease.vm)
         if known is not None:
             lease.expires_at = max(lease.expires_at, known.expires_at)
-        self.board.leases.by_vm[lease.vm] = lease
+        leases.by_vm[lease.vm] = lease
+        informed = applied_revision(self.board)
+        if informed != leases.informed_revision:
+            leases.informed_revision = informed
+            self.board.changes.post(Topic.VMS_INFORMED, informed)
 
     def on_applied(self, applied: AppliedCommand) -> None:
         """Note when a promotion of a group begins and ends."""
@@ -41,11 +46,12 @@
         if not is_about_term or not applied.outcome.accepted:
             return
         group = self.board.configuration.groups[command.fields["group"]]
+        openings = self.board.leases.openings
         if group.granted_term == group.term:
-            self.board.leases.openings.pop(group.name, None)
-        else:
-            opening = Opening(applied.entry.index, self.board.clock.now())
-            self.board.leases.openings.setdefault(group.name, opening)
+            openings.pop(group.name, None)
+        elif group.name not in openings or openings[group.name].after_term != group.term:
+            opening = Opening(applied.entry.index, self.board.clock.now(), group.term)
+            openings[group.name] = opening
 
     def on_leadership(self, _entry: None) -> None:
         """Find the promotions that a snapshot holds; leases of earlier leaders are not known."""
@@ -54,9 +60,14 @@
         now, configuration = self.board.clock.now(), self.board.configuration
         leases = self.board.leases
         leases.complete_at = max(leases.complete_at, now + COMMIT_LEASE_S + LEASE_MARGIN_S)
+        leases.informed_revision = 0
         for group in configuration.groups.values():
-            if group.granted_term != group.term:
-                leases.openings.setdefault(group.name, Opening(configuration.revision, now))
+            opening = leases.openings.get(group.name)
+            if group.granted_term == group.term:
+                leases.openings.pop(group.name, None)
+            elif opening is None or opening.after_term != group.term:
+                opening = Opening(configuration.revision, now, group.term)
+                leases.openings[group.name] = opening
 
 
 def applied_revision(board: Board) -> int:
@@ -75,11 +86,13 @@
     Each VM has said that it applied the grant, or its last lease without it has expired. To be
     called on the control leader.
     """
-    opening = board.leases.openings.get(group)
+    leases = board.leases
+    opening = leases.openings.get(group)
     if opening is None:
         return False
     is_expired = board.clock.now() >= opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
-    return is_expired or applied_revision(board) >= opening.revision
+    informed = leases.informed_revision if leases.by_vm else applied_revision(board)
+    return is_expired or informed >= opening.revision
 
 
 def has_recent_opening(board: Board) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -87,7 +87,7 @@
             Topic.HEALTH_UPDATED: self.on_health_updated,
             Topic.ENDPOINT_COMMAND_ENDED: self.on_command_ended,
             Topic.CONFIGURATION_CHANGED: self.on_configuration,
-            Topic.LEASE_PASSED_ON: self.on_lease,
+            Topic.VMS_INFORMED: self.on_informed,
         }
 
     def on_leadership(self, _entry: None) -> None:
@@ -122,7 +122,7 @@
             if promotion.phase is PromotionPhase.GRANTING and promotion.is_granted and is_current:
                 self._begin(promotion, group)
 
-    def on_lease(self, _entry: Any) -> None:
+    def on_informed(self, _revision: int) -> None:
         """Proceed with the promotions that waited for the VMs to know of them."""
         for promotion in list(self.board.groups.promotions.values()):
             if promotion.phase is PromotionPhase.ANNOUNCING:
@@ -211,7 +211,8 @@
 
         It stepped down under this fencing token, so no other endpoint was promoted since.
         """
-        if promotion.phase is not PromotionPhase.CATCHING_UP:
+        is_intact = self.handover.has_kept_log(promotion, group)
+        if promotion.phase is not PromotionPhase.CATCHING_UP or not is_intact:
             self._abort(promotion, "the attempt timed out")
             return
         promotion.began_at = self.board.clock.now()
@@ -315,9 +316,9 @@
             self._abort(promotion, f"{target} is not registered any more")
             return
         promotion.began_at = self.board.clock.now()
-        promotion.is_only_call = not self.calls.may_take_effect(promotion.group)
+        promotion.is_only_call = not self.calls.may_take_effect(promotion.group, target)
         position = promotion.received_positions.get(target)
-        self.calls.add(promotion.group, promotion.fencing_token, position)
+        self.calls.add(promotion.group, promotion.fencing_token, target, position)
         self.log.called(promotion, target)
         self.commands.promote(registration, promotion)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/handover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/handover.py
@@ -33,6 +33,13 @@
                 self.commands.send(EndpointCommandKind.RESUME_REPLICATION, replica, promotion)
         self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
 
+    def has_kept_log(self, promotion: Promotion, group: Group) -> bool:
+        """Return whether the former primary still has what it had when it stepped down."""
+        health = self.board.groups.health.get(group.primary or "")
+        position = promotion.step_down_position
+        is_known = health is not None and health.position is not None and position is not None
+        return is_known and health.failures == 0 and health.position.reaches(position)
+
     def caught_up(self, promotion: Promotion, group: Group) -> str | None:
         """Return a replica that has everything that the primary had when it stepped down."""
         for name, position in promotion.received_positions.items():
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -56,10 +56,21 @@
         kept = succession.kept()
         fields = {"group": group.name, "term": group.term, "endpoint": group.primary}
         has_position = kept is not None and health.position is not None
-        if has_position and health.position.reaches(kept):
+        if has_position and health.position.reaches(kept) and self._has_same_log(group):
             fields["kept"] = kept.to_pair()
         return fields
 
+    def _has_same_log(self, group: Group) -> bool:
+        """Return whether the named primary is not known to have started again since it was paused.
+
+        If it did, its position may be of commits that it made as primary of an empty log.
+        """
+        lost = self.board.groups.lost_logs_at.get(group.name, {})
+        prefix = f"{group.primary}/"
+        return group.primary not in lost and not any(
+            name.startswith(prefix) for name in group.departed
+        )
+
     def result(self, promotion: Promotion, group: Group) -> dict[str, Any]:
         """Name the target of a promotion, which ends it.
 
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -148,7 +148,9 @@
         # The poller subtracts the age from the wait; the VM may freeze between two readings.
         now = self.board.clock.now()
         age = now - update.confirmed_at
-        applied = message.get("applied", sender_revision)
+        # An older build that passes leases on says nothing of the VMs that have one from it.
+        passes_on = sender_report["has_disk"] or self.board.settings.registers_diskless_members
+        applied = message.get("applied", 0 if passes_on else sender_revision)
         lease = CommitLease(sender, applied, update.confirmed_at + COMMIT_LEASE_S)
         self.board.post(Topic.LEASE_PASSED_ON, lease)
         timeline = self.board.timeline
