Keep the named primary when pauses have not sufficed for long

Cause: a new leader takes a promotion that is under way for one with an unanswered call, and only a call can end it. Change: after 4 s of pauses that did not suffice, the platform is asked to keep the named primary; an answered call supersedes the earlier ones, and is enough if the primary cannot be reached. Of the platform's errors only 400, 404, 409 and 429 say that a call is not carried out later. Tests: two scenarios in promotion_leaders.feature, one of them for the opening of an earlier promotion.

--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -314,3 +314,23 @@
     Then the endpoint that leads has every acknowledged write
     And a new write at "h1" succeeds
     And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against writes that stop for good: a new leader cannot know that no call was made, and
+  # cannot pause the replicas, while VMs reach the primary.
+  Scenario: A new control leader reaches neither the primary nor a replica
+    When the control leader no longer reaches the primary
+    And a term has been granted
+    And the control leader no longer reaches "b2"
+    And the control VMs are down for 0.2 s and start again
+    And 12 s pass
+    Then a new write at "h1" succeeds
+
+  # Guards against a leader that does not wait for the VMs, as a snapshot has hidden from it that the
+  # last promotion that it heard of has ended.
+  Scenario: A control leader that missed the end of an earlier promotion waits for the VMs
+    Given the control leader has missed the end of a promotion of 20 s ago
+    When "h1" is without news of the configuration
+    And the control leader no longer reaches the primary
+    And a term has been granted
+    And 0.5 s pass
+    Then no promote call was made
--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
-from gentianspread_core.blackboard.leases import COMMIT_LEASE_S
+from gentianspread_core.blackboard.leases import COMMIT_LEASE_S, Opening
 from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.controllers.shutdown import answer_at_end
@@ -234,3 +234,15 @@
         if item.replication_paused
     ]
     assert not paused, paused
+
+
+@given("the control leader has missed the end of a promotion of {seconds:g} s ago")
+def step_stale_opening(context, seconds):
+    simulation = context.promotion_simulation
+    began_at = simulation.clock.now() - seconds
+    simulation.board.leases.openings[GROUP] = Opening(1, began_at, after_term=-1)
+
+
+@then("no promote call was made")
+def step_no_call(context):
+    assert not context.promotion_simulation.promotions, context.promotion_simulation.promotions
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -14,7 +14,7 @@
 from .evacuations import Evacuations
 from .groups import Groups
 from .homes import HomeVMs
-from .leases import COMMIT_LEASE_S, LEASE_MARGIN_S, CommitLeases
+from .leases import MAX_LEASE_WAIT_S, CommitLeases
 from .loads import Loads
 from .log import ControlLog
 from .members import Members
@@ -86,7 +86,7 @@
         self.groups = Groups()
         self.homes = HomeVMs()
         passes_on = settings.has_disk or settings.registers_diskless_members
-        unknown_s = COMMIT_LEASE_S + LEASE_MARGIN_S if passes_on else 0.0
+        unknown_s = MAX_LEASE_WAIT_S if passes_on else 0.0
         self.leases = CommitLeases(clock.now() + unknown_s)
         self.loads = Loads()
         self.observations = Observations()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
@@ -11,6 +11,7 @@
 # time; an unreachable VM delays a promotion by as much.
 COMMIT_LEASE_S = 1.5
 LEASE_MARGIN_S = 0.05  # clocks may run at slightly different rates
+MAX_LEASE_WAIT_S = COMMIT_LEASE_S + LEASE_MARGIN_S  # until a lease of another VM has expired
 
 
 class CommitLease:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -104,8 +104,7 @@
     `primary_address` is that of the primary to follow, or empty; `fencing_token` is that of the
     promotion to which the command belongs. The result's `position` is the last log position that
     the endpoint has received and `reported_term` the newest term that it knows, or 0; `is_refused`
-    is set if it is certain that the command is not carried
-    out later either.
+    is set if it is certain that the command is not carried out later either.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/commits.py
@@ -38,8 +38,9 @@
 
     def concerns(self, request: SessionRequest) -> bool:
         """Return whether a success of the request commits writes, for a caller of this VM."""
-        if request.relayed_statement is not None:
-            return False  # the VM that relayed it decides
+        group = self.board.configuration.groups.get(request.group)
+        if group is None or not group.counts_own_terms or request.relayed_statement is not None:
+            return False  # the VM that relayed a statement decides
         transaction = request.session.transaction
         if request.kind is StatementKind.WRITE:
             return transaction is None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -159,7 +159,9 @@
         `received` has what those that answered have received. The others are the replicas that did
         not, of which some are `terminated`, and the departed ones.
         """
-        if self._never_led(group, received) and self._covers_named_primary(group, received):
+        if self._named_primary_lost_log(group, received) and self._covers_named_primary(
+            group, received
+        ):
             return True  # nothing was handed on since it was named
         positions = list(received.values())
         covered = group.primary if self._covers_named_primary(group, received) else None
@@ -178,7 +180,7 @@
             for replica in self.replicas(group)
         )
 
-    def _never_led(self, group: Group, received: dict[str, Position]) -> bool:
+    def _named_primary_lost_log(self, group: Group, received: dict[str, Position]) -> bool:
         """Return whether the named primary has lost its log, which it would have kept if it led."""
         succession = self.board.configuration.successions.get(group.name)
         position = received.get(group.primary or "")
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
@@ -7,7 +7,7 @@
 from ..blackboard import Board, Topic
 from ..blackboard.commands import CommandKind
 from ..blackboard.election import Role
-from ..blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S, CommitLease, Opening
+from ..blackboard.leases import COMMIT_LEASE_S, MAX_LEASE_WAIT_S, CommitLease, Opening
 from .configuration import AppliedCommand
 
 
@@ -59,7 +59,7 @@
             return
         now, configuration = self.board.clock.now(), self.board.configuration
         leases = self.board.leases
-        leases.complete_at = max(leases.complete_at, now + COMMIT_LEASE_S + LEASE_MARGIN_S)
+        leases.complete_at = max(leases.complete_at, now + MAX_LEASE_WAIT_S)
         leases.informed_revision = 0
         for group in configuration.groups.values():
             opening = leases.openings.get(group.name)
@@ -80,7 +80,7 @@
     return revision if oldest is None else min(oldest, revision)
 
 
-def knows_every_vm(board: Board, group: str) -> bool:
+def every_vm_knows(board: Board, group: str) -> bool:
     """Return whether no VM can hand on a commit without knowing of a group's promotion.
 
     Each VM has said that it applied the grant, or its last lease without it has expired. To be
@@ -90,7 +90,7 @@
     opening = leases.openings.get(group)
     if opening is None:
         return False
-    is_expired = board.clock.now() >= opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
+    is_expired = board.clock.now() >= opening.opened_at + MAX_LEASE_WAIT_S
     informed = leases.informed_revision if leases.by_vm else applied_revision(board)
     return is_expired or informed >= opening.revision
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/announcing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/announcing.py
@@ -4,8 +4,8 @@
 
 from ...blackboard import Board, Topic
 from ...blackboard.groups import Promotion, PromotionPhase
-from ...blackboard.leases import COMMIT_LEASE_S, LEASE_MARGIN_S
-from ..leases import knows_every_vm
+from ...blackboard.leases import MAX_LEASE_WAIT_S
+from ..leases import every_vm_knows
 
 
 class Announcement:
@@ -21,10 +21,10 @@
         promotion.phase = PromotionPhase.ANNOUNCING
         opening = self.board.leases.openings.get(promotion.group)
         if opening is not None:
-            due = opening.opened_at + COMMIT_LEASE_S + LEASE_MARGIN_S
+            due = opening.opened_at + MAX_LEASE_WAIT_S
             self.board.changes.post_at(due, Topic.FAILOVER_CHECK_DUE)
 
-    def is_known(self, promotion: Promotion) -> bool:
+    def is_known_to_all(self, promotion: Promotion) -> bool:
         """Return whether pauses may be sent, also after the delay of an earlier round."""
         is_due = self.board.clock.now() >= promotion.due
-        return is_due and knows_every_vm(self.board, promotion.group)
+        return is_due and every_vm_knows(self.board, promotion.group)
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -171,16 +171,15 @@
         if not group.counts_own_terms or not self.board.leads_with_quorum():
             return
         promotion = self.board.groups.promotions.get(group.name)
-        now = self.board.clock.now()
         if promotion is not None:
-            self._check_promotion(promotion, group, now)
+            self._check_promotion(promotion, group)
             return
         confirmation = self.naming.confirmation(group)
         if confirmation is not None:
             self._propose(CommandKind.NAME_PRIMARY, confirmation)
         for replica in self.suspects.due(group):
             self.commands.resume(replica, group.granted_term)
-        if now < self._next_attempt_at.get(group.name, 0.0):
+        if self.board.clock.now() < self._next_attempt_at.get(group.name, 0.0):
             return
         adoption = self.naming.adoption(group)
         reason = self.triggers.reason_for(group)
@@ -191,8 +190,9 @@
         elif reason:
             self._start_promotion(group, reason)
 
-    def _check_promotion(self, promotion: Promotion, group: Group, now: float) -> None:
+    def _check_promotion(self, promotion: Promotion, group: Group) -> None:
         """Continue or abort a promotion."""
+        now = self.board.clock.now()
         if now - promotion.began_at > ATTEMPT_TIMEOUT_S:
             self._end_attempt(promotion, group)
         elif promotion.phase is PromotionPhase.ANNOUNCING:
@@ -255,7 +255,7 @@
 
     def _proceed_if_known(self, promotion: Promotion) -> None:
         """Send the first commands once no VM hands on commits without knowing of the promotion."""
-        if not self.announcement.is_known(promotion):
+        if not self.announcement.is_known_to_all(promotion):
             return
         group = self.board.configuration.groups[promotion.group]
         promotion.began_at = self.board.clock.now()
@@ -281,11 +281,11 @@
 
     def _check_confirmed(self, promotion: Promotion, group: Group) -> None:
         """Finish once the target was seen to lead after earlier calls can no longer take effect."""
-        leading = self.view.leading_since(group, promotion.due)
-        if leading == promotion.target:
+        leader = self.naming.leader_after_calls(promotion, group)
+        if leader == promotion.target:
             self._finish(promotion, group)
-        elif leading is not None:
-            self._abort(promotion, f"{leading} leads after an earlier call")
+        elif leader is not None:
+            self._abort(promotion, f"{leader} leads after an earlier call")
 
     def _handle_step_down(self, promotion: Promotion, command: EndpointCommand) -> None:
         self.log.stepped_down(promotion, command)
@@ -363,7 +363,7 @@
         if is_granted and is_unchanged and not self.calls.may_take_effect(group.name):
             self._confirm_primary(promotion, group, leading.name)
         elif promotion.phase is PromotionPhase.PAUSING and self.calls.may_take_effect(group.name):
-            self._pause_again_later(promotion)
+            self._pause_again_later(promotion, group)
         elif promotion.phase is PromotionPhase.PAUSING:
             self._withdraw(promotion, group)
         else:
@@ -375,14 +375,15 @@
         promotion.target = group.primary
         self._finish(promotion, group)
 
-    def _pause_again_later(self, promotion: Promotion) -> None:
-        """Repeat the pauses after a delay, under the same fencing token as no call was made."""
-        promotion.phase = PromotionPhase.ANNOUNCING
-        promotion.asked_endpoints.clear()
-        promotion.received_positions.clear()
-        promotion.terminated_endpoints.clear()
-        promotion.due = promotion.began_at = self.board.clock.now() + RETRY_DELAY_S
-        self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
+    def _pause_again_later(self, promotion: Promotion, group: Group) -> None:
+        """Repeat the pauses, or after some time ask the platform to keep the named primary.
+
+        That call supersedes the earlier ones, so that VMs that reach the primary can go on.
+        """
+        if self.paused.is_blocked(group):
+            self._confirm_primary(promotion, group, group.primary)
+        else:
+            self.paused.begin_again(promotion)
 
     def _drop(self, promotion: Promotion) -> None:
         """Forget an attempt; the next one has a higher fencing token and supersedes its calls."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/naming.py
@@ -9,6 +9,8 @@
 from ...blackboard.groups import Promotion
 from ..groupview import GroupView
 
+UNSEEN_PRIMARY_DELAY_S = 0.5  # two probes
+
 
 class PrimaryNaming:
     """Builds the fields of the entries.
@@ -71,6 +73,18 @@
             name.startswith(prefix) for name in group.departed
         )
 
+    def leader_after_calls(self, promotion: Promotion, group: Group) -> str | None:
+        """Return the endpoint that leads once earlier calls can no longer take effect, if known.
+
+        The platform's answer about a named primary is enough if this VM does not reach it.
+        """
+        leading = self.view.leading_since(group, promotion.due)
+        is_over = self.board.clock.now() >= promotion.due + UNSEEN_PRIMARY_DELAY_S
+        if leading is None and is_over and promotion.confirms_primary:
+            is_unreachable = not self.view.is_healthy(promotion.target or "")
+            return promotion.target if is_unreachable else None
+        return leading
+
     def result(self, promotion: Promotion, group: Group) -> dict[str, Any]:
         """Name the target of a promotion, which ends it.
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -4,15 +4,18 @@
 
 from enum import Enum, auto
 
-from ...blackboard import Board
+from ...blackboard import Board, Topic
 from ...blackboard.configuration import Group
-from ...blackboard.groups import Promotion
+from ...blackboard.groups import Promotion, PromotionPhase
 from ...blackboard.outbox import EndpointCommand
 from ...blackboard.registrations import Registration
 from ..groupview import GroupView
 from ..successors import Successors
 from .calls import PromoteCalls
 
+RETRY_DELAY_S = 0.2  # between two rounds of pauses
+MAX_BLOCKED_S = 4.0  # two attempts with a call each; VMs withhold commits meanwhile
+
 
 class PauseStep(Enum):
     """What to do next."""
@@ -89,6 +92,21 @@
         reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
         return PauseDecision(PauseStep.FAIL, reason=reason)
 
+    def begin_again(self, promotion: Promotion) -> None:
+        """Repeat the pauses after a delay, under the same fencing token as no call was made."""
+        promotion.phase = PromotionPhase.ANNOUNCING
+        promotion.asked_endpoints.clear()
+        promotion.received_positions.clear()
+        promotion.terminated_endpoints.clear()
+        promotion.due = promotion.began_at = self.board.clock.now() + RETRY_DELAY_S
+        self.board.changes.post_at(promotion.due, Topic.FAILOVER_CHECK_DUE)
+
+    def is_blocked(self, group: Group) -> bool:
+        """Return whether pauses have not sufficed for so long that the primary is better kept."""
+        opening = self.board.leases.openings.get(group.name)
+        is_long = opening and self.board.clock.now() - opening.opened_at > MAX_BLOCKED_S
+        return bool(is_long) and group.primary in self.board.configuration.endpoints
+
     def _reaches_earlier_target(self, promotion: Promotion) -> bool:
         """Return whether a paused endpoint has what an earlier attempt found sufficient.
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
@@ -113,7 +113,7 @@
 LEASE_MUTANTS: tuple[tuple[str, Any, str, Any], ...] = (
     ("commits are handed on during promotions", CommitGuard, "state_of", _always_kept),
     ("leases on commits do not expire", CommitGuard, "_lease_age", _no_age),
-    ("promotions wait for no VM", controller, "knows_every_vm", _yes),
+    ("promotions wait for no VM", controller, "every_vm_knows", _yes),
     ("VMs that did not report know", CommitLeases, "oldest_applied", _none),
     ("leaders wait for no lease to expire", leases, "COMMIT_LEASE_S", 0.0),
     ("replicas that join are not paused", PausedReplicas, "unasked", _ask_once),
--- a/packages/gentianspread-server/src/gentianspread_server/platform/calls.py
+++ b/packages/gentianspread-server/src/gentianspread_server/platform/calls.py
@@ -13,7 +13,7 @@
 
 PROMOTE_PATH = "/promote"
 OK = 200
-CLIENT_ERRORS = range(400, 500)
+REFUSALS = frozenset({400, 404, 409, 429})  # the call is not carried out later either
 
 
 class PlatformClient:
@@ -52,7 +52,7 @@
         finally:
             connection.close()
         command.accepted = response.status == OK
-        command.is_refused = response.status in CLIENT_ERRORS
+        command.is_refused = response.status in REFUSALS
         if response.status != OK:
             log.warning(
                 "promoting %s with fencing token %d failed: HTTP status %d",
