Repeat a FOLLOW command only for a probe that was sent after it had ended

A probe that was under way when a replica was commanded to follow shows it as fenced, and led to a second command of the same term. Probes now have the time of their sending.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/failover.py
@@ -32,16 +32,18 @@
 class FailoverController:
     """Owns the failovers and the endpoints' health.
 
-    `_follow_terms` has the term of the `FOLLOW` command under way to each endpoint,
+    `_follow_terms` has the term of the `FOLLOW` command under way to each endpoint, `_followed_at`
+    when the last one ended: probes that were sent before do not show its effect.
     `_next_failover_at` the earliest time of each group's next failover.
     """
 
-    __slots__ = ("board", "_timer", "_follow_terms", "_next_failover_at")
+    __slots__ = ("board", "_timer", "_follow_terms", "_followed_at", "_next_failover_at")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self._timer: Any = None
         self._follow_terms: dict[str, int] = {}
+        self._followed_at: dict[str, float] = {}
         self._next_failover_at: dict[str, float] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -58,6 +60,7 @@
         self.board.groups.failovers.clear()
         self.board.groups.health.clear()
         self._follow_terms.clear()
+        self._followed_at.clear()
         self._next_failover_at.clear()
         if self._is_leader():
             self._schedule_probes()
@@ -96,6 +99,7 @@
     def on_command_ended(self, command: EndpointCommand) -> None:
         """Count accepted fences; command the others to follow once the promotion was accepted."""
         if command.kind is EndpointCommandKind.FOLLOW:
+            self._followed_at[command.endpoint] = self.board.clock.now()
             if self._follow_terms.get(command.endpoint) == command.term:
                 del self._follow_terms[command.endpoint]
             return
@@ -121,8 +125,10 @@
         if health.probes_in_flight >= MAX_CONCURRENT_PROBES:
             return
         health.probes_in_flight += 1
-        timeout_s = self.board.settings.probe_timeout_s
-        probe = EndpointProbe(registration.name, registration.address, timeout_s, PROBE_PURPOSE)
+        timeout_s, now = self.board.settings.probe_timeout_s, self.board.clock.now()
+        probe = EndpointProbe(
+            registration.name, registration.address, timeout_s, PROBE_PURPOSE, now
+        )
         self.board.changes.post(Topic.INTENT_POSTED, probe)
 
     def _start_if_needed(self, group: Group) -> None:
@@ -343,7 +349,8 @@
                 self._start_if_needed(group)
             return
         differs = probe.term < group.term or probe.is_primary or not probe.follows
-        if differs and self._follow_terms.get(endpoint.name) != group.term:
+        is_current = probe.sent_at >= self._followed_at.get(endpoint.name, 0.0)
+        if differs and is_current and self._follow_terms.get(endpoint.name) != group.term:
             self._follow_terms[endpoint.name] = group.term
             primary = self.board.configuration.endpoints[group.primary]
             self._send_command(EndpointCommandKind.FOLLOW, endpoint, group.term, primary.address)
