--- a/packages/gentianspread-lab/src/gentianspread_lab/promotioncallers.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotioncallers.py
@@ -59,3 +59,11 @@
             self.simulation.commits[statement_id] = commits
         caller.call = self.simulation.send_text(caller.vm, caller.session, statement_id, text)
         return caller.call
+
+    def check_answered(self, timeout_s: float) -> None:
+        """Fail if a statement has had no answer for longer than a time."""
+        oldest = self.simulation.clock.now() - timeout_s
+        for caller in self.members:
+            call = caller.call
+            if call is not None and call.answer is None and call.arrived_at < oldest:
+                raise AssertionError(f"not answered in time: {call.statement.text}")
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
@@ -45,6 +45,7 @@
 FAILOVER_REASONS = ("cut_primary_from_control", "crash_primary", "leave_as_primary")
 AFTER_CALL = ("join", "restart_replica", "replace_control_leader", "join_endpoints_to_control")
 ENDPOINT_INDEXES = st.integers(0, MAX_ENDPOINTS - 1)
+LATENESS = st.sampled_from([0.2, 1.0, 2.0, MAX_LATE_S])
 ANNOUNCEMENT_DELAYS = st.sampled_from([0.0, 0.5, 3.0, None])
 
 
@@ -114,6 +115,14 @@
         self.simulation.receive(
             self._endpoint(data.draw(ENDPOINT_INDEXES)), data.draw(st.booleans())
         )
+        vm = data.draw(VMS)
+        link = data.draw(st.sampled_from(["whole", "cut", "slow"]))
+        if link == "cut":
+            self.cut_vm(vm, reaches_primary=True)
+        self.delay_polls(vm, 1.2 if link == "slow" else 0.0)
+        if data.draw(st.booleans()):
+            fate = data.draw(st.sampled_from(CommandFate))
+            self.lose_answers(EndpointCommandKind.PROMOTE, fate, data.draw(LATENESS), 1)
         self._run(data.draw(st.sampled_from([0.2, 1.0])))
         getattr(self, reason)()
         self.wait_for_call()
@@ -248,7 +257,7 @@
             ]
         ),
         fate=st.sampled_from(CommandFate),
-        late_s=st.sampled_from([0.2, 1.0, 2.0, MAX_LATE_S]),
+        late_s=LATENESS,
         count=st.integers(1, 3),
     )
     def lose_answers(
@@ -303,11 +312,7 @@
         log = simulation.endpoints[simulation.last_leader].log
         missing = simulation.acknowledged.keys() - set(log)
         assert not missing, f"acknowledged but missing: {missing}"
-        oldest = simulation.clock.now() - STATEMENT_TIMEOUT_S - ANSWER_MARGIN_S
-        for caller in self.callers.members:
-            call = caller.call
-            if call is not None and call.answer is None and call.arrived_at < oldest:
-                raise AssertionError(f"not answered in time: {call.statement.text}")
+        self.callers.check_answered(STATEMENT_TIMEOUT_S + ANSWER_MARGIN_S)
 
     def teardown(self) -> None:
         """End all faults, and check that the group recovers and takes writes."""
