--- a/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from gentianspread_core import group_commands
+from gentianspread_core import state_machine
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.configuration import Configuration, Group
 from gentianspread_core.blackboard.groups import Promotion
@@ -15,7 +15,7 @@
 from gentianspread_core.blackboard.successions import Succession
 from gentianspread_core.controllers import leases
 from gentianspread_core.controllers.commits import CommitGuard, CommitState
-from gentianspread_core.controllers.promotion import controller
+from gentianspread_core.controllers.promotion import announcing
 from gentianspread_core.controllers.promotion.calls import PromoteCalls
 from gentianspread_core.controllers.promotion.commands import PromotionCommands
 from gentianspread_core.controllers.promotion.controller import PromotionController
@@ -26,7 +26,8 @@
 ORIGINAL_CHECK_GROUP = PromotionController._check_group
 ORIGINAL_CONCERNS = CommitGuard.concerns
 ORIGINAL_RESULT = PrimaryNaming.result
-ORIGINAL_SET_SUCCESSION = group_commands._set_succession
+ORIGINAL_MAY_TAKE_EFFECT = PromoteCalls.may_take_effect
+ORIGINAL_SET_PRIMARY = state_machine._HANDLERS[CommandKind.NAME_PRIMARY]
 ORIGINAL_UNASKED = PausedReplicas.unasked
 
 
@@ -43,14 +44,15 @@
 
 
 def _forget_call(
-    self: PromoteCalls, group: str, fencing_token: int, position: Position | None
+    self: PromoteCalls, group: str, fencing_token: int, target: str, position: Position | None
 ) -> None:
     if position is not None:
         self._sufficient.setdefault(group, position)
 
 
-def _know_every_call(self: PromoteCalls, group: str) -> bool:
-    return bool(self._unanswered.get(group))
+def _know_every_call(self: PromoteCalls, group: str, except_for: str = "") -> bool:
+    self._begun.add(group)
+    return ORIGINAL_MAY_TAKE_EFFECT(self, group, except_for)
 
 
 def _finish_at_once(
@@ -72,12 +74,9 @@
         ORIGINAL_CHECK_GROUP(self, group)
 
 
-def _succession_of_other_endpoints(
-    configuration: Configuration, group: Group, command: Command, is_new: bool, confirms: bool
-) -> None:
-    fields = {**command.fields, "led_throughout": True}
-    changed = Command(command.kind, fields)
-    ORIGINAL_SET_SUCCESSION(configuration, group, changed, is_new, confirms)
+def _set_primary_that_led(configuration: Configuration, command: Command) -> None:
+    changed = Command(command.kind, {**command.fields, "led_throughout": True})
+    ORIGINAL_SET_PRIMARY(configuration, changed)
 
 
 def _keep_any_term(self: Succession, position: Position) -> bool:
@@ -113,9 +112,9 @@
 LEASE_MUTANTS: tuple[tuple[str, Any, str, Any], ...] = (
     ("commits are handed on during promotions", CommitGuard, "state_of", _always_kept),
     ("leases on commits do not expire", CommitGuard, "_lease_age", _no_age),
-    ("promotions wait for no VM", controller, "every_vm_knows", _yes),
+    ("promotions wait for no VM", announcing, "every_vm_knows", _yes),
     ("VMs that did not report know", CommitLeases, "oldest_applied", _none),
-    ("leaders wait for no lease to expire", leases, "COMMIT_LEASE_S", 0.0),
+    ("leaders wait for no lease to expire", leases, "MAX_LEASE_WAIT_S", 0.0),
     ("replicas that join are not paused", PausedReplicas, "unasked", _ask_once),
     ("calls without an answer are forgotten", PromoteCalls, "add", _forget_call),
     (
@@ -133,9 +132,9 @@
     ("new leaders know of every call", PromoteCalls, "may_take_effect", _know_every_call),
     (
         "calls that may have changed the primary are not recorded",
-        group_commands,
-        "_set_succession",
-        _succession_of_other_endpoints,
+        state_machine,
+        "_HANDLERS",
+        {**state_machine._HANDLERS, CommandKind.NAME_PRIMARY: _set_primary_that_led},
     ),
     ("positions of any term are kept", Succession, "keeps", _keep_any_term),
     ("all positions are kept", Succession, "keeps", _yes),
