--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -238,3 +238,34 @@
     Then the metrics of "h1" have "gentianspread_withheld_commits" at 0
     And the metrics of "h1" have "gentianspread_groups_in_promotion" at 0
     And the metrics of "h1" count 1 withheld and 1 unknown commits
+
+  # Guards against the loss of commits that were handed on before the grant, and that only a replica
+  # has which no VM had heard of when the others were paused.
+  Scenario Outline: A replica that no VM has heard of confirms commits, and h1 is <state>
+    Given a caller at "h1"
+    And "b2" receives nothing from the primary
+    And "b3" receives nothing from the primary
+    When "b4" joins without having announced itself
+    And the control leader no longer reaches the primary
+    And <step>
+    And callers at every VM write during the next 1.2 s
+    And 8 s pass
+    Then no acknowledged write is lost
+
+    Examples:
+      | state                                      | step                                      |
+      | in touch                                   | 0 s pass                                  |
+      | out of touch for less than the lease       | "h1" is without news of the configuration |
+
+  # Guards against a success for commits that a primary without its log was said to have kept: a
+  # position of a later term does not show what it has of an earlier one.
+  Scenario: The named primary starts again empty, leads and commits before it is probed
+    When the control leader no longer reaches the primary
+    And a term has been granted
+    And callers at every VM write during the next 0.3 s
+    And the promotion has ended
+    And "b2" starts again without the log and without having announced itself
+    And "b2" leads
+    And callers at every VM write during the next 0.1 s
+    And 8 s pass
+    Then no write was acknowledged after "b2" led that it lacks
--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -314,3 +314,19 @@
     Then the endpoint that leads has every acknowledged write
     And a new write at "h1" succeeds
     And the control log has no promotion under way, and no VM withholds a commit
+
+  # Guards against a promotion that does not wait for the leases: the control leader took it for one
+  # whose end it had learned from a snapshot only.
+  Scenario: A control leader that learned of the end of a promotion from a snapshot begins another one
+    When the control leader no longer reaches the primary
+    And 6 s pass
+    And the control leader reaches all endpoints again
+    And another control VM leads, which knew the grant and learned of its end from a snapshot
+    And 5 s pass
+    And "h1" is without news of the configuration
+    And the control leader no longer reaches "b2" after it was promoted
+    And "b3" has been paused
+    And "b4" joins without having announced itself
+    And callers at every VM write during the next 0.3 s
+    And 8 s pass
+    Then no acknowledged write is lost
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -125,6 +125,7 @@
 @when('"{name:w}" leads')
 def step_leads(context, name):
     run_until(context, lambda: context.promotion_simulation.endpoints[name].is_primary)
+    context.led_at = context.promotion_simulation.clock.now()
 
 
 @when('"{name:w}" joins without having announced itself')
@@ -149,6 +150,15 @@
     context.promotion_simulation.restart(name, 2)
 
 
+@when('"{name:w}" starts again without the log and without having announced itself')
+def step_restarts_empty(context, name):
+    simulation = context.promotion_simulation
+    simulation.crash(name)
+    simulation.endpoints[name].ignores_replication = True
+    simulation.restart(name, 2, is_announced=False)
+    assert not simulation.endpoints[name].log
+
+
 @when('"{name:w}" ends')
 def step_ends(context, name):
     context.promotion_simulation.crash(name)
@@ -275,6 +285,14 @@
     assert not context.promotion_simulation.lost_writes, context.promotion_simulation.lost_writes
 
 
+@then('no write was acknowledged after "{name:w}" led that it lacks')
+def step_no_false_success(context, name):
+    simulation = context.promotion_simulation
+    log = set(simulation.endpoints[name].log)
+    false = [w for w, at in simulation.acknowledged.items() if at >= context.led_at and w not in log]
+    assert not false, false
+
+
 @then("no acknowledged write is lost")
 def step_no_loss(context):
     assert context.promotion_simulation.acknowledged
--- a/features/steps/promotion_outages.py
+++ b/features/steps/promotion_outages.py
@@ -5,7 +5,9 @@
 from behave import given, then, when
 from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.configuration import to_snapshot
 from gentianspread_core.blackboard.leases import COMMIT_LEASE_S
+from gentianspread_core.blackboard.log import Snapshot
 from gentianspread_core.blackboard.shutdown import ShutdownPhase, ShutdownPlan
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.controllers.shutdown import answer_at_end
@@ -33,6 +35,22 @@
     run_until(context, lambda: simulation.board.election.role.name == "LEADER")
 
 
+@when("another control VM leads, which knew the grant and learned of its end from a snapshot")
+def step_leader_from_snapshot(context):
+    simulation = context.promotion_simulation
+    configuration = simulation.board.configuration
+    assert configuration.groups[GROUP].granted_term == configuration.groups[GROUP].term
+    entries = simulation.disk.recover().entries
+    grants = [item for item in entries if item.command.kind is CommandKind.GRANT_TERM]
+    term = simulation.board.log.term_at(configuration.revision)
+    snapshot = Snapshot(configuration.revision, term, to_snapshot(configuration))
+    simulation.stop_control()
+    simulation.run(STEP_S)
+    simulation.start_control(applied_revision=grants[-1].index)
+    simulation.board.post(Topic.SNAPSHOT_INSTALLED, snapshot)
+    run_until(context, lambda: simulation.board.election.role.name == "LEADER")
+
+
 @when("the RESUMEs to all replicas get no answer and are not carried out")
 def step_lost_resumes(context):
     lost = [(COMMANDS["RESUME"], NEVER_S)] * 3
