--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -289,7 +289,8 @@
 def step_no_false_success(context, name):
     simulation = context.promotion_simulation
     log = set(simulation.endpoints[name].log)
-    false = [w for w, at in simulation.acknowledged.items() if at >= context.led_at and w not in log]
+    times = simulation.acknowledged.items()
+    false = [write for write, at in times if at >= context.led_at and write not in log]
     assert not false, false
 
 
