--- a/features/promotion_leaders.feature
+++ b/features/promotion_leaders.feature
@@ -318,11 +318,31 @@
   # Guards against writes that stop for good: a new leader cannot know that no call was made, and
   # cannot pause the replicas, while VMs reach the primary.
   Scenario: A new control leader reaches neither the primary nor a replica
+
+  # Guards against a promotion that does not wait for the leases: the control leader took it for one
+  # whose end it had learned from a snapshot only.
+  Scenario: A control leader that learned of the end of a promotion from a snapshot begins another one
+    When the control leader no longer reaches the primary
+    And 6 s pass
+    And the control leader reaches all endpoints again
+    And another control VM leads, which knew the grant and learned of its end from a snapshot
+    And 5 s pass
+    And "h1" is without news of the configuration
+    And the control leader no longer reaches "b2" after it was promoted
+    And "b3" has been paused
+    And "b4" joins without having announced itself
+    And callers at every VM write during the next 0.3 s
+    And 8 s pass
+    Then no acknowledged write is lost
+
+  # Guards against a group whose writes fail as long as the new control leader reaches neither the
+  # primary nor one of the replicas, though VMs reach the primary and no call was ever made.
+  Scenario: A control leader is lost before any call, and the next one does not reach the primary
     When the control leader no longer reaches the primary
     And a term has been granted
     And the control leader no longer reaches "b2"
     And the control VMs are down for 0.2 s and start again
-    And 12 s pass
+    And 15 s pass
     Then a new write at "h1" succeeds
 
   # Guards against a leader that does not wait for the VMs, as a snapshot has hidden from it that the
--- a/features/promotion_records.feature
+++ b/features/promotion_records.feature
@@ -171,3 +171,16 @@
   # Guards against a line that on-call engineers meet in the logs and find no word about.
   Scenario: The operations page names the line of a withheld commit
     Then the operations page names "commit_withheld"
+
+  # Guards against a success for commits of another primary's term, which the promoted endpoint lacks.
+  Scenario Outline: A succession keeps only positions of the term before it
+    Given a succession that keeps the log up to 2.5
+    Then it <keeps> the position <position>
+
+    Examples:
+      | keeps         | position |
+      | keeps         | 2.5      |
+      | keeps         | 2.1      |
+      | does not keep | 2.6      |
+      | does not keep | 1.3      |
+      | does not keep | 3.1      |
--- a/features/steps/promotion_records.py
+++ b/features/steps/promotion_records.py
@@ -12,6 +12,8 @@
     to_diskless_snapshot,
     to_snapshot,
 )
+from gentianspread_core.blackboard.successions import Succession
+from gentianspread_core.positions import Position
 from gentianspread_lab.fakes.session_simulation import GROUP
 from promotion_commits import STEP_S, events_of, group_of
 
@@ -163,3 +165,13 @@
 @then('the operations page names "{line:w}"')
 def step_documented(context, line):
     assert f"`{line}`" in OPERATIONS_PAGE.read_text(encoding="utf-8")
+
+
+@given("a succession that keeps the log up to {term:d}.{index:d}")
+def step_succession(context, term, index):
+    context.succession = Succession(GROUP, 1, term, index)
+
+
+@then("it {verb} the position {term:d}.{index:d}")
+def step_keeps(context, verb, term, index):
+    assert context.succession.keeps(Position(term, index)) is (verb == "keeps")
