--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/calls.py
@@ -9,6 +9,7 @@
 import math
 
 from ...blackboard.configuration import Group
+from ...blackboard.groups import Promotion
 from ...blackboard.outbox import EndpointCommand
 from ...interfaces import Clock
 from ...positions import Position
@@ -57,11 +58,13 @@
             self.end(group.name)
             self._begun.add(group.name)
 
-    def add(self, group: str, fencing_token: int, target: str, position: Position | None) -> None:
+    def add(self, promotion: Promotion, target: str) -> None:
         """Note a call that is being sent, and the target's position if it was paused for it."""
-        self._open.setdefault(group, {})[fencing_token] = OpenCall(target)
+        calls = self._open.setdefault(promotion.group, {})
+        calls[promotion.fencing_token] = OpenCall(target)
+        position = promotion.received_positions.get(target)
         if position is not None:
-            self._sufficient.setdefault(group, position)
+            self._sufficient.setdefault(promotion.group, position)
 
     def sufficient_position(self, group: str) -> Position | None:
         """Return a position that covers every commit handed on, if one is known."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -32,13 +32,12 @@
 from .handover import Handover
 from .log import PromotionLog
 from .naming import PrimaryNaming
-from .pausing import PausedReplicas, PauseStep
+from .pausing import RETRY_DELAY_S, PausedReplicas, PauseStep
 from .resuming import PausedSuspects
 from .triggers import PromotionTriggers
 
 PROMOTION_COOLDOWN_S = 1.5  # an endpoint becomes primary some hundred milliseconds after the call
 ATTEMPT_TIMEOUT_S = 3.0  # covers all rounds of an attempt with their timeouts
-RETRY_DELAY_S = 0.2  # between two attempts
 
 
 def _ignore_outcome(outcome: ChangeOutcome | None) -> None:
@@ -317,8 +316,7 @@
             return
         promotion.began_at = self.board.clock.now()
         promotion.is_only_call = not self.calls.may_take_effect(promotion.group, target)
-        position = promotion.received_positions.get(target)
-        self.calls.add(promotion.group, promotion.fencing_token, target, position)
+        self.calls.add(promotion, target)
         self.log.called(promotion, target)
         self.commands.promote(registration, promotion)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -13,7 +13,7 @@
 from ..successors import Successors
 from .calls import PromoteCalls
 
-RETRY_DELAY_S = 0.2  # between two rounds of pauses
+RETRY_DELAY_S = 0.2  # between two attempts, or two rounds of pauses
 MAX_BLOCKED_S = 4.0  # two attempts with a call each; VMs withhold commits meanwhile
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/replication.py
@@ -179,14 +179,13 @@
         return entry
 
     def _conflicts_with_voter_change(self, command: Command) -> bool:
-        # A leader first commits an entry of its term (Ongaro, raft-dev, 2015).
         if command.kind is not CommandKind.CHANGE_VOTERS:
             return False
         log = self.board.log
         pending = log.entries_from(log.commit_index + 1, len(log.entries))
-        return log.commit_index < self._first_index_of_term or any(
-            entry.command.kind is CommandKind.CHANGE_VOTERS for entry in pending
-        )
+        is_pending = any(entry.command.kind is CommandKind.CHANGE_VOTERS for entry in pending)
+        # A leader first commits an entry of its term (Ongaro, raft-dev, 2015).
+        return is_pending or log.commit_index < self._first_index_of_term
 
     def _load_voters(self) -> None:
         """Load the voters from the newest entry that changes them, committed or not."""
@@ -396,7 +395,6 @@
             self.board.changes.post(Topic.SNAPSHOT_DUE)
 
     def _abandon_proposals(self) -> None:
-        proposals = list(self._proposals.values())
-        self._proposals.clear()
+        proposals, self._proposals = list(self._proposals.values()), {}
         for proposal in proposals:
             proposal.done(None)
--- a/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/leasemutants.py
@@ -37,11 +37,10 @@
     return 0.0
 
 
-def _forget_call(
-    self: PromoteCalls, group: str, fencing_token: int, target: str, position: Position | None
-) -> None:
+def _forget_call(self: PromoteCalls, promotion: Promotion, target: str) -> None:
+    position = promotion.received_positions.get(target)
     if position is not None:
-        self._sufficient.setdefault(group, position)
+        self._sufficient.setdefault(promotion.group, position)
 
 
 def _know_every_call(self: PromoteCalls, group: str, except_for: str = "") -> bool:
