--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Checks the stand-ins of review/6 to review/10. They need Python 3.11 and its standard library only;
+# Checks the stand-ins of review/7 to review/10. They need Python 3.11 and its standard library only;
 # the programs under test come from the build of the deploy file (target/deps).
 set -eu
 cd "$(dirname "$0")/.."
--- a/review/standin2.py
+++ b/review/standin2.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the scripts in review/6 to review/10: backends, platform, operator and clients.
+"""Stand-ins for the scripts in review/7 to review/10: backends, platform, operator and clients.
 
 Everything runs in one process with the standard library only. The project's own programs are
 started as separate processes with the command of deploy/system.toml, on loopback addresses.
@@ -43,7 +43,6 @@
 
 class Backend:
     """A database backend: its log, and the sessions that it serves."""
-
     def __init__(self, service: Service, name: str, zone: str) -> None:
         self.service, self.name, self.zone = service, name, zone
         self.port = free_port()
@@ -338,6 +337,7 @@
         self.front = [f"127.0.0.1:{free_port()}" for _ in entry_zones]
         self.ready = [f"127.0.0.1:{free_port()}" for _ in entry_zones]
         self.entry_zones = entry_zones
+        self.peer_ports = [free_port() for _ in entry_zones]
         self.cloud_port = free_port()
         self.on_promote = None
         self.is_stopped = False
@@ -376,7 +376,7 @@
         self.start_process(name, "control", ZONES[index], "core", bootstrap, extra)
 
     def start_entry(self, index: int) -> None:
-        port = free_port()
+        port = self.peer_ports[index]
         extra = {
             "listenAddrs.front": self.front[index],
             "listenAddrs.ready": self.ready[index],
@@ -560,7 +560,7 @@
 
     async def open(self) -> str:
         host, port = self.fleet.front[self.front].split(":")
-        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        self.reader, self.writer = await asyncio.open_connection(host, int(port), limit=2**21)
         self.writer.write(f"OPEN {self.database} {self.key}\r\n".encode())
         line = await asyncio.wait_for(read_line(self.reader), 2.0)
         return line
