--- a/review/standin2.py
+++ b/review/standin2.py
@@ -54,6 +54,7 @@
         self.due: list[float] = []  # when an entry is applied
         self.lag_s = LAG_S
         self.paused = 0
+        self.is_deaf = False  # it receives nothing from the primary
         self.term = service.term
         self.alive = False
         self.server = None
@@ -288,7 +289,7 @@
             return
         self.source = source
         for item in self.backends.values():
-            if item is source or not item.alive or item.paused:
+            if item is source or not item.alive or item.paused or item.is_deaf:
                 continue
             same = 0
             limit = min(len(item.log), len(source.log))
