--- a/review/standin2.py
+++ b/review/standin2.py
@@ -55,6 +55,7 @@
         self.lag_s = LAG_S
         self.paused = 0
         self.is_deaf = False  # it receives nothing from the primary
+        self.is_cut_off = False
         self.term = service.term
         self.alive = False
         self.server = None
@@ -88,6 +89,14 @@
     async def start(self) -> None:
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", self.port)
         self.alive = True
+        self.is_cut_off = False
+
+    def cut_off(self) -> None:
+        """Refuse connections, and send no heartbeats; the primary still reaches it."""
+        self.is_cut_off = True
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
 
     def stop(self) -> None:
         self.alive = False
@@ -447,7 +456,7 @@
         self.processes[name].send_signal(number)
 
     async def beat(self, backend: Backend) -> None:
-        while backend.alive and not self.is_stopped:
+        while backend.alive and not backend.is_cut_off and not self.is_stopped:
             await self.heartbeat(backend)
             await asyncio.sleep(1.2)
 
