Let a promotion go ahead by what the VMs handed on

Cause: a promotion concluded from the replicas alone that one of them has every commit that a caller was told of. For a replica that left, or that does not answer, that needs a statement about its end, and most of what is at hand (a call, a refused connection, an absence) is none.

Change: each VM says in its polls, while a promotion of a group is under way to its knowledge, up to which position it handed on commits of the group, and until when commits may have been handed on of which it does not know: by an earlier start, by VMs whose leases from it ran out. Control VMs join the reports of the VMs that have leases from them. An endpoint that reaches all reports, and a position that the primary had after the last unreported commit, has every commit. Such a proof is enough beside the one by the replicas, which is unchanged here. Each decision logs its proof (`promote_called`: counted, left_out), each lost primary that stays in place its reason (`promotion_blocked`), and `gentianspread_promotion_proofs` counts them.

Price: in calm, one dictionary entry a commit and no message or field more. In a failover, one field in polls that are sent anyway.

Ruled out: a round to the replicas or the control VMs for each commit (docs/design/groups.md).

Four older scenarios expected that no endpoint is promoted while a replica is unreachable, though no commit was handed on that the others lack. They hold as before where a VM ended that may have handed on commits, which is now part of them; the opposite case got a scenario of its own.

--- a/features/evacuations.feature
+++ b/features/evacuations.feature
@@ -214,6 +214,7 @@
     And the endpoint "b3" crashes
     And 1 s pass
     And the primary crashes
+    And a VM that serves callers ends
     And 3 s pass
     Then no endpoint was promoted
 
--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -7,9 +7,11 @@
     Then "b3" is the primary
     And every replica had paused replication before the promotion
 
+  # The VM that ends does not say what it handed on, so only the replicas could show it.
   Scenario: No replica is promoted while one that may have confirmed a commit is unreachable
     When the endpoint "b3" crashes
     And the primary crashes
+    And a VM that serves callers ends
     And 3 s pass
     Then no endpoint was promoted
 
@@ -17,9 +19,20 @@
     When the endpoint "b3" crashes
     And 1 s pass
     And the primary crashes
+    And a VM that serves callers ends
     And 3 s pass
     Then no endpoint was promoted
 
+  Scenario: An unreachable replica does not block the promotion of one that has all that was handed on
+    When callers commit for 0.2 s
+    And the endpoint "b3" crashes
+    And 1 s pass
+    And callers commit for 0.2 s
+    And the primary crashes
+    And 1 s pass
+    Then "b2" is the primary
+    And no committed write was lost
+
   Scenario: A replica whose address another endpoint has taken does not block the promotion
     When another endpoint takes the address of "b3"
     And 1 s pass
@@ -118,7 +131,8 @@
     And the endpoints committed 2 writes
 
   Scenario: A replica paused for a failover resumes when the primary answers again, even if a resume call is lost
-    When the primary does not answer for 2 s, "b3" crashes before its pause, and the next resume call is lost
+    When a VM that serves callers ends
+    And the primary does not answer for 3 s, "b3" crashes before its pause, and the next resume call is lost
     And 4 s pass
     Then "b2" has resumed replication
     And no other endpoint was promoted
--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -239,6 +239,33 @@
     And the metrics of "h1" have "gentianspread_groups_in_promotion" at 0
     And the metrics of "h1" count 1 withheld and 1 unknown commits
 
+  # Guards against promotions of which nobody can tell afterwards what they relied on.
+  Scenario: Logs and metrics tell by which proof an endpoint was promoted, and who was not counted
+    When callers at every VM write during the next 1 s
+    And 1.2 s pass
+    And "b3" ends
+    And 1 s pass
+    And "b1" ends
+    And the promote call has been made
+    And 1 s pass
+    Then the "promote_called" line has the cause "it has all that the VMs handed on"
+    And the "promote_called" line has "counted" with "b2:1."
+    And the "promote_called" line has "left_out" with "b3"
+    And the control leader counts 1 promotion by "HANDED_ON"
+
+  # Guards against a lost primary that stays in place without a line that says why.
+  Scenario: The control leader logs once why a lost primary is left in place
+    When callers at every VM write during the next 2 s
+    And 0.5 s pass
+    And "b2" receives nothing from the primary
+    And 0.5 s pass
+    And "b3" ends
+    And 0.3 s pass
+    And "b1" ends
+    And 5 s pass
+    Then the "promotion_blocked" line has "reason" with "b3 did not answer"
+    And no endpoint was called
+
   # Guards against the loss of commits that were handed on before the grant, and that only a replica
   # has which no VM had heard of when the others were paused.
   Scenario: A replica that no VM has heard of confirms commits, and h1 is in touch
--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -145,3 +145,28 @@
       | 3.0     |
       | 3.1     |
       | 3.3     |
+
+  # Guards against departures that hold up the promotion of a replica that has every commit.
+  Scenario Outline: <departure>, and the primary ends <seconds> s later
+    When callers at every VM write during the next 12 s
+    And 1 s pass
+    And "b3" announces that it leaves
+    And 1 s pass
+    And <steps>
+    And <seconds> s pass
+    And "b1" ends
+    Then "b2" leads within 1.2 s
+    And no acknowledged write is lost
+
+    Examples:
+      | departure                                     | steps                                 | seconds |
+      | A replica ends and is deregistered            | "b3" ends and is deregistered         | 0       |
+      | A replica ends and is deregistered            | "b3" ends and is deregistered         | 0.5     |
+      | A replica ends and is deregistered            | "b3" ends and is deregistered         | 5       |
+      | A replica is deregistered and runs on         | "b3" is deregistered and runs on      | 0.5     |
+      | A replica refuses connections and runs on     | "b3" refuses connections and runs on  | 0.5     |
+      | A replica refuses connections and runs on     | "b3" refuses connections and runs on  | 3       |
+      | A replica ends without a call                 | "b3" ends                             | 0.5     |
+      | A replica ends without a call                 | "b3" ends                             | 3       |
+      | A replica is cut off from the control leader  | the control leader no longer reaches "b3" | 0.5 |
+      | A replica is cut off from the control leader  | the control leader no longer reaches "b3" | 3   |
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -3,8 +3,13 @@
 from __future__ import annotations
 
 from behave import then, when
+from gentianspread_core.blackboard import Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.leases import COMMIT_LEASE_S, CommitLease
 from gentianspread_lab.fakes.session_simulation import GROUP
+from gentianspread_server.platform.wire import decode_statement
+
+WRITE_INTERVAL_S = 0.02
 
 
 @when("the primary crashes")
@@ -58,6 +63,29 @@
     context.committed_writes = list(simulation.primary().log)
 
 
+@when("callers commit for {seconds:g} s")
+def step_callers_commit(context, seconds):
+    simulation = context.session_simulation
+    session = simulation.open_session("latest")
+    before = len(simulation.primary().log)
+    calls = []
+    for number in range(round(seconds / WRITE_INTERVAL_S)):
+        statement = decode_statement(f"w{before + number}", "WRITE x 1")
+        calls.append(simulation.send(session, statement))
+        simulation.run(WRITE_INTERVAL_S)
+    assert all(call.answer is not None and call.answer.refusal is None for call in calls)
+    context.committed_writes = list(simulation.primary().log)
+
+
+@when("a VM that serves callers ends")
+def step_vm_ends(context):
+    """Let the control leader know of a lease that it has passed on to a VM which says no more."""
+    simulation = context.session_simulation
+    revision = simulation.board.configuration.revision
+    lease = CommitLease("h1", revision, simulation.clock.now() + COMMIT_LEASE_S)
+    simulation.board.post(Topic.LEASE_PASSED_ON, lease)
+
+
 @when('"{name:w}" starts again empty and announces that')
 def step_starts_empty(context, name):
     start_empty(context, name)
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from gentianspread_core.blackboard.groups import PromotionPhase
+from gentianspread_core.blackboard.groups import PromotionPhase, PromotionProof
 from gentianspread_core.blackboard.outbox import EndpointCommandKind
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.errors import ErrorCode, ExecutionResult
@@ -171,6 +171,22 @@
     context.promotion_simulation.run(STEP_S)
 
 
+@when('"{name:w}" is deregistered and runs on')
+def step_deregistered_running(context, name):
+    context.promotion_simulation.deregister(name)
+    context.promotion_simulation.run(STEP_S)
+
+
+@when('"{name:w}" refuses connections and runs on')
+def step_refuses(context, name):
+    context.promotion_simulation.refusing_endpoints.add(name)
+
+
+@when('"{name:w}" accepts connections again')
+def step_accepts(context, name):
+    context.promotion_simulation.refusing_endpoints.discard(name)
+
+
 @when('"{name:w}" announces that it leaves')
 def step_leaves(context, name):
     simulation = context.promotion_simulation
@@ -273,6 +289,16 @@
     )
 
 
+@then('"{name:w}" leads within {seconds:g} s')
+def step_leads_within(context, name, seconds):
+    simulation = context.promotion_simulation
+    end = simulation.clock.now() + seconds
+    run_until(
+        context, lambda: simulation.endpoints[name].is_primary or simulation.clock.now() > end
+    )
+    assert simulation.endpoints[name].is_primary, simulation.promotions
+
+
 @then('"{name:w}" does not lead')
 def step_does_not_lead(context, name):
     simulation = context.promotion_simulation
@@ -338,6 +364,33 @@
         assert all(item.outcome is not None for item in withheld), vm
 
 
+def only_event(context, kind):
+    events = events_of(context, kind)
+    assert len(events) == 1, [(event.cause, event.details) for event in events]
+    return events[0]
+
+
+@then('the "{kind:w}" line has the cause "{cause}"')
+def step_cause(context, kind, cause):
+    assert only_event(context, kind).cause == cause, only_event(context, kind).cause
+
+
+@then('the "{kind:w}" line has "{field:w}" with "{text}"')
+def step_field(context, kind, field, text):
+    assert text in only_event(context, kind).details[field], only_event(context, kind).details
+
+
+@then('the control leader counts {count:d} promotion by "{proof:w}"')
+def step_proofs(context, count, proof):
+    counts = context.promotion_simulation.board.groups.proof_counts
+    assert counts == {PromotionProof[proof]: count}, counts
+
+
+@then("no endpoint was called")
+def step_no_calls(context):
+    assert not context.promotion_simulation.called, context.promotion_simulation.called
+
+
 def events_of(context, kind):
     return [
         event
--- a/packages/gentianspread-cli/src/gentianspread_cli/promotions.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/promotions.py
@@ -15,6 +15,7 @@
     {
         START_KIND,
         "fence_failed",
+        "promotion_blocked",
         "replication_paused",
         "promote_called",
         "promote_ended",
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/board.py
@@ -13,6 +13,7 @@
 from .endpoints import Endpoints
 from .evacuations import Evacuations
 from .groups import Groups
+from .handedon import HandedOn
 from .homes import HomeVMs
 from .leases import MAX_LEASE_WAIT_S, CommitLeases
 from .loads import Loads
@@ -52,6 +53,7 @@
         "endpoints",
         "evacuations",
         "groups",
+        "handed_on",
         "homes",
         "leases",
         "loads",
@@ -84,6 +86,7 @@
         self.endpoints = Endpoints()
         self.evacuations = Evacuations()
         self.groups = Groups()
+        self.handed_on = HandedOn()
         self.homes = HomeVMs()
         passes_on = settings.has_disk or settings.registers_diskless_members
         unknown_s = MAX_LEASE_WAIT_S if passes_on else 0.0
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from enum import Enum
 
 from ..positions import Position
@@ -72,6 +73,15 @@
     CONFIRMING = "confirming"
 
 
+class PromotionProof(Enum):
+    """Why the promoted endpoint has every commit that was handed on (`promotion/proofs`)."""
+
+    HANDED_ON = "it has all that the VMs handed on"
+    REPLICAS = "it has all that the replicas may have confirmed"
+    EARLIER_TARGET = "it has all that an earlier target had"
+    PRIMARY = "it has all that the primary had when it stepped down"
+
+
 class Promotion:
     """An attempt to change a primary by fenced calls, on the control leader; times in seconds.
 
@@ -83,7 +93,8 @@
     switchover from a working primary, which stepped down at `step_down_position`.
     `confirms_primary` marks an attempt that ends the promotion with the endpoint that leads.
     `is_only_call` is set unless an earlier call for another endpoint may still take effect.
-    `failure` is why the attempt last failed.
+    `failure` is why the attempt last failed, `proof` why the target has every commit, none if that
+    was not asked.
     """
 
     __slots__ = (
@@ -102,6 +113,7 @@
         "confirms_primary",
         "is_only_call",
         "failure",
+        "proof",
         "step_down_position",
         "due",
     )
@@ -122,6 +134,7 @@
         self.confirms_primary = False
         self.is_only_call = True
         self.failure = ""
+        self.proof: PromotionProof | None = None
         self.step_down_position: Position | None = None
         self.due = now
 
@@ -174,6 +187,7 @@
     `withheld` has by group the requests of sessions whose commit succeeded at an endpoint, while it
     is not certain that a promotion keeps it. `withheld_count` counts them so far, and
     `left_unknown_count` the commits that succeeded at an endpoint and were answered as unknown.
+    `proof_counts` counts the promote calls by their proof; none stands for attempts without one.
 
     `departures_seen_at` gives by group when this leader first saw each endpoint as departed, in
     seconds of its clock. `lost_logs_at` gives likewise when the position of an endpoint was seen to
@@ -187,6 +201,7 @@
         "withheld",
         "withheld_count",
         "left_unknown_count",
+        "proof_counts",
         "failovers",
         "promotions",
         "health",
@@ -200,6 +215,7 @@
         self.withheld: dict[str, list[SessionRequest]] = {}
         self.withheld_count = 0
         self.left_unknown_count = 0
+        self.proof_counts: Counter[PromotionProof | None] = Counter()
         self.failovers: dict[str, Failover] = {}
         self.promotions: dict[str, Promotion] = {}
         self.health: dict[str, Health] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/leases.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from .handedon import HandedOnReport
+
 # Confirmations are at most 0.6 s apart in calm, and a new control leader is elected within this
 # time; an unreachable VM delays a promotion by as much.
 COMMIT_LEASE_S = 1.5
@@ -18,15 +20,23 @@
     """A confirmation that this VM passed on to another one.
 
     `applied_revision` is what the other VM, and all that have a lease from it, are known to have
-    applied; `expires_at` is in seconds of this VM's clock.
+    applied; `expires_at` is in seconds of this VM's clock. `reports` has what they handed on, by
+    group whose promotion was under way to the VM's knowledge.
     """
 
-    __slots__ = ("vm", "applied_revision", "expires_at")
+    __slots__ = ("vm", "applied_revision", "expires_at", "reports")
 
-    def __init__(self, vm: str, applied_revision: int, expires_at: float) -> None:
+    def __init__(
+        self,
+        vm: str,
+        applied_revision: int,
+        expires_at: float,
+        reports: dict[str, HandedOnReport] | None = None,
+    ) -> None:
         self.vm = vm
         self.applied_revision = applied_revision
         self.expires_at = expires_at
+        self.reports = reports or {}
 
 
 class Opening:
@@ -50,19 +60,21 @@
 
     `complete_at` is when every lease that this VM does not know of, as it passed it on before its
     last start or another leader did, has expired, in seconds of its clock. `informed_revision` is
-    what every VM was known to have applied when the last lease was passed on.
+    what every VM was known to have applied when the last lease was passed on. `unreported_until` is
+    until when VMs may have handed on commits of which no VM in `by_vm` tells.
     """
 
-    __slots__ = ("by_vm", "openings", "complete_at", "informed_revision")
+    __slots__ = ("by_vm", "openings", "complete_at", "informed_revision", "unreported_until")
 
     def __init__(self, complete_at: float) -> None:
         self.by_vm: dict[str, CommitLease] = {}
         self.openings: dict[str, Opening] = {}
         self.complete_at = complete_at
         self.informed_revision = 0
+        self.unreported_until = complete_at
 
     def oldest_applied(self, now: float) -> int | None:
         """Return the lowest revision that a VM with a lease has applied; none without leases."""
         for vm in [name for name, lease in self.by_vm.items() if lease.expires_at < now]:
-            del self.by_vm[vm]
+            self.unreported_until = max(self.unreported_until, self.by_vm.pop(vm).expires_at)
         return min((lease.applied_revision for lease in self.by_vm.values()), default=None)
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -52,6 +52,7 @@
     LOG_LOST = "log_lost"
     FAILOVER_STARTED = "failover_started"
     FENCE_FAILED = "fence_failed"
+    PROMOTION_BLOCKED = "promotion_blocked"
     REPLICATION_PAUSED = "replication_paused"
     REPLICATION_RESUMED = "replication_resumed"
     PRIMARY_STEPPED_DOWN = "primary_stepped_down"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -1,9 +1,4 @@
-"""State of a group's endpoints, and whether a promotion may go ahead without one of them.
-
-A replica confirms only commits that the primary already has. A terminated replica confirms nothing
-more. So an endpoint that reaches a position that the primary had after the termination has every
-commit that the terminated replica confirmed. A departed replica is treated likewise.
-"""
+"""State of a group's endpoints, as the control leader knows it."""
 
 from __future__ import annotations
 
@@ -12,7 +7,7 @@
 from ..blackboard.groups import Promotion
 from ..blackboard.outbox import EndpointCommand, UnreachableReason
 from ..blackboard.registrations import Registration
-from ..positions import LOG_START, Position
+from ..positions import Position
 
 PROBE_FAILURE_THRESHOLD = 2  # one probe may fail only because its connection had silently broken
 
@@ -137,86 +132,20 @@
             position is not None and position.reaches(observed.position) for position in positions
         )
 
-    def could_promote(self, group: Group) -> bool:
-        """Return whether pauses would now show that an endpoint has all commits, by the probes."""
-        known: dict[str, Position] = {}
-        terminated: set[str] = set()
-        for replica in self.replicas(group):
-            health = self.board.groups.health.get(replica.name)
-            if health is not None and self.is_healthy(replica.name):
-                known[replica.name] = health.position or LOG_START
-            elif health is not None and health.terminated_since is not None:
-                terminated.add(replica.name)
-        if self.is_healthy(group.primary or ""):
-            known[group.primary] = self.board.groups.health[group.primary].position or LOG_START
-        return bool(known) and self.has_all_commits(group, known, terminated)
-
-    def has_all_commits(
-        self, group: Group, received: dict[str, Position], terminated: set[str]
-    ) -> bool:
-        """Return whether the endpoints that answered have all that the others may have confirmed.
-
-        `received` has what those that answered have received. The others are the replicas that did
-        not, of which some are `terminated`, and the departed ones.
-        """
-        if self._named_primary_lost_log(group, received) and self._covers_named_primary(
-            group, received
-        ):
-            return True  # nothing was handed on since it was named
-        positions = list(received.values())
-        covered = group.primary if self._covers_named_primary(group, received) else None
-        departed_at = self.last_departure_at(group, covered)
-        # The primary has every commit, also those that only departed replicas confirmed.
-        has_primary = group.primary in received and self.board.configuration.has_led(group)
-        has_departed_commits = departed_at is None or has_primary
-        if not has_departed_commits and not self.reaches_primary_since(
-            group.name, departed_at, positions
-        ):
-            return False
-        return all(
-            replica.name in received
-            or replica.name == covered
-            or (replica.name in terminated and self._covers_terminated(replica, positions))
-            for replica in self.replicas(group)
-        )
-
-    def _named_primary_lost_log(self, group: Group, received: dict[str, Position]) -> bool:
-        """Return whether the named primary has lost its log, which it would have kept if it led."""
-        succession = self.board.configuration.successions.get(group.name)
-        position = received.get(group.primary or "")
-        if succession is None or succession.is_confirmed or position is None:
-            return False
-        kept = succession.kept()
-        return kept is not None and not position.reaches(kept)
-
-    def _covers_named_primary(self, group: Group, received: dict[str, Position]) -> bool:
-        """Return whether another endpoint has what a primary that has not led yet had received.
-
-        If it led unseen, a replica that is still to be heard confirmed its commits.
-        """
-        succession = self.board.configuration.successions.get(group.name)
-        kept = succession.kept() if succession is not None else None
-        if kept is None or succession.is_confirmed:
-            return False
-        return any(
-            name != group.primary and position.reaches(kept) for name, position in received.items()
-        )
+    def explain_departures(self, group: Group) -> list[tuple[str, str]]:
+        """Return what is known of each departed replica's end."""
+        seen_at = self.board.groups.departures_seen_at.get(group.name, {})
+        now = self.board.clock.now()
+        return [
+            (name, f"departed {max(0.0, now - seen_at.get(name, now)):.1f} s ago")
+            for name in group.departed
+        ]
 
     def has_terminated(self, command: EndpointCommand) -> bool:
         """Return whether a command that failed proves that its endpoint terminated."""
         registration = self.board.configuration.endpoints.get(command.endpoint)
         return registration is None or has_terminated(registration, command.unreachable_reason)
 
-    def _covers_terminated(self, replica: Registration, positions: list[Position | None]) -> bool:
-        """Return whether another endpoint has all that a terminated replica may have confirmed.
-
-        `positions` are what the endpoints that answered have received.
-        """
-        health = self.board.groups.health.get(replica.name)
-        if health is None or health.terminated_since is None:
-            return False
-        return self.reaches_primary_since(replica.group, health.terminated_since, positions)
-
 
 def has_terminated(
     registration: Registration, unreachable_reason: UnreachableReason | None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
@@ -6,7 +6,9 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import CommandKind
+from ..blackboard.configuration import Group
 from ..blackboard.election import Role
+from ..blackboard.handedon import HandedOnReport
 from ..blackboard.leases import COMMIT_LEASE_S, MAX_LEASE_WAIT_S, CommitLease, Opening
 from .configuration import AppliedCommand
 
@@ -60,6 +62,7 @@
         now, configuration = self.board.clock.now(), self.board.configuration
         leases = self.board.leases
         leases.complete_at = max(leases.complete_at, now + MAX_LEASE_WAIT_S)
+        leases.unreported_until = max(leases.unreported_until, leases.complete_at)
         leases.informed_revision = 0
         for group in configuration.groups.values():
             opening = leases.openings.get(group.name)
@@ -95,6 +98,40 @@
     return is_expired or informed >= opening.revision
 
 
+def handed_on_report(board: Board, group: Group) -> HandedOnReport:
+    """Return what this VM, and all that have or had a lease from it, handed on in a group.
+
+    A VM that has not said so since the promotion began may hand on commits until its lease expires.
+    """
+    own, leases = board.handed_on, board.leases
+    report = HandedOnReport(
+        group.term,
+        own.positions.get(group.name),
+        own.unknown_until.get(group.name, board.started_at),
+    )
+    report.add_unreported(leases.unreported_until)
+    for lease in leases.by_vm.values():
+        received = lease.reports.get(group.name)
+        if received is None or received.after_term != group.term:
+            report.add_unreported(lease.expires_at)
+        else:
+            report.add_position(received.position)
+            report.add_unreported(received.unreported_until)
+    return report
+
+
+def handed_on_reports(board: Board) -> dict[str, HandedOnReport]:
+    """Return the reports on the groups whose promotion is under way, by group.
+
+    This VM hands on no commits of these groups until it knows the end of the promotion.
+    """
+    return {
+        group.name: handed_on_report(board, group)
+        for group in board.configuration.groups.values()
+        if group.counts_own_terms and group.granted_term != group.term
+    }
+
+
 def has_recent_opening(board: Board) -> bool:
     """Return whether a promotion may be waiting for this VM's report of what it has applied."""
     passes_on = board.settings.has_disk or board.settings.registers_diskless_members
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -20,7 +20,7 @@
 from ...blackboard import Board, Topic
 from ...blackboard.commands import ChangeOutcome, Command, CommandKind
 from ...blackboard.configuration import Group
-from ...blackboard.groups import Promotion, PromotionPhase
+from ...blackboard.groups import Promotion, PromotionPhase, PromotionProof
 from ...blackboard.messages import Proposal
 from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
 from ..groupview import GroupView
@@ -32,6 +32,7 @@
 from .log import PromotionLog
 from .naming import PrimaryNaming
 from .pausing import RETRY_DELAY_S, PausedReplicas, PauseStep
+from .proofs import PromotionProofs
 from .resuming import PausedSuspects
 from .triggers import PromotionTriggers
 
@@ -50,6 +51,7 @@
         "board",
         "view",
         "successors",
+        "proofs",
         "triggers",
         "commands",
         "calls",
@@ -66,15 +68,16 @@
         self.board = board
         self.view = GroupView(board)
         self.successors = Successors(board, self.view)
-        self.triggers = PromotionTriggers(board, self.view, self.successors)
+        self.proofs = PromotionProofs(board, self.view)
+        self.log = PromotionLog(board)
+        self.triggers = PromotionTriggers(board, self.view, self.successors, self.proofs, self.log)
         self.commands = PromotionCommands(board, self.view)
         self.calls = PromoteCalls(board.clock)
-        self.paused = PausedReplicas(board, self.view, self.successors, self.calls)
+        self.paused = PausedReplicas(board, self.view, self.successors, self.calls, self.proofs)
         self.announcement = Announcement(board)
         self.handover = Handover(board, self.view, self.commands)
         self.naming = PrimaryNaming(board, self.view)
         self.suspects = PausedSuspects(board, self.view)
-        self.log = PromotionLog(board)
         self._next_attempt_at: dict[str, float] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -95,6 +98,8 @@
         self.commands.reset()
         self.calls.reset()
         self.successors.reset()
+        self.proofs.reset()
+        self.triggers.reset()
         self.naming.reset()
         self.suspects.reset()
 
@@ -162,6 +167,7 @@
         elif promotion.phase is PromotionPhase.CATCHING_UP:
             successor = self.handover.caught_up(promotion, group)
             if successor is not None:
+                promotion.proof = PromotionProof.PRIMARY
                 self._send_promote(promotion, successor)
 
     def _check_group(self, group: Group) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
@@ -24,6 +24,16 @@
         """Record an attempt and why it is made."""
         self._record(EventKind.FAILOVER_STARTED, promotion, reason, primary=group.primary or "")
 
+    def blocked(self, group: Group, loss: str, reason: str) -> None:
+        """Record that a lost primary is left in place, as no endpoint could be promoted."""
+        self.board.timeline.record(
+            EventKind.PROMOTION_BLOCKED,
+            f"group {group.name}",
+            loss,
+            fence=group.granted_term,
+            reason=reason,
+        )
+
     def paused(self, promotion: Promotion, command: EndpointCommand) -> None:
         """Record the result of a pause."""
         self.board.timeline.record(
@@ -72,9 +82,20 @@
     def called(self, promotion: Promotion, endpoint: str) -> None:
         """Record a promote call."""
         cause = "supersedes earlier calls" if promotion.confirms_primary else ""
-        position = _text(promotion.received_positions.get(endpoint))
+        if promotion.proof is not None and not promotion.confirms_primary:
+            cause = promotion.proof.value
         self._record(
-            EventKind.PROMOTE_CALLED, promotion, cause, endpoint=endpoint, position=position
+            EventKind.PROMOTE_CALLED,
+            promotion,
+            cause,
+            endpoint=endpoint,
+            position=_text(promotion.received_positions.get(endpoint)),
+            counted=" ".join(
+                f"{name}:{position}" for name, position in promotion.received_positions.items()
+            ),
+            left_out=" ".join(
+                sorted(promotion.asked_endpoints - promotion.received_positions.keys())
+            ),
         )
 
     def call_ended(self, promotion: Promotion, command: EndpointCommand) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -6,12 +6,13 @@
 
 from ...blackboard import Board, Topic
 from ...blackboard.configuration import Group
-from ...blackboard.groups import Promotion, PromotionPhase
+from ...blackboard.groups import Promotion, PromotionPhase, PromotionProof
 from ...blackboard.outbox import EndpointCommand
 from ...blackboard.registrations import Registration
 from ..groupview import GroupView
 from ..successors import Successors
 from .calls import PromoteCalls
+from .proofs import PromotionProofs
 
 RETRY_DELAY_S = 0.2  # between two attempts, or two rounds of pauses
 MAX_BLOCKED_S = 4.0  # two attempts with a call each; VMs withhold commits meanwhile
@@ -40,15 +41,21 @@
 class PausedReplicas:
     """Decides by the positions of paused endpoints, and what is known of the others."""
 
-    __slots__ = ("board", "view", "successors", "calls")
+    __slots__ = ("board", "view", "successors", "calls", "proofs")
 
     def __init__(
-        self, board: Board, view: GroupView, successors: Successors, calls: PromoteCalls
+        self,
+        board: Board,
+        view: GroupView,
+        successors: Successors,
+        calls: PromoteCalls,
+        proofs: PromotionProofs,
     ) -> None:
         self.board = board
         self.view = view
         self.successors = successors
         self.calls = calls
+        self.proofs = proofs
 
     def unasked(self, promotion: Promotion, group: Group) -> list[Registration]:
         """Return the endpoints to pause that were not asked yet, also those that have just joined.
@@ -77,19 +84,18 @@
         """Return the next step."""
         if self.view.has_primary_recovered(group, promotion):
             return PauseDecision(PauseStep.CONFIRM, group.primary or "")
-        missing = [
-            replica
-            for replica in self.view.replicas(group)
-            if replica.name not in promotion.received_positions
-        ]
-        has_all = promotion.received_positions and self.view.has_all_commits(
-            group, promotion.received_positions, promotion.terminated_endpoints
-        )
-        if promotion.pending_endpoints and not has_all:
+        received, terminated = promotion.received_positions, promotion.terminated_endpoints
+        proof = self.proofs.find(group, received, terminated)
+        if self._may_answer_more(promotion, proof):
             return PauseDecision(PauseStep.WAIT)
-        if has_all or self._reaches_earlier_target(promotion):
+        if proof is None and self._reaches_earlier_target(promotion):
+            proof = PromotionProof.EARLIER_TARGET
+        self.board.groups.proof_counts[proof] += 1
+        if proof is not None:
+            promotion.proof = proof
             return PauseDecision(PauseStep.PROMOTE, self.successors.most_advanced(promotion))
-        reason = f"{len(missing)} replicas did not answer, {len(group.departed)} departed"
+        self.proofs.note_failure(group)
+        reason = self.proofs.explain(group, received, terminated)
         return PauseDecision(PauseStep.FAIL, reason=reason)
 
     def begin_again(self, promotion: Promotion) -> None:
@@ -107,6 +113,15 @@
         is_long = opening and self.board.clock.now() - opening.opened_at > MAX_BLOCKED_S
         return bool(is_long) and group.primary in self.board.configuration.endpoints
 
+    def _may_answer_more(self, promotion: Promotion, proof: PromotionProof | None) -> bool:
+        """Return whether to wait for pauses without an answer.
+
+        An endpoint that is ahead of all that was handed on has commits that VMs withhold.
+        """
+        if proof is PromotionProof.HANDED_ON:
+            return any(self.view.is_healthy(name) for name in promotion.pending_endpoints)
+        return proof is None and bool(promotion.pending_endpoints)
+
     def _reaches_earlier_target(self, promotion: Promotion) -> bool:
         """Return whether a paused endpoint has what an earlier attempt found sufficient.
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -20,6 +20,7 @@
 )
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
 from gentianspread_core.controllers.homes import ServingVMList
+from gentianspread_core.controllers.leases import handed_on_reports
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_core.engine import Engine
 from gentianspread_core.settings import CoreSettings
@@ -154,7 +155,8 @@
             self.board.post(Topic.POLL_RECEIVED, name)
             revision = engine.board.configuration.revision
             update = self.engine.configuration.build_update(revision, name)
-            lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S)
+            reports = handed_on_reports(engine.board)
+            lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S, reports)
             self.board.post(Topic.LEASE_PASSED_ON, lease)
             copy = ConfigurationUpdate(
                 update.entries, update.snapshot, update.revision, update.confirmed_at
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
@@ -24,6 +24,7 @@
     StatementCall,
 )
 from gentianspread_core.controllers.configuration import ConfigurationUpdate
+from gentianspread_core.controllers.leases import handed_on_reports
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_server.platform.wire import decode_statement
 
@@ -356,7 +357,8 @@
         self.board.post(Topic.POLL_RECEIVED, name)
         revision = self.vms[name].board.configuration.revision
         update = self.engine.configuration.build_update(revision, name)
-        lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S)
+        reports = handed_on_reports(self.vms[name].board)
+        lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S, reports)
         self.board.post(Topic.LEASE_PASSED_ON, lease)
         observation = self.board.observations.newest(GROUP)
         delay_s = self.poll_delays_s.get(name, 0.0) + LATENCY_S
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -50,7 +50,8 @@
 class PromotionSimulation(HomeSimulation):
     """The VMs of `HomeSimulation`, whose base class's VM leads the control log.
 
-    The control leader reaches none of `cut_off_endpoints`; the other VMs and endpoints do. The next
+    The control leader reaches none of `cut_off_endpoints`; the other VMs and endpoints do. Those in
+    `refusing_endpoints` refuse connections of VMs, and go on replicating if they run. The next
     commands of the kinds in `late_commands` get no answer and are carried out after that many
     seconds; those in `slow_commands` are answered then. `called` has the promote calls that were
     sent, `acknowledged` the ids of the writes that callers were told to be committed, `lost_writes`
@@ -61,6 +62,7 @@
 
     def __init__(self, vm_count: int = 3, seed: int = 1) -> None:
         self.cut_off_endpoints: set[str] = set()
+        self.refusing_endpoints: set[str] = set()
         self.late_commands: list[tuple[EndpointCommandKind, float]] = []
         self.acknowledged: dict[str, float] = {}
         self.lost_writes: set[str] = set()
@@ -283,6 +285,9 @@
     def _probe(self, board: Board, probe: EndpointProbe) -> None:
         if board is self.board and probe.endpoint in self.cut_off_endpoints:
             self.call_later(lambda: self._post_to(board, Topic.PROBE_ENDED, probe), probe.timeout_s)
+        elif probe.endpoint in self.refusing_endpoints and board in self.boards:
+            probe.unreachable_reason = UnreachableReason.NOT_LISTENING
+            board.post(Topic.PROBE_ENDED, probe)
         elif board in self.boards:
             super()._probe(board, probe)
 
@@ -341,6 +346,9 @@
         if command.kind is EndpointCommandKind.PROMOTE:
             self._carry_out_call(command)
             return
+        if command.endpoint in self.refusing_endpoints:
+            command.unreachable_reason = UnreachableReason.NOT_LISTENING
+            return
         endpoint = self.endpoints.get(command.endpoint)
         if endpoint is None or not endpoint.alive:
             command.unreachable_reason = self._unreachable_reason(command.endpoint)
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -6,6 +6,7 @@
 
 from gentianspread_core.blackboard.groups import PromotionPhase
 from gentianspread_core.controllers.groupview import GroupView
+from gentianspread_core.controllers.promotion.proofs import PromotionProofs
 from gentianspread_core.controllers.successors import Successors
 
 
@@ -39,5 +40,6 @@
         "most_advanced",
         _least_advanced_paused,
     ),
-    ("any unreachable replica is skipped", GroupView, "has_all_commits", _yes),
+    ("any unreachable replica is skipped", PromotionProofs, "_has_all_confirmed", _yes),
+    ("handed-on commits are not compared", PromotionProofs, "_reaches", _yes),
 )
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -22,7 +22,11 @@
     ConfigurationController,
     ConfigurationUpdate,
 )
-from gentianspread_core.controllers.leases import applied_revision, has_recent_opening
+from gentianspread_core.controllers.leases import (
+    applied_revision,
+    handed_on_reports,
+    has_recent_opening,
+)
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_core.controllers.warmup import endpoints_to_doubt
 from gentianspread_core.positions import Position
@@ -30,6 +34,7 @@
 from .connections import RequestNotSentError, ResponseLostError
 from .founding import FirstStart
 from .guards import run_for_ever
+from .handedon import decode_handed_on, encode_handed_on
 from .news import News
 from .peers import PeerAddresses, PeerClient
 from .reports import (
@@ -151,7 +156,8 @@
         # An older build that passes leases on says nothing of the VMs that have one from it.
         passes_on = sender_report["has_disk"] or self.board.settings.registers_diskless_members
         applied = message.get("applied", 0 if passes_on else sender_revision)
-        lease = CommitLease(sender, applied, update.confirmed_at + COMMIT_LEASE_S)
+        reports = decode_handed_on(message.get("handed_on", {}), started)
+        lease = CommitLease(sender, applied, update.confirmed_at + COMMIT_LEASE_S, reports)
         self.board.post(Topic.LEASE_PASSED_ON, lease)
         timeline = self.board.timeline
         answer = {
@@ -281,6 +287,9 @@
         }
         if settings.has_disk or settings.registers_diskless_members:
             message["applied"] = applied_revision(self.board)
+        reports = handed_on_reports(self.board)
+        if reports:
+            message["handed_on"] = encode_handed_on(reports, self.board.clock.now())
         if asks_first_start:
             message["asks_first_start"] = True
         lost = endpoints_to_doubt(self.board)
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -131,6 +131,14 @@
         )
         commits.labels("withheld").inc(self.engine.board.groups.withheld_count)
         commits.labels("left_unknown").inc(self.engine.board.groups.left_unknown_count)
+        proofs = Counter(
+            "gentianspread_promotion_proofs",
+            "Decisions after the pauses of a promotion, by what proved that the endpoint has all.",
+            ["proof"],
+            registry=registry,
+        )
+        for proof, count in self.engine.board.groups.proof_counts.items():
+            proofs.labels(proof.name.lower() if proof is not None else "none").inc(count)
         for name, text, value in self._gauges():
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
