Count a deregistered replica as running until it is proved to have ended

Cause: a deregistration counted as the end of the replica. Its sender runs on, and confirms commits, until it has an answer; here the answer was lost, and it called again 1 s later. The control leader compared the other replica with what the primary had 0.2 s after the first call, found that enough (departures_covered, 10.44 s; last commit confirmed by the leaving replica 11.2 s), and promoted it with all registered replicas counted.

Change: the control log keeps the departure with its address until another endpoint registers at the address with a later start, a later start registers under the name, or the replica itself does; the leader counts it as ended then, or after 30 s. Until it has ended, the proof by the replicas fails, and only the VMs' reports allow a promotion. A promotion no longer clears departures that may still run, as they can confirm the new primary's commits too.

Ruled out: that the departure was not listed (endpoint_departed, 10.22 s), and that VMs handed on commits during the promotion.

Evidence: endpoint_departed says why and with which position, endpoint_ended by which evidence a replica counts as ended.

--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -146,6 +146,71 @@
       | 3.1     |
       | 3.3     |
 
+  # Guards against the loss of commits that only a replica confirmed after its deregistration, which
+  # was received while the replica ran on.
+  Scenario: A deregistered replica runs on, and the other one falls behind before the primary ends
+    When callers at every VM write during the next 3 s
+    And 1 s pass
+    And "b3" is deregistered and runs on
+    And 0.6 s pass
+    And "b2" receives nothing from the primary
+    And 0.4 s pass
+    And "b3" ends
+    And 0.5 s pass
+    And "b1" ends
+    And 8 s pass
+    Then no acknowledged write is lost
+    And "b2" does not lead
+
+  # Guards against a promotion that ends the memory of a replica which may still run, and confirms
+  # the commits of the new primary.
+  Scenario: A replica that was deregistered before a promotion runs on after it
+    Given callers at every VM write during the next 9 s
+    When "b4" joins
+    And 1 s pass
+    And "b3" is deregistered and runs on
+    And 0.5 s pass
+    And "b1" ends
+    Then "b2" leads within 1.2 s
+    When "b1" is deregistered
+    And 2 s pass
+    And "b4" receives nothing from the primary
+    And 0.8 s pass
+    And "b3" ends
+    And 0.3 s pass
+    And "b2" ends
+    And 8 s pass
+    Then no acknowledged write is lost
+    And "b4" does not lead
+
+  # Guards against departures that block promotions for ever where a VM does not say what it handed on.
+  Scenario Outline: A departed replica <evidence>, and the primary and a VM end
+    When callers at every VM write during the next 45 s
+    And "b4" joins
+    And 1 s pass
+    And "b3" ends and is deregistered
+    And <evidence>
+    And 1 s pass
+    And "h1" is without news of the configuration
+    And "b1" ends
+    And 3 s pass
+    Then <outcome>
+    And no acknowledged write is lost
+
+    Examples:
+      | evidence                                 | outcome          |
+      | "b5" joins at the address of "b3"        | "b2" leads       |
+      | "b3" starts again and announces itself   | "b2" leads       |
+      | 31 s pass                                | "b2" leads       |
+      | 1 s pass                                 | no endpoint was called |
+
+  Scenario: A replica that registers again after its deregistration counts as a replica
+    When "b3" is deregistered and runs on
+    And "b3" announces that it leaves
+    Then no replica is listed as departed
+    When "b3" is deregistered and runs on
+    Then "b3" is listed as departed and may still run, also in snapshots
+
   # Guards against departures that hold up the promotion of a replica that has every commit.
   Scenario Outline: <departure>, and the primary ends <seconds> s later
     When callers at every VM write during the next 12 s
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 from behave import given, then, when
+from gentianspread_core.blackboard.configuration import (
+    Configuration,
+    load_snapshot,
+    to_snapshot,
+)
 from gentianspread_core.blackboard.groups import PromotionPhase, PromotionProof
 from gentianspread_core.blackboard.outbox import EndpointCommandKind
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.errors import ErrorCode, ExecutionResult
+from gentianspread_lab.fakes.session_endpoint import endpoint_address
 from gentianspread_lab.fakes.session_simulation import GROUP
 from gentianspread_server.platform.wire import decode_statement
 
@@ -171,12 +177,21 @@
     context.promotion_simulation.run(STEP_S)
 
 
+@when('"{name:w}" is deregistered')
 @when('"{name:w}" is deregistered and runs on')
 def step_deregistered_running(context, name):
     context.promotion_simulation.deregister(name)
     context.promotion_simulation.run(STEP_S)
 
 
+@when('"{name:w}" joins at the address of "{other:w}"')
+def step_joins_at_address(context, name, other):
+    simulation = context.promotion_simulation
+    endpoint = simulation.join(name, is_announced=False)
+    address = endpoint_address(other)
+    simulation.announce(endpoint, leaving=False, sequence=1, incarnation=2, address=address)
+
+
 @when('"{name:w}" refuses connections and runs on')
 def step_refuses(context, name):
     context.promotion_simulation.refusing_endpoints.add(name)
@@ -223,6 +238,7 @@
     context.writes.append(send(context, vm, context.callers[vm], "WRITE x 1"))
 
 
+@given("callers at every VM write during the next {seconds:g} s")
 @when("callers at every VM write during the next {seconds:g} s")
 def step_write_load(context, seconds):
     simulation = context.promotion_simulation
@@ -299,6 +315,29 @@
     assert simulation.endpoints[name].is_primary, simulation.promotions
 
 
+@then('"{name:w}" leads')
+def step_leads_now(context, name):
+    assert context.promotion_simulation.endpoints[name].is_primary
+
+
+@then("no replica is listed as departed")
+def step_none_departed(context):
+    assert not group_of(context).departed, group_of(context).departed
+    assert not context.promotion_simulation.board.configuration.departures
+
+
+@then('"{name:w}" is listed as departed and may still run, also in snapshots')
+def step_departed(context, name):
+    configuration = context.promotion_simulation.board.configuration
+    loaded = Configuration()
+    assert not load_snapshot(loaded, to_snapshot(configuration))
+    for item in (configuration, loaded):
+        assert item.groups[GROUP].departed == [f"{name}/1"], item.groups[GROUP].departed
+        departure = item.departures[f"{name}/1"]
+        assert (departure.group, departure.name, departure.incarnation) == (GROUP, name, 1)
+        assert departure.address == endpoint_address(name)
+
+
 @then('"{name:w}" does not lead')
 def step_does_not_lead(context, name):
     simulation = context.promotion_simulation
--- a/packages/gentianspread-cli/src/gentianspread_cli/promotions.py
+++ b/packages/gentianspread-cli/src/gentianspread_cli/promotions.py
@@ -25,6 +25,7 @@
         "endpoint_restarted",
         "endpoint_leaving",
         "endpoint_departed",
+        "endpoint_ended",
         "log_lost",
     }
 )
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/configuration.py
@@ -6,6 +6,7 @@
 
 from .commands import ChangeOutcome, Preset
 from .declarations import Declaration, DeclaredGroup
+from .departures import Departure
 from .log import FOUNDING_INCARNATION
 from .registrations import Registration, find_fault
 from .successions import Succession
@@ -140,7 +141,8 @@
     control log. `evacuations`, by zone, is replaced, never changed in place. `warmups`, by
     endpoint, are of those that announced to be cold, and `warmup_allocators`, by zone of the
     endpoints, grant the tokens that cold ones need. `successions`, by group, are of those whose
-    primary has changed; `voting_members`, by group, count in its majorities. `cold_groups` are the
+    primary has changed; `voting_members`, by group, count in its majorities. `departures`, by
+    label, are of replicas that left and are not proved to have ended. `cold_groups` are the
     declared groups whose cold endpoints have a limit, and `workspace_regions` the regions of
     restricted workspaces.
     """
@@ -167,6 +169,7 @@
         "warmup_allocators",
         "successions",
         "voting_members",
+        "departures",
         "cold_groups",
         "workspace_regions",
     )
@@ -193,6 +196,7 @@
         self.warmup_allocators: dict[str, Allocator] = {}
         self.successions: dict[str, Succession] = {}
         self.voting_members: dict[str, VotingMembers] = {}
+        self.departures: dict[str, Departure] = {}
         self.cold_groups: dict[str, DeclaredGroup] = {}
         self.workspace_regions: dict[str, frozenset[str]] = {}
 
@@ -249,6 +253,7 @@
     "warmup_allocators": Allocator,
     "successions": Succession,
     "voting_members": VotingMembers,
+    "departures": Departure,
 }
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -2,7 +2,7 @@
 
 `confirmations` is owned by the acknowledgement controller, `withheld` and its counts by the
 completion controller, `failovers` by the failover controller,
-`promotions` by the promotion controller, `health`, `departures_seen_at` and `lost_logs_at` by the
+`promotions` by the promotion controller, `health`, the departures and `lost_logs_at` by the
 health controller or the failover controller.
 """
 
@@ -190,9 +190,10 @@
     `proof_counts` counts the promote calls by their proof; none stands for attempts without one.
 
     `departures_seen_at` gives by group when this leader first saw each endpoint as departed, in
-    seconds of its clock. `lost_logs_at` gives likewise when the position of an endpoint was seen to
-    be before an earlier one, as after a start with an empty log, until another one has received all
-    that it may have confirmed.
+    seconds of its clock, and `departures_ended_at` when it first counted it as ended, so that it
+    confirms nothing more. `lost_logs_at` gives likewise when the position of an endpoint was seen
+    to be before an earlier one, as after a start with an empty log, until another one has received
+    all that it may have confirmed.
     """
 
     __slots__ = (
@@ -206,6 +207,7 @@
         "promotions",
         "health",
         "departures_seen_at",
+        "departures_ended_at",
         "lost_logs_at",
     )
 
@@ -220,4 +222,5 @@
         self.promotions: dict[str, Promotion] = {}
         self.health: dict[str, Health] = {}
         self.departures_seen_at: dict[str, dict[str, float]] = {}
+        self.departures_ended_at: dict[str, dict[str, float]] = {}
         self.lost_logs_at: dict[str, dict[str, float]] = {}
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -64,6 +64,7 @@
     ENDPOINT_RESTARTED = "endpoint_restarted"
     ENDPOINT_LEAVING = "endpoint_leaving"
     ENDPOINT_DEPARTED = "endpoint_departed"
+    ENDPOINT_ENDED = "endpoint_ended"
     ALLOCATOR_NAMED = "allocator_named"
     VOTER_LOST = "voter_lost"
     VOTERS_CHANGED = "voters_changed"
--- /dev/null
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/departures.py
@@ -0,0 +1,65 @@
+"""From when on departed replicas count as ended, on the control leader."""
+
+from __future__ import annotations
+
+from ..blackboard import Board
+from ..blackboard.configuration import Group
+from ..blackboard.timeline import EventKind
+
+# An endpoint whose deregistration is not answered ends some seconds later, and one that leaves goes
+# on for many seconds at most after its announcement was acknowledged.
+MAX_LINGER_S = 30.0
+
+
+class DepartureTimes:
+    """Notes when departures were first seen, and when they first counted as ends.
+
+    A departed replica has ended once another start proves it, or after `MAX_LINGER_S`.
+    """
+
+    __slots__ = ("board",)
+
+    def __init__(self, board: Board) -> None:
+        self.board = board
+
+    def reset(self) -> None:
+        """Forget all times: another leader has seen the departures."""
+        self.board.groups.departures_seen_at.clear()
+        self.board.groups.departures_ended_at.clear()
+
+    def update(self, group: Group) -> None:
+        """Note the departures and ends of a group that are new."""
+        groups, now = self.board.groups, self.board.clock.now()
+        known = groups.departures_seen_at.get(group.name, {})
+        seen_at = {label: known.get(label, now) for label in group.departed}
+        known_ends = groups.departures_ended_at.get(group.name, {})
+        ended_at: dict[str, float] = {}
+        for label in group.departed:
+            evidence = self._evidence_of_end(label, seen_at[label])
+            if label in known_ends:
+                ended_at[label] = known_ends[label]
+            elif evidence:
+                ended_at[label] = now
+                self._record_end(group, label, now - seen_at[label], evidence)
+        groups.departures_seen_at[group.name] = seen_at
+        groups.departures_ended_at[group.name] = ended_at
+
+    def _evidence_of_end(self, label: str, seen_at: float) -> str:
+        """Return why a departed replica confirms nothing more, or an empty text."""
+        if label not in self.board.configuration.departures:
+            return "a later start under its name or at its address, or its removal by the leader"
+        if self.board.clock.now() - seen_at >= MAX_LINGER_S:
+            return f"it left {MAX_LINGER_S:g} s ago and has not registered again"
+        return ""
+
+    def _record_end(self, group: Group, label: str, after_s: float, evidence: str) -> None:
+        name = label.rpartition("/")[0]
+        health = self.board.groups.health.get(name)
+        self.board.timeline.record(
+            EventKind.ENDPOINT_ENDED,
+            f"endpoint {label}",
+            evidence,
+            group=group.name,
+            after_s=round(after_s, 3),
+            last_position=str(health.position) if health and health.position else "",
+        )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from ..blackboard import Board
 from ..blackboard.configuration import Group
 from ..blackboard.groups import Promotion
@@ -104,16 +106,17 @@
         is_paused = group.primary in promotion.received_positions
         return not is_paused and health is not None and health.failures == 0 and health.is_primary
 
-    def last_departure_at(self, group: Group, except_for: str | None = None) -> float | None:
-        """Return when the last of the departed replicas was first seen as departed, or none.
+    def last_end_at(self, group: Group, except_for: str | None = None) -> float | None:
+        """Return when the last of the departed replicas counted as ended, or none.
 
-        A departure that the health controller has not recorded yet counts as seen now, the latest
-        possible time. A replica that lost its log counts from when that was seen.
+        It is infinite if one may still run. A replica that lost its log counts as ended when that
+        was seen.
         """
-        now = self.board.clock.now()
-        seen_at = self.board.groups.departures_seen_at.get(group.name, {})
+        ended_at = self.board.groups.departures_ended_at.get(group.name, {})
         excepted = f"{except_for}/"
-        times = [seen_at.get(name, now) for name in group.departed if not name.startswith(excepted)]
+        times = [
+            ended_at.get(name, math.inf) for name in group.departed if not name.startswith(excepted)
+        ]
         lost_at = self.board.groups.lost_logs_at.get(group.name, {})
         times += [at for name, at in lost_at.items() if name not in (group.primary, except_for)]
         return max(times, default=None)
@@ -134,10 +137,13 @@
 
     def explain_departures(self, group: Group) -> list[tuple[str, str]]:
         """Return what is known of each departed replica's end."""
-        seen_at = self.board.groups.departures_seen_at.get(group.name, {})
+        ended_at = self.board.groups.departures_ended_at.get(group.name, {})
         now = self.board.clock.now()
         return [
-            (name, f"departed {max(0.0, now - seen_at.get(name, now)):.1f} s ago")
+            (
+                name,
+                f"ended {now - ended_at[name]:.1f} s ago" if name in ended_at else "may still run",
+            )
             for name in group.departed
         ]
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -12,12 +12,14 @@
 from ..blackboard import Board, Topic
 from ..blackboard.commands import ChangeOutcome, Command, CommandKind
 from ..blackboard.configuration import Group
+from ..blackboard.departures import DepartureEvidence
 from ..blackboard.election import Role
 from ..blackboard.groups import Health
 from ..blackboard.messages import Proposal
 from ..blackboard.outbox import EndpointProbe
 from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
+from .departures import DepartureTimes
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
 
 PROBE_PURPOSE = "promotion"
@@ -29,11 +31,12 @@
 class HealthController:
     """Owns endpoints' health and the times of their departures."""
 
-    __slots__ = ("board", "view", "_timer")
+    __slots__ = ("board", "view", "departures", "_timer")
 
     def __init__(self, board: Board) -> None:
         self.board = board
         self.view = GroupView(board)
+        self.departures = DepartureTimes(board)
         self._timer: Any = None
 
     def subscriptions(self) -> dict[Topic, Any]:
@@ -48,7 +51,7 @@
     def on_leadership(self, _entry: None) -> None:
         """Drop all health; start to probe the endpoints if this VM became the leader."""
         self.board.groups.health.clear()
-        self.board.groups.departures_seen_at.clear()
+        self.departures.reset()
         self.board.groups.lost_logs_at.clear()
         if self._is_leader():
             self._schedule_probes()
@@ -172,23 +175,24 @@
         if self.view.reaches_primary_since(
             registration.group, health.terminated_since, other_positions
         ):
-            fields = {"name": registration.name, "incarnation": registration.incarnation}
+            fields = {
+                "name": registration.name,
+                "incarnation": registration.incarnation,
+                "evidence": DepartureEvidence.REFUSED.value,
+            }
             self._propose(CommandKind.ENDPOINT_GONE, fields)
 
     def _check_departures(self, group: Group) -> None:
         """Propose to clear departed endpoints once a replica has all they may have confirmed."""
-        now = self.board.clock.now()
-        known = self.board.groups.departures_seen_at.get(group.name, {})
-        seen_at = {name: known.get(name, now) for name in group.departed}
-        self.board.groups.departures_seen_at[group.name] = seen_at
-        last_departure_at = self.view.last_departure_at(group)
-        if last_departure_at is None:
+        self.departures.update(group)
+        last_end_at = self.view.last_end_at(group)
+        if last_end_at is None:
             return
         replicas = [
             replica for replica in self.view.replicas(group) if self.view.is_healthy(replica.name)
         ]
         positions = [self.board.groups.health[replica.name].position for replica in replicas]
-        if not self.view.reaches_primary_since(group.name, last_departure_at, positions):
+        if not self.view.reaches_primary_since(group.name, last_end_at, positions):
             return
         self.board.groups.lost_logs_at.pop(group.name, None)
         if group.departed:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -7,9 +7,9 @@
 that was handed on, and is promoted. Until it is certain that no call can take effect any more, the
 promotion is under way and VMs withhold what the endpoints confirm.
 
-If a replica is unreachable, the promotion waits, unless that replica is proved to have terminated
-and another one has everything that the primary had at some moment after that. A promote call that
-got no answer may still take effect; only one with a higher fencing token rules that out.
+If a replica is unreachable or has left, `proofs` decides whether the promotion may go ahead. A
+promote call that got no answer may still take effect; only one with a higher fencing token rules
+that out.
 """
 
 from __future__ import annotations
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
@@ -130,12 +130,12 @@
             return True  # nothing was handed on since it was named
         positions = list(received.values())
         covered = group.primary if self._covers_named_primary(group, received) else None
-        departed_at = self.view.last_departure_at(group, covered)
+        ended_at = self.view.last_end_at(group, covered)
         # The primary has every commit, also those that only departed replicas confirmed.
         has_primary = group.primary in received and self.board.configuration.has_led(group)
-        has_departed_commits = departed_at is None or has_primary
+        has_departed_commits = ended_at is None or has_primary
         if not has_departed_commits and not self.view.reaches_primary_since(
-            group.name, departed_at, positions
+            group.name, ended_at, positions
         ):
             return False
         return all(
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/registrationlog.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/registrationlog.py
@@ -50,12 +50,13 @@
         if command.kind is CommandKind.REGISTER_ENDPOINT:
             self._record_registration(command.fields["name"], command.fields["address"])
         elif command.kind is CommandKind.ENDPOINT_GONE:
-            self._record_departure(command.fields["name"])
+            evidence = command.fields.get("evidence", "it deregistered")
+            self._record_departure(command.fields["name"], evidence)
 
     def _record_registration(self, name: str, address: str) -> None:
         evicted = self._by_address.get(address)
         if evicted is not None and evicted != name:
-            self._record_departure(evicted)
+            self._record_departure(evicted, f"{name} has registered at its address")
         current, before = self.board.configuration.endpoints.get(name), self._known.get(name)
         if current is None:
             return
@@ -67,16 +68,20 @@
         elif current.leaving and not before.leaving:
             self._record(EventKind.ENDPOINT_LEAVING, current)
 
-    def _record_departure(self, name: str) -> None:
+    def _record_departure(self, name: str, cause: str) -> None:
         before = self._known.get(name)
         if before is None or name in self.board.configuration.endpoints:
             return
         del self._known[name]
         if self._by_address.get(before.address) == name:
             del self._by_address[before.address]
-        self._record(EventKind.ENDPOINT_DEPARTED, before)
+        health = self.board.groups.health.get(name)
+        position = str(health.position) if health is not None and health.position else ""
+        self._record(EventKind.ENDPOINT_DEPARTED, before, cause, last_position=position)
 
-    def _record(self, kind: EventKind, registration: Registration) -> None:
+    def _record(
+        self, kind: EventKind, registration: Registration, cause: str = "", **details: Any
+    ) -> None:
         if self._is_replayed:
             return
         group = self.board.configuration.groups.get(registration.group)
@@ -84,9 +89,10 @@
         self.board.timeline.record(
             kind,
             f"endpoint {registration.name}",
-            "during a promotion" if is_open else "",
+            ", ".join(filter(None, (cause, "during a promotion" if is_open else ""))),
             group=registration.group,
             zone=registration.zone,
             incarnation=registration.incarnation,
             fence=group.granted_term if group is not None else 0,
+            **details,
         )
--- a/packages/gentianspread-core/src/gentianspread_core/group_commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -4,6 +4,7 @@
 
 from .blackboard.commands import Command
 from .blackboard.configuration import Configuration, Group
+from .blackboard.departures import Departure, departure_label
 from .blackboard.registrations import Registration
 from .blackboard.successions import Succession
 from .blackboard.votingmembers import VotingMembers
@@ -11,7 +12,7 @@
 from .positions import LOG_START, Position
 
 
-def list_departed(configuration: Configuration, endpoint: Registration) -> None:
+def list_departed(configuration: Configuration, endpoint: Registration, has_ended: bool) -> None:
     """List a replica's incarnation as departed from its group.
 
     A commit that only it had confirmed may now be on the primary alone, which keeps its log when it
@@ -20,8 +21,31 @@
     group = configuration.groups.get(endpoint.group)
     if group is None or not group.counts_own_terms:
         return
-    if endpoint.name != group.primary or not configuration.has_led(group):
-        group.departed = [*group.departed, f"{endpoint.name}/{endpoint.incarnation}"]
+    if endpoint.name == group.primary and configuration.has_led(group):
+        return
+    label = departure_label(endpoint.name, endpoint.incarnation)
+    group.departed = [*group.departed, label]
+    if not has_ended:
+        configuration.departures[label] = Departure(
+            label, group.name, endpoint.name, endpoint.incarnation, endpoint.address
+        )
+
+
+def note_start(configuration: Configuration, registration: Registration) -> None:
+    """Note which departed replicas have ended, as the start of another endpoint proves.
+
+    One that registers again counts as a replica again.
+    """
+    for departure in list(configuration.departures.values()):
+        if departure.has_ended_before(
+            registration.name, registration.address, registration.incarnation
+        ):
+            del configuration.departures[departure.label]
+    label = departure_label(registration.name, registration.incarnation)
+    departure = configuration.departures.pop(label, None)
+    group = configuration.groups.get(departure.group) if departure is not None else None
+    if group is not None:
+        group.departed = [item for item in group.departed if item != label]
 
 
 def clear_departures(configuration: Configuration, command: Command) -> None:
@@ -29,6 +53,8 @@
     group = require_group(configuration, command.fields["group"])
     cleared = command.fields["names"]
     group.departed = [name for name in group.departed if name not in cleared]
+    for label in cleared:
+        configuration.departures.pop(label, None)
 
 
 def grant_term(configuration: Configuration, command: Command) -> None:
@@ -74,7 +100,8 @@
             )
     covers_departed = command.fields.get("covers_departed", True)
     if (is_new or is_confirmation) and leads and covers_departed:
-        group.departed = []
+        # One that may still run can confirm commits of the new primary too.
+        group.departed = [label for label in group.departed if label in configuration.departures]
     group.primary = endpoint
     if not group.counts_own_terms:
         _renew_voting_members(configuration, group)
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -25,7 +25,13 @@
 from .blackboard.registrations import Registration, find_fault
 from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
-from .group_commands import clear_departures, grant_term, list_departed, set_primary
+from .group_commands import (
+    clear_departures,
+    grant_term,
+    list_departed,
+    note_start,
+    set_primary,
+)
 
 MAX_UNREGISTERED_REVISIONS = 1000  # an endpoint registers with the announcement of its warm-up
 
@@ -152,7 +158,8 @@
     if registration.incarnation and not _evict_older_at_address(configuration, registration):
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer endpoint has this address.")
     if current is not None and registration.incarnation > current.incarnation > 0:
-        list_departed(configuration, current)
+        list_departed(configuration, current, has_ended=True)
+    note_start(configuration, registration)
     configuration.endpoints[registration.name] = registration
     _resize_group(configuration, registration.group)
 
@@ -164,21 +171,22 @@
             continue
         if other.incarnation > registration.incarnation:
             return False
-        _remove_endpoint(configuration, other)
+        _remove_endpoint(configuration, other, has_ended=True)
     return True
 
 
-def _remove_endpoint(configuration: Configuration, endpoint: Registration) -> None:
-    """Remove an endpoint's registration; an incarnation that does not run holds no commits."""
+def _remove_endpoint(configuration: Configuration, endpoint: Registration, has_ended: bool) -> None:
+    """Remove an endpoint's registration; `has_ended` tells whether it is proved to have ended."""
     del configuration.endpoints[endpoint.name]
     configuration.warmups.pop(endpoint.name, None)
-    list_departed(configuration, endpoint)
+    list_departed(configuration, endpoint, has_ended)
 
 
 def _deregister_endpoint(configuration: Configuration, command: Command) -> None:
+    """Remove an endpoint that said that it ends, or that the control leader does not reach."""
     endpoint = configuration.endpoints.get(command.fields["name"])
     if endpoint is not None and endpoint.incarnation <= command.fields["incarnation"]:
-        _remove_endpoint(configuration, endpoint)
+        _remove_endpoint(configuration, endpoint, has_ended="evidence" in command.fields)
 
 
 def _apply_declaration(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_simulation.py
@@ -160,12 +160,17 @@
         self.announce(endpoint, leaving, sequence=1)
 
     def announce(
-        self, endpoint: FakeSessionEndpoint, leaving: bool, sequence: int, incarnation: int = 1
+        self,
+        endpoint: FakeSessionEndpoint,
+        leaving: bool,
+        sequence: int,
+        incarnation: int = 1,
+        address: str = "",
     ) -> None:
         """Register an endpoint's announcement in the control log."""
         fields = {
             "name": endpoint.name,
-            "address": endpoint_address(endpoint.name),
+            "address": address or endpoint_address(endpoint.name),
             "zone": endpoint.zone,
             "group": GROUP,
             "leaving": leaving,
--- a/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/mutants.py
@@ -318,7 +318,7 @@
     *(Mutant(*rule) for rule in (*PROMOTION_MUTANTS, *LEASE_MUTANTS)),
     Mutant("restarted replicas count", state_machine, "list_departed", constant(None)),
     Mutant("positions may go back", Health, "has_lost_log", constant(False)),
-    Mutant("departed endpoints are ignored", GroupView, "last_departure_at", constant(None)),
+    Mutant("departed endpoints are ignored", GroupView, "last_end_at", constant(None)),
     Mutant(
         "removed voters get no updates", ConfigurationController, "_receives_log", constant(True)
     ),
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -4,7 +4,9 @@
 
 from typing import Any
 
+from gentianspread_core import state_machine
 from gentianspread_core.blackboard.groups import PromotionPhase
+from gentianspread_core.controllers import departures
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.promotion.proofs import PromotionProofs
 from gentianspread_core.controllers.successors import Successors
@@ -28,6 +30,13 @@
     )
 
 
+ORIGINAL_LIST_DEPARTED = state_machine.list_departed
+
+
+def _list_departed_as_ended(configuration: Any, endpoint: Any, has_ended: bool) -> None:
+    ORIGINAL_LIST_DEPARTED(configuration, endpoint, has_ended=True)
+
+
 def _yes(*_arguments: Any) -> bool:
     return True
 
@@ -41,5 +50,7 @@
         _least_advanced_paused,
     ),
     ("any unreachable replica is skipped", PromotionProofs, "_has_all_confirmed", _yes),
+    ("a deregistration is an end", state_machine, "list_departed", _list_departed_as_ended),
+    ("replicas that left have ended", departures, "MAX_LINGER_S", 0.0),
     ("handed-on commits are not compared", PromotionProofs, "_reaches", _yes),
 )
