Do not take a refused connection for the end of a leaving replica

Cause: a refused connection to an endpoint that had announced its stop counted as proof that it had ended, in probes (it was removed after 1 s, and its departure cleared as soon as another replica had what the primary had), and in the answers to pauses. A cut refuses connections too; the replica ran on and confirmed commits for two more seconds.

Change: only another endpoint's answer at the address proves an end. A leaving endpoint that refuses for 1 s is still removed from those that get work, but counts as running like one that deregistered. What earlier probes had found no longer removes an endpoint at once that registers again; in the second scenario it was removed again and again.

--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -162,6 +162,41 @@
     Then no acknowledged write is lost
     And "b2" does not lead
 
+  # Guards against the loss of commits that only a leaving replica confirmed while connections to it
+  # were refused.
+  Scenario: A leaving replica refuses connections and runs on, and the other one falls behind
+    When callers at every VM write during the next 5 s
+    And "b3" announces that it leaves
+    And 1 s pass
+    And "b3" refuses connections and runs on
+    And 2 s pass
+    And "b2" receives nothing from the primary
+    And 0.8 s pass
+    And "b1" ends
+    And 8 s pass
+    Then no acknowledged write is lost
+    And "b2" does not lead
+
+  # Guards against the same once the leaving replica was removed for refusing connections, and when the
+  # cut has ended.
+  Scenario: A leaving replica that was removed as it refused connections can be reached again
+    When callers at every VM write during the next 6 s
+    And "b3" announces that it leaves
+    And 1 s pass
+    And "b3" refuses connections and runs on
+    And 2 s pass
+    Then "b3" is listed as departed and may still run, also in snapshots
+    When "b2" receives nothing from the primary
+    And 0.8 s pass
+    And "b1" ends
+    And 2 s pass
+    And "b3" accepts connections again
+    And "b3" announces that it leaves
+    Then "b3" leads within 1.2 s
+    When 5 s pass
+    Then "b2" leads
+    And no acknowledged write is lost
+
   # Guards against a promotion that ends the memory of a replica which may still run, and confirms
   # the commits of the new primary.
   Scenario: A replica that was deregistered before a promotion runs on after it
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -147,8 +147,9 @@
 
     `answered_at` is when the last probe that it answered was sent.
     `not_primary_answers` counts the consecutive probes that it answered as no primary. All probes
-    since `terminated_since` proved that it terminated; none if the last did not. `probed` is set
-    once a probe has succeeded or failed since the last promotion.
+    since `refused_since` found no endpoint or another one at its address, and those since
+    `terminated_since` proved that it terminated; none if the last did not. `probed` is set once
+    a probe has succeeded or failed since the last promotion.
     """
 
     __slots__ = (
@@ -160,6 +161,7 @@
         "probed",
         "answered_at",
         "not_primary_answers",
+        "refused_since",
         "terminated_since",
     )
 
@@ -172,6 +174,7 @@
         self.probed = False
         self.answered_at = float("-inf")
         self.not_primary_answers = 0
+        self.refused_since: float | None = None
         self.terminated_since: float | None = None
 
     def has_lost_log(self, position: Position | None) -> bool:
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/outbox.py
@@ -20,14 +20,18 @@
 class UnreachableReason(Enum):
     """Why an endpoint is unreachable, as seen when connecting to its address.
 
-    `NOT_LISTENING`: the connection was refused. Some network partitions do that too, so it alone
-    does not prove that the endpoint has terminated. `REPLACED`: another endpoint answered at its
-    address, which does prove it.
+    `NOT_LISTENING`: the connection was refused. Some network partitions do that too, so it does not
+    prove that the endpoint has terminated, whatever that has announced. `REPLACED`: another
+    endpoint answered at its address, which does prove it.
     """
 
     NOT_LISTENING = "not listening"
     REPLACED = "replaced"
 
+    def proves_termination(self) -> bool:
+        """Return whether the endpoint has terminated, and so confirms nothing more."""
+        return self is UnreachableReason.REPLACED
+
 
 class ReplicaWatch:
     """Wait until a replica has received a position; posted by the acknowledgement controller.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/departures.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/departures.py
@@ -47,7 +47,7 @@
     def _evidence_of_end(self, label: str, seen_at: float) -> str:
         """Return why a departed replica confirms nothing more, or an empty text."""
         if label not in self.board.configuration.departures:
-            return "a later start under its name or at its address, or its removal by the leader"
+            return "a later start under its name or at its address, or another answer there"
         if self.board.clock.now() - seen_at >= MAX_LINGER_S:
             return f"it left {MAX_LINGER_S:g} s ago and has not registered again"
         return ""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/groupview.py
@@ -7,7 +7,6 @@
 from ..blackboard import Board
 from ..blackboard.configuration import Group
 from ..blackboard.groups import Promotion
-from ..blackboard.outbox import EndpointCommand, UnreachableReason
 from ..blackboard.registrations import Registration
 from ..positions import Position
 
@@ -146,21 +145,3 @@
             )
             for name in group.departed
         ]
-
-    def has_terminated(self, command: EndpointCommand) -> bool:
-        """Return whether a command that failed proves that its endpoint terminated."""
-        registration = self.board.configuration.endpoints.get(command.endpoint)
-        return registration is None or has_terminated(registration, command.unreachable_reason)
-
-
-def has_terminated(
-    registration: Registration, unreachable_reason: UnreachableReason | None
-) -> bool:
-    """Return whether the reason why an endpoint is unreachable proves that it terminated.
-
-    Another endpoint at its address does. A closed port may also come from a network partition that
-    refuses connections; it counts as proof only for a leaving endpoint, which announced its stop.
-    """
-    if unreachable_reason is UnreachableReason.REPLACED:
-        return True
-    return unreachable_reason is UnreachableReason.NOT_LISTENING and registration.leaving
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -1,8 +1,8 @@
 """Health controller: probes the endpoints of groups whose terms the database assigns.
 
 Runs on the control leader only. It also proposes to the control log to remove leaving endpoints
-that terminated without deregistering, and to clear a group's departed endpoints once a replica has
-every commit that those may have confirmed.
+that refuse connections without having deregistered, and to clear a group's departed endpoints once
+a replica has every commit that those may have confirmed.
 """
 
 from __future__ import annotations
@@ -20,12 +20,12 @@
 from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
 from .departures import DepartureTimes
-from .groupview import PROBE_FAILURE_THRESHOLD, GroupView, has_terminated
+from .groupview import PROBE_FAILURE_THRESHOLD, GroupView
 
 PROBE_PURPOSE = "promotion"
 PROBE_INTERVAL_S = 0.2  # with two failed probes, a crash is detected within half a second
 PROBE_TIMEOUT_S = 0.3  # an endpoint that is not overloaded answers within 2 ms
-TERMINATION_CONFIRM_S = 1.0  # five probes in a row must show that a leaving endpoint terminated
+REFUSAL_CONFIRM_S = 1.0  # five probes in a row must be refused by a leaving endpoint
 
 
 class HealthController:
@@ -57,12 +57,13 @@
             self._schedule_probes()
 
     def on_health_due(self, _entry: None) -> None:
-        """Probe every endpoint, and propose to remove terminated and to clear departed ones."""
+        """Probe every endpoint, and propose to remove refusing and to clear departed ones."""
         if not self._is_leader():
             return
+        self._forget_refusals()
         for registration in list(self.board.configuration.endpoints.values()):
             self._probe(registration)
-            self._remove_if_terminated(registration)
+            self._remove_if_refusing(registration)
         for group in list(self.board.configuration.groups.values()):
             self._check_departures(group)
         self.board.changes.post(Topic.FAILOVER_CHECK_DUE)
@@ -89,9 +90,9 @@
             health.position = probe.position
             health.is_primary = probe.is_primary
             health.not_primary_answers = 0 if probe.is_primary else health.not_primary_answers + 1
-            health.terminated_since = None
+            health.refused_since = health.terminated_since = None
         else:
-            self._record_failure(health, probe, registration)
+            self._record_failure(health, probe)
             if health.failures < PROBE_FAILURE_THRESHOLD:
                 self._probe(registration)
         self.board.changes.post(Topic.HEALTH_UPDATED, registration.group)
@@ -130,15 +131,18 @@
             now=str(probe.position),
         )
 
-    def _record_failure(
-        self, health: Health, probe: EndpointProbe, registration: Registration
-    ) -> None:
+    def _record_failure(self, health: Health, probe: EndpointProbe) -> None:
         health.failures += 1
         health.is_primary = False
-        if not has_terminated(registration, probe.unreachable_reason):
+        reason, now = probe.unreachable_reason, self.board.clock.now()
+        if reason is None:
+            health.refused_since = None
+        elif health.refused_since is None:
+            health.refused_since = now
+        if reason is None or not reason.proves_termination():
             health.terminated_since = None
         elif health.terminated_since is None:
-            health.terminated_since = self.board.clock.now()
+            health.terminated_since = now
 
     def _is_leader(self) -> bool:
         return self.board.election.role is Role.LEADER
@@ -160,12 +164,18 @@
         )
         self.board.changes.post(Topic.INTENT_POSTED, probe)
 
-    def _remove_if_terminated(self, registration: Registration) -> None:
-        """Propose to remove a leaving endpoint that terminated without deregistering."""
+    def _forget_refusals(self) -> None:
+        """Let removed endpoints that register again count as reachable until they are probed."""
+        for name, health in self.board.groups.health.items():
+            if name not in self.board.configuration.endpoints:
+                health.refused_since = health.terminated_since = None
+
+    def _remove_if_refusing(self, registration: Registration) -> None:
+        """Propose to remove a leaving endpoint that most probably ended without deregistering."""
         health = self.board.groups.health.get(registration.name)
-        if not registration.leaving or health is None or health.terminated_since is None:
+        if not registration.leaving or health is None or health.refused_since is None:
             return
-        if self.board.clock.now() - health.terminated_since < TERMINATION_CONFIRM_S:
+        if self.board.clock.now() - health.refused_since < REFUSAL_CONFIRM_S:
             return
         other_positions = [
             self.board.groups.health[endpoint.name].position
@@ -173,12 +183,14 @@
             if endpoint.name != registration.name and self.view.is_healthy(endpoint.name)
         ]
         if self.view.reaches_primary_since(
-            registration.group, health.terminated_since, other_positions
+            registration.group, health.refused_since, other_positions
         ):
+            is_replaced = health.terminated_since is not None
+            evidence = DepartureEvidence.REPLACED if is_replaced else DepartureEvidence.REFUSED
             fields = {
                 "name": registration.name,
                 "incarnation": registration.incarnation,
-                "evidence": DepartureEvidence.REFUSED.value,
+                "evidence": evidence.value,
             }
             self._propose(CommandKind.ENDPOINT_GONE, fields)
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/pausing.py
@@ -76,7 +76,7 @@
             return f"{command.endpoint} has lost its log"
         if command.accepted and command.position is not None:
             promotion.received_positions[command.endpoint] = command.position
-        elif self.view.has_terminated(command):
+        elif command.unreachable_reason and command.unreachable_reason.proves_termination():
             promotion.terminated_endpoints.add(command.endpoint)
         return ""
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
@@ -67,6 +67,27 @@
         What VMs handed on is not known before the promotion begins; most probably the primary had
         nothing more than when it was last observed.
         """
+        known, terminated = self._probed(group)
+        if not known:
+            return False
+        return self._has_all_confirmed(group, known, terminated) or self._may_have_all(group, known)
+
+    def explain(self, group: Group, received: dict[str, Position], terminated: set[str]) -> str:
+        """Return why neither proof was found after the pauses, with what is known of everyone."""
+        report = handed_on_report(self.board, group)
+        unreported_s = self.board.clock.now() - report.unreported_until
+        reasons = [
+            f"VMs handed on up to {report.position or 'nothing'}",
+            f"commits are unreported until {unreported_s:.2f} s ago",
+        ]
+        return ", ".join(reasons + self._explain_endpoints(group, received, terminated))
+
+    def explain_probes(self, group: Group) -> str:
+        """Return why no promotion could be finished, with what is known of everyone."""
+        return ", ".join(self._explain_endpoints(group, *self._probed(group)))
+
+    def _probed(self, group: Group) -> tuple[dict[str, Position], set[str]]:
+        """Return the positions of the endpoints that answer probes, and the terminated ones."""
         known: dict[str, Position] = {}
         terminated: set[str] = set()
         for replica in self.view.replicas(group):
@@ -77,19 +98,17 @@
                 terminated.add(replica.name)
         if self.view.is_healthy(group.primary or ""):
             known[group.primary] = self.board.groups.health[group.primary].position or LOG_START
-        if not known:
-            return False
-        return self._has_all_confirmed(group, known, terminated) or self._may_have_all(group, known)
+        return known, terminated
 
-    def explain(self, group: Group, received: dict[str, Position], terminated: set[str]) -> str:
-        """Return why neither proof was found, with every endpoint that was not counted."""
-        report = handed_on_report(self.board, group)
+    def _explain_endpoints(
+        self, group: Group, received: dict[str, Position], terminated: set[str]
+    ) -> list[str]:
+        """Return what is known of the primary, and of each endpoint that may have confirmed."""
         observed = self.board.observations.newest(group.name)
-        seen_at = f"{observed.taken_at - report.unreported_until:+.2f} s" if observed else "never"
-        reasons = [
-            f"VMs handed on up to {report.position or 'nothing'}",
-            f"the primary was last observed {seen_at} after the last unreported commit",
-        ]
+        reasons = ["the primary was never observed"]
+        if observed is not None:
+            age_s = self.board.clock.now() - observed.taken_at
+            reasons = [f"the primary had {observed.position} {age_s:.2f} s ago"]
         for replica in self.view.replicas(group):
             if replica.name in received:
                 reasons.append(f"{replica.name} has {received[replica.name]}")
@@ -97,8 +116,7 @@
                 reasons.append(f"{replica.name} has ended")
             else:
                 reasons.append(f"{replica.name} did not answer")
-        reasons += [f"{name} {text}" for name, text in self.view.explain_departures(group)]
-        return ", ".join(reasons)
+        return reasons + [f"{name} {text}" for name, text in self.view.explain_departures(group)]
 
     def _may_have_all(self, group: Group, known: dict[str, Position]) -> bool:
         """Return whether an endpoint probably has all that VMs will say that they handed on."""
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/triggers.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/triggers.py
@@ -68,7 +68,7 @@
             return True
         if group.name not in self._blocked:
             self._blocked.add(group.name)
-            self.log.blocked(group, loss, self.proofs.explain(group, {}, set()))
+            self.log.blocked(group, loss, self.proofs.explain_probes(group))
         return False
 
     def _loss_of_primary(
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -22,6 +22,7 @@
     apply_declaration,
 )
 from .blackboard.declarations import Declaration
+from .blackboard.departures import DepartureEvidence
 from .blackboard.registrations import Registration, find_fault
 from .blackboard.warmups import Warmup
 from .errors import ChangeRejected, ErrorCode
@@ -186,7 +187,8 @@
     """Remove an endpoint that said that it ends, or that the control leader does not reach."""
     endpoint = configuration.endpoints.get(command.fields["name"])
     if endpoint is not None and endpoint.incarnation <= command.fields["incarnation"]:
-        _remove_endpoint(configuration, endpoint, has_ended="evidence" in command.fields)
+        is_replaced = command.fields.get("evidence") == DepartureEvidence.REPLACED.value
+        _remove_endpoint(configuration, endpoint, has_ended=is_replaced)
 
 
 def _apply_declaration(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -6,6 +6,7 @@
 
 from gentianspread_core import state_machine
 from gentianspread_core.blackboard.groups import PromotionPhase
+from gentianspread_core.blackboard.outbox import UnreachableReason
 from gentianspread_core.controllers import departures
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.promotion.proofs import PromotionProofs
@@ -51,6 +52,7 @@
     ),
     ("any unreachable replica is skipped", PromotionProofs, "_has_all_confirmed", _yes),
     ("a deregistration is an end", state_machine, "list_departed", _list_departed_as_ended),
+    ("a refused connection is an end", UnreachableReason, "proves_termination", _yes),
     ("replicas that left have ended", departures, "MAX_LINGER_S", 0.0),
     ("handed-on commits are not compared", PromotionProofs, "_reaches", _yes),
 )
