Refuse promotions that certainly lack a commit, and promote busy groups after departures

Cause, two consequences of what the VMs' reports could not tell: - An endpoint was promoted by the proof by the replicas though the reports showed commits that it lacks, since a replica that nobody had heard of, or that ran longer than assumed, had confirmed them: callers saw acknowledged commits lost. - The reported position includes commits that were under way. In a group with 12 callers that write all the time, with real processes, no endpoint was promoted in 60 s after a replica had deregistered and the primary crashed, as nothing reached it; the departure counted as running for 30 s, and the primary was not observed after that.

Change: VMs also report a position that was certainly passed: what the primary was known to have when a commit was sent that was handed on later. An endpoint that has no more is not promoted by any proof. And the most advanced replica is promoted if all registered ones are paused, those that left have ended, all VMs have reported, and nothing was passed that it lacks. A replica that deregistered counts as ended 10 s after its last such call, which now reaches the control log also if it was removed before; one that was removed for refusing connections after 30 s.

Ruled out: exact positions of commits (the answer has that of the log), and counting what was under way.

Price: one observation looked up and one dictionary entry a commit; no message in calm.

Three scenarios of promotion.feature let the primary make commits that no VM handed on, and expected that they count; they make them through the VM now."

--- a/features/handed_on.feature
+++ b/features/handed_on.feature
@@ -76,5 +76,6 @@
       | {"g": 1}           |
       | {"g": [1, 2]}      |
       | {"g": [1, 2, 3]}   |
-      | {"g": [1, [3], 1]} |
-      | {"g": [1, null, "x"]} |
+      | {"g": [1, [3], 1, null]} |
+      | {"g": [1, null, "x", null]} |
+      | {"g": [1, null, 1, 7]} |
--- a/features/promotion.feature
+++ b/features/promotion.feature
@@ -50,7 +50,7 @@
 
   Scenario: A terminated replica blocks the promotion while the others lack commits it may have confirmed
     When the endpoint "b2" receives no commits
-    And the primary makes commits for 0.1 s that are not replicated
+    And callers commit for 0.1 s
     And another endpoint takes the address of "b3"
     And 1 s pass
     And the primary crashes
@@ -59,7 +59,7 @@
 
   Scenario: A deregistered replica blocks the promotion while the others lack commits it may have confirmed
     When the endpoint "b2" receives no commits
-    And the primary makes commits for 0.1 s that are not replicated
+    And callers commit for 0.1 s
     And the primary crashes
     And "b3" crashes and is deregistered
     And 3 s pass
@@ -75,7 +75,7 @@
   # Guards against the loss of commits that only a replica had confirmed which then lost its log.
   Scenario Outline: A replica that starts again empty blocks the promotion until the primary is back
     When the endpoint "b2" receives no commits
-    And the primary makes commits for 0.5 s that the other replica confirms
+    And callers commit for 0.5 s
     And <moment>, "b3" starts again empty and <announced>
     And 3 s pass
     Then no endpoint was promoted
--- a/features/promotion_commits.feature
+++ b/features/promotion_commits.feature
@@ -290,6 +290,18 @@
     And 8 s pass
     Then no acknowledged write is lost
 
+  # Guards against the same if nobody else writes, so that no VM in touch tells of the commits.
+  Scenario: A replica that no VM has heard of confirms commits of a VM that is out of touch
+    Given a caller at "h1"
+    And "b2" receives nothing from the primary
+    And "b3" receives nothing from the primary
+    When "b4" joins without having announced itself
+    And the control leader no longer reaches the primary
+    And "h1" is without news of the configuration
+    And callers at "h1" write during the next 1.2 s
+    And 8 s pass
+    Then no acknowledged write is lost
+
   # Guards against a success for commits that a primary without its log was said to have kept: a
   # position of a later term does not show what it has of an earlier one.
   Scenario: The named primary starts again empty, leads and commits before it is probed
--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -239,6 +239,34 @@
       | 31 s pass                                | "b2" leads       |
       | 1 s pass                                 | no endpoint was called |
 
+  # Guards against a promotion that never comes: the primary's last answers were of positions that
+  # nobody has received.
+  Scenario Outline: Answers have positions of commits under way, and a replica left <seconds> s before
+    Given each answer of "b1" has the position of 3 commits that are under way
+    When callers at every VM write during the next 40 s
+    And 1 s pass
+    And "b3" ends and is deregistered
+    And <seconds> s pass
+    And "b1" ends
+    Then "b2" leads within <bound> s
+    And no acknowledged write is lost
+
+    Examples:
+      | seconds | bound |
+      | 0       | 11    |
+      | 3       | 11    |
+      | 11      | 1.2   |
+
+  # Guards against a replica that goes on sending deregistrations, and confirming commits.
+  Scenario: A replica whose deregistration is received again still runs
+    When "b3" is deregistered and runs on
+    And 8 s pass
+    And "b3" is deregistered
+    And 8 s pass
+    Then the control leader has not logged that "b3/1" has ended
+    When 3 s pass
+    Then the control leader has logged that "b3/1" has ended
+
   Scenario: A replica that registers again after its deregistration counts as a replica
     When "b3" is deregistered and runs on
     And "b3" announces that it leaves
--- a/features/steps/handed_on.py
+++ b/features/steps/handed_on.py
@@ -63,7 +63,8 @@
 
 
 def report(context, vm, position, since):
-    reports = {GROUP: HandedOnReport(group_of(context).term, position, since)}
+    passed = Position(position.term, position.index - 1) if position is not None else None
+    reports = {GROUP: HandedOnReport(group_of(context).term, position, since, passed)}
     pass_lease(context, vm, reports)
 
 
@@ -133,7 +134,7 @@
 @when("the control VM hands on a commit without a position")
 def step_no_position(context):
     board = context.control_vm.board
-    board.handed_on.add(GROUP, None, board.clock.now())
+    board.handed_on.add(GROUP, None, None, board.clock.now())
 
 
 @when("the report of the control VM arrives {seconds:g} s later at another one")
@@ -156,7 +157,8 @@
 
 @when('"{vm:w}" polls over the network with a report of {position}')
 def step_polls(context, vm, position):
-    poll(context, vm, {GROUP: [group_of(context).term, position_of(position).to_pair(), 0.5]})
+    pair = position_of(position).to_pair()
+    poll(context, vm, {GROUP: [group_of(context).term, pair, 0.5, None]})
 
 
 @when('"{vm:w}" polls over the network with the odd report {text}')
@@ -186,6 +188,7 @@
 def step_reports_all(context, position):
     known = report_of(context)
     assert known.position == position_of(position), known.position
+    assert known.passed == Position(known.position.term, known.position.index - 1), known.passed
     assert known.unreported_until == context.started_at + MAX_LEASE_WAIT_S
 
 
@@ -227,6 +230,7 @@
 @then("it has {position}, and covers no commit that the first one did not cover")
 def step_covers_no_more(context, position):
     assert context.received.position == position_of(position)
+    assert context.received.passed == report_of(context).passed is not None
     assert context.received.unreported_until >= report_of(context).unreported_until - TOLERANCE_S
 
 
--- a/features/steps/promotion.py
+++ b/features/steps/promotion.py
@@ -54,15 +54,6 @@
     simulation.run(0.1)
 
 
-@when("the primary makes commits for {seconds:g} s that the other replica confirms")
-def step_confirmed_by_one(context, seconds):
-    simulation = context.session_simulation
-    for number in range(5):
-        simulation.primary()._append([f"c{number}"])
-        simulation.run(seconds / 5)
-    context.committed_writes = list(simulation.primary().log)
-
-
 @when("callers commit for {seconds:g} s")
 def step_callers_commit(context, seconds):
     simulation = context.session_simulation
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -180,10 +180,15 @@
 @when('"{name:w}" is deregistered')
 @when('"{name:w}" is deregistered and runs on')
 def step_deregistered_running(context, name):
-    context.promotion_simulation.deregister(name)
+    context.promotion_simulation.deregister(name, incarnation=1)
     context.promotion_simulation.run(STEP_S)
 
 
+@given('each answer of "{name:w}" has the position of {count:d} commits that are under way')
+def step_under_way(context, name, count):
+    context.promotion_simulation.endpoints[name].commits_under_way = count
+
+
 @when('"{name:w}" joins at the address of "{other:w}"')
 def step_joins_at_address(context, name, other):
     simulation = context.promotion_simulation
@@ -241,11 +246,20 @@
 @given("callers at every VM write during the next {seconds:g} s")
 @when("callers at every VM write during the next {seconds:g} s")
 def step_write_load(context, seconds):
+    write_load(context, list(context.promotion_simulation.vms), seconds)
+
+
+@when('callers at "{vm:w}" write during the next {seconds:g} s')
+def step_write_load_at(context, vm, seconds):
+    write_load(context, [vm], seconds)
+
+
+def write_load(context, vms, seconds):
     simulation = context.promotion_simulation
     end = simulation.clock.now() + seconds
 
     def write_once():
-        for vm in simulation.vms:
+        for vm in vms:
             session = simulation.open_session_at(vm, "latest")
             context.writes.append(send(context, vm, session, "WRITE x 1"))
         if simulation.clock.now() + WRITE_INTERVAL_S < end:
@@ -403,6 +417,16 @@
         assert all(item.outcome is not None for item in withheld), vm
 
 
+@then('the control leader has not logged that "{label}" has ended')
+def step_not_ended(context, label):
+    assert not [item for item in events_of(context, "endpoint_ended") if label in item.subject]
+
+
+@then('the control leader has logged that "{label}" has ended')
+def step_ended_logged(context, label):
+    assert only_event(context, "endpoint_ended").subject == f"endpoint {label}"
+
+
 def only_event(context, kind):
     events = events_of(context, kind)
     assert len(events) == 1, [(event.cause, event.details) for event in events]
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/departures.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/departures.py
@@ -6,8 +6,9 @@
 
 
 class DepartureEvidence(Enum):
-    """Why the control leader removed an endpoint that did not deregister itself."""
+    """Why an endpoint was removed; the control leader removes those that did not deregister."""
 
+    DEREGISTERED = "it deregistered"
     REFUSED = "connections to it were refused"
     REPLACED = "another endpoint answers at its address"
 
@@ -17,17 +18,20 @@
 
     `label` is NAME/INCARNATION, as in `Group.departed`. An endpoint goes on confirming commits
     after the call that removed it, until it ends. Another endpoint at its address, or a later start
-    under its name, proves that it has.
+    under its name, proves that it has. `is_announced` is set if it said itself that it ends.
     """
 
-    __slots__ = ("label", "group", "name", "incarnation", "address")
+    __slots__ = ("label", "group", "name", "incarnation", "address", "is_announced")
 
-    def __init__(self, label: str, group: str, name: str, incarnation: int, address: str) -> None:
+    def __init__(
+        self, label: str, group: str, name: str, incarnation: int, address: str, is_announced: bool
+    ) -> None:
         self.label = label
         self.group = group
         self.name = name
         self.incarnation = incarnation
         self.address = address
+        self.is_announced = is_announced
 
     def has_ended_before(self, name: str, address: str, incarnation: int) -> bool:
         """Return whether the start of an endpoint proves that this one has ended before."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -78,6 +78,7 @@
 
     HANDED_ON = "it has all that the VMs handed on"
     REPLICAS = "it has all that the replicas may have confirmed"
+    REPORTED_REPLICAS = "it is the most advanced replica, and VMs reported nothing that it lacks"
     EARLIER_TARGET = "it has all that an earlier target had"
     PRIMARY = "it has all that the primary had when it stepped down"
 
@@ -192,11 +193,11 @@
     `left_unknown_count` the commits that succeeded at an endpoint and were answered as unknown.
     `proof_counts` counts the promote calls by their proof; none stands for attempts without one.
 
-    `departures_seen_at` gives by group when this leader first saw each endpoint as departed, in
-    seconds of its clock, and `departures_ended_at` when it first counted it as ended, so that it
-    confirms nothing more. `lost_logs_at` gives likewise when the position of an endpoint was seen
-    to be before an earlier one, as after a start with an empty log, until another one has received
-    all that it may have confirmed.
+    `departures_seen_at` gives by group when this leader last saw that each departed endpoint still
+    ran, in seconds of its clock, and `departures_ended_at` when it first counted it as ended, so
+    that it confirms nothing more. `lost_logs_at` gives likewise when the position of an endpoint
+    was seen to be before an earlier one, as after a start with an empty log, until another one has
+    received all that it may have confirmed.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
@@ -37,6 +37,11 @@
         known = self.by_group.get(group)
         return known[-1] if known else None
 
+    def newest_position(self, group: str) -> Position | None:
+        """Return the position of the newest observation of a group, or none."""
+        newest = self.newest(group)
+        return newest.position if newest is not None else None
+
     def oldest_since(self, group: str, since: float) -> Observation | None:
         """Return the oldest observation taken at or after a time, or none."""
         for observation in self.by_group.get(group, ()):
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 from ..errors import Refusal
-from ..positions import SessionToken
+from ..positions import Position, SessionToken
 from .connections import BackendConnection
 from .declarations import Route
 from .prepared import PreparedStatement
@@ -202,11 +202,12 @@
     the current primary can answer, so that the reply's position is taken as that of the primary.
     `opens_transaction` marks the first statement of a caller's transaction. `outliers` is the JSON
     form of the ejected endpoints, for a home VM, or none. `revision` is that of the configuration
-    when the exchange was scheduled.
+    when the exchange was scheduled, `position_before` what the primary was known to have then.
     """
 
     __slots__ = (
         "revision",
+        "position_before",
         "connection",
         "evicted",
         "rounds",
@@ -228,6 +229,7 @@
     ) -> None:
         super().__init__(number, endpoint, 0, sent_at, timeout_s, 0.0)
         self.revision = 0
+        self.position_before: Position | None = None
         self.connection = connection
         self.evicted = evicted
         self.rounds = rounds
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -119,8 +119,8 @@
         """Answer a commit that the endpoint confirmed, or withhold the answer."""
         state = self.guard.state_of(request)
         if state is CommitState.KEPT:
-            now = self.board.clock.now()
-            self.board.handed_on.add(request.group, reply.position, now)
+            passed, now = request.exchange.position_before, self.board.clock.now()
+            self.board.handed_on.add(request.group, reply.position, passed, now)
             self._succeed(request, reply.rows, reply)
         elif state is CommitState.DOUBTFUL:
             self._refuse_commit(
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/departures.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/departures.py
@@ -4,17 +4,19 @@
 
 from ..blackboard import Board
 from ..blackboard.configuration import Group
+from ..blackboard.departures import departure_label
 from ..blackboard.timeline import EventKind
 
-# An endpoint whose deregistration is not answered ends some seconds later, and one that leaves goes
-# on for many seconds at most after its announcement was acknowledged.
-MAX_LINGER_S = 30.0
+# For how long a replica may go on: one whose calls to deregister are not answered ends some seconds
+# after the last one, and one that leaves goes on for many seconds after its announcement.
+MAX_DEREGISTERED_S = 10.0
+MAX_UNREACHABLE_S = 30.0
 
 
 class DepartureTimes:
-    """Notes when departures were first seen, and when they first counted as ends.
+    """Notes when departures were last seen to run, and when they first counted as ended.
 
-    A departed replica has ended once another start proves it, or after `MAX_LINGER_S`.
+    A departed replica has ended once another start proves it, or after one of the times above.
     """
 
     __slots__ = ("board",)
@@ -27,6 +29,16 @@
         self.board.groups.departures_seen_at.clear()
         self.board.groups.departures_ended_at.clear()
 
+    def note_call(self, name: str, incarnation: int) -> None:
+        """Note that a departed replica has deregistered again, so that it still ran."""
+        label = departure_label(name, incarnation)
+        departure = self.board.configuration.departures.get(label)
+        if departure is None:
+            return
+        groups = self.board.groups
+        groups.departures_seen_at.setdefault(departure.group, {})[label] = self.board.clock.now()
+        groups.departures_ended_at.get(departure.group, {}).pop(label, None)
+
     def update(self, group: Group) -> None:
         """Note the departures and ends of a group that are new."""
         groups, now = self.board.groups, self.board.clock.now()
@@ -46,10 +58,12 @@
 
     def _evidence_of_end(self, label: str, seen_at: float) -> str:
         """Return why a departed replica confirms nothing more, or an empty text."""
-        if label not in self.board.configuration.departures:
+        departure = self.board.configuration.departures.get(label)
+        if departure is None:
             return "a later start under its name or at its address, or another answer there"
-        if self.board.clock.now() - seen_at >= MAX_LINGER_S:
-            return f"it left {MAX_LINGER_S:g} s ago and has not registered again"
+        limit_s = MAX_DEREGISTERED_S if departure.is_announced else MAX_UNREACHABLE_S
+        if self.board.clock.now() - seen_at >= limit_s:
+            return f"no sign of it for {limit_s:g} s"
         return ""
 
     def _record_end(self, group: Group, label: str, after_s: float, evidence: str) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/health.py
@@ -19,6 +19,7 @@
 from ..blackboard.outbox import EndpointProbe
 from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
+from .configuration import AppliedCommand
 from .departures import DepartureTimes
 from .groupview import PROBE_FAILURE_THRESHOLD, GroupView
 
@@ -46,6 +47,7 @@
             Topic.HEALTH_CHECK_DUE: self.on_health_due,
             Topic.PROBE_ENDED: self.on_probe_ended,
             Topic.PROMOTION_ENDED: self.on_promotion_ended,
+            Topic.COMMAND_APPLIED: self.on_applied,
         }
 
     def on_leadership(self, _entry: None) -> None:
@@ -105,6 +107,13 @@
                 health.probed = False
                 health.not_primary_answers = 0
 
+    def on_applied(self, applied: AppliedCommand) -> None:
+        """Note the deregistrations that endpoints send again."""
+        command = applied.entry.command
+        is_call = command.kind is CommandKind.ENDPOINT_GONE and "evidence" not in command.fields
+        if is_call and self._is_leader():
+            self.departures.note_call(command.fields["name"], command.fields["incarnation"])
+
     def _record_primary(self, probe: EndpointProbe, registration: Registration) -> None:
         group = self.board.configuration.groups[registration.group]
         self.board.timeline.record(
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/leases.py
@@ -108,6 +108,7 @@
         group.term,
         own.positions.get(group.name),
         own.unknown_until.get(group.name, board.started_at),
+        own.passed.get(group.name),
     )
     report.add_unreported(leases.unreported_until)
     for lease in leases.by_vm.values():
@@ -115,7 +116,7 @@
         if received is None or received.after_term != group.term:
             report.add_unreported(lease.expires_at)
         else:
-            report.add_position(received.position)
+            report.add_positions(received.position, received.passed)
             report.add_unreported(received.unreported_until)
     return report
 
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -281,6 +281,7 @@
             number, connection.endpoint, now, timeout_s, connection, evicted, rounds
         )
         exchange.revision = self.board.configuration.revision
+        exchange.position_before = self.board.observations.newest_position(request.group)
         exchange.proves_primary = proves_primary
         transaction = request.session.transaction
         exchange.opens_transaction = transaction is not None and transaction.connection is None
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/proofs.py
@@ -1,6 +1,6 @@
 """Proofs that an endpoint has every commit that was handed on, before it is promoted.
 
-There are two, and one of them is enough:
+One of three is enough:
 
 - The VMs say what they handed on. An endpoint that has received all of it has every commit that a
   caller was told of, whichever replicas confirmed them. Commits that were handed on by VMs that do
@@ -10,10 +10,18 @@
   A replica confirms only commits that the primary already has, and one that has ended confirms
   nothing more. So an endpoint that reaches a position that the primary had after the end of another
   one has every commit that the other one confirmed.
+- All replicas are paused or have ended, and the VMs know of no commit that the most advanced one
+  certainly lacks. What the VMs say includes commits that were still under way, so that in a busy
+  group the first proof mostly fails by those.
+
+A commit that VMs say to be after what the endpoint has refutes all of them: a replica that nobody
+has heard of has confirmed it.
 """
 
 from __future__ import annotations
 
+import math
+
 from ...blackboard import Board
 from ...blackboard.configuration import Group
 from ...blackboard.groups import PromotionProof
@@ -23,6 +31,8 @@
 from ..groupview import GroupView
 from ..leases import handed_on_report
 
+MAX_ESTIMATED_LAG_S = 0.4  # two probes; an attempt shows what the endpoints have received
+
 
 class PromotionProofs:
     """Decides by what the endpoints have received, and what VMs and replicas are known to have.
@@ -53,12 +63,15 @@
         `received` has what those that answered have received; `terminated` are among the others.
         VMs must know of the promotion.
         """
-        if not received:
+        report = handed_on_report(self.board, group)
+        if _lacks_commit(report, received):
             return None
         if self._has_all_confirmed(group, received, terminated):
             return PromotionProof.REPLICAS
-        if self._reaches(group, handed_on_report(self.board, group), received):
+        if self._reaches(group, report, received):
             return PromotionProof.HANDED_ON
+        if self._is_most_advanced(group, report, received, terminated):
+            return PromotionProof.REPORTED_REPLICAS
         return None
 
     def could_promote(self, group: Group) -> bool:
@@ -68,9 +81,12 @@
         nothing more than when it was last observed.
         """
         known, terminated = self._probed(group)
-        if not known:
+        insufficient = self._insufficient.get(group.name)
+        if not known or (insufficient is not None and _lacks_commit(insufficient, known)):
             return False
-        return self._has_all_confirmed(group, known, terminated) or self._may_have_all(group, known)
+        return self._has_all_confirmed(group, known, terminated) or self._may_have_all(
+            group, insufficient, known, terminated
+        )
 
     def explain(self, group: Group, received: dict[str, Position], terminated: set[str]) -> str:
         """Return why neither proof was found after the pauses, with what is known of everyone."""
@@ -118,15 +134,43 @@
                 reasons.append(f"{replica.name} did not answer")
         return reasons + [f"{name} {text}" for name, text in self.view.explain_departures(group)]
 
-    def _may_have_all(self, group: Group, known: dict[str, Position]) -> bool:
-        """Return whether an endpoint probably has all that VMs will say that they handed on."""
-        observed = self.board.observations.newest(group.name)
-        if observed is None:
+    def _may_have_all(
+        self,
+        group: Group,
+        insufficient: HandedOnReport | None,
+        known: dict[str, Position],
+        terminated: set[str],
+    ) -> bool:
+        """Return whether an endpoint probably has all that VMs will say that they handed on.
+
+        `insufficient` is what they said in an attempt that failed, if there was one.
+        """
+        newest = self.board.observations.newest(group.name)
+        if newest is None:
             return False
-        insufficient = self._insufficient.get(group.name)
-        if insufficient is not None and not self._reaches(group, insufficient, known):
+        since = newest.taken_at - MAX_ESTIMATED_LAG_S
+        if not self.view.reaches_primary_since(group.name, since, list(known.values())):
+            return False
+        return (
+            insufficient is None
+            or self._reaches(group, insufficient, known)
+            or self._is_most_advanced(group, insufficient, known, terminated)
+        )
+
+    def _is_most_advanced(
+        self,
+        group: Group,
+        report: HandedOnReport,
+        received: dict[str, Position],
+        terminated: set[str],
+    ) -> bool:
+        """Return whether no other replica can have more, and all that VMs handed on is reported."""
+        if self.view.last_end_at(group) == math.inf:
             return False
-        return any(position.reaches(observed.position) for position in known.values())
+        if any(item.name not in {*received, *terminated} for item in self.view.replicas(group)):
+            return False
+        positions = list(received.values())
+        return self.view.reaches_primary_since(group.name, report.unreported_until, positions)
 
     def _reaches(self, group: Group, report: HandedOnReport, received: dict[str, Position]) -> bool:
         """Return whether an endpoint has all that a report covers, and what is not in it."""
@@ -194,3 +238,11 @@
         if health is None or health.terminated_since is None:
             return False
         return self.view.reaches_primary_since(replica.group, health.terminated_since, positions)
+
+
+def _lacks_commit(report: HandedOnReport, received: dict[str, Position]) -> bool:
+    """Return whether a commit was handed on that no endpoint which answered has."""
+    return not received or (
+        report.passed is not None
+        and all(report.passed.reaches(position) for position in received.values())
+    )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/registrationlog.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/registrationlog.py
@@ -6,6 +6,7 @@
 
 from ..blackboard import Board, Topic
 from ..blackboard.commands import CommandKind
+from ..blackboard.departures import DepartureEvidence
 from ..blackboard.election import Role
 from ..blackboard.registrations import Registration
 from ..blackboard.timeline import EventKind
@@ -50,7 +51,7 @@
         if command.kind is CommandKind.REGISTER_ENDPOINT:
             self._record_registration(command.fields["name"], command.fields["address"])
         elif command.kind is CommandKind.ENDPOINT_GONE:
-            evidence = command.fields.get("evidence", "it deregistered")
+            evidence = command.fields.get("evidence", DepartureEvidence.DEREGISTERED.value)
             self._record_departure(command.fields["name"], evidence)
 
     def _record_registration(self, name: str, address: str) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/group_commands.py
+++ b/packages/gentianspread-core/src/gentianspread_core/group_commands.py
@@ -4,7 +4,7 @@
 
 from .blackboard.commands import Command
 from .blackboard.configuration import Configuration, Group
-from .blackboard.departures import Departure, departure_label
+from .blackboard.departures import Departure, DepartureEvidence, departure_label
 from .blackboard.registrations import Registration
 from .blackboard.successions import Succession
 from .blackboard.votingmembers import VotingMembers
@@ -12,7 +12,9 @@
 from .positions import LOG_START, Position
 
 
-def list_departed(configuration: Configuration, endpoint: Registration, has_ended: bool) -> None:
+def list_departed(
+    configuration: Configuration, endpoint: Registration, evidence: DepartureEvidence
+) -> None:
     """List a replica's incarnation as departed from its group.
 
     A commit that only it had confirmed may now be on the primary alone, which keeps its log when it
@@ -25,9 +27,14 @@
         return
     label = departure_label(endpoint.name, endpoint.incarnation)
     group.departed = [*group.departed, label]
-    if not has_ended:
+    if evidence is not DepartureEvidence.REPLACED:
         configuration.departures[label] = Departure(
-            label, group.name, endpoint.name, endpoint.incarnation, endpoint.address
+            label,
+            group.name,
+            endpoint.name,
+            endpoint.incarnation,
+            endpoint.address,
+            evidence is DepartureEvidence.DEREGISTERED,
         )
 
 
--- a/packages/gentianspread-core/src/gentianspread_core/state_machine.py
+++ b/packages/gentianspread-core/src/gentianspread_core/state_machine.py
@@ -159,7 +159,7 @@
     if registration.incarnation and not _evict_older_at_address(configuration, registration):
         raise ChangeRejected(ErrorCode.REVISION_CONFLICT, "A newer endpoint has this address.")
     if current is not None and registration.incarnation > current.incarnation > 0:
-        list_departed(configuration, current, has_ended=True)
+        list_departed(configuration, current, DepartureEvidence.REPLACED)
     note_start(configuration, registration)
     configuration.endpoints[registration.name] = registration
     _resize_group(configuration, registration.group)
@@ -172,23 +172,27 @@
             continue
         if other.incarnation > registration.incarnation:
             return False
-        _remove_endpoint(configuration, other, has_ended=True)
+        _remove_endpoint(configuration, other, DepartureEvidence.REPLACED)
     return True
 
 
-def _remove_endpoint(configuration: Configuration, endpoint: Registration, has_ended: bool) -> None:
-    """Remove an endpoint's registration; `has_ended` tells whether it is proved to have ended."""
+def _remove_endpoint(
+    configuration: Configuration, endpoint: Registration, evidence: DepartureEvidence
+) -> None:
+    """Remove an endpoint's registration; only another start proves that it has ended."""
     del configuration.endpoints[endpoint.name]
     configuration.warmups.pop(endpoint.name, None)
-    list_departed(configuration, endpoint, has_ended)
+    list_departed(configuration, endpoint, evidence)
 
 
 def _deregister_endpoint(configuration: Configuration, command: Command) -> None:
     """Remove an endpoint that said that it ends, or that the control leader does not reach."""
     endpoint = configuration.endpoints.get(command.fields["name"])
+    evidence = DepartureEvidence(
+        command.fields.get("evidence", DepartureEvidence.DEREGISTERED.value)
+    )
     if endpoint is not None and endpoint.incarnation <= command.fields["incarnation"]:
-        is_replaced = command.fields.get("evidence") == DepartureEvidence.REPLACED.value
-        _remove_endpoint(configuration, endpoint, has_ended=is_replaced)
+        _remove_endpoint(configuration, endpoint, evidence)
 
 
 def _apply_declaration(configuration: Configuration, command: Command) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_simulation.py
@@ -116,9 +116,9 @@
         endpoint.log, endpoint.log_term = list(other.log), other.log_term
         endpoint.applied = len(endpoint.log)
 
-    def deregister(self, name: str) -> None:
-        """Remove an endpoint that has ended from the control log."""
-        incarnation = self.board.configuration.endpoints[name].incarnation
+    def deregister(self, name: str, incarnation: int = 0) -> None:
+        """Remove an endpoint from the control log; by default its registered incarnation."""
+        incarnation = incarnation or self.board.configuration.endpoints[name].incarnation
         fields = {"name": name, "incarnation": incarnation}
         self.propose(Command(CommandKind.ENDPOINT_GONE, fields))
 
@@ -256,8 +256,9 @@
         self.call_later(lambda: self._expire(held), max(remaining_s, 0.0))
 
     def _is_confirmed(self, primary: FakeSessionEndpoint, position: Position) -> bool:
+        length = position.index - primary.commits_under_way
         return any(
-            len(replica.log) >= position.index
+            len(replica.log) >= length
             for replica in self.endpoints.values()
             if replica is not primary and replica.alive and replica.term == primary.term
         )
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/session_endpoint.py
@@ -72,6 +72,8 @@
     `is_unresponsive` the simulation sends no reply, with `ignores_replication` the log does not
     grow, `next_statement_errors` fails the next statements and `next_setup_errors` the next
     messages that set values or prepare statements, `replies_to_lose` loses the next replies.
+    `commits_under_way` are appended after each commit of a caller and before the reply to it; no
+    replica has them before the next commit.
     """
 
     def __init__(
@@ -103,6 +105,7 @@
         self.next_statement_errors: list[str] = []
         self.next_setup_errors: list[str] = []
         self.replies_to_lose = 0
+        self.commits_under_way = 0
         self.slot_free_at = [0.0] * slots
 
     def position(self) -> Position:
@@ -227,6 +230,9 @@
             if replica.alive and not (replica.replication_paused or replica.ignores_replication):
                 replica.log, replica.log_term = list(self.log), self.log_term
                 replica.apply(self.applied)
+        for _ in range(self.commits_under_way):
+            self.log.append(f"under-way-{len(self.log)}")
+        self.applied = len(self.log)
 
     def apply(self, count: int) -> None:
         """Apply the first `count` entries of the log, after this endpoint's lag."""
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -5,10 +5,12 @@
 from typing import Any
 
 from gentianspread_core import state_machine
+from gentianspread_core.blackboard.departures import DepartureEvidence
 from gentianspread_core.blackboard.groups import PromotionPhase
 from gentianspread_core.blackboard.outbox import UnreachableReason
 from gentianspread_core.controllers import departures
 from gentianspread_core.controllers.groupview import GroupView
+from gentianspread_core.controllers.promotion import proofs
 from gentianspread_core.controllers.promotion.proofs import PromotionProofs
 from gentianspread_core.controllers.successors import Successors
 
@@ -34,8 +36,12 @@
 ORIGINAL_LIST_DEPARTED = state_machine.list_departed
 
 
-def _list_departed_as_ended(configuration: Any, endpoint: Any, has_ended: bool) -> None:
-    ORIGINAL_LIST_DEPARTED(configuration, endpoint, has_ended=True)
+def _list_departed_as_ended(configuration: Any, endpoint: Any, _evidence: Any) -> None:
+    ORIGINAL_LIST_DEPARTED(configuration, endpoint, DepartureEvidence.REPLACED)
+
+
+def _no(*_arguments: Any) -> bool:
+    return False
 
 
 def _yes(*_arguments: Any) -> bool:
@@ -53,6 +59,8 @@
     ("any unreachable replica is skipped", PromotionProofs, "_has_all_confirmed", _yes),
     ("a deregistration is an end", state_machine, "list_departed", _list_departed_as_ended),
     ("a refused connection is an end", UnreachableReason, "proves_termination", _yes),
-    ("replicas that left have ended", departures, "MAX_LINGER_S", 0.0),
+    ("replicas that left have ended", departures, "MAX_DEREGISTERED_S", 0.0),
+    ("replicas that refuse have ended", departures, "MAX_UNREACHABLE_S", 0.0),
+    ("commits that all replicas lack are ignored", proofs, "_lacks_commit", _no),
     ("handed-on commits are not compared", PromotionProofs, "_reaches", _yes),
 )
--- a/packages/gentianspread-server/src/gentianspread_server/announcements.py
+++ b/packages/gentianspread-server/src/gentianspread_server/announcements.py
@@ -9,6 +9,7 @@
 import gevent
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
+from gentianspread_core.blackboard.departures import departure_label
 from gentianspread_core.blackboard.registrations import (
     MAX_COUNT,
     MAX_GROUP_SIZE,
@@ -111,6 +112,7 @@
         """Propose to remove a terminated endpoint; return whether that is certainly in the log."""
         registered = self.board.configuration.endpoints.get(name)
         if registered is None:
+            self._report_running(name, incarnation)
             return True
         fields = {"name": name, "incarnation": incarnation or registered.incarnation}
         command = Command(CommandKind.ENDPOINT_GONE, fields)
@@ -121,6 +123,12 @@
             gevent.spawn(self._retry_deregistration, command, name)
         return False
 
+    def _report_running(self, name: str, incarnation: int) -> None:
+        """Let the control leader know in the background that a departed endpoint still runs."""
+        if departure_label(name, incarnation) in self.board.configuration.departures:
+            command = Command(CommandKind.ENDPOINT_GONE, {"name": name, "incarnation": incarnation})
+            gevent.spawn(self._try_to_propose, command, name)
+
     def _retry_deregistration(self, command: Command, name: str) -> None:
         """Retry a deregistration until the log has it, as the endpoint may not send it again."""
         deadline = self.board.clock.now() + DEREGISTRATION_TIMEOUT_S
--- a/packages/gentianspread-server/src/gentianspread_server/handedon.py
+++ b/packages/gentianspread-server/src/gentianspread_server/handedon.py
@@ -13,8 +13,9 @@
     return {
         group: [
             report.after_term,
-            report.position.to_pair() if report.position is not None else None,
+            _to_pair(report.position),
             now - report.unreported_until,
+            _to_pair(report.passed),
         ]
         for group, report in reports.items()
     }
@@ -26,8 +27,14 @@
     The delay of the message makes times later, so that a report never covers too much.
     """
     return {
-        group: HandedOnReport(
-            after_term, Position.from_pair(pair) if pair is not None else None, now - age_s
-        )
-        for group, (after_term, pair, age_s) in record.items()
+        group: HandedOnReport(after_term, _from_pair(pair), now - age_s, _from_pair(passed))
+        for group, (after_term, pair, age_s, passed) in record.items()
     }
+
+
+def _to_pair(position: Position | None) -> list[int] | None:
+    return position.to_pair() if position is not None else None
+
+
+def _from_pair(pair: list[int] | None) -> Position | None:
+    return Position.from_pair(pair) if pair is not None else None
