--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -3,16 +3,10 @@
 from __future__ import annotations
 
 from behave import given, then, when
-from gentianspread_core.blackboard.configuration import (
-    Configuration,
-    load_snapshot,
-    to_snapshot,
-)
 from gentianspread_core.blackboard.groups import PromotionPhase, PromotionProof
 from gentianspread_core.blackboard.outbox import EndpointCommandKind
 from gentianspread_core.blackboard.timeline import EventKind
 from gentianspread_core.errors import ErrorCode, ExecutionResult
-from gentianspread_lab.fakes.session_endpoint import endpoint_address
 from gentianspread_lab.fakes.session_simulation import GROUP
 from gentianspread_server.platform.wire import decode_statement
 
@@ -177,36 +171,6 @@
     context.promotion_simulation.run(STEP_S)
 
 
-@when('"{name:w}" is deregistered')
-@when('"{name:w}" is deregistered and runs on')
-def step_deregistered_running(context, name):
-    context.promotion_simulation.deregister(name, incarnation=1)
-    context.promotion_simulation.run(STEP_S)
-
-
-@given('each answer of "{name:w}" has the position of {count:d} commits that are under way')
-def step_under_way(context, name, count):
-    context.promotion_simulation.endpoints[name].commits_under_way = count
-
-
-@when('"{name:w}" joins at the address of "{other:w}"')
-def step_joins_at_address(context, name, other):
-    simulation = context.promotion_simulation
-    endpoint = simulation.join(name, is_announced=False)
-    address = endpoint_address(other)
-    simulation.announce(endpoint, leaving=False, sequence=1, incarnation=2, address=address)
-
-
-@when('"{name:w}" refuses connections and runs on')
-def step_refuses(context, name):
-    context.promotion_simulation.refusing_endpoints.add(name)
-
-
-@when('"{name:w}" accepts connections again')
-def step_accepts(context, name):
-    context.promotion_simulation.refusing_endpoints.discard(name)
-
-
 @when('"{name:w}" announces that it leaves')
 def step_leaves(context, name):
     simulation = context.promotion_simulation
@@ -319,39 +283,6 @@
     )
 
 
-@then('"{name:w}" leads within {seconds:g} s')
-def step_leads_within(context, name, seconds):
-    simulation = context.promotion_simulation
-    end = simulation.clock.now() + seconds
-    run_until(
-        context, lambda: simulation.endpoints[name].is_primary or simulation.clock.now() > end
-    )
-    assert simulation.endpoints[name].is_primary, simulation.promotions
-
-
-@then('"{name:w}" leads')
-def step_leads_now(context, name):
-    assert context.promotion_simulation.endpoints[name].is_primary
-
-
-@then("no replica is listed as departed")
-def step_none_departed(context):
-    assert not group_of(context).departed, group_of(context).departed
-    assert not context.promotion_simulation.board.configuration.departures
-
-
-@then('"{name:w}" is listed as departed and may still run, also in snapshots')
-def step_departed(context, name):
-    configuration = context.promotion_simulation.board.configuration
-    loaded = Configuration()
-    assert not load_snapshot(loaded, to_snapshot(configuration))
-    for item in (configuration, loaded):
-        assert item.groups[GROUP].departed == [f"{name}/1"], item.groups[GROUP].departed
-        departure = item.departures[f"{name}/1"]
-        assert (departure.group, departure.name, departure.incarnation) == (GROUP, name, 1)
-        assert departure.address == endpoint_address(name)
-
-
 @then('"{name:w}" does not lead')
 def step_does_not_lead(context, name):
     simulation = context.promotion_simulation
@@ -417,16 +348,6 @@
         assert all(item.outcome is not None for item in withheld), vm
 
 
-@then('the control leader has not logged that "{label}" has ended')
-def step_not_ended(context, label):
-    assert not [item for item in events_of(context, "endpoint_ended") if label in item.subject]
-
-
-@then('the control leader has logged that "{label}" has ended')
-def step_ended_logged(context, label):
-    assert only_event(context, "endpoint_ended").subject == f"endpoint {label}"
-
-
 def only_event(context, kind):
     events = events_of(context, kind)
     assert len(events) == 1, [(event.cause, event.details) for event in events]
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -80,7 +80,7 @@
     REPLICAS = "it has all that the replicas may have confirmed"
     REPORTED_REPLICAS = "it is the most advanced replica, and VMs reported nothing that it lacks"
     EARLIER_TARGET = "it has all that an earlier target had"
-    PRIMARY = "it has all that the primary had when it stepped down"
+    STEPPED_DOWN_PRIMARY = "it has all that the primary had when it stepped down"
 
 
 class Promotion:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/controller.py
@@ -7,9 +7,8 @@
 that was handed on, and is promoted. Until it is certain that no call can take effect any more, the
 promotion is under way and VMs withhold what the endpoints confirm.
 
-If a replica is unreachable or has left, `proofs` decides whether the promotion may go ahead. A
-promote call that got no answer may still take effect; only one with a higher fencing token rules
-that out.
+`proofs` decides whether it may go ahead without a replica. A promote call that got no answer may
+still take effect; only one with a higher fencing token rules that out.
 """
 
 from __future__ import annotations
@@ -20,7 +19,7 @@
 from ...blackboard import Board, Topic
 from ...blackboard.commands import ChangeOutcome, Command, CommandKind
 from ...blackboard.configuration import Group
-from ...blackboard.groups import Promotion, PromotionPhase, PromotionProof
+from ...blackboard.groups import Promotion, PromotionPhase
 from ...blackboard.messages import Proposal
 from ...blackboard.outbox import EndpointCommand, EndpointCommandKind
 from ..groupview import GroupView
@@ -95,13 +94,9 @@
         """Drop the promotions that belong to another leader's term."""
         self.board.groups.promotions.clear()
         self._next_attempt_at.clear()
-        self.commands.reset()
-        self.calls.reset()
-        self.successors.reset()
-        self.proofs.reset()
-        self.triggers.reset()
-        self.naming.reset()
-        self.suspects.reset()
+        parts = (self.commands, self.calls, self.successors, self.proofs, self.triggers)
+        for part in (*parts, self.naming, self.suspects):
+            part.reset()
 
     def on_failover_due(self, _entry: None) -> None:
         """Start, continue or abort the promotion of every group."""
@@ -167,7 +162,6 @@
         elif promotion.phase is PromotionPhase.CATCHING_UP:
             successor = self.handover.caught_up(promotion, group)
             if successor is not None:
-                promotion.proof = PromotionProof.PRIMARY
                 self._send_promote(promotion, successor)
 
     def _check_group(self, group: Group) -> None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/handover.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/handover.py
@@ -4,7 +4,7 @@
 
 from ...blackboard import Board, Topic
 from ...blackboard.configuration import Group
-from ...blackboard.groups import Promotion, PromotionPhase
+from ...blackboard.groups import Promotion, PromotionPhase, PromotionProof
 from ...blackboard.outbox import EndpointCommandKind
 from ..groupview import GroupView
 from .commands import PromotionCommands
@@ -44,5 +44,6 @@
         """Return a replica that has everything that the primary had when it stepped down."""
         for name, position in promotion.received_positions.items():
             if name != group.primary and position.reaches(promotion.step_down_position):
+                promotion.proof = PromotionProof.STEPPED_DOWN_PRIMARY
                 return name
         return None
--- /dev/null
+++ b/packages/gentianspread-lab/src/gentianspread_lab/departurefuzz.py
@@ -0,0 +1,104 @@
+"""Property-based test of slow departures: python -m gentianspread_lab.departurefuzz --seed=1.
+
+Besides the faults of `promotionfuzz`, replicas that leave run on after their deregistration or
+while connections to them are refused, and end although no other replica has what they confirmed.
+"""
+
+from __future__ import annotations
+
+import sys
+import time
+
+from absl import app, flags
+from hypothesis import strategies as st
+from hypothesis.stateful import rule
+
+from .promotionfuzz import (
+    ENDPOINT_INDEXES,
+    MAX_ENDPOINTS,
+    MIN_STAYING,
+    VMS,
+    ZONES,
+    PromotionMachine,
+)
+from .soak import soak
+
+
+class DepartureMachine(PromotionMachine):
+    """Adds replicas that leave slowly to the faults around promotions."""
+
+    @rule(index=ENDPOINT_INDEXES)
+    def refuse(self, index: int) -> None:
+        """Let a leaving replica refuse connections while it runs."""
+        name = self._endpoint(index)
+        if name != self.simulation.last_leader and self.simulation.is_announced_as_leaving(name):
+            self.simulation.refusing_endpoints.add(name)
+
+    @rule(
+        index=ENDPOINT_INDEXES,
+        refuses=st.booleans(),
+        deregisters=st.booleans(),
+        lingers_s=st.sampled_from([0.0, 1.0, 3.0]),
+        is_deaf_after_s=st.sampled_from([None, 0.1, 0.6, 1.5]),
+        fault=st.sampled_from(["crash_primary", "cut_primary_from_control", "leave_as_primary"]),
+        vm=st.none() | VMS,
+    )
+    def leave_before_failover(
+        self,
+        index: int,
+        refuses: bool,
+        deregisters: bool,
+        lingers_s: float,
+        is_deaf_after_s: float | None,
+        fault: str,
+        vm: str | None,
+    ) -> None:
+        """Let a replica leave and end, and the others fall behind, before the primary is lost."""
+        simulation = self.simulation
+        if len(simulation.staying()) <= MIN_STAYING and len(simulation.endpoints) < MAX_ENDPOINTS:
+            simulation.add_replica(ZONES[0], 0.0)
+            self._run(0.5)
+        name = self._endpoint(index)
+        staying = simulation.staying()
+        is_leader = name == simulation.last_leader
+        if is_leader or name not in staying or len(staying) <= MIN_STAYING:
+            return
+        simulation.leave(name)
+        self._run(0.3)
+        if not simulation.is_announced_as_leaving(name) or name in simulation.ending:
+            return
+        if refuses:
+            simulation.refusing_endpoints.add(name)
+            self._run(1.5)
+        simulation.terminate(name, deregisters, lingers_s, False, needs_copy=False)
+        if is_deaf_after_s is not None:
+            self._run(min(is_deaf_after_s, lingers_s))
+            for other in simulation.endpoints:
+                if other not in (name, simulation.last_leader):
+                    simulation.receive(other, False)
+        self._run(lingers_s + 0.1)
+        if vm is not None:
+            self.cut_vm(vm, reaches_primary=False)
+        getattr(self, fault)()
+        self._run(1.0)
+
+    def _heal(self) -> None:
+        super()._heal()
+        self.simulation.refusing_endpoints.clear()
+
+
+def main(_arguments: list[str]) -> None:
+    """Run the state machine and print its result; exit with 1 if a rule was violated."""
+    values = flags.FLAGS
+    started = time.monotonic()
+    print(f"seed {values.seed}, {values.steps} steps")
+    try:
+        soak(values.seed, values.steps, machine=DepartureMachine)
+    except AssertionError as error:
+        print(f"BROKEN with seed {values.seed}: {error}")
+        sys.exit(1)
+    print(f"no rule was broken in {time.monotonic() - started:.0f} s")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
@@ -2,7 +2,8 @@
 
 The endpoints do what the platform's protocol allows. Three limits keep to what it promises: the
 last endpoint that led keeps its log when it crashes; a replica that a call may still promote is not
-started with an empty log; and a replica ends only while another one has every acknowledged write.
+started with an empty log; and a replica crashes only while another one has every acknowledged
+write. One that leaves may end without that, as the last endpoint that led has every write.
 """
 
 from __future__ import annotations
@@ -62,7 +63,8 @@
     `blocked_links` are pairs of a VM and an endpoint that it does not reach, `poll_delays_s` the
     delays of answers to polls by VM. `fates` has the fates of the next commands by kind, with the
     delay of late ones. `last_leader` is the last endpoint that led, `ending` those that leave,
-    `gone` those that ended for good. `commits` gives by statement the writes that it commits,
+    `gone` those that ended for good, and `unprotected` those that end whatever the other replicas
+    have. `commits` gives by statement the writes that it commits,
     `unrun_writes` those that callers were told not to have run. `faults` collects violations that
     are noticed when they happen.
     """
@@ -77,6 +79,7 @@
         self.faults: list[str] = []
         self.ending: set[str] = set()
         self.gone: set[str] = set()
+        self.unprotected: set[str] = set()
         self._announcements: dict[str, Announcement] = {}
         self._incarnations: dict[str, int] = {}
         self._sequence = 10
@@ -115,8 +118,11 @@
         It is left alone if no other replica would have every acknowledged write.
         """
         endpoint = self.endpoints[name]
-        if not endpoint.alive or not (name == self.last_leader or self.may_lose_log(name)):
-            return
+        if endpoint.alive and (name == self.last_leader or self.may_lose_log(name)):
+            self._end(name)
+
+    def _end(self, name: str) -> None:
+        endpoint = self.endpoints[name]
         self._broken_connections |= {
             connection
             for connection, session in endpoint.sessions.items()
@@ -178,12 +184,22 @@
         if not is_known and name not in self._announcements:
             self._announce_after(name, 0.0)
 
-    def terminate(self, name: str, deregisters: bool, lingers_s: float, is_replaced: bool) -> None:
+    def terminate(
+        self,
+        name: str,
+        deregisters: bool,
+        lingers_s: float,
+        is_replaced: bool,
+        needs_copy: bool = True,
+    ) -> None:
         """End an endpoint for good; without an acknowledgement it lingers after deregistering.
 
-        The endpoint that leads does neither until another one does, as its log would be lost.
+        The endpoint that leads does neither until another one does, as its log would be lost. With
+        `needs_copy`, a replica waits until another one has every acknowledged write.
         """
         self.ending.add(name)
+        if not needs_copy:
+            self.unprotected.add(name)
         self._announcements.pop(name, None)
         if deregisters:
             self._announcements[name] = Announcement(self.clock.now(), is_gone=True)
@@ -283,11 +299,12 @@
 
     def _end_process(self, name: str, is_replaced: bool) -> None:
         """End a process that leaves."""
-        if self._may_lead(name) or not self.may_lose_log(name):
+        is_needed = name not in self.unprotected and not self.may_lose_log(name)
+        if self._may_lead(name) or is_needed:
             self.call_later(lambda: self._end_process(name, is_replaced), POLL_INTERVAL_S)
             return
         self.gone.add(name)
-        self.crash(name)
+        self._end(name)
         self.endpoints[name].log, self.endpoints[name].applied = [], 0
         self.endpoints[name].is_replaced = is_replaced
 
