--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -84,6 +84,7 @@
         self.cut_from: set[int] = set()  # processes whose packets do not arrive, nor answers leave
         self.heartbeats_cut = False
         self.has_announced = True
+        self.last_owner = 0  # the process that sent the last statement of a client
         self.server: Any = None
         self.writers: set[Any] = set()
         self.health_server: Any = None
@@ -279,6 +280,7 @@
             done, self.writes, self.state = self.writes, [], "I"
             return await group.commit(backend, done, number)
         length = backend.applied()
+        backend.last_owner = self.owner
         group.ran(number, text, backend, length, writes)
         if writes and self.state == "T":
             self.writes.append(number)
