--- a/review/fleet3.py
+++ b/review/fleet3.py
@@ -281,6 +281,7 @@
             return await group.commit(backend, done, number)
         length = backend.applied()
         backend.last_owner = self.owner
+        group.tenants[number] = self.workspace
         group.ran(number, text, backend, length, writes)
         if writes and self.state == "T":
             self.writes.append(number)
@@ -302,6 +303,7 @@
         self.pending: list[tuple[int, asyncio.Future]] = []
         self.committed_at: dict[str, float] = {}
         self.reads: list[tuple[str, float, Backend, set[str]]] = []
+        self.tenants: dict[str, str] = {}  # that the backends were told, by statement id
         self.promotions: list[tuple[float, str, int]] = []
         self.fence = 0
 
