--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,4 +1,4 @@
-"""STALE: a COMMIT without writes on a former primary counts as an observation of the primary."""
+"""LOST: a commit that only a leaving replica confirmed, which was cut off as it deregistered."""
 
 from __future__ import annotations
 
@@ -12,119 +12,101 @@
 
 import fleet3  # noqa: E402
 
-CUT_S = 5.0  # the primary's partition from the core
-LAG_FACTOR = 150  # of a replica's 20 ms, for 7 s
-LAG_FOR_S = 7.0
-IDLE_S = (2.2, 2.32, 2.44, 2.56, 2.68, 2.8)  # of each caller's transaction; txIdleMs is 3,000
-READERS = 8
-MAX_AGE_S = 1.5
+DRAIN_S = 7.0  # drainMs
+RUNS_ON_S = 5.0  # without an acknowledgement, a leaving backend exits some seconds later
+CRASHES_AFTER_S = 4.5  # from the call to deregister
+CRASH_FOR_S = 7.0
+DEAF_FOR_S = 6.5
+BETWEEN_S = 0.03  # the two writes
 
 
-async def open_transaction(fleet: fleet3.Fleet, entry: str) -> fleet3.Client:
-    """Return a session with an open transaction that has read; an operation is retried in full."""
+async def write(client: fleet3.Client) -> fleet3.Answer:
+    """Write once; an operation is retried in full after a promise."""
     for _ in range(20):
-        caller = fleet.client(entry, "primary")
-        if await caller.open():
-            answers = [await caller.ask("BEGIN")]
-            if answers[0] is not None and not answers[0].error:
-                answers.append(await caller.ask("READ 3"))
-            if all(item is not None and not item.error for item in answers):
-                return caller
-            caller.close()
+        if client.is_open() or await client.open():
+            answer = await client.ask("WRITE 5 d")
+            if answer is not None and answer.signature:
+                return answer
+            client.close()
         await asyncio.sleep(0.1)
-    raise RuntimeError("no transaction could be opened")
+    raise RuntimeError("no write was acknowledged")
+
+
+async def deregister(fleet: fleet3.Fleet, leaving: fleet3.Backend) -> None:
+    """Send the call to one node; its answer is lost, as the partition begins."""
+    host, port = fleet.control_list[0].split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    body = b'{"born":%d}' % leaving.born
+    writer.write(
+        f"POST /Instances.Deregister/{leaving.name} HTTP/1.1\r\nHost: {host}:{port}\r\n"
+        f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+    )
+    await writer.drain()
+    fleet.record.say(f"{leaving.name} sends its call to deregister")
+    if fleet3.trouble():
+        await asyncio.sleep(0.05)
+        leaving.cut_from = fleet.control_pids()
+        fleet.record.say(f"{leaving.name} is partitioned from the core; the answer is lost")
+        await asyncio.sleep(1.0)
+    else:
+        await asyncio.sleep(0.2)
+    writer.close()
 
 
 async def scenario(fleet: fleet3.Fleet) -> bool:
     await fleet.start()
     group, record = fleet.group, fleet.record
-    reading, writing, _ = list(fleet.entries)
-    acked: dict[str, float] = {}
-    sent: dict[str, float] = {}
-    running = True
-
-    async def write() -> None:
-        client = fleet.client(writing, "primary")
-        count = 0
-        while running:
-            if not client.is_open() and not await client.open():
-                await asyncio.sleep(0.05)
-                continue
-            count += 1
-            answer = await client.ask(f"WRITE {count % 50} d{count}")
-            if answer is not None and answer.signature:
-                acked[answer.number] = answer.ended_at
-            await asyncio.sleep(0.04)
-
-    async def read() -> None:
-        client = fleet.client(reading, "bounded_stale")
-        while running:
-            if not client.is_open() and not await client.open():
-                await asyncio.sleep(0.05)
-                continue
-            answer = await client.ask("READ 7")
-            if answer is not None:
-                sent[answer.number] = answer.sent_at
-            await asyncio.sleep(0.03)
-
-    fleet.spawn(write())
-    for _ in range(READERS):
-        fleet.spawn(read())
-    await asyncio.sleep(3.0)
-
-    former = group.primary
-    record.say(f"{former.name} is the primary")
-    callers = await asyncio.gather(*(open_transaction(fleet, reading) for _ in IDLE_S))
-    last_statement_at = time.monotonic()
+    first, second = (fleet.client(name, "primary") for name in list(fleet.entries)[:2])
+    acked: list[str] = []
+    for client in (first, second) * 5:
+        acked.append((await write(client)).number)
+        await asyncio.sleep(0.3)
+    primary = group.primary
+    leaving, other = (item for item in group.backends.values() if item is not primary)
+    leaving.state = "draining"
+    while not await leaving.beat():
+        await asyncio.sleep(0.1)
+    record.say(f"{leaving.name} leaves, and is acknowledged; {primary.name} is the primary")
+    await asyncio.sleep(DRAIN_S)
+    acked.append((await write(first)).number)
+    called_at = time.monotonic()
+    leaving.heartbeats_cut = True
+    await deregister(fleet, leaving)
+    if not fleet3.trouble():
+        leaving.crash()
+        record.say(f"{leaving.name} exits")
+    await asyncio.sleep(max(0.0, called_at + CRASHES_AFTER_S - time.monotonic()))
+
+    acked.append((await write(first)).number)
+    await asyncio.sleep(BETWEEN_S)
     if fleet3.trouble():
-        former.cut_from = fleet.control_pids()
-        former.heartbeats_cut = True
-        record.say(f"{former.name} is partitioned from the core")
-
-        async def heal() -> None:
-            await asyncio.sleep(CUT_S)
-            former.cut_from, former.heartbeats_cut = set(), False
-            record.say("the partition ends")
-
-        async def lag() -> None:
-            while not group.promotions:
-                await asyncio.sleep(0.005)
-            former.lag_s = LAG_FACTOR * fleet3.LAG_S
-            record.say(f"{former.name} applies {LAG_FACTOR} times as late")
-            await asyncio.sleep(LAG_FOR_S)
-            former.lag_s = fleet3.LAG_S
-
-        fleet.spawn(heal())
-        fleet.spawn(lag())
-    for caller, idle_s in zip(callers, IDLE_S):
-        await asyncio.sleep(max(0.0, last_statement_at + idle_s - time.monotonic()))
-        answer = await caller.ask("COMMIT")
-        result = "no answer" if answer is None else answer.error or "COMPLETE"
-        record.say(f"the COMMIT of a transaction that wrote nothing: {result}")
-        caller.close()
-    await asyncio.sleep(6.0)
-    running = False
-    await asyncio.sleep(0.3)
+        other.is_deaf = True
+        record.say(f"{other.name} receives nothing any more")
+    acked.append((await write(second)).number)
+    if fleet3.trouble():
+        primary.crash()
+        crashed_at = time.monotonic()
+        record.say(f"{primary.name} crashes")
+        await asyncio.sleep(max(0.0, called_at + RUNS_ON_S - time.monotonic()))
+        leaving.crash()
+        record.say(f"{leaving.name} exits")
+        await asyncio.sleep(max(0.0, crashed_at + DEAF_FOR_S - time.monotonic()))
+        other.is_deaf = False
+        group.pull(other)
+        record.say(f"{other.name} receives again")
+        await asyncio.sleep(max(0.0, crashed_at + CRASH_FOR_S - time.monotonic()))
+        await primary.start()
+        fleet.spawn(primary.announce())
+        record.say(f"{primary.name} comes back with its log")
+    await asyncio.sleep(3.0)
+    acked.append((await write(second)).number)
 
-    if fleet3.trouble() and not group.promotions:
-        raise RuntimeError("no promotion took place")
     kept = {item for item, _ in group.source.log}
-    broken = 0
-    for number, _, backend, known in group.reads:
-        if number not in sent:
-            continue
-        due = [item for item, at in acked.items() if at < sent[number] - MAX_AGE_S]
-        lacking = [item for item in due if item not in known and item in kept]
-        if lacking:
-            broken += 1
-            oldest = sent[number] - min(acked[item] for item in lacking)
-            if broken <= 5:
-                record.say(
-                    f"STALE: {number} ran on {backend.name} without {len(lacking)} commits that"
-                    f" were acknowledged up to {oldest:.2f} s before it was sent"
-                )
-    record.say(f"{len(sent)} reads, {len(acked)} acknowledged writes, {broken} reads too old")
-    return broken > 0
+    lost = [number for number in acked if number not in kept]
+    for number in lost:
+        record.say(f"LOST: {number} was acknowledged, and {group.source.name} lacks it")
+    record.say(f"{len(acked)} writes, {len(group.promotions)} promotions, {len(lost)} lost")
+    return bool(lost)
 
 
 if __name__ == "__main__":
