--- a/review/11/case.py
+++ b/review/11/case.py
@@ -16,7 +16,7 @@
 RUNS_ON_S = 5.0  # without an acknowledgement, a leaving backend exits some seconds later
 CRASHES_AFTER_S = 4.5  # from the call to deregister
 CRASH_FOR_S = 7.0
-DEAF_FOR_S = 6.5
+DEAF_FOR_S = 6.0
 BETWEEN_S = 0.03  # the two writes
 
 
