Promote no endpoint for want of a counter-argument

Cause: the third proof of promotions. VMs know two bounds of a commit, the primary's position before it was sent and the one beside its answer. A replica between the two was promoted, as no commit was known that it certainly lacked.

Change: the third proof is gone.

Two examples of "Answers have positions of commits under way, and a replica left <0, 3> s before" asked for a promotion within 11 s. VMs handed on up to a position that no replica has, and the departed replica may still run and cannot be asked: what VMs and endpoints say is the same whether it confirmed the last commits, as in the outlines above, or not. They are replaced by examples that ask that nothing is lost, writes are refused within 0.5 s as not run, and the primary leads again once it is back.

--- a/features/promotion_departures.feature
+++ b/features/promotion_departures.feature
@@ -239,8 +239,8 @@
       | 31 s pass                                | "b2" leads       |
       | 1 s pass                                 | no endpoint was called |
 
-  # Guards against a promotion that never comes: the primary's last answers were of positions that
-  # nobody has received.
+  # Guards against a departure that holds up promotions for ever after the replica has ended: the
+  # primary's last answers were of positions that nobody has received.
   Scenario Outline: Answers have positions of commits under way, and a replica left <seconds> s before
     Given each answer of "b1" has the position of 3 commits that are under way
     When callers at every VM write during the next 40 s
@@ -253,10 +253,99 @@
 
     Examples:
       | seconds | bound |
-      | 0       | 11    |
-      | 3       | 11    |
       | 11      | 1.2   |
 
+  # Guards against a guess where the departed replica may have confirmed the last commits and cannot be
+  # asked: VMs and endpoints say the same whether it has.
+  Scenario Outline: Answers have positions of commits under way, and a replica left only <seconds> s before
+    Given each answer of "b1" has the position of 3 commits that are under way
+    When callers at every VM write during the next 40 s
+    And 1 s pass
+    And "b3" ends and is deregistered
+    And <seconds> s pass
+    And "b1" ends
+    And 14 s pass
+    Then "b2" does not lead
+    And no acknowledged write is lost
+    And a new write at "h1" is refused within 0.5 s as one that has not run
+    And the "promotion_blocked" line has "reason" with "may still run"
+    When "b1" starts again and announces itself
+    And 1.2 s pass
+    Then "b1" leads
+    And no acknowledged write is lost
+    And a new write at "h1" succeeds
+
+    Examples:
+      | seconds |
+      | 0       |
+      | 3       |
+
+  # Guards against the promotion of a replica only because it is not known to lack a commit: the VM
+  # that sent the last commit knew nothing of the one before it.
+  Scenario Outline: VMs commit <apart> s apart, only a departed replica confirms the last, and the primary ends
+    Given a caller at "h1"
+    And a caller at "h2"
+    When the caller at "h1" writes
+    And 1 s pass
+    And "b3" is deregistered and runs on
+    And 4 s pass
+    And the caller at "h1" writes
+    And <apart> s pass
+    And "b2" receives nothing from the primary
+    And the caller at "h2" writes
+    And 0.02 s pass
+    And "b1" ends
+    And 0.5 s pass
+    And "b3" ends
+    And 14 s pass
+    Then no acknowledged write is lost
+    And "b2" does not lead
+    And a new write at "h1" is refused within 0.5 s as one that has not run
+    When "b1" starts again and announces itself
+    And "b2" has caught up with "b1"
+    And 1.2 s pass
+    Then "b1" leads
+    And a new write at "h1" succeeds
+
+    Examples:
+      | apart |
+      | 0.005 |
+      | 0.01  |
+      | 0.03  |
+
+  # Guards against the same without a departure: the replica that confirmed the last commit has
+  # crashed beside the primary, and its new start proves the end of the one that confirmed it.
+  Scenario Outline: VMs commit <apart> s apart, and the replica that confirmed the last starts again empty
+    Given a caller at "h1"
+    And a caller at "h2"
+    When the caller at "h1" writes
+    And 1 s pass
+    And the caller at "h1" writes
+    And <apart> s pass
+    And "b2" receives nothing from the primary
+    And the caller at "h2" writes
+    And 0.02 s pass
+    And "b1" ends
+    And "b3" ends
+    And 2 s pass
+    And "b3" starts again and announces itself
+    And 12 s pass
+    Then no acknowledged write is lost
+    And "b2" does not lead
+    And "b3" does not lead
+    And a new write at "h1" is refused within 0.5 s as one that has not run
+    When "b1" starts again and announces itself
+    And "b2" has caught up with "b1"
+    And 1.2 s pass
+    Then "b1" leads
+    And a new write at "h1" succeeds
+
+    Examples:
+      | apart |
+      | 0.005 |
+      | 0.01  |
+      | 0.03  |
+
   # Guards against a replica that goes on sending deregistrations, and confirming commits.
   Scenario: A replica whose deregistration is received again still runs
     When "b3" is deregistered and runs on
--- a/features/promotion_processes.feature
+++ b/features/promotion_processes.feature
@@ -99,14 +99,36 @@
 
   # Guards against departures that hold up the promotion of a replica that has every commit.
   # The leases that VMs got from other control VMs while the fleet started have expired after 6 s.
-  Scenario Outline: <departure>, and the primary ends
+  Scenario Outline: <departure>, callers rest, and the primary ends
     When callers go on writing for 6 s
     And <departure>
     And the control VMs know that it has left
     And writes are acknowledged at every entry VM
+    And the callers rest, and the other replica has received every commit
     And the process of the primary ends
     And an endpoint has been promoted
     Then the primary had not been back before
+    When the callers go on
+    And the primary starts again with its log, and the other replica receives again
+    Then no acknowledged commit is missing at a promoted endpoint
+    And writes are served again at every entry VM
+
+    Examples:
+      | departure                                                            |
+      | a replica leaves and its log is gone with it                         |
+      | a replica leaves, and runs on after its deregistration               |
+      | a replica leaves, and its connections are refused while it runs on   |
+
+  # Guards against the same while callers write all the time. A commit may be under way as the primary
+  # ends, which the other replica lacks and the departed one may have confirmed: then the primary stays.
+  Scenario Outline: <departure>, and the primary ends
+    When callers go on writing for 6 s
+    And <departure>
+    And the control VMs know that it has left
+    And writes are acknowledged at every entry VM
+    And the process of the primary ends
+    And an endpoint has been promoted, or the other replica lacks a position that VMs handed on
+    Then the primary had not been back before
     When the primary starts again with its log, and the other replica receives again
     Then no acknowledged commit is missing at a promoted endpoint
     And writes are served again at every entry VM
--- a/features/steps/promotion_commits.py
+++ b/features/steps/promotion_commits.py
@@ -318,6 +318,17 @@
     assert call.answer.refusal is None, (call.answer.refusal.code, call.answer.refusal.message)
 
 
+@then('a new write at "{vm:w}" is refused within {seconds:g} s as one that has not run')
+def step_new_write_refused(context, vm, seconds):
+    simulation = context.promotion_simulation
+    call = send(context, vm, simulation.open_session_at(vm, "latest"), "WRITE x 1")
+    end = simulation.clock.now() + seconds
+    run_until(context, lambda: call.answer is not None or simulation.clock.now() > end)
+    assert call.answer is not None, "it has no answer"
+    refusal = call.answer.refusal
+    assert refusal is not None and refusal.result is ExecutionResult.NOT_RUN, refusal
+
+
 @then("the last write is withheld")
 def step_withheld(context):
     assert context.writes[-1].answer is None, context.writes[-1].answer
--- a/features/steps/promotion_processes.py
+++ b/features/steps/promotion_processes.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import re
 import time
 
 import gevent
 from behave import given, then, when
 from gentianspread_lab.platform.judgement import FindingKind, judge
-from gentianspread_lab.platform.ledger import Ledger
+from gentianspread_lab.platform.ledger import Ending, Ledger
 from gentianspread_lab.platform.links import LinkState
 from gentianspread_lab.platform.operators import FIRST_KEYS
 from gentianspread_lab.platform.sessions import CallerSession, SessionEndedError
@@ -37,7 +38,8 @@
         try:
             session.open(address, "latest", key)
             while not context.is_over:
-                session.execute(f"WRITE {number} data")
+                if not context.is_resting:
+                    session.execute(f"WRITE {number} data")
                 gevent.sleep(WRITE_INTERVAL_S)
         except SessionEndedError:
             gevent.sleep(WRITE_INTERVAL_S)
@@ -83,7 +85,7 @@
 @given("callers write at every entry VM all the while")
 def step_callers(context):
     context.ledger = Ledger()
-    context.is_over = False
+    context.is_over = context.is_resting = False
     context.writers = [
         gevent.spawn(_write, context, vm, number)
         for vm in context.fleet.entry_addresses
@@ -245,6 +247,26 @@
     context.fleet.announcer.end(context.leaving)
 
 
+@when("the callers rest, and the other replica has received every commit")
+def step_rest(context):
+    database, ledger = context.fleet.database, context.ledger
+    context.is_resting = True
+    _wait_for(
+        lambda: all(item.ending is not Ending.OUTSTANDING for item in ledger.statements.values()),
+        "every statement has been answered",
+    )
+    copies = database.copies
+    _wait_for(
+        lambda: copies[context.other].log == copies[database.source].log,
+        f"{context.other} has received every commit",
+    )
+
+
+@when("the callers go on")
+def step_callers_go_on(context):
+    context.is_resting = False
+
+
 @when("the process of the primary ends")
 def step_primary_crashes(context):
     context.promotions_before = len(context.fleet.database.promotions)
@@ -297,6 +319,23 @@
     _wait_for(lambda: len(database.promotions) > context.promotions_before, "a promotion")
 
 
+@when("an endpoint has been promoted, or the other replica lacks a position that VMs handed on")
+def step_promoted_or_behind(context):
+    fleet = context.fleet
+
+    def is_promoted():
+        return len(fleet.database.promotions) > context.promotions_before
+
+    def behind():
+        text = "".join(fleet.log_of(name) for name in fleet.control_names())
+        pattern = rf"VMs handed on up to (\d+)\.(\d+).*?{context.other} has (\d+)\.(\d+)"
+        matches = [tuple(map(int, match)) for match in re.findall(pattern, text)]
+        return [match for match in matches if match[2:] < match[:2]]
+
+    _wait_for(lambda: is_promoted() or behind(), "a promotion, or a position that is lacking")
+    print("promoted" if is_promoted() else f"{context.other} is behind: {behind()[0]}")
+
+
 @when("a promote call has got no answer")
 def step_call_lost(context):
     late_calls = context.fleet.late_calls
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/groups.py
@@ -78,7 +78,6 @@
 
     HANDED_ON = "it has all that the VMs handed on"
     REPLICAS = "it has all that the replicas may have confirmed"
-    REPORTED_REPLICAS = "it is the most advanced replica, and VMs reported nothing that it lacks"
     EARLIER_TARGET = "it has all that an earlier target had"
     STEPPED_DOWN_PRIMARY = "it has all that the primary had when it stepped down"
 
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/handedon.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/handedon.py
@@ -37,6 +37,14 @@
         """Cover no commit that was handed on before a time."""
         self.unreported_until = max(self.unreported_until, until)
 
+    def describe(self, now: float) -> str:
+        """Return the bounds of the last commits that were handed on, for the logs."""
+        return (
+            f"VMs handed on up to {self.position or 'nothing'}"
+            f" and certainly past {self.passed or 'nothing'}"
+            f", commits are unreported until {now - self.unreported_until:.2f} s ago"
+        )
+
 
 class HandedOn:
     """The newest positions by group.
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/promotion/log.py
@@ -10,6 +10,7 @@
 from ...blackboard.outbox import EndpointCommand
 from ...blackboard.timeline import EventKind
 from ...positions import Position
+from ..leases import handed_on_report
 
 
 class PromotionLog:
@@ -80,10 +81,11 @@
         )
 
     def called(self, promotion: Promotion, endpoint: str) -> None:
-        """Record a promote call."""
+        """Record a promote call, its proof, and what VMs said of the last commits."""
         cause = "supersedes earlier calls" if promotion.confirms_primary else ""
         if promotion.proof is not None and not promotion.confirms_primary:
             cause = promotion.proof.value
+        report = handed_on_report(self.board, self.board.configuration.groups[promotion.group])
         self._record(
             EventKind.PROMOTE_CALLED,
             promotion,
@@ -96,6 +98,7 @@
             left_out=" ".join(
                 sorted(promotion.asked_endpoints - promotion.received_positions.keys())
             ),
+            commits=report.describe(self.board.clock.now()),
         )
 
     def call_ended(self, promotion: Promotion, command: EndpointCommand) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/departurefuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/departurefuzz.py
@@ -2,6 +2,8 @@
 
 Besides the faults of `promotionfuzz`, replicas that leave run on after their deregistration or
 while connections to them are refused, and end although no other replica has what they confirmed.
+Replicas also crash beside the primary with the only other copy of the last commit, and start again
+empty.
 """
 
 from __future__ import annotations
@@ -82,6 +84,55 @@
         getattr(self, fault)()
         self._run(1.0)
 
+    @rule(
+        index=ENDPOINT_INDEXES,
+        first=VMS,
+        second=VMS,
+        apart_s=st.sampled_from([0.0, 0.01, 0.03, 0.2]),
+        leaves=st.booleans(),
+        down_s=st.sampled_from([0.1, 0.5, 2.0, 8.0]),
+        announced_after_s=st.sampled_from([0.0, 0.5]),
+    )
+    def lose_confirming_replica(
+        self,
+        index: int,
+        first: str,
+        second: str,
+        apart_s: float,
+        leaves: bool,
+        down_s: float,
+        announced_after_s: float,
+    ) -> None:
+        """Let two VMs commit, and the only replica that confirmed the second end with the primary.
+
+        It may have been deregistered a while before; otherwise it starts again with an empty log.
+        """
+        simulation = self.simulation
+        self.end_faults()
+        leader, name = simulation.last_leader, self._endpoint(index)
+        is_spare = len(simulation.staying()) > MIN_STAYING or not leaves
+        if name == leader or name not in simulation.staying() or not is_spare:
+            return
+        if leaves:
+            simulation.leave(name)
+            self._run(0.3)
+            simulation.terminate(name, True, 1.5, False, needs_copy=False)
+            self._run(1.0)
+        self.callers.write(first)
+        simulation.run(apart_s)
+        for other in simulation.endpoints:
+            if other not in (name, leader):
+                simulation.receive(other, False)
+        self.callers.write(second)
+        simulation.run(0.02)
+        simulation.crash(leader)
+        if not leaves:
+            simulation.crash(name, needs_copy=False)
+        self._run(down_s)
+        if simulation.may_start(name):
+            simulation.start(name, announced_after_s)
+        self._run(1.0)
+
     def _heal(self) -> None:
         super()._heal()
         self.simulation.refusing_endpoints.clear()
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from gentianspread_core import state_machine
@@ -33,6 +34,20 @@
     )
 
 
+ORIGINAL_HAS_ALL_CONFIRMED = PromotionProofs._has_all_confirmed
+
+
+def _has_all_unless_refuted(
+    self: PromotionProofs, group: Any, received: dict[str, Any], terminated: set[str]
+) -> bool:
+    """Take a replica that is not known to lack a commit for one that has every commit."""
+    known = {*received, *terminated}
+    is_known = self.view.last_end_at(group) != math.inf and all(
+        item.name in known for item in self.view.replicas(group)
+    )
+    return is_known or ORIGINAL_HAS_ALL_CONFIRMED(self, group, received, terminated)
+
+
 ORIGINAL_LIST_DEPARTED = state_machine.list_departed
 
 
@@ -57,6 +72,12 @@
         _least_advanced_paused,
     ),
     ("any unreachable replica is skipped", PromotionProofs, "_has_all_confirmed", _yes),
+    (
+        "no known counter-argument is a proof",
+        PromotionProofs,
+        "_has_all_confirmed",
+        _has_all_unless_refuted,
+    ),
     ("a deregistration is an end", state_machine, "list_departed", _list_departed_as_ended),
     ("a refused connection is an end", UnreachableReason, "proves_termination", _yes),
     ("replicas that left have ended", departures, "MAX_DEREGISTERED_S", 0.0),
