Do not take a commit that wrote nothing for an answer of the primary

Cause: plan_rounds said of every statement of a plain transaction that only the primary answers it. The COMMIT of one that wrote nothing succeeds at a former primary, whose old position was then taken for that of the primary at the time of the COMMIT.

Ruled out: observations of other VMs that are dated too late; the simulation shows the position of the former primary under the time of the COMMIT.

Change: such a COMMIT proves nothing. Besides, an answer counts only if this VM knows its endpoint as the primary, as promotions and departures rely on the same positions; others are counted and logged once.

--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/observations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from enum import Enum
 
 from ..positions import Position
 
@@ -10,27 +11,44 @@
 MIN_OBSERVATION_INTERVAL_S = 0.04  # the age of a read is known no better than this
 
 
+class LeadEvidence(Enum):
+    """Why an observed position is that of the primary."""
+
+    STATEMENT = "a statement that only the primary runs"
+    PROBE = "a probe that it answered as primary"
+    VM = "an observation of another VM"
+
+
 class Observation:
     """A log position that covers every commit acknowledged before a time.
 
     `taken_at` is when the endpoint was asked, in seconds of the VM's clock, so it is never later
-    than the true time of the observation.
+    than the true time of the observation. `source` is the endpoint that answered, or the VM that
+    sent the observation.
     """
 
-    __slots__ = ("position", "taken_at")
+    __slots__ = ("position", "taken_at", "source", "evidence")
 
-    def __init__(self, position: Position, taken_at: float) -> None:
+    def __init__(
+        self, position: Position, taken_at: float, source: str, evidence: LeadEvidence
+    ) -> None:
         self.position = position
         self.taken_at = taken_at
+        self.source = source
+        self.evidence = evidence
 
 
 class Observations:
-    """Observations by group, the oldest first."""
+    """Observations by group, the oldest first.
+
+    `ignored_count` counts answers of endpoints that this VM did not know as the primary.
+    """
 
-    __slots__ = ("by_group",)
+    __slots__ = ("by_group", "ignored_count")
 
     def __init__(self) -> None:
         self.by_group: dict[str, deque[Observation]] = {}
+        self.ignored_count = 0
 
     def newest(self, group: str) -> Observation | None:
         """Return the newest observation of a group, or none."""
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -282,7 +282,8 @@
 
     The rate limit counts a whole transaction once, at its begin, and each statement outside one.
     `route` is the one in effect when the request was made. `min_position` is the log position that
-    a replica must have reached, or none if only the primary may serve. `tried_endpoints` names
+    a replica must have reached, or none if only the primary may serve; `observation` is what it was
+    decided by. `tried_endpoints` names
     endpoints at which an attempt failed. Until `wait_deadline`, in seconds of the VM's clock, it
     may wait or be retried: an answer after the latency objective is worth little, and waiting for
     it delays others. `relayed_statement` is the message of the VM that relayed the statement here,
@@ -297,6 +298,7 @@
         "route",
         "prepared",
         "min_position",
+        "observation",
         "tried_endpoints",
         "wait_deadline",
         "relayed_statement",
@@ -329,6 +331,7 @@
         self.route = route
         self.prepared: PreparedStatement | None = None
         self.min_position: Any = None
+        self.observation: Any = None
         self.tried_endpoints: set[str] = set()
         self.wait_deadline = call.arrived_at + min(timeout_s, route.objective)
         self.waiter = call.waiter
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -60,6 +60,7 @@
     PROMOTE_ENDED = "promote_ended"
     PRIMARY_PROMOTED = "primary_promoted"
     PRIMARY_OBSERVED = "primary_observed"
+    OBSERVATION_IGNORED = "observation_ignored"
     ENDPOINT_JOINED = "endpoint_joined"
     ENDPOINT_RESTARTED = "endpoint_restarted"
     ENDPOINT_LEAVING = "endpoint_leaving"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -257,6 +257,7 @@
             min_position=f"{position.term}.{position.index}" if position else "",
             reply=reply.status.value if reply else "",
             message=message,
+            **self._observation_details(request, now),
             **self._commit_details(request, reply),
             **self._schedule_details(request, now),
         )
@@ -273,6 +274,18 @@
             "fence_ended": group.term,
         }
 
+    def _observation_details(self, request: SessionRequest, now: float) -> dict[str, Any]:
+        """Return by which observation of the primary a replica was taken to be recent enough."""
+        observation = request.observation
+        if observation is None:
+            return {}
+        age_ms = round((now - observation.taken_at) * 1000)
+        return {
+            "observed_from": observation.source,
+            "observed_by": observation.evidence.name.lower(),
+            "observed_ms_ago": age_ms,
+        }
+
     def _schedule_details(self, request: SessionRequest, now: float) -> dict[str, Any]:
         """Return what decided the request's turn, if requests are scheduled by priority."""
         if not self.board.settings.schedules_by_priority:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/observations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/observations.py
@@ -5,31 +5,39 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
-from ..blackboard.observations import Observation
+from ..blackboard.observations import LeadEvidence, Observation
 from ..blackboard.outbox import EndpointProbe
 from ..blackboard.requests import ExchangeStatus
 from ..blackboard.sessions import SessionExchange, SessionRequest
+from ..blackboard.timeline import EventKind
 from ..positions import Position
 
 
 class ReceivedObservation:
-    """A primary's position received from another VM; `taken_at` in seconds of this VM's clock."""
+    """A primary's position that the VM `vm` sent; `taken_at` in seconds of this VM's clock."""
 
-    __slots__ = ("group", "position", "taken_at")
+    __slots__ = ("group", "position", "taken_at", "vm")
 
-    def __init__(self, group: str, position: Position, taken_at: float) -> None:
+    def __init__(self, group: str, position: Position, taken_at: float, vm: str) -> None:
         self.group = group
         self.position = position
         self.taken_at = taken_at
+        self.vm = vm
 
 
 class ObservationController:
-    """Owns the observations section."""
+    """Owns the observations section.
 
-    __slots__ = ("board",)
+    An answer counts only if it proves that its endpoint led, and if this VM knows that endpoint as
+    the primary. `_ignored` has by group the endpoint whose answers were last ignored, and the known
+    primary, so that each pair is logged once.
+    """
+
+    __slots__ = ("board", "_ignored")
 
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._ignored: dict[str, tuple[str, str | None]] = {}
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -47,7 +55,12 @@
         reply = exchange.reply
         if reply is None or reply.status is not ExchangeStatus.OK or reply.position is None:
             return
-        self._add(request.group, reply.position, exchange.sent_at)
+        self._add_answer(
+            request.group,
+            Observation(
+                reply.position, exchange.sent_at, exchange.endpoint, LeadEvidence.STATEMENT
+            ),
+        )
 
     def on_probe_ended(self, probe: EndpointProbe) -> None:
         """Add the position of an endpoint that answered a probe as primary."""
@@ -55,11 +68,35 @@
         if registration is None or not (probe.alive and probe.is_primary):
             return
         if probe.position is not None:
-            self._add(registration.group, probe.position, probe.sent_at)
+            self._add_answer(
+                registration.group,
+                Observation(probe.position, probe.sent_at, probe.endpoint, LeadEvidence.PROBE),
+            )
 
     def on_received(self, received: ReceivedObservation) -> None:
         """Add an observation that another VM sent."""
-        self._add(received.group, received.position, received.taken_at)
-
-    def _add(self, group: str, position: Position, taken_at: float) -> None:
-        self.board.observations.add(group, Observation(position, taken_at))
+        observation = Observation(
+            received.position, received.taken_at, received.vm, LeadEvidence.VM
+        )
+        self.board.observations.add(received.group, observation)
+
+    def _add_answer(self, group_name: str, observation: Observation) -> None:
+        """Add what an endpoint answered, unless another one is known as the primary."""
+        group = self.board.configuration.groups.get(group_name)
+        primary = group.primary if group is not None else None
+        if primary == observation.source:
+            self.board.observations.add(group_name, observation)
+            return
+        self.board.observations.ignored_count += 1
+        ignored = (observation.source, primary)
+        if self._ignored.get(group_name) != ignored:
+            self._ignored[group_name] = ignored
+            self.board.timeline.log_only(
+                EventKind.OBSERVATION_IGNORED,
+                f"endpoint {observation.source}",
+                "another endpoint is known as the primary",
+                group=group_name,
+                primary=primary or "",
+                position=str(observation.position),
+                evidence=observation.evidence.value,
+            )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/candidates.py
@@ -138,6 +138,7 @@
         began = transaction.began_at if transaction is not None else request.arrived_at
         since = began - route.max_age + DISPATCH_DELAY_MARGIN_S
         observation = self.board.observations.oldest_since(request.group, since)
+        request.observation = observation
         if observation is None:
             return None
         if request.token is None:
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/steps.py
@@ -24,7 +24,7 @@
     transaction = request.session.transaction
     if transaction is not None:
         if transaction.connection is not None:
-            return [*_own_round(setup), [statement]], not transaction.is_read_only
+            return [*_own_round(setup), [statement]], _is_refused_by_others(request)
         needs_primary = request.min_position is None
         begin = Step(StepKind.BEGIN if needs_primary else StepKind.BEGIN_READ)
         begin.position = request.min_position
@@ -35,6 +35,17 @@
     return [*_own_round(setup), [statement]], request.kind is StatementKind.WRITE
 
 
+def _is_refused_by_others(request: SessionRequest) -> bool:
+    """Return whether a former primary refuses a statement of a transaction that was begun before.
+
+    It accepts the commit of a transaction that wrote nothing.
+    """
+    transaction = request.session.transaction
+    if transaction.is_read_only:
+        return False
+    return request.kind is not StatementKind.COMMIT or transaction.has_written
+
+
 def _own_round(steps: list[Step]) -> list[list[Step]]:
     return [steps] if steps else []
 
--- a/packages/gentianspread-lab/src/gentianspread_lab/departurefuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/departurefuzz.py
@@ -3,7 +3,8 @@
 Besides the faults of `promotionfuzz`, replicas that leave run on after their deregistration or
 while connections to them are refused, and end although no other replica has what they confirmed.
 Replicas also crash beside the primary with the only other copy of the last commit, and start again
-empty.
+empty. Transactions that wrote nothing commit wherever they began, and no VM may take an answer to
+them, or any other, for a position of the primary that lacks an acknowledged write.
 """
 
 from __future__ import annotations
@@ -13,12 +14,14 @@
 
 from absl import app, flags
 from hypothesis import strategies as st
-from hypothesis.stateful import rule
+from hypothesis.stateful import invariant, rule
 
+from .fakes.observation_checks import find_stale_observations
 from .promotionfuzz import (
     ENDPOINT_INDEXES,
     MAX_ENDPOINTS,
     MIN_STAYING,
+    TRANSACTION_PAUSE_S,
     VMS,
     ZONES,
     PromotionMachine,
@@ -29,6 +32,20 @@
 class DepartureMachine(PromotionMachine):
     """Adds replicas that leave slowly to the faults around promotions."""
 
+    @rule(vm=VMS)
+    def begin_reading(self, vm: str) -> None:
+        """Read in a plain transaction that stays open and writes nothing."""
+        caller = self.callers.idle_at(vm)
+        if caller is None:
+            return
+        self.callers.send(caller, "BEGIN")
+        self._run(TRANSACTION_PAUSE_S)
+        if not caller.is_idle() and caller.call.answer is not None:
+            self.callers.send(caller, "READ x")
+            self._run(TRANSACTION_PAUSE_S)
+        caller.writes = []
+        self.transactions.append(caller)
+
     @rule(index=ENDPOINT_INDEXES)
     def refuse(self, index: int) -> None:
         """Let a leaving replica refuse connections while it runs."""
@@ -133,6 +150,12 @@
             simulation.start(name, announced_after_s)
         self._run(1.0)
 
+    @invariant()
+    def check_observations(self) -> None:
+        """Check that no VM takes a position for the primary's that lacks an acknowledged write."""
+        stale = find_stale_observations(self.simulation, newest_only=True)
+        assert not stale, stale
+
     def _heal(self) -> None:
         super()._heal()
         self.simulation.refusing_endpoints.clear()
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -148,7 +148,7 @@
 
     def _poll(self) -> None:
         """Send every VM the configuration, its confirmation time and the primary's position."""
-        observation = self.board.observations.newest(GROUP)
+        observation = newest_observation(self.board)
         for name, engine in self.vms.items():
             if name in self.cut_off_vms or name in self.unpolled_vms:
                 continue
@@ -163,8 +163,7 @@
             )
             engine.board.post(Topic.CONFIGURATION_RECEIVED, copy)
             if observation is not None:
-                received = ReceivedObservation(GROUP, observation.position, observation.taken_at)
-                engine.board.post(Topic.OBSERVATION_RECEIVED, received)
+                engine.board.post(Topic.OBSERVATION_RECEIVED, observation)
         self.call_later(self._poll, POLL_INTERVAL_S)
 
     def _on_intent(self, board: Board, intent: Any) -> None:
@@ -241,3 +240,11 @@
         self.extra_keys |= LOAD_KEYS & record.keys()
         load_reply(reply, record)
         self.call_later(lambda: board.post(Topic.EXCHANGE_ENDED, request), LATENCY_S)
+
+
+def newest_observation(board: Board) -> ReceivedObservation | None:
+    """Return the newest observation of a VM as it sends it to others, or none."""
+    newest = board.observations.newest(GROUP)
+    if newest is None:
+        return None
+    return ReceivedObservation(GROUP, newest.position, newest.taken_at, board.settings.member)
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/promotion_faults.py
@@ -15,7 +15,6 @@
 from gentianspread_core.blackboard import Board, Topic
 from gentianspread_core.blackboard.commands import Command, CommandKind
 from gentianspread_core.blackboard.leases import COMMIT_LEASE_S, CommitLease
-from gentianspread_core.blackboard.observations import Observation
 from gentianspread_core.blackboard.outbox import EndpointCommand, EndpointCommandKind
 from gentianspread_core.blackboard.rate_limits import TokenRequest
 from gentianspread_core.blackboard.sessions import (
@@ -29,7 +28,7 @@
 from gentianspread_core.controllers.observations import ReceivedObservation
 from gentianspread_server.platform.wire import decode_statement
 
-from .home_simulation import POLL_INTERVAL_S, TOKENS_TIMEOUT_S
+from .home_simulation import POLL_INTERVAL_S, TOKENS_TIMEOUT_S, newest_observation
 from .promotion_simulation import EFFECT_DELAY_S, PromotionSimulation
 from .session_endpoint import FakeSessionEndpoint, endpoint_address
 from .session_simulation import GROUP, LATENCY_S, connection_name
@@ -377,20 +376,19 @@
         reports = handed_on_reports(self.vms[name].board)
         lease = CommitLease(name, revision, update.confirmed_at + COMMIT_LEASE_S, reports)
         self.board.post(Topic.LEASE_PASSED_ON, lease)
-        observation = self.board.observations.newest(GROUP)
+        observation = newest_observation(self.board)
         delay_s = self.poll_delays_s.get(name, 0.0) + LATENCY_S
         self.call_later(lambda: self._end_poll(name, update, observation), delay_s)
 
     def _end_poll(
-        self, name: str, update: ConfigurationUpdate, observation: Observation | None
+        self, name: str, update: ConfigurationUpdate, observation: ReceivedObservation | None
     ) -> None:
         """Pass the answer to a poll on to its VM, unless the link broke meanwhile."""
         if name not in self.cut_off_vms and name not in self.unpolled_vms:
             board = self.vms[name].board
             board.post(Topic.CONFIGURATION_RECEIVED, update)
             if observation is not None:
-                received = ReceivedObservation(GROUP, observation.position, observation.taken_at)
-                board.post(Topic.OBSERVATION_RECEIVED, received)
+                board.post(Topic.OBSERVATION_RECEIVED, observation)
         self.call_later(lambda: self._poll_from(name), POLL_INTERVAL_S)
 
     def _request_tokens(self, board: Board, request: TokenRequest) -> None:
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionmutants.py
@@ -9,7 +9,7 @@
 from gentianspread_core.blackboard.departures import DepartureEvidence
 from gentianspread_core.blackboard.groups import PromotionPhase
 from gentianspread_core.blackboard.outbox import UnreachableReason
-from gentianspread_core.controllers import departures
+from gentianspread_core.controllers import departures, steps
 from gentianspread_core.controllers.groupview import GroupView
 from gentianspread_core.controllers.promotion import proofs
 from gentianspread_core.controllers.promotion.proofs import PromotionProofs
@@ -55,6 +55,10 @@
     ORIGINAL_LIST_DEPARTED(configuration, endpoint, DepartureEvidence.REPLACED)
 
 
+def _is_plain(request: Any) -> bool:
+    return not request.session.transaction.is_read_only
+
+
 def _no(*_arguments: Any) -> bool:
     return False
 
@@ -83,5 +87,6 @@
     ("replicas that left have ended", departures, "MAX_DEREGISTERED_S", 0.0),
     ("replicas that refuse have ended", departures, "MAX_UNREACHABLE_S", 0.0),
     ("commits that all replicas lack are ignored", proofs, "_lacks_commit", _no),
+    ("every commit proves who leads", steps, "_is_refused_by_others", _is_plain),
     ("handed-on commits are not compared", PromotionProofs, "_reaches", _yes),
 )
--- a/packages/gentianspread-server/src/gentianspread_server/distribution.py
+++ b/packages/gentianspread-server/src/gentianspread_server/distribution.py
@@ -266,7 +266,7 @@
         self.serving_vms.receive_fleet_list(response["homes"])
         for group, position, observation_age in response["observations"]:
             observed_at = sent_at + response["waited_s"] - observation_age
-            received = ReceivedObservation(group, Position.from_pair(position), observed_at)
+            received = ReceivedObservation(group, Position.from_pair(position), observed_at, name)
             self.board.post(Topic.OBSERVATION_RECEIVED, received)
         return age is not None and age < MAX_UPSTREAM_AGE_S
 
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -139,6 +139,12 @@
         )
         for proof, count in self.engine.board.groups.proof_counts.items():
             proofs.labels(proof.name.lower() if proof is not None else "none").inc(count)
+        ignored = Counter(
+            "gentianspread_ignored_observations",
+            "Answers that seemed to prove a primary, of endpoints not known as the primary.",
+            registry=registry,
+        )
+        ignored.inc(self.engine.board.observations.ignored_count)
         for name, text, value in self._gauges():
             Gauge(f"gentianspread_{name}", text, registry=registry).set(value)
         return generate_latest(registry)
