Decide on a relayed key by the newer of both VMs' declarations

Cause: the VM that relays a statement decides on its key, and the home VM decided again by its own configuration, which counts as fresh for 3.8 s. One that had stood still for a second was wrong in both ways. The message named neither the workspace nor the version, and the sender took the refusal of a key that it knew for final.

Ruled out: an older sender; all wrong results were of statements that were relayed to the home while it stood still or just after, and the sender had applied the version.

Change: a relayed statement carries the workspace and the version of the declaration by which it was decided. A newer decision of the sender stands, otherwise the home decides, and refuses a key of another workspace as key_moved, which is not final. A refusal of a key that the sender knows is tried again. The same on a related path: a request that waited is not sent for the workspace that its key had when it arrived.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -223,6 +223,18 @@
     And 1 s pass
     Then the endpoints committed 0 writes
 
+  # Guards against a statement that runs for the workspace that its key had when it arrived.
+  Scenario: A request that waits for a connection does not run after its key was given away
+    Given the VM has one connection to each endpoint, which needs 0.3 s for each statement
+    And a session "a" on "latest"
+    And a session "b" on "latest"
+    When "a" sends "READ x" and waits 0.05 s
+    And "b" sends "READ x" and waits 0.05 s
+    And version 3 gives the key "k1" to "w2"
+    And 1 s pass
+    Then the last answer of "b" is refused as "key_moved"
+    And 1 statements ran
+
   Scenario: A request that waits for a connection is refused when its key is removed
     Given the VM has one connection to each endpoint, which needs 0.3 s for each statement
     And a session "a" on "latest"
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/relays.py
@@ -23,6 +23,31 @@
 TIMEOUT_DIGITS = 4  # a tenth of a millisecond
 
 
+class KeyDecision:
+    """What a VM decided about a caller's key: its workspace, by which version of the declaration.
+
+    For an open route, which needs no key, the workspace stands for the route.
+    """
+
+    __slots__ = ("workspace", "version")
+
+    def __init__(self, workspace: str, version: int) -> None:
+        self.workspace = workspace
+        self.version = version
+
+    @classmethod
+    def from_record(cls, record: list[Any]) -> KeyDecision:
+        """Build from the JSON form; raises `ValueError` for anything else."""
+        workspace, version = record
+        if not isinstance(workspace, str) or type(version) is not int:
+            raise ValueError("a key decision must be a workspace and a version")
+        return cls(workspace, version)
+
+    def to_record(self) -> list[Any]:
+        """Return the JSON form."""
+        return [self.workspace, self.version]
+
+
 class RelayedStatement:
     """One statement of another VM's caller, for a given endpoint.
 
@@ -30,7 +55,8 @@
     it; `begins_transaction` marks its first statement. `wait_timeout_s` is the part of `timeout_s`
     until the statement is sent. `age_s` is how long ago the caller's statement arrived, or none if
     the sender does not say. `outliers` is the JSON form of the ejected endpoints that the sender
-    knows, or none. `reply` is the endpoint's reply, for which `waiter` waits.
+    knows, or none. `key_decision` is the sender's, or none if it does not say. `reply` is the
+    endpoint's reply, for which `waiter` waits.
     """
 
     __slots__ = (
@@ -53,6 +79,7 @@
         "in_transaction",
         "is_read_only",
         "outliers",
+        "key_decision",
         "reply",
         "waiter",
     )
@@ -90,6 +117,7 @@
         self.in_transaction = False
         self.is_read_only = False
         self.outliers: dict[str, Any] | None = None
+        self.key_decision: KeyDecision | None = None
         self.reply: SessionReply | None = None
         self.waiter: Any = None
 
@@ -117,6 +145,7 @@
         if sends_age:
             relayed.age_s = max(0.0, now - request.arrived_at)
         relayed.outliers = exchange.outliers
+        relayed.key_decision = exchange.key_decision
         transaction = request.session.transaction
         if transaction is not None:
             relayed.in_transaction = True
@@ -154,6 +183,8 @@
             record["age_s"] = round(self.age_s, TIMEOUT_DIGITS)
         if self.outliers is not None:
             record["outliers"] = self.outliers
+        if self.key_decision is not None:
+            record["key_decision"] = self.key_decision.to_record()
         return record
 
     @classmethod
@@ -182,6 +213,8 @@
             relayed.in_transaction = True
             relayed.begins_transaction, relayed.is_read_only = record["transaction"]
         relayed.outliers = record.get("outliers")
+        if record.get("key_decision") is not None:
+            relayed.key_decision = KeyDecision.from_record(record["key_decision"])
         return relayed
 
 
@@ -235,10 +268,14 @@
 
 
 class Relays:
-    """Open transactions of other VMs' callers by handle, and their running statements."""
+    """Open transactions of other VMs' callers by handle, and their running statements.
+
+    `newer_decisions` counts the statements whose key was decided by the sender's newer declaration.
+    """
 
-    __slots__ = ("transactions", "running")
+    __slots__ = ("transactions", "running", "newer_decisions")
 
     def __init__(self) -> None:
+        self.newer_decisions = 0
         self.transactions: dict[str, RelayedTransaction] = {}
         self.running: set[RelayedStatement] = set()
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -203,6 +203,7 @@
     `opens_transaction` marks the first statement of a caller's transaction. `outliers` is the JSON
     form of the ejected endpoints, for a home VM, or none. `revision` is that of the configuration
     when the exchange was scheduled, `position_before` what the primary was known to have then.
+    `key_decision` is the workspace of the caller's key by that configuration, none without one.
     """
 
     __slots__ = (
@@ -215,6 +216,7 @@
         "proves_primary",
         "opens_transaction",
         "outliers",
+        "key_decision",
     )
 
     def __init__(
@@ -237,6 +239,7 @@
         self.proves_primary = False
         self.opens_transaction = False
         self.outliers: dict[str, Any] | None = None
+        self.key_decision: Any = None
 
 
 class SessionReply(Reply):
--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/timeline.py
@@ -75,6 +75,7 @@
     EVACUATION_BEGUN = "evacuation_begun"
     EVACUATION_FINISHED = "evacuation_finished"
     EVACUATION_ENFORCED = "evacuation_enforced"
+    KEY_DECISION_NEWER = "key_decision_newer"
     TRANSACTION_DROPPED = "transaction_dropped"
     INVARIANT_VIOLATED = "invariant_broken"
     ERROR_HANDLED = "error_handled"
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -16,6 +16,7 @@
 from ..interfaces import RetryLimit
 from ..positions import SessionToken
 from .commits import CommitGuard, CommitState
+from .keys import check_key_hash, declared_version, sent_decision
 
 RETRY_BACKOFF_S = 0.01  # times the number of attempts; ten round trips to an endpoint
 OVERLOAD_RETRY_BACKOFF_S = 0.04  # times the number of attempts; a queue of 24 empties in 0.2 s
@@ -91,7 +92,7 @@
         elif request.session.transaction is not None and not exchange.opens_transaction:
             self._refuse_in_transaction(request, reply)
         elif self._has_not_run(reply):
-            self._retry_or_refuse(request, self._not_run_refusal(reply))
+            self._retry_or_refuse(request, self._not_run_refusal(request, reply))
         elif exchange.opens_transaction and reply.status is ExchangeStatus.LOST:
             self._retry_or_refuse(request, self._rollback_refusal(reply))
         elif request.is_standalone_read():
@@ -152,7 +153,7 @@
         if reply.status is ExchangeStatus.OK:
             self._succeed(request, reply.rows, reply)
         elif self._has_not_run(reply):
-            self._refuse(request, self._not_run_refusal(reply))
+            self._refuse(request, self._not_run_refusal(request, reply))
         else:
             self._refuse(request, self._unknown_refusal(reply))
 
@@ -167,13 +168,19 @@
             is_unknown = request.kind is StatementKind.COMMIT and reply.was_sent
             refusal = self._unknown_refusal(reply) if is_unknown else self._rollback_refusal(reply)
         elif reply.status is ExchangeStatus.REFUSED:
-            refusal = self._not_run_refusal(reply)
+            refusal = self._not_run_refusal(request, reply)
         else:
             refusal = self._failed_refusal(reply)
         self._refuse(request, refusal)
 
-    def _not_run_refusal(self, reply: SessionReply) -> Refusal:
+    def _not_run_refusal(self, request: SessionRequest, reply: SessionReply) -> Refusal:
         code = ENDPOINT_ERRORS.get(reply.code) or VM_ERRORS.get(reply.code, ErrorCode.NO_ENDPOINT)
+        is_known = check_key_hash(self.board, request.key_hash or "") is None
+        if code is ErrorCode.KEY_REFUSED and is_known and request.relayed_statement is None:
+            # The home has withdrawn the key, which this VM will learn, or is of an older build and
+            # has an older configuration.
+            message = "The home VM does not accept the key, this VM does."
+            return Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, message)
         return Refusal(code, reply.message or "The endpoint could not be reached.")
 
     def _failed_refusal(self, reply: SessionReply) -> Refusal:
@@ -257,6 +264,7 @@
             min_position=f"{position.term}.{position.index}" if position else "",
             reply=reply.status.value if reply else "",
             message=message,
+            **self._key_details(request),
             **self._observation_details(request, now),
             **self._commit_details(request, reply),
             **self._schedule_details(request, now),
@@ -274,6 +282,14 @@
             "fence_ended": group.term,
         }
 
+    def _key_details(self, request: SessionRequest) -> dict[str, Any]:
+        """Return the version by which the key's workspace was decided, here and at the sender."""
+        sent = sent_decision(request)
+        return {
+            "declared_version": declared_version(self.board),
+            "sender_version": sent.version if sent is not None else 0,
+        }
+
     def _observation_details(self, request: SessionRequest, now: float) -> dict[str, Any]:
         """Return by which observation of the primary a replica was taken to be recent enough."""
         observation = request.observation
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/keys.py
@@ -1,6 +1,8 @@
 """Key controller: authenticates requests and assigns their workspace.
 
-Keys are checked when a session opens, when a request arrives, and again before each dispatch.
+Keys are checked when a session opens, when a request arrives, and again before each dispatch. A
+statement that another VM relays names the workspace that this VM found, and by which version of the
+declaration; of the two VMs the one with the newer version decides.
 """
 
 from __future__ import annotations
@@ -8,7 +10,10 @@
 from typing import Any
 
 from ..blackboard import Board, Topic
+from ..blackboard.relays import KeyDecision
 from ..blackboard.requests import Request, StatementKind
+from ..blackboard.sessions import SessionRequest
+from ..blackboard.timeline import EventKind, request_label
 from ..errors import ErrorCode, ExecutionResult, Refusal
 from ..settings import PRESET_POLICIES
 
@@ -16,12 +21,16 @@
 
 
 class KeyController:
-    """Owns the `workspace` field of requests."""
+    """Owns the `workspace` field of requests.
 
-    __slots__ = ("board",)
+    `_logged_version` is the version of the declaration at which a newer decision was last logged.
+    """
+
+    __slots__ = ("board", "_logged_version")
 
     def __init__(self, board: Board) -> None:
         self.board = board
+        self._logged_version = -1
 
     def subscriptions(self) -> dict[Topic, Any]:
         """Return the handled topics."""
@@ -42,6 +51,8 @@
             request.refusal = refusal
         elif self.board.clock.now() >= request.deadline:
             request.refuse(ErrorCode.DEADLINE_PASSED, "The deadline had passed on arrival.")
+        elif newer_decision(self.board, request) is not None:
+            self._admit_as_decided(request)
         elif request.open_route is not None:
             self._admit_open_route(request)
         else:
@@ -75,6 +86,26 @@
         transaction = self.board.transactions.by_name.get(request.transaction)
         return transaction is None or transaction.busy
 
+    def _admit_as_decided(self, request: SessionRequest) -> None:
+        """Admit a relayed statement by the sender's newer declaration."""
+        decision = newer_decision(self.board, request)
+        request.workspace = decision.workspace
+        if request.open_route is None and not check_key(self.board, request):
+            return
+        self.board.relays.newer_decisions += 1
+        version = declared_version(self.board)
+        if version != self._logged_version:
+            self._logged_version = version
+            self.board.timeline.log_only(
+                EventKind.KEY_DECISION_NEWER,
+                request_label(request.request_id),
+                "the VM that relayed it has a newer declaration",
+                handle=request.relayed_statement.handle,
+                workspace=decision.workspace,
+                sender_version=decision.version,
+                version=version,
+            )
+
     def _admit_open_route(self, request: Request) -> None:
         group = self.board.configuration.open_routes.get(request.open_route or "")
         if group is None or group != request.group:
@@ -85,10 +116,12 @@
             request.workspace = f"{OPEN_WORKSPACE_PREFIX}{request.open_route}"
 
     def _admit_keyed(self, request: Request) -> None:
+        key = self.board.configuration.keys.get(request.key_hash or "")
+        decision = sent_decision(request)
+        if key is not None:
+            request.workspace = decision.workspace if decision is not None else key.workspace
         if not check_key(self.board, request):
             return
-        key = self.board.configuration.keys[request.key_hash or ""]
-        request.workspace = key.workspace
         policy = PRESET_POLICIES[self.board.configuration.preset]
         is_new_write = request.kind is not StatementKind.READ and request.transaction is None
         if is_new_write and not policy.accepts_writes:
@@ -101,21 +134,67 @@
 
 
 def check_key(board: Board, request: Request) -> bool:
-    """Return whether the request's key is valid in a fresh configuration; refuse it otherwise."""
-    refusal = check_key_hash(board, request.key_hash or "")
+    """Return whether the request's key is still that of its workspace; refuse it otherwise.
+
+    The configuration must be fresh. A newer declaration of the VM that relayed it stands.
+    """
+    decision = newer_decision(board, request)
+    if decision is not None:
+        refusal = _freshness_refusal(board)
+        holder = decision.workspace
+    else:
+        refusal = check_key_hash(board, request.key_hash or "")
+        key = board.configuration.keys.get(request.key_hash or "")
+        holder = key.workspace if key is not None else ""
+    if refusal is None and holder != request.workspace:
+        refusal = Refusal(ErrorCode.KEY_MOVED, "The key belongs to another workspace now.")
     if refusal is not None:
         request.refusal = refusal
     return refusal is None
 
 
+def key_decision(board: Board, request: SessionRequest) -> KeyDecision | None:
+    """Return what this VM decided about a request's key, none without a declaration."""
+    declaration = board.configuration.declaration
+    if declaration is None:
+        return None
+    return KeyDecision(request.workspace, declaration.version)
+
+
+def sent_decision(request: Request) -> KeyDecision | None:
+    """Return what the VM that relayed a request decided about its key, none if it does not say."""
+    relayed = request.relayed_statement if isinstance(request, SessionRequest) else None
+    return relayed.key_decision if relayed is not None else None
+
+
+def newer_decision(board: Board, request: Request) -> KeyDecision | None:
+    """Return the decision of the VM that relayed a request if its declaration is newer, or none."""
+    decision = sent_decision(request)
+    is_newer = decision is not None and decision.version > declared_version(board)
+    return decision if is_newer else None
+
+
+def declared_version(board: Board) -> int:
+    """Return the version of this VM's declaration, or -1 without one."""
+    declaration = board.configuration.declaration
+    return declaration.version if declaration is not None else -1
+
+
 def check_key_hash(board: Board, key_hash: str) -> Refusal | None:
     """Return the refusal if a key is not valid in a fresh configuration, or none."""
-    if not board.is_fresh():
-        return Refusal(
-            ErrorCode.CONFIGURATION_NOT_FRESH,
-            "This VM has no recent confirmation of its configuration.",
-        )
+    refusal = _freshness_refusal(board)
+    if refusal is not None:
+        return refusal
     key = board.configuration.keys.get(key_hash)
     if key is None or key.withdrawn:
         return Refusal(ErrorCode.KEY_REFUSED, "The key is not valid.")
     return None
+
+
+def _freshness_refusal(board: Board) -> Refusal | None:
+    if board.is_fresh():
+        return None
+    return Refusal(
+        ErrorCode.CONFIGURATION_NOT_FRESH,
+        "This VM has no recent confirmation of its configuration.",
+    )
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/placement/controller.py
@@ -36,7 +36,7 @@
 from ..admission import AdmitAll
 from ..admission.admission import RELAYED_READ_TIMEOUT_FRACTION
 from ..commits import CommitGuard
-from ..keys import check_key
+from ..keys import check_key, key_decision
 from ..steps import plan_rounds
 from .candidates import Candidates
 from .costs import EndpointCosts
@@ -283,6 +283,7 @@
         exchange.revision = self.board.configuration.revision
         exchange.position_before = self.board.observations.newest_position(request.group)
         exchange.proves_primary = proves_primary
+        exchange.key_decision = key_decision(self.board, request)
         transaction = request.session.transaction
         exchange.opens_transaction = transaction is not None and transaction.connection is None
         connection.state = ConnectionState.BUSY
--- a/packages/gentianspread-core/src/gentianspread_core/errors.py
+++ b/packages/gentianspread-core/src/gentianspread_core/errors.py
@@ -19,6 +19,7 @@
     BAD_REQUEST = "bad_request"
     BAD_TOKEN = "bad_token"
     KEY_REFUSED = "key_refused"
+    KEY_MOVED = "key_moved"
     CONFIGURATION_NOT_FRESH = "configuration_not_fresh"
     MAINTENANCE = "maintenance"
     RATE_LIMITED = "rate_limited"
@@ -49,6 +50,7 @@
     ErrorCode.BAD_REQUEST: "Correct the request as the message says and send it again.",
     ErrorCode.BAD_TOKEN: "Drop the session token and start a new session.",
     ErrorCode.KEY_REFUSED: "Ask the operator for a valid key of this workspace.",
+    ErrorCode.KEY_MOVED: "Send the request again; the key belongs to another workspace now.",
     ErrorCode.CONFIGURATION_NOT_FRESH: "Send the request to another VM, or again in a few seconds.",
     ErrorCode.MAINTENANCE: "Wait until the operator leaves the maintenance preset.",
     ErrorCode.RATE_LIMITED: "Send more slowly, or ask the operator for a higher rate.",
--- a/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/fakes/home_simulation.py
@@ -59,6 +59,8 @@
     either, but reach the other VMs. `sizes` are those of the VMs in cores, in turn;
     `schedules_by_priority` is the setting of all VMs. `relay_delays_s` are the delays of relayed
     statements by home VM; `extra_keys` are those of messages about loads that were sent.
+    `unknown_relay_fields` are the fields of relayed statements that senders or homes of an older
+    build do not know.
     """
 
     def __init__(
@@ -79,6 +81,7 @@
         self.relayed_count = 0
         self.relay_delays_s: dict[str, float] = {}
         self.extra_keys: set[str] = set()
+        self.unknown_relay_fields: set[str] = set()
         super().__init__(
             seed,
             slots=slots,
@@ -211,6 +214,8 @@
             request, handle, self.clock.now(), board.settings.schedules_by_priority
         )
         record = sent.to_record()
+        for field in self.unknown_relay_fields:
+            record.pop(field, None)
         self.extra_keys |= LOAD_KEYS & record.keys()
         received = RelayedStatement.from_record(record)
         received.waiter = ReplyWaiter(
--- a/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
+++ b/packages/gentianspread-server/src/gentianspread_server/session_metrics.py
@@ -139,6 +139,12 @@
         )
         for proof, count in self.engine.board.groups.proof_counts.items():
             proofs.labels(proof.name.lower() if proof is not None else "none").inc(count)
+        newer = Counter(
+            "gentianspread_newer_key_decisions",
+            "Relayed statements whose key was decided by the sender's newer declaration.",
+            registry=registry,
+        )
+        newer.inc(self.engine.board.relays.newer_decisions)
         ignored = Counter(
             "gentianspread_ignored_observations",
             "Answers that seemed to prove a primary, of endpoints not known as the primary.",
