--- a/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
+++ b/packages/gentianspread-core/src/gentianspread_core/blackboard/sessions.py
@@ -286,13 +286,13 @@
     The rate limit counts a whole transaction once, at its begin, and each statement outside one.
     `route` is the one in effect when the request was made. `min_position` is the log position that
     a replica must have reached, or none if only the primary may serve; `observation` is what it was
-    decided by. `tried_endpoints` names
-    endpoints at which an attempt failed. Until `wait_deadline`, in seconds of the VM's clock, it
-    may wait or be retried: an answer after the latency objective is worth little, and waiting for
-    it delays others. `relayed_statement` is the message of the VM that relayed the statement here,
-    or none; it names the one endpoint that may serve it, and is not retried here. `cold_s` is set
-    if it was refused because a cold endpoint had no token: the seconds until the next. Its
-    commit succeeded at the endpoint, and the answer waits, if `is_withheld`.
+    decided by. `tried_endpoints` names endpoints at which an attempt failed. Until `wait_deadline`,
+    in seconds of the VM's clock, it may wait or be retried: an answer after the latency objective
+    is worth little, and waiting for it delays others. `relayed_statement` is the message of the VM
+    that relayed the statement here, or none; it names the one endpoint that may serve it, and is
+    not retried here. `cold_s` is set if it was refused because a cold endpoint had no token: the
+    seconds until the next. Its commit succeeded at the endpoint, and the answer waits, if
+    `is_withheld`.
     """
 
     __slots__ = (
--- a/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/completion.py
@@ -175,10 +175,9 @@
 
     def _not_run_refusal(self, request: SessionRequest, reply: SessionReply) -> Refusal:
         code = ENDPOINT_ERRORS.get(reply.code) or VM_ERRORS.get(reply.code, ErrorCode.NO_ENDPOINT)
-        is_known = check_key_hash(self.board, request.key_hash or "") is None
-        if code is ErrorCode.KEY_REFUSED and is_known and request.relayed_statement is None:
-            # The home has withdrawn the key, which this VM will learn, or is of an older build and
-            # has an older configuration.
+        is_from_home = code is ErrorCode.KEY_REFUSED and request.relayed_statement is None
+        if is_from_home and check_key_hash(self.board, request.key_hash or "") is None:
+            # The home's configuration is newer, or older and the home of an older build.
             message = "The home VM does not accept the key, this VM does."
             return Refusal(ErrorCode.CONFIGURATION_NOT_FRESH, message)
         return Refusal(code, reply.message or "The endpoint could not be reached.")
--- a/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
+++ b/packages/gentianspread-lab/src/gentianspread_lab/promotionfuzz.py
@@ -342,7 +342,6 @@
         self._heal()
         self._run(MAX_LATE_S + 1.0)
         self._start_endpoints()
-        # One may have begun after the control leader that took the command was replaced.
         for zone in filter(self.simulation.board.configuration.is_evacuated, ZONES):
             self._change_zone(CommandKind.FINISH_EVACUATION, zone)
 
