Do not log the answers of a primary that is about to be named

Change: the line is written only if the VM knows a primary. What is ignored and counted is the same.

Measured: observations.feature, 5 scenarios pass.

--- a/packages/gentianspread-core/src/gentianspread_core/controllers/observations.py
+++ b/packages/gentianspread-core/src/gentianspread_core/controllers/observations.py
@@ -89,14 +89,14 @@
             return
         self.board.observations.ignored_count += 1
         ignored = (observation.source, primary)
-        if self._ignored.get(group_name) != ignored:
+        if primary is not None and self._ignored.get(group_name) != ignored:
             self._ignored[group_name] = ignored
             self.board.timeline.log_only(
                 EventKind.OBSERVATION_IGNORED,
                 f"endpoint {observation.source}",
                 "another endpoint is known as the primary",
                 group=group_name,
-                primary=primary or "",
+                primary=primary,
                 position=str(observation.position),
                 evidence=observation.evidence.value,
             )
